--- /dev/null
+++ b/src/policy/fit.ts
@@ -0,0 +1,43 @@
+/**
+ * How well a need fits the free room of a worker. Lower scores are better.
+ *
+ * @module
+ */
+import type { Resources } from "../types.ts";
+
+/** How tasks are laid out over the workers. */
+export type Strategy =
+  /** Fills workers up, which keeps others whole for large tasks. */
+  | "pack"
+  /** Loads workers alike, which keeps requests apart. */
+  | "even";
+
+/** Added where a task would sit beside accelerators that it does not use. */
+const ACCELERATOR_PENALTY = 10;
+/** Weight of the imbalance that a placement leaves between processors and memory. */
+const IMBALANCE_WEIGHT = 0.5;
+
+/** Scores one placement; `free` must hold `need`. */
+export function score(
+  need: Resources,
+  room: {
+    readonly free: Resources;
+    readonly capacity: Resources;
+    readonly strategy: Strategy;
+  },
+): number {
+  const { free, capacity, strategy } = room;
+  const cpu = part(free.cpuMillis - need.cpuMillis, capacity.cpuMillis);
+  const memory = part(free.memoryMib - need.memoryMib, capacity.memoryMib);
+  const slots = part(free.slots - need.slots, capacity.slots);
+  const penalty = need.accelerators === 0 && free.accelerators > 0
+    ? ACCELERATOR_PENALTY
+    : 0;
+  if (strategy === "even") return penalty - Math.min(cpu, memory, slots);
+  return penalty + cpu + memory + IMBALANCE_WEIGHT * Math.abs(cpu - memory) +
+    part(free.accelerators - need.accelerators, capacity.accelerators);
+}
+
+function part(left: number, whole: number): number {
+  return whole === 0 ? 0 : left / whole;
+}
--- /dev/null
+++ b/src/policy/spread.ts
@@ -0,0 +1,71 @@
+/**
+ * Spreading replicas over availability zones and racks.
+ *
+ * @module
+ */
+import type { Worker } from "../types.ts";
+
+/** How many replicas of a workload each zone and rack already has. */
+export interface Spread {
+  readonly zones: ReadonlyMap<string, number>;
+  readonly racks: ReadonlyMap<string, number>;
+}
+
+/** Workers by rack, racks by zone. */
+export class RackIndex {
+  readonly #zones = new Map<string, Map<string, Set<string>>>();
+
+  /** Adds a worker. */
+  add(worker: Worker): void {
+    const racks = this.#zones.get(worker.zone) ?? new Map();
+    const ids = racks.get(worker.rack) ?? new Set();
+    this.#zones.set(worker.zone, racks.set(worker.rack, ids.add(worker.id)));
+  }
+
+  /** Removes a worker. */
+  delete(worker: Worker): void {
+    const racks = this.#zones.get(worker.zone);
+    const ids = racks?.get(worker.rack);
+    ids?.delete(worker.id);
+    if (ids?.size === 0) racks?.delete(worker.rack);
+    if (racks?.size === 0) this.#zones.delete(worker.zone);
+  }
+
+  /** The worker with the lowest finite score, in the emptiest rack of the emptiest zone that has one. */
+  find(
+    spread: Spread,
+    scoreOf: (id: string) => number,
+  ): string | undefined {
+    for (const [, racks] of emptiestFirst(this.#zones, spread.zones)) {
+      for (const [, ids] of emptiestFirst(racks, spread.racks)) {
+        const id = lowest(ids, scoreOf);
+        if (id !== undefined) return id;
+      }
+    }
+    return undefined;
+  }
+}
+
+function emptiestFirst<T>(
+  members: ReadonlyMap<string, T>,
+  counts: ReadonlyMap<string, number>,
+): [string, T][] {
+  return [...members].sort(([a], [b]) =>
+    (counts.get(a) ?? 0) - (counts.get(b) ?? 0)
+  );
+}
+
+function lowest(
+  ids: Iterable<string>,
+  scoreOf: (id: string) => number,
+): string | undefined {
+  let best: string | undefined;
+  let bestScore = Infinity;
+  for (const id of ids) {
+    const value = scoreOf(id);
+    if (value >= bestScore) continue;
+    best = id;
+    bestScore = value;
+  }
+  return best;
+}
