--- /dev/null
+++ b/src/policy/choice.ts
@@ -0,0 +1,178 @@
+/**
+ * Which of the waiting work runs next. Urgent work goes first, except that
+ * deferred work which is late or has waited too long gets a guaranteed part
+ * of the starts.
+ *
+ * @module
+ */
+import type { Resources, Urgency } from "../types.ts";
+import type { Shares } from "./shares.ts";
+import type { Backlog } from "./waiting.ts";
+
+/** Something that could run next. Times are monotonic milliseconds of this instance. */
+export interface Candidate {
+  readonly team: string;
+  readonly workload: string;
+  readonly urgency: Urgency;
+  readonly need: Resources;
+  readonly arrivedAtMs: number;
+  readonly dueAtMs?: number;
+}
+
+/** A candidate that waits at a peer. */
+export interface PeerCandidate extends Candidate {
+  readonly holder: string;
+  readonly count: number;
+}
+
+/** What a choice depends on. */
+export interface ChoiceOptions {
+  readonly shares: Pick<Shares, "rank" | "fairRank">;
+  /** Whether a need can be placed now. */
+  readonly hasRoom: (need: Resources) => boolean;
+  readonly nowMs: number;
+  /** Counts the starts owed to deferred work; without it urgent work always goes first. */
+  readonly turns?: DeferredTurns;
+}
+
+/** How pressing deferred work is. */
+type Pressure = "none" | "aged" | "late";
+
+/** Weighted shares closer than this, in parts of the fleet, count as equal. */
+const RANK_STEP = 0.005;
+/** Deferred work due within this time counts as late. */
+export const SLACK_MS = 5_000;
+/** Deferred work that has waited longer than this counts as aged. */
+export const AGED_MS = 60_000;
+/** Part of the starts that late deferred work gets while urgent work waits. */
+const LATE_PART = 0.1;
+/** Part of the starts that aged deferred work gets while urgent work waits. */
+const AGED_PART = 0.02;
+
+/** Starts owed to pressing deferred work. */
+export class DeferredTurns {
+  #owed = 0;
+
+  /** Counts one choice and says whether deferred work has its turn. */
+  isDue(part: number): boolean {
+    this.#owed = Math.min(1, this.#owed + part);
+    return this.#owed >= 1;
+  }
+
+  /** Notes that deferred work was chosen. */
+  spend(): void {
+    this.#owed = 0;
+  }
+}
+
+/** Turns a peer's backlog into a candidate. */
+export function candidateOf(
+  backlog: Backlog,
+  options: { readonly holder: string; readonly receivedAtMs: number },
+): PeerCandidate {
+  const { holder, receivedAtMs } = options;
+  const { dueInMs, oldestArrivedAgoMs, ...rest } = backlog;
+  return {
+    ...rest,
+    holder,
+    arrivedAtMs: receivedAtMs - oldestArrivedAgoMs,
+    ...(dueInMs === undefined ? {} : { dueAtMs: receivedAtMs + dueInMs }),
+  };
+}
+
+/** The candidate that should run next among those that fit. */
+export function chooseNext<T extends Candidate>(
+  candidates: Iterable<T>,
+  options: ChoiceOptions,
+): T | undefined {
+  const bests = new Bests<T>(options);
+  for (const candidate of candidates) bests.offer(candidate);
+  return decide(bests, options.turns);
+}
+
+/** The best candidate of each urgency. */
+class Bests<T extends Candidate> {
+  urgent: T | undefined;
+  deferred: T | undefined;
+  readonly #options: ChoiceOptions;
+  readonly #fairStep: number;
+
+  constructor(options: ChoiceOptions) {
+    this.#options = options;
+    this.#fairStep = stepOf(options.shares.fairRank());
+  }
+
+  /** Pressure of the best deferred candidate. */
+  get pressure(): Pressure {
+    return this.deferred === undefined
+      ? "none"
+      : pressureOf(this.deferred, this.#options.nowMs);
+  }
+
+  offer(candidate: T): void {
+    const best = this[candidate.urgency];
+    const better = best === undefined || this.#precedes(candidate, best);
+    if (!better || !this.#options.hasRoom(candidate.need)) return;
+    this[candidate.urgency] = candidate;
+  }
+
+  #precedes(a: T, b: T): boolean {
+    const dueA = this.#priorityDue(a);
+    const dueB = this.#priorityDue(b);
+    if (dueA !== dueB) return dueA < dueB;
+    const stepA = this.#step(a);
+    const stepB = this.#step(b);
+    return stepA === stepB ? comesFirst(a, b) : stepA < stepB;
+  }
+
+  /** Due time of late deferred work of a team within its share; infinite for all else. */
+  #priorityDue(candidate: T): number {
+    if (candidate.urgency === "urgent") return Infinity;
+    if (pressureOf(candidate, this.#options.nowMs) !== "late") return Infinity;
+    return this.#step(candidate) <= this.#fairStep
+      ? candidate.dueAtMs!
+      : Infinity;
+  }
+
+  #step(candidate: T): number {
+    return stepOf(this.#options.shares.rank(candidate.team));
+  }
+}
+
+function decide<T extends Candidate>(
+  bests: Bests<T>,
+  turns: DeferredTurns | undefined,
+): T | undefined {
+  const { urgent, deferred, pressure } = bests;
+  if (urgent === undefined || deferred === undefined) return urgent ?? deferred;
+  if (!turns?.isDue(partOf(pressure))) return urgent;
+  turns.spend();
+  return deferred;
+}
+
+function partOf(pressure: Pressure): number {
+  switch (pressure) {
+    case "none":
+      return 0;
+    case "aged":
+      return AGED_PART;
+    case "late":
+      return LATE_PART;
+  }
+}
+
+function pressureOf(candidate: Candidate, nowMs: number): Pressure {
+  const slackMs = (candidate.dueAtMs ?? Infinity) - nowMs;
+  if (slackMs <= SLACK_MS) return "late";
+  return nowMs - candidate.arrivedAtMs > AGED_MS ? "aged" : "none";
+}
+
+function comesFirst(a: Candidate, b: Candidate): boolean {
+  const dueA = a.dueAtMs ?? Infinity;
+  const dueB = b.dueAtMs ?? Infinity;
+  return dueA === dueB ? a.arrivedAtMs < b.arrivedAtMs : dueA < dueB;
+}
+
+function stepOf(rank: number): number {
+  return Math.floor(rank / RANK_STEP);
+}
