--- /dev/null
+++ b/src/policy/choice_test.ts
@@ -0,0 +1,155 @@
+import test from "ava";
+import { noResources } from "../resources.ts";
+import {
+  AGED_MS,
+  type Candidate,
+  candidateOf,
+  chooseNext,
+  DeferredTurns,
+} from "./choice.ts";
+import { entitlements, Shares } from "./shares.ts";
+
+/** Time after which past use equals present use. */
+const SETTLED_MS = 100_000;
+const fleet = { ...noResources, slots: 100 };
+
+function candidate(name: string, extra: Partial<Candidate> = {}): Candidate {
+  return {
+    team: name,
+    workload: name,
+    urgency: "urgent",
+    need: { ...noResources, slots: 1 },
+    arrivedAtMs: 0,
+    ...extra,
+  };
+}
+
+function sharesOf(usage: Record<string, number>): Shares {
+  const shares = new Shares();
+  shares.setCapacity(fleet);
+  for (const [team, slots] of Object.entries(usage)) {
+    shares.setUsage(team, { ...noResources, slots });
+  }
+  shares.advance(SETTLED_MS);
+  return shares;
+}
+
+function options(usage: Record<string, number> = {}) {
+  return { shares: sharesOf(usage), hasRoom: () => true, nowMs: 0 };
+}
+
+const cases: {
+  name: string;
+  candidates: Candidate[];
+  usage?: Record<string, number>;
+  expected: string;
+}[] = [
+  {
+    name: "urgent before deferred",
+    candidates: [
+      candidate("a", { urgency: "deferred", arrivedAtMs: -9 }),
+      candidate("b"),
+    ],
+    expected: "b",
+  },
+  {
+    name: "lowest share first",
+    candidates: [candidate("a", { arrivedAtMs: -9 }), candidate("b")],
+    usage: { a: 50, b: 10 },
+    expected: "b",
+  },
+  {
+    name: "oldest first among equal shares",
+    candidates: [candidate("a"), candidate("b", { arrivedAtMs: -9 })],
+    expected: "b",
+  },
+  {
+    name: "late deferred work before other deferred work",
+    candidates: [
+      candidate("a", { urgency: "deferred", arrivedAtMs: -9 }),
+      candidate("b", { urgency: "deferred", dueAtMs: 1 }),
+    ],
+    usage: { a: 1, b: 2, c: 90 },
+    expected: "b",
+  },
+  {
+    name: "late work of a team above its share waits its turn",
+    candidates: [
+      candidate("a", { urgency: "deferred" }),
+      candidate("b", { urgency: "deferred", dueAtMs: 1 }),
+    ],
+    usage: { a: 10, b: 90 },
+    expected: "a",
+  },
+];
+
+for (const { name, candidates, usage, expected } of cases) {
+  test(`choice: ${name}`, (t) => {
+    t.is(chooseNext(candidates, options(usage))?.team, expected);
+    t.is(chooseNext(candidates.toReversed(), options(usage))?.team, expected);
+  });
+}
+
+test("choice: only what has room", (t) => {
+  const large = candidate("a", { need: fleet, arrivedAtMs: -9 });
+  const hasRoom = (need: typeof fleet) => need.slots <= 1;
+  const chosen = chooseNext([large, candidate("b")], { ...options(), hasRoom });
+  t.is(chosen?.team, "b");
+  t.is(chooseNext([large], { ...options(), hasRoom }), undefined);
+});
+
+test("choice: pressing deferred work gets its part and no more", (t) => {
+  const counts = { urgent: 0, deferred: 0 };
+  const turns = new DeferredTurns();
+  const waiting = [
+    candidate("a"),
+    candidate("b", { urgency: "deferred", arrivedAtMs: -2 * AGED_MS }),
+  ];
+  for (let i = 0; i < 1_000; i++) {
+    counts[chooseNext(waiting, { ...options(), turns })!.urgency]++;
+  }
+  t.deepEqual(counts, { urgent: 980, deferred: 20 });
+});
+
+test("choice: a peer's ages become local times", (t) => {
+  const { arrivedAtMs, dueAtMs, ...rest } = candidate("a", { dueAtMs: 0 });
+  const backlog = { ...rest, count: 2, oldestArrivedAgoMs: 30, dueInMs: 5 };
+  const local = candidateOf(backlog, { holder: "p", receivedAtMs: 100 });
+  t.is(local.arrivedAtMs, 70 + arrivedAtMs);
+  t.is(local.dueAtMs, 105 + dueAtMs!);
+});
+
+test("shares: weights divide the fleet", (t) => {
+  const shares = sharesOf({ a: 20, b: 30 });
+  t.true(shares.compare("a", "b") < 0);
+  shares.setWeights(new Map([["b", 3]]));
+  t.true(shares.compare("a", "b") > 0);
+});
+
+test("shares: past use is remembered for a while", (t) => {
+  const shares = sharesOf({ a: 50, b: 0 });
+  shares.setUsage("a", noResources);
+  t.true(shares.compare("a", "b") > 0);
+  shares.advance(3 * SETTLED_MS);
+  t.true(shares.rank("a") < 1e-9);
+});
+
+test("shares: charge and refund cancel out", (t) => {
+  const shares = sharesOf({ a: 5 });
+  shares.charge("a", fleet);
+  shares.refund("a", fleet);
+  t.deepEqual(shares.usage("a"), { ...noResources, slots: 5 });
+});
+
+test("entitlements: what one leaves goes to the others", (t) => {
+  const parts = entitlements(
+    new Map([
+      ["a", { weight: 2, demand: 0.1 }],
+      ["b", { weight: 1, demand: 1 }],
+      ["c", { weight: 2, demand: 1 }],
+    ]),
+  );
+  t.is(parts.get("a"), 0.1);
+  t.true(Math.abs(parts.get("b")! - 0.3) < 1e-9);
+  t.true(Math.abs(parts.get("c")! - 0.6) < 1e-9);
+});
--- a/src/policy/heap.ts
+++ b/src/policy/heap.ts
@@ -9,11 +9,18 @@
   readonly id: string;
 }
 
-/** A binary heap; the item that comes `before` all others is at its head. */
+interface Entry<T> {
+  readonly item: T;
+  /** Grows with each push. */
+  readonly order: number;
+}
+
+/** A binary heap; the item that comes `before` all others is at its head, the first pushed among equals. */
 export class Heap<T extends Identified> {
-  readonly #items: T[] = [];
+  readonly #entries: Entry<T>[] = [];
   readonly #positions = new Map<string, number>();
   readonly #before: (a: T, b: T) => boolean;
+  #order = 0;
 
   constructor(before: (a: T, b: T) => boolean) {
     this.#before = before;
@@ -21,19 +28,19 @@
 
   /** Number of items. */
   get size(): number {
-    return this.#items.length;
+    return this.#entries.length;
   }
 
   /** The first item, left in place. */
   head(): T | undefined {
-    return this.#items[0];
+    return this.#entries[0]?.item;
   }
 
   /** Adds an item; an item with the same id is replaced. */
   push(item: T): void {
     this.remove(item.id);
-    this.#put(item, this.#items.length);
-    this.#rise(this.#items.length - 1);
+    this.#put({ item, order: this.#order++ }, this.#entries.length);
+    this.#rise(this.#entries.length - 1);
   }
 
   /** Takes the first item. */
@@ -46,25 +53,25 @@
   remove(id: string): T | undefined {
     const position = this.#positions.get(id);
     if (position === undefined) return undefined;
-    const item = this.#items[position]!;
-    const last = this.#items.pop()!;
+    const entry = this.#entries[position]!;
+    const last = this.#entries.pop()!;
     this.#positions.delete(id);
-    if (last !== item) {
+    if (last !== entry) {
       this.#put(last, position);
       this.#rise(position);
-      this.#sink(this.#positions.get(last.id)!);
+      this.#sink(this.#positions.get(last.item.id)!);
     }
-    return item;
+    return entry.item;
   }
 
   /** All items in no particular order. */
   *[Symbol.iterator](): Generator<T> {
-    yield* this.#items;
+    for (const { item } of this.#entries) yield item;
   }
 
-  #put(item: T, position: number): void {
-    this.#items[position] = item;
-    this.#positions.set(item.id, position);
+  #put(entry: Entry<T>, position: number): void {
+    this.#entries[position] = entry;
+    this.#positions.set(entry.item.id, position);
   }
 
   #rise(start: number): void {
@@ -89,20 +96,24 @@
 
   #firstChild(position: number): number | undefined {
     const left = 2 * position + 1;
-    if (left >= this.#items.length) return undefined;
+    if (left >= this.#entries.length) return undefined;
     const right = left + 1;
-    const rightFirst = right < this.#items.length &&
+    const rightFirst = right < this.#entries.length &&
       this.#precedes(right, left);
     return rightFirst ? right : left;
   }
 
   #precedes(a: number, b: number): boolean {
-    return this.#before(this.#items[a]!, this.#items[b]!);
+    const first = this.#entries[a]!;
+    const second = this.#entries[b]!;
+    if (this.#before(first.item, second.item)) return true;
+    return first.order < second.order &&
+      !this.#before(second.item, first.item);
   }
 
   #swap(a: number, b: number): void {
-    const item = this.#items[a]!;
-    this.#put(this.#items[b]!, a);
-    this.#put(item, b);
+    const entry = this.#entries[a]!;
+    this.#put(this.#entries[b]!, a);
+    this.#put(entry, b);
   }
 }
--- /dev/null
+++ b/src/policy/pool_test.ts
@@ -0,0 +1,154 @@
+import test from "ava";
+import fc from "fast-check";
+import { fits, noResources, subtract } from "../resources.ts";
+import type { Resources, Worker } from "../types.ts";
+import { WorkerPool } from "./pool.ts";
+
+const SEED = 7;
+
+function worker(id: string, extra: Partial<Worker> = {}): Worker {
+  return {
+    id,
+    address: "10.0.0.1:80",
+    zone: "a",
+    rack: "a1",
+    capacity: need({ cpuMillis: 64_000, memoryMib: 262_144, slots: 8 }),
+    connections: 60,
+    ...extra,
+  };
+}
+
+function need(part: Partial<Resources>): Resources {
+  return { ...noResources, ...part };
+}
+
+const oneSlot = need({ cpuMillis: 1_000, memoryMib: 1_024, slots: 1 });
+
+test("place: nothing fits", (t) => {
+  const pool = new WorkerPool();
+  pool.upsert(worker("w"));
+  t.is(pool.place(need({ cpuMillis: 64_001 })), undefined);
+  t.false(pool.couldEverFit(need({ cpuMillis: 64_001 })));
+  t.true(pool.couldEverFit(need({ cpuMillis: 64_000 })));
+});
+
+test("place: packs or evens out", (t) => {
+  const pool = new WorkerPool();
+  pool.upsert(worker("empty"));
+  pool.upsert(worker("used"));
+  t.true(pool.take("used", oneSlot));
+  t.is(pool.place(oneSlot), "used");
+  t.is(pool.place(oneSlot, { strategy: "even" }), "empty");
+  t.is(pool.place(oneSlot, { avoid: new Set(["used"]) }), "empty");
+});
+
+test("place: keeps accelerators for those who need them", (t) => {
+  const pool = new WorkerPool();
+  const capacity = { ...worker("x").capacity, accelerators: 4 };
+  pool.upsert(worker("accelerated", { capacity }));
+  pool.upsert(worker("plain"));
+  pool.take("accelerated", need({ cpuMillis: 60_000 }));
+  t.is(pool.place(oneSlot), "plain");
+  t.is(pool.place(need({ accelerators: 1 })), "accelerated");
+});
+
+test("place: spreads over zones, then racks", (t) => {
+  const pool = new WorkerPool();
+  pool.upsert(worker("w1", { zone: "a", rack: "a1" }));
+  pool.upsert(worker("w2", { zone: "b", rack: "b1" }));
+  pool.upsert(worker("w3", { zone: "b", rack: "b2" }));
+  const spread = {
+    zones: new Map([["a", 2], ["b", 1]]),
+    racks: new Map([["a1", 2], ["b1", 1]]),
+  };
+  t.is(pool.place(oneSlot, { spread }), "w3");
+});
+
+test("unusable workers get nothing and count nothing", (t) => {
+  const pool = new WorkerPool();
+  pool.upsert(worker("w"));
+  pool.setUsable("w", false);
+  t.is(pool.place(oneSlot), undefined);
+  t.deepEqual(pool.totals(), { capacity: noResources, free: noResources });
+  pool.release("w", oneSlot);
+  pool.setUsable("w", true);
+  t.is(pool.place(oneSlot), "w");
+});
+
+test("take refuses what does not fit", (t) => {
+  const pool = new WorkerPool();
+  pool.upsert(worker("w"));
+  pool.reserveFor("w", need({ slots: 7 }));
+  t.true(pool.take("w", oneSlot));
+  t.false(pool.take("w", oneSlot));
+  pool.release("w", oneSlot);
+  t.true(pool.take("w", oneSlot));
+});
+
+test("gang: all or none, and nothing stays taken", (t) => {
+  const pool = new WorkerPool();
+  pool.upsert(worker("w1"));
+  pool.upsert(worker("w2"));
+  const free = pool.totals().free;
+  t.is(pool.placeGang(oneSlot, { count: 16 })?.length, 16);
+  t.is(pool.placeGang(oneSlot, { count: 17 }), undefined);
+  t.deepEqual(pool.totals().free, free);
+});
+
+test("any sequence keeps free and totals exact", (t) => {
+  const step = fc.record({
+    action: fc.constantFrom("take", "release", "usable", "unusable", "place"),
+    id: fc.integer({ min: 0, max: 4 }).map((id) => `w${id}`),
+  });
+  const property = fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+    const pool = new WorkerPool();
+    const held: string[] = [];
+    for (let i = 0; i < 5; i++) pool.upsert(worker(`w${i}`));
+    for (const { action, id } of steps) {
+      const target = action === "place" ? pool.place(oneSlot) : id;
+      if (action === "usable") pool.setUsable(id, true);
+      if (action === "unusable") pool.setUsable(id, false);
+      if (action === "release" && held.length > 0) {
+        pool.release(held.pop()!, oneSlot);
+      }
+      if ((action === "take" || action === "place") && target !== undefined) {
+        if (pool.take(target, oneSlot)) held.push(target);
+      }
+    }
+    let free = noResources;
+    for (const id of pool.ids()) {
+      if (!fits(noResources, pool.free(id)!)) return false;
+      if (pool.usable(id)) {
+        free = subtract(free, subtract(noResources, pool.free(id)!));
+      }
+    }
+    return JSON.stringify(free) === JSON.stringify(pool.totals().free);
+  });
+  fc.assert(property, { seed: SEED });
+  t.pass();
+});
+
+test("place finds room wherever there is any", (t) => {
+  const size = fc.record({
+    cpuMillis: fc.integer({ min: 0, max: 64_000 }),
+    memoryMib: fc.integer({ min: 0, max: 262_144 }),
+    accelerators: fc.integer({ min: 0, max: 2 }),
+    slots: fc.integer({ min: 0, max: 8 }),
+  });
+  const property = fc.property(
+    fc.array(size, { minLength: 1, maxLength: 20 }),
+    size,
+    (rooms, wanted) => {
+      const pool = new WorkerPool();
+      rooms.forEach((capacity, i) =>
+        pool.upsert(worker(`w${i}`, { capacity }))
+      );
+      const id = pool.place(wanted);
+      const possible = rooms.some((room) => fits(wanted, room));
+      return possible === (id !== undefined) &&
+        (id === undefined || fits(wanted, pool.free(id)!));
+    },
+  );
+  fc.assert(property, { seed: SEED });
+  t.pass();
+});
