Add the policies of the three kinds and the view of peers

Cause: the kinds differ in how they are placed, ordered, retried and made room for; the controllers need the peers' backlogs and rooms as plain state. The order by due time and arrival stood in three places and is now one.

--- /dev/null
+++ b/src/kinds/registry.ts
@@ -0,0 +1,108 @@
+/**
+ * The kinds of workload, and how one is told from the fields of its
+ * configuration section.
+ *
+ * @module
+ */
+import { findFirst } from "fp-ts/lib/ReadonlyArray.js";
+import { map, type Option } from "fp-ts/lib/Option.js";
+import { pipe } from "fp-ts/lib/function.js";
+import { unreachable } from "../errors.ts";
+import type { Workload } from "../operator_set.ts";
+import type { Waiting } from "../policy/waiting.ts";
+import { batch } from "./batch/definition.ts";
+import { gang } from "./gang/definition.ts";
+import type {
+  Claimant,
+  Definition,
+  FailedAttempt,
+  Kind,
+  Placement,
+  PlacementContext,
+  Retry,
+  Victim,
+} from "./policy.ts";
+import { service } from "./service/definition.ts";
+
+/** Every kind; the first that detects a section's fields wins. */
+export const definitions = [gang, service, batch] as const;
+
+/** The kind that a section names, or the one that its fields describe. */
+export function detectKind(
+  fields: Readonly<Record<string, unknown>>,
+): Option<Kind> {
+  return pipe(
+    definitions as readonly Definition<Kind>[],
+    findFirst((definition) => isDescribed(definition, fields)),
+    map((definition) => definition.kind),
+  );
+}
+
+/** Finds room for a workload by the policy of its kind. */
+export function place(
+  workload: Workload,
+  context: PlacementContext,
+): Placement {
+  switch (workload.kind) {
+    case "service":
+      return service.policy.place(workload, context);
+    case "batch":
+      return batch.policy.place(workload, context);
+    case "gang":
+      return gang.policy.place(workload, context);
+    default:
+      return unreachable(workload);
+  }
+}
+
+/** What follows a failed attempt by the policy of the workload's kind. */
+export function retry(workload: Workload, attempt: FailedAttempt): Retry {
+  switch (workload.kind) {
+    case "service":
+      return service.policy.retry(workload, attempt);
+    case "batch":
+      return batch.policy.retry(workload, attempt);
+    case "gang":
+      return gang.policy.retry(workload, attempt);
+    default:
+      return unreachable(workload);
+  }
+}
+
+/** Orders waiting work of one kind; negative if `a` goes first. */
+export function order(
+  kind: Kind,
+  pair: { readonly a: Waiting; readonly b: Waiting },
+): number {
+  return definitionOf(kind).policy.order(pair.a, pair.b);
+}
+
+/** Whether running work may give way to a claimant of a kind. */
+export function mayPreempt(
+  kind: Kind,
+  parties: { readonly claimant: Claimant; readonly victim: Victim },
+): boolean {
+  return definitionOf(kind).policy.mayPreempt(parties.claimant, parties.victim);
+}
+
+function definitionOf(kind: Kind): Definition<Kind> {
+  switch (kind) {
+    case "service":
+      return service as Definition<Kind>;
+    case "batch":
+      return batch as Definition<Kind>;
+    case "gang":
+      return gang as Definition<Kind>;
+    default:
+      return unreachable(kind);
+  }
+}
+
+function isDescribed(
+  definition: Definition<Kind>,
+  fields: Readonly<Record<string, unknown>>,
+): boolean {
+  return "kind" in fields
+    ? fields.kind === definition.kind
+    : definition.detects(fields);
+}
--- /dev/null
+++ b/src/kinds/service/definition.ts
@@ -0,0 +1,14 @@
+/**
+ * Long-running replicas that answer requests.
+ *
+ * @module
+ */
+import type { Definition } from "../policy.ts";
+import { servicePolicy } from "./policy.ts";
+
+/** The kind `service`. */
+export const service: Definition<"service"> = {
+  kind: "service",
+  detects: (fields) => "path" in fields || "replicas" in fields,
+  policy: servicePolicy,
+};
--- a/src/policy/choice.ts
+++ b/src/policy/choice.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Resources, Urgency } from "../types.ts";
+import { byDueThenArrival } from "./order.ts";
 import type { Shares } from "./shares.ts";
 import type { Backlog } from "./waiting.ts";
 
@@ -122,7 +123,7 @@
     if (dueA !== dueB) return dueA < dueB;
     const stepA = this.#step(a);
     const stepB = this.#step(b);
-    return stepA === stepB ? comesFirst(a, b) : stepA < stepB;
+    return stepA === stepB ? byDueThenArrival(a, b) < 0 : stepA < stepB;
   }
 
   /** Due time of late deferred work of a team within its share; infinite for all else. */
@@ -167,12 +168,6 @@
   return nowMs - candidate.arrivedAtMs > AGED_MS ? "aged" : "none";
 }
 
-function comesFirst(a: Candidate, b: Candidate): boolean {
-  const dueA = a.dueAtMs ?? Infinity;
-  const dueB = b.dueAtMs ?? Infinity;
-  return dueA === dueB ? a.arrivedAtMs < b.arrivedAtMs : dueA < dueB;
-}
-
 function stepOf(rank: number): number {
   return Math.floor(rank / RANK_STEP);
 }
--- a/src/policy/waiting.ts
+++ b/src/policy/waiting.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Resources, Urgency } from "../types.ts";
 import { Heap } from "./heap.ts";
+import { byDueThenArrival } from "./order.ts";
 
 /** One request or task that waits. Times are monotonic milliseconds of its holder. */
 export interface Waiting {
@@ -201,11 +202,9 @@
   }
 }
 
-/** Order within a team and workload: first due, then first come. */
+/** Order within a team and workload. */
 function precedes(a: Waiting, b: Waiting): boolean {
-  const dueA = a.dueAtMs ?? Infinity;
-  const dueB = b.dueAtMs ?? Infinity;
-  return dueA === dueB ? a.arrivedAtMs < b.arrivedAtMs : dueA < dueB;
+  return byDueThenArrival(a, b) < 0;
 }
 
 function backlogOf(lane: Lane, nowMs: number): Backlog {
