--- /dev/null
+++ b/bench/decisions.ts
@@ -0,0 +1,2 @@
+import type { Results } from "./results.ts";
+export function benchDecisions(_results: Results, _seed: number): void {}
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,42 @@
+/**
+ * Runs one bench: `npm run -s bench -- NAME --seed N`. Prints key=value lines;
+ * `missed` names the targets that were not met.
+ *
+ * @module
+ */
+import { Command } from "commander";
+import { benchDecisions } from "./decisions.ts";
+import { benchPacking } from "./packing.ts";
+import { Results } from "./results.ts";
+import { benchShares } from "./shares.ts";
+import { benchWaiting } from "./waiting.ts";
+
+/** A bench fills in its results from a seed. */
+export type Bench = (results: Results, seed: number) => void;
+
+const benches: Readonly<Record<string, Bench>> = {
+  decisions: benchDecisions,
+  packing: benchPacking,
+  shares: benchShares,
+  waiting: benchWaiting,
+};
+
+function main(): void {
+  const command = new Command("bench")
+    .argument("<name>", `one of ${Object.keys(benches).join(", ")}`)
+    .option("--seed <number>", "seed of all random numbers", Number, 1)
+    .parse();
+  const [name] = command.args;
+  const bench = benches[name ?? ""];
+  if (bench === undefined) {
+    return command.error(`error=unknownBench name=${name}`);
+  }
+  const { seed } = command.opts<{ seed: number }>();
+  const results = new Results();
+  results.line("bench", name!);
+  results.line("seed", seed);
+  bench(results, seed);
+  results.end();
+}
+
+main();
--- /dev/null
+++ b/bench/model/instance.ts
@@ -0,0 +1,453 @@
+/**
+ * One instance of the design: it holds what arrived at it and decides for the
+ * workers that it owns, by the policy code of the product.
+ *
+ * @module
+ */
+import { Announcer } from "../../src/policy/announcer.ts";
+import {
+  type Candidate,
+  chooseNext,
+  DeferredTurns,
+  type PeerCandidate,
+} from "../../src/policy/choice.ts";
+import { DrainRate } from "../../src/policy/drain_rate.ts";
+import { PeerBacklogs } from "../../src/policy/peer_backlogs.ts";
+import { PeerRooms } from "../../src/policy/peer_rooms.ts";
+import { WorkerPool } from "../../src/policy/pool.ts";
+import { Quarantine } from "../../src/policy/quarantine.ts";
+import { Shares } from "../../src/policy/shares.ts";
+import { type Backlog, WaitingQueue } from "../../src/policy/waiting.ts";
+import { add, fits, noResources } from "../../src/resources.ts";
+import type { Resources, Urgency } from "../../src/types.ts";
+import type { Events } from "./events.ts";
+import type { Endpoint, Network } from "./network.ts";
+import type { Outcomes } from "./record.ts";
+import { type Item, SLOTS } from "./trace.ts";
+
+/** Settings of the exchange between instances. */
+export interface Parameters {
+  readonly hopMs: number;
+  readonly ordinaryGapMs: number;
+  readonly pressingGapMs: number;
+  /** Slots of each instance that deferred work leaves free. */
+  readonly headroom: number;
+  /** Whether failing workers are taken out of use. */
+  readonly quarantine: boolean;
+}
+
+/** What all instances of a model share. */
+export interface World {
+  readonly events: Events;
+  readonly network: Network;
+  readonly outcomes: Outcomes;
+  readonly parameters: Parameters;
+  readonly instances: Instance[];
+  /** Workers that fail everything at once. */
+  readonly badWorkers: ReadonlySet<string>;
+}
+
+/** Room kept for an item that a holder was asked for. */
+interface Reservation {
+  readonly worker: string;
+  readonly candidate: PeerCandidate;
+}
+
+interface News {
+  readonly backlogs: readonly Backlog[];
+  readonly free: Resources;
+  readonly usage: ReadonlyMap<string, Resources>;
+}
+
+interface Sent {
+  readonly item: Item;
+  readonly owner: Instance;
+}
+
+type Answer = "done" | "failed" | "refused";
+
+/** How long an urgent caller waits. */
+const URGENT_BUDGET_MS = 1_000;
+/** Time in which a failing worker fails. */
+const FAILURE_MS = 5;
+
+/** The instance. */
+export class Instance implements Endpoint {
+  readonly id: string;
+  readonly pool = new WorkerPool();
+  alive = true;
+  readonly #world: World;
+  readonly #queue = new WaitingQueue(() => ({
+    maxWaiting: Infinity,
+    maxWaitingPerTeam: Infinity,
+  }));
+  readonly #shares = new Shares();
+  readonly #turns = new DeferredTurns();
+  readonly #backlogs = new PeerBacklogs();
+  readonly #rooms = new PeerRooms();
+  readonly #announcer: Announcer;
+  readonly #drain = new DrainRate(0);
+  readonly #quarantine = new Quarantine();
+  readonly #headroom: Resources;
+  readonly #usage = new Map<string, Resources>();
+  readonly #peerUsage = new Map<string, ReadonlyMap<string, Resources>>();
+  readonly #reservations = new Set<Reservation>();
+  readonly #sent = new Map<string, Sent>();
+  #urgentWaiting = 0;
+
+  constructor(world: World, id: string) {
+    this.#world = world;
+    this.id = id;
+    this.#announcer = new Announcer(world.parameters);
+    this.#headroom = { ...noResources, slots: world.parameters.headroom };
+    this.#shares.setCapacity({ ...noResources, slots: SLOTS });
+  }
+
+  /** Makes this instance the owner of a worker. */
+  own(worker: string, slots: number): void {
+    this.pool.upsert({
+      id: worker,
+      address: "10.0.0.1:80",
+      zone: "a",
+      rack: "a",
+      capacity: { ...noResources, slots },
+      connections: 60,
+    });
+    this.#quarantine.add(worker);
+    this.#fill();
+  }
+
+  /** Takes a request from a caller. */
+  arrive(item: Item): void {
+    if (!this.#canAnswer(item)) {
+      this.#world.outcomes.settle(item, "refused");
+      return;
+    }
+    this.#enqueue(item);
+    this.#fill();
+    if (this.#queue.get(item.id) === undefined) return;
+    if (!this.#pushOut(item)) this.#noteQueued(item);
+  }
+
+  /** Everything that waits here or was sent elsewhere. */
+  held(): Item[] {
+    const waiting = [...this.#queue.all()] as Item[];
+    return [...waiting, ...[...this.#sent.values()].map(({ item }) => item)];
+  }
+
+  /** Learns that a peer is gone. */
+  lost(peer: Instance): void {
+    this.#backlogs.forget(peer.id);
+    this.#rooms.forget(peer.id);
+    this.#setPeerUsage(peer.id, new Map());
+    for (const reservation of this.#reservations) {
+      if (reservation.candidate.holder === peer.id) {
+        this.#unreserve(reservation);
+      }
+    }
+    for (const { item, owner } of this.#sent.values()) {
+      if (owner === peer) this.#onAnswer(item, { owner, answer: "failed" });
+    }
+    this.#fill();
+  }
+
+  get #nowMs(): number {
+    return this.#world.events.nowMs;
+  }
+
+  #canAnswer(item: Item): boolean {
+    return item.urgency === "deferred" ||
+      this.#drain.canAnswerInTime(this.#urgentWaiting, {
+        budgetMs: URGENT_BUDGET_MS,
+        nowMs: this.#nowMs,
+      });
+  }
+
+  #enqueue(item: Item): void {
+    this.#queue.push(item);
+    if (item.urgency === "urgent") this.#urgentWaiting++;
+  }
+
+  #dequeue(item: Item): void {
+    this.#queue.remove(item.id);
+    if (item.urgency !== "urgent") return;
+    this.#urgentWaiting--;
+    this.#drain.record(this.#nowMs);
+  }
+
+  /** Sends an item to a peer known to have room. */
+  #pushOut(item: Item): boolean {
+    const margin = item.urgency === "urgent" ? noResources : this.#headroom;
+    const owner = this.#rooms.pick(item.need, { margin });
+    const peer = this.#world.instances.find(({ id }) => id === owner);
+    if (peer === undefined) return false;
+    this.#sendRun(item, { owner: peer, reservation: undefined });
+    return true;
+  }
+
+  #sendRun(
+    item: Item,
+    to: {
+      readonly owner: Instance;
+      readonly reservation: Reservation | undefined;
+    },
+  ): void {
+    const { owner, reservation } = to;
+    this.#dequeue(item);
+    this.#sent.set(item.id, { item, owner });
+    const news = this.#news();
+    this.#world.network.send(owner, "run", () => {
+      owner.#onRun(item, { holder: this, reservation, news });
+    });
+  }
+
+  #onRun(
+    item: Item,
+    from: {
+      readonly holder: Instance;
+      readonly reservation: Reservation | undefined;
+      readonly news: News;
+    },
+  ): void {
+    const { holder, reservation } = from;
+    this.#onNews(holder, from.news);
+    if (reservation !== undefined) this.#unreserve(reservation);
+    if (this.#hasRoom(item.need, reservation ? "urgent" : item.urgency)) {
+      this.#start(item, holder);
+    } else {
+      this.#reply(item, { holder, answer: "refused" });
+    }
+    this.#fill();
+  }
+
+  #reply(
+    item: Item,
+    to: { readonly holder: Instance; readonly answer: Answer },
+  ): void {
+    const { holder, answer } = to;
+    if (holder === this) {
+      this.#onAnswer(item, { owner: this, answer });
+      return;
+    }
+    this.#world.network.send(holder, "answer", () => {
+      holder.#onAnswer(item, { owner: this, answer });
+    });
+  }
+
+  #onAnswer(
+    item: Item,
+    from: { readonly owner: Instance; readonly answer: Answer },
+  ): void {
+    this.#sent.delete(item.id);
+    switch (from.answer) {
+      case "done":
+        return;
+      case "refused":
+        this.#rooms.set(from.owner.id, noResources);
+        this.#again(item);
+        return;
+      case "failed":
+        if (item.idempotent) this.#again(item);
+        else this.#world.outcomes.settle(item, "unknown");
+    }
+  }
+
+  #again(item: Item): void {
+    this.#enqueue(item);
+    this.#noteQueued(item);
+    this.#fill();
+  }
+
+  #hasRoom(need: Resources, urgency: Urgency): boolean {
+    const kept = urgency === "urgent" ? noResources : this.#headroom;
+    return fits(add(need, kept), this.pool.totals().free) &&
+      this.pool.place(need, { strategy: "even" }) !== undefined;
+  }
+
+  /** Gives free room to what should run next, here or at a peer. */
+  #fill(): void {
+    this.#shares.advance(this.#nowMs);
+    for (;;) {
+      const chosen = chooseNext<Candidate>(this.#candidates(), {
+        shares: this.#shares,
+        hasRoom: (need, urgency) => this.#hasRoom(need, urgency),
+        nowMs: this.#nowMs,
+        turns: this.#turns,
+      });
+      if (chosen === undefined) return;
+      if ("holder" in chosen) this.#ask(chosen as PeerCandidate);
+      else this.#startOwn(chosen as Item);
+    }
+  }
+
+  *#candidates(): Generator<Candidate> {
+    if (this.pool.totals().free.slots < 1) return;
+    yield* this.#queue.heads();
+    yield* this.#backlogs.candidates();
+  }
+
+  #startOwn(item: Item): void {
+    this.#dequeue(item);
+    this.#noteChange();
+    this.#start(item, this);
+  }
+
+  #ask(candidate: PeerCandidate): void {
+    const worker = this.pool.place(candidate.need, { strategy: "even" })!;
+    this.pool.take(worker, candidate.need);
+    this.#backlogs.claim(candidate);
+    const reservation = { worker, candidate };
+    this.#reservations.add(reservation);
+    const holder = this.#world.instances.find(({ id }) =>
+      id === candidate.holder
+    )!;
+    this.#world.network.send(
+      holder,
+      "ready",
+      () => holder.#onReady(this, reservation),
+    );
+  }
+
+  #unreserve(reservation: Reservation): void {
+    if (!this.#reservations.delete(reservation)) return;
+    this.#backlogs.settle(reservation.candidate);
+    this.pool.release(reservation.worker, reservation.candidate.need);
+  }
+
+  #onReady(owner: Instance, reservation: Reservation): void {
+    const item = chooseNext(this.#queue.heads(), {
+      shares: this.#shares,
+      hasRoom: (need) => fits(need, reservation.candidate.need),
+      nowMs: this.#nowMs,
+      turns: this.#turns,
+    }) as Item | undefined;
+    if (item !== undefined) {
+      this.#sendRun(item, { owner, reservation });
+      this.#noteChange();
+      return;
+    }
+    const news = this.#news();
+    this.#world.network.send(owner, "decline", () => {
+      owner.#unreserve(reservation);
+      owner.#onNews(this, news);
+      owner.#fill();
+    });
+  }
+
+  #start(item: Item, holder: Instance): void {
+    const worker = this.pool.place(item.need, { strategy: "even" })!;
+    this.pool.take(worker, item.need);
+    this.#use(item.team, 1);
+    const failing = this.#world.badWorkers.has(worker);
+    if (!failing) this.#world.outcomes.start(item, this.#nowMs);
+    if (this.#quarantine.standing(worker, this.#nowMs).type === "probing") {
+      this.#quarantine.beginProbe(worker, this.#nowMs);
+      this.pool.setUsable(worker, false);
+    }
+    this.#world.events.after(failing ? FAILURE_MS : item.serviceMs, () => {
+      this.#end(item, { holder, worker, failed: failing });
+    });
+  }
+
+  #end(
+    item: Item,
+    at: {
+      readonly holder: Instance;
+      readonly worker: string;
+      readonly failed: boolean;
+    },
+  ): void {
+    const { holder, worker, failed } = at;
+    if (!this.alive) return;
+    this.pool.release(worker, item.need);
+    this.#use(item.team, -1);
+    if (failed) this.#world.outcomes.failed++;
+    else this.#world.outcomes.end(item, this.#nowMs);
+    if (this.#world.parameters.quarantine) this.#judge(item, at);
+    this.#reply(item, { holder, answer: failed ? "failed" : "done" });
+    this.#noteChange();
+    this.#fill();
+  }
+
+  #judge(
+    item: Item,
+    at: { readonly worker: string; readonly failed: boolean },
+  ): void {
+    const { worker, failed } = at;
+    const { workload } = item;
+    const nowMs = this.#nowMs;
+    const standing = this.#quarantine.record({
+      worker,
+      workload,
+      failed,
+      nowMs,
+    });
+    this.pool.setUsable(worker, standing.type !== "quarantined");
+    if (standing.type !== "quarantined") return;
+    this.#world.events.after(standing.untilMs - nowMs, () => {
+      const usable =
+        this.#quarantine.standing(worker, this.#nowMs).type !== "quarantined";
+      this.pool.setUsable(worker, usable);
+      this.#fill();
+    });
+  }
+
+  #use(team: string, slots: number): void {
+    const need = { ...noResources, slots };
+    this.#usage.set(team, add(this.#usage.get(team) ?? noResources, need));
+    this.#shares.advance(this.#nowMs);
+    this.#shares.charge(team, need);
+  }
+
+  #noteQueued(item: Item): void {
+    this.#note(item.urgency === "urgent" ? "pressing" : "ordinary");
+  }
+
+  #noteChange(): void {
+    this.#note("ordinary");
+  }
+
+  #note(change: "pressing" | "ordinary"): void {
+    const before = this.#announcer.dueAtMs;
+    this.#announcer.note(change, this.#nowMs);
+    const { dueAtMs } = this.#announcer;
+    if (dueAtMs >= before) return;
+    this.#world.events.after(dueAtMs - this.#nowMs, () => this.#announce());
+  }
+
+  #announce(): void {
+    if (!this.alive || this.#nowMs < this.#announcer.dueAtMs) return;
+    this.#announcer.sent(this.#nowMs);
+    const news = this.#news();
+    for (const peer of this.#world.instances) {
+      if (peer === this || !peer.alive) continue;
+      this.#world.network.send(peer, "news", () => {
+        peer.#onNews(this, news);
+        peer.#fill();
+      });
+    }
+  }
+
+  #news(): News {
+    return {
+      backlogs: this.#queue.summary(this.#nowMs),
+      free: this.pool.totals().free,
+      usage: new Map(this.#usage),
+    };
+  }
+
+  #onNews(from: Instance, news: News): void {
+    const { backlogs, free, usage } = news;
+    this.#shares.advance(this.#nowMs);
+    this.#backlogs.set(from.id, { backlogs, receivedAtMs: this.#nowMs });
+    this.#rooms.set(from.id, free);
+    this.#setPeerUsage(from.id, usage);
+  }
+
+  #setPeerUsage(peer: string, usage: ReadonlyMap<string, Resources>): void {
+    const before = this.#peerUsage.get(peer) ?? new Map<string, Resources>();
+    for (const [team, used] of before) this.#shares.refund(team, used);
+    for (const [team, used] of usage) this.#shares.charge(team, used);
+    this.#peerUsage.set(peer, usage);
+  }
+}
--- a/src/policy/choice.ts
+++ b/src/policy/choice.ts
@@ -30,7 +30,7 @@
 export interface ChoiceOptions {
   readonly shares: Pick<Shares, "rank" | "fairRank">;
   /** Whether a need can be placed now. */
-  readonly hasRoom: (need: Resources) => boolean;
+  readonly hasRoom: (need: Resources, urgency: Urgency) => boolean;
   readonly nowMs: number;
   /** Counts the starts owed to deferred work; without it urgent work always goes first. */
   readonly turns?: DeferredTurns;
@@ -112,8 +112,9 @@
 
   offer(candidate: T): void {
     const best = this[candidate.urgency];
-    const better = best === undefined || this.#precedes(candidate, best);
-    if (!better || !this.#options.hasRoom(candidate.need)) return;
+    if (best !== undefined && !this.#precedes(candidate, best)) return;
+    const { need, urgency } = candidate;
+    if (!this.#options.hasRoom(need, urgency)) return;
     this[candidate.urgency] = candidate;
   }
 
--- a/src/policy/peer_backlogs.ts
+++ b/src/policy/peer_backlogs.ts
@@ -6,9 +6,14 @@
 import { candidateOf, type PeerCandidate } from "./choice.ts";
 import type { Backlog } from "./waiting.ts";
 
+interface Entry {
+  readonly key: string;
+  readonly candidate: PeerCandidate;
+}
+
 /** Backlogs of peers, less what this instance has already asked for. */
 export class PeerBacklogs {
-  readonly #candidates = new Map<string, readonly PeerCandidate[]>();
+  readonly #entries = new Map<string, readonly Entry[]>();
   readonly #claims = new Map<string, number>();
 
   /** Replaces what is known of a holder. */
@@ -20,15 +25,16 @@
     },
   ): void {
     const { backlogs, receivedAtMs } = news;
-    this.#candidates.set(
-      holder,
-      backlogs.map((backlog) => candidateOf(backlog, { holder, receivedAtMs })),
-    );
+    const entries = backlogs.map((backlog) => {
+      const candidate = candidateOf(backlog, { holder, receivedAtMs });
+      return { key: keyOf(candidate), candidate };
+    });
+    this.#entries.set(holder, entries);
   }
 
   /** Forgets a holder and what was asked of it. */
   forget(holder: string): void {
-    this.#candidates.delete(holder);
+    this.#entries.delete(holder);
     for (const key of this.#claims.keys()) {
       if (key.startsWith(`${holder} `)) this.#claims.delete(key);
     }
@@ -36,29 +42,25 @@
 
   /** What could be asked for. */
   *candidates(): Generator<PeerCandidate> {
-    for (const candidates of this.#candidates.values()) {
-      for (const candidate of candidates) {
-        if (candidate.count > this.#claimed(candidate)) yield candidate;
+    for (const entries of this.#entries.values()) {
+      for (const { key, candidate } of entries) {
+        if (candidate.count > (this.#claims.get(key) ?? 0)) yield candidate;
       }
     }
   }
 
   /** Notes that the holder was asked for one item. */
   claim(candidate: PeerCandidate): void {
-    this.#claims.set(keyOf(candidate), this.#claimed(candidate) + 1);
+    const key = keyOf(candidate);
+    this.#claims.set(key, (this.#claims.get(key) ?? 0) + 1);
   }
 
   /** Notes that the holder answered, or that the answer is no longer expected. */
   settle(candidate: PeerCandidate): void {
-    const claims = this.#claimed(candidate) - 1;
-    if (claims > 0) this.#claims.set(keyOf(candidate), claims);
-    else this.#claims.delete(keyOf(candidate));
-  }
-
-  #claimed(candidate: PeerCandidate): number {
-    return this.#claims.size === 0
-      ? 0
-      : this.#claims.get(keyOf(candidate)) ?? 0;
+    const key = keyOf(candidate);
+    const claims = (this.#claims.get(key) ?? 0) - 1;
+    if (claims > 0) this.#claims.set(key, claims);
+    else this.#claims.delete(key);
   }
 }
 
--- a/src/policy/waiting.ts
+++ b/src/policy/waiting.ts
@@ -122,6 +122,11 @@
     return this.#items.get(id);
   }
 
+  /** Everything that waits, in no particular order. */
+  all(): IterableIterator<Waiting> {
+    return this.#items.values();
+  }
+
   /** The first item of each team and workload that the filter lets through. */
   *heads(filter: LaneFilter = {}): Generator<Waiting> {
     for (const lane of this.#lanes.values()) {
