--- a/src/policy/choice.ts
+++ b/src/policy/choice.ts
@@ -45,6 +45,11 @@
 export const SLACK_MS = 5_000;
 /** Deferred work that has waited longer than this counts as aged. */
 export const AGED_MS = 60_000;
+/** How much older than its own work a peer's work has to be before an instance prefers it. */
+const HANDOVER_MS: Readonly<Record<Urgency, number>> = {
+  urgent: 5,
+  deferred: 1_000,
+};
 /** Part of the starts that late deferred work gets while urgent work waits. */
 const LATE_PART = 0.1;
 /** Part of the starts that aged deferred work gets while urgent work waits. */
@@ -66,18 +71,19 @@
   }
 }
 
-/** Turns a peer's backlog into a candidate. */
+/** Turns a peer's backlog into a candidate; it counts as younger than it is, so that work moves only if that helps. */
 export function candidateOf(
   backlog: Backlog,
   options: { readonly holder: string; readonly receivedAtMs: number },
 ): PeerCandidate {
   const { holder, receivedAtMs } = options;
   const { dueInMs, oldestArrivedAgoMs, ...rest } = backlog;
+  const originMs = receivedAtMs + HANDOVER_MS[backlog.urgency];
   return {
     ...rest,
     holder,
-    arrivedAtMs: receivedAtMs - oldestArrivedAgoMs,
-    ...(dueInMs === undefined ? {} : { dueAtMs: receivedAtMs + dueInMs }),
+    arrivedAtMs: originMs - oldestArrivedAgoMs,
+    ...(dueInMs === undefined ? {} : { dueAtMs: originMs + dueInMs }),
   };
 }
 
