--- a/bench/model/instance.ts
+++ b/bench/model/instance.ts
@@ -12,7 +12,10 @@
   type PeerCandidate,
 } from "../../src/policy/choice.ts";
 import { DrainRate } from "../../src/policy/drain_rate.ts";
-import { PeerBacklogs } from "../../src/policy/peer_backlogs.ts";
+import {
+  PeerBacklogs,
+  URGENT_NEWS_MS,
+} from "../../src/policy/peer_backlogs.ts";
 import { PeerRooms } from "../../src/policy/peer_rooms.ts";
 import { WorkerPool } from "../../src/policy/pool.ts";
 import { Quarantine } from "../../src/policy/quarantine.ts";
@@ -283,7 +286,7 @@
   *#candidates(): Generator<Candidate> {
     if (this.pool.totals().free.slots < 1) return;
     yield* this.#queue.heads();
-    yield* this.#backlogs.candidates();
+    yield* this.#backlogs.candidates(this.#nowMs);
   }
 
   #startOwn(item: Item): void {
@@ -418,6 +421,7 @@
   #announce(): void {
     if (!this.alive || this.#nowMs < this.#announcer.dueAtMs) return;
     this.#announcer.sent(this.#nowMs);
+    if (this.#urgentWaiting > 0) this.#renewLater();
     const news = this.#news();
     for (const peer of this.#world.instances) {
       if (peer === this || !peer.alive) continue;
@@ -428,6 +432,13 @@
     }
   }
 
+  /** Urgent work is announced again as long as it waits. */
+  #renewLater(): void {
+    this.#world.events.after(URGENT_NEWS_MS, () => {
+      if (this.#urgentWaiting > 0) this.#note("pressing");
+    });
+  }
+
   #news(): News {
     return {
       backlogs: this.#queue.summary(this.#nowMs),
--- a/src/policy/choice.ts
+++ b/src/policy/choice.ts
@@ -46,7 +46,7 @@
 /** Deferred work that has waited longer than this counts as aged. */
 export const AGED_MS = 60_000;
 /** How much older than its own work a peer's work has to be before an instance prefers it. */
-const HANDOVER_MS: Readonly<Record<Urgency, number>> = {
+export const HANDOVER_MS: Readonly<Record<Urgency, number>> = {
   urgent: 5,
   deferred: 1_000,
 };
@@ -102,11 +102,11 @@
   urgent: T | undefined;
   deferred: T | undefined;
   readonly #options: ChoiceOptions;
-  readonly #fairStep: number;
+  readonly #fairRank: number;
 
   constructor(options: ChoiceOptions) {
     this.#options = options;
-    this.#fairStep = stepOf(options.shares.fairRank());
+    this.#fairRank = options.shares.fairRank();
   }
 
   /** Pressure of the best deferred candidate. */
@@ -137,13 +137,13 @@
   #priorityDue(candidate: T): number {
     if (candidate.urgency === "urgent") return Infinity;
     if (pressureOf(candidate, this.#options.nowMs) !== "late") return Infinity;
-    return this.#step(candidate) <= this.#fairStep
-      ? candidate.dueAtMs!
-      : Infinity;
+    return this.#step(candidate) === 0 ? candidate.dueAtMs! : Infinity;
   }
 
+  /** How far the team is above its share; 0 within it. */
   #step(candidate: T): number {
-    return stepOf(this.#options.shares.rank(candidate.team));
+    const excess = this.#options.shares.rank(candidate.team) - this.#fairRank;
+    return Math.max(0, Math.ceil(excess / RANK_STEP));
   }
 }
 
@@ -174,7 +174,3 @@
   if (slackMs <= SLACK_MS) return "late";
   return nowMs - candidate.arrivedAtMs > AGED_MS ? "aged" : "none";
 }
-
-function stepOf(rank: number): number {
-  return Math.floor(rank / RANK_STEP);
-}
--- a/src/policy/peer_backlogs.ts
+++ b/src/policy/peer_backlogs.ts
@@ -11,9 +11,17 @@
   readonly candidate: PeerCandidate;
 }
 
+interface News {
+  readonly receivedAtMs: number;
+  readonly entries: readonly Entry[];
+}
+
+/** How long an announcement of urgent work is acted on. */
+export const URGENT_NEWS_MS = 4;
+
 /** Backlogs of peers, less what this instance has already asked for. */
 export class PeerBacklogs {
-  readonly #entries = new Map<string, readonly Entry[]>();
+  readonly #news = new Map<string, News>();
   readonly #claims = new Map<string, number>();
 
   /** Replaces what is known of a holder. */
@@ -29,21 +37,23 @@
       const candidate = candidateOf(backlog, { holder, receivedAtMs });
       return { key: keyOf(candidate), candidate };
     });
-    this.#entries.set(holder, entries);
+    this.#news.set(holder, { receivedAtMs, entries });
   }
 
   /** Forgets a holder and what was asked of it. */
   forget(holder: string): void {
-    this.#entries.delete(holder);
+    this.#news.delete(holder);
     for (const key of this.#claims.keys()) {
       if (key.startsWith(`${holder} `)) this.#claims.delete(key);
     }
   }
 
-  /** What could be asked for. */
-  *candidates(): Generator<PeerCandidate> {
-    for (const entries of this.#entries.values()) {
+  /** What could be asked for; urgent work only as long as its holder keeps announcing it. */
+  *candidates(nowMs: number): Generator<PeerCandidate> {
+    for (const { receivedAtMs, entries } of this.#news.values()) {
+      const stale = nowMs - receivedAtMs > URGENT_NEWS_MS;
       for (const { key, candidate } of entries) {
+        if (stale && candidate.urgency === "urgent") continue;
         if (candidate.count > (this.#claims.get(key) ?? 0)) yield candidate;
       }
     }
