Let instances differ in which peer's urgent work they ask for

Cause: all owners saw the same oldest urgent request and asked its holder, while requests of other holders waited.

--- a/bench/model/instance.ts
+++ b/bench/model/instance.ts
@@ -23,6 +23,7 @@
 import { type Backlog, WaitingQueue } from "../../src/policy/waiting.ts";
 import { add, fits, noResources } from "../../src/resources.ts";
 import type { Resources, Urgency } from "../../src/types.ts";
+import { Random } from "../random.ts";
 import type { Events } from "./events.ts";
 import type { Endpoint, Network } from "./network.ts";
 import type { Outcomes } from "./record.ts";
@@ -86,7 +87,7 @@
   }));
   readonly #shares = new Shares();
   readonly #turns = new DeferredTurns();
-  readonly #backlogs = new PeerBacklogs();
+  readonly #backlogs: PeerBacklogs;
   readonly #rooms = new PeerRooms();
   readonly #announcer: Announcer;
   readonly #drain = new DrainRate(0);
@@ -101,6 +102,8 @@
   constructor(world: World, id: string) {
     this.#world = world;
     this.id = id;
+    const random = new Random(world.instances.length + 1);
+    this.#backlogs = new PeerBacklogs(() => random.unit());
     this.#announcer = new Announcer(world.parameters);
     this.#headroom = { ...noResources, slots: world.parameters.headroom };
     this.#shares.setCapacity({ ...noResources, slots: SLOTS });
--- a/src/policy/choice.ts
+++ b/src/policy/choice.ts
@@ -74,11 +74,16 @@
 /** Turns a peer's backlog into a candidate; it counts as younger than it is, so that work moves only if that helps. */
 export function candidateOf(
   backlog: Backlog,
-  options: { readonly holder: string; readonly receivedAtMs: number },
+  options: {
+    readonly holder: string;
+    readonly receivedAtMs: number;
+    /** Added to the handover time, so that instances do not all ask the same holder. */
+    readonly jitterMs: number;
+  },
 ): PeerCandidate {
-  const { holder, receivedAtMs } = options;
+  const { holder, receivedAtMs, jitterMs } = options;
   const { dueInMs, oldestArrivedAgoMs, ...rest } = backlog;
-  const originMs = receivedAtMs + HANDOVER_MS[backlog.urgency];
+  const originMs = receivedAtMs + HANDOVER_MS[backlog.urgency] + jitterMs;
   return {
     ...rest,
     holder,
--- a/src/policy/choice_test.ts
+++ b/src/policy/choice_test.ts
@@ -127,9 +127,13 @@
 test("choice: a peer's ages become local times", (t) => {
   const { arrivedAtMs, dueAtMs, ...rest } = candidate("a", { dueAtMs: 0 });
   const backlog = { ...rest, count: 2, oldestArrivedAgoMs: 30, dueInMs: 5 };
-  const local = candidateOf(backlog, { holder: "p", receivedAtMs: 100 });
-  t.is(local.arrivedAtMs, 70 + arrivedAtMs + HANDOVER_MS.urgent);
-  t.is(local.dueAtMs, 105 + dueAtMs! + HANDOVER_MS.urgent);
+  const local = candidateOf(backlog, {
+    holder: "p",
+    receivedAtMs: 100,
+    jitterMs: 3,
+  });
+  t.is(local.arrivedAtMs, 73 + arrivedAtMs + HANDOVER_MS.urgent);
+  t.is(local.dueAtMs, 108 + dueAtMs! + HANDOVER_MS.urgent);
 });
 
 test("shares: weights divide the fleet", (t) => {
--- a/src/policy/peer_backlogs.ts
+++ b/src/policy/peer_backlogs.ts
@@ -16,6 +16,8 @@
   readonly entries: readonly Entry[];
 }
 
+/** Largest random difference in age by which an instance's view of a backlog is changed. */
+const JITTER_MS = 10;
 /** How long an announcement of urgent work is acted on. */
 export const URGENT_NEWS_MS = 4;
 
@@ -23,6 +25,12 @@
 export class PeerBacklogs {
   readonly #news = new Map<string, News>();
   readonly #claims = new Map<string, number>();
+  readonly #random: () => number;
+
+  /** `random` gives numbers in [0, 1). */
+  constructor(random: () => number) {
+    this.#random = random;
+  }
 
   /** Replaces what is known of a holder. */
   set(
@@ -34,7 +42,12 @@
   ): void {
     const { backlogs, receivedAtMs } = news;
     const entries = backlogs.map((backlog) => {
-      const candidate = candidateOf(backlog, { holder, receivedAtMs });
+      const jitterMs = this.#random() * JITTER_MS;
+      const candidate = candidateOf(backlog, {
+        holder,
+        receivedAtMs,
+        jitterMs,
+      });
       return { key: keyOf(candidate), candidate };
     });
     this.#news.set(holder, { receivedAtMs, entries });
--- a/src/policy/peers_test.ts
+++ b/src/policy/peers_test.ts
@@ -16,7 +16,7 @@
 };
 
 test("backlogs: what was asked for is not asked for again", (t) => {
-  const peers = new PeerBacklogs();
+  const peers = new PeerBacklogs(() => 0);
   peers.set("p", { backlogs: [backlog], receivedAtMs: 0 });
   const [candidate] = peers.candidates(0);
   peers.claim(candidate!);
@@ -28,7 +28,7 @@
 });
 
 test("backlogs: a lost peer takes its claims along", (t) => {
-  const peers = new PeerBacklogs();
+  const peers = new PeerBacklogs(() => 0);
   peers.set("p", { backlogs: [backlog], receivedAtMs: 0 });
   peers.claim([...peers.candidates(0)][0]!);
   peers.forget("p");
