Order urgent work that has hardly waited by age alone

Cause: the order by share let a peer's stale announcement of one team go before an instance's own waiting request of another. Change: shares order urgent work only after it has waited 25 ms, that is when there is a queue to share out.

--- a/src/policy/choice.ts
+++ b/src/policy/choice.ts
@@ -45,6 +45,8 @@
 export const SLACK_MS = 5_000;
 /** Deferred work that has waited longer than this counts as aged. */
 export const AGED_MS = 60_000;
+/** Urgent work that has waited less than this is ordered by age alone. */
+export const GRACE_MS = 25;
 /** How much older than its own work a peer's work has to be before an instance prefers it. */
 export const HANDOVER_MS: Readonly<Record<Urgency, number>> = {
   urgent: 5,
@@ -145,11 +147,17 @@
     return this.#step(candidate) === 0 ? candidate.dueAtMs! : Infinity;
   }
 
-  /** How far the team is above its share; 0 within it. */
+  /** How far the team is above its share; 0 within it and for urgent work that has hardly waited. */
   #step(candidate: T): number {
+    if (this.#isYoung(candidate)) return 0;
     const excess = this.#options.shares.rank(candidate.team) - this.#fairRank;
     return Math.max(0, Math.ceil(excess / RANK_STEP));
   }
+
+  #isYoung(candidate: T): boolean {
+    return candidate.urgency === "urgent" &&
+      this.#options.nowMs - candidate.arrivedAtMs < GRACE_MS;
+  }
 }
 
 function decide<T extends Candidate>(
