Keep headroom for urgent work, sized by measured rates

Cause: with every slot busy, an urgent request that finds its instance full needs three hops: announcement, ready, run. Change: deferred work leaves so much room free that urgent requests find it used up one time in five, by the ratio of urgent arrivals to ends, at most a tenth of the capacity and none without urgent work.

--- a/bench/model/instance.ts
+++ b/bench/model/instance.ts
@@ -12,6 +12,7 @@
   type PeerCandidate,
 } from "../../src/policy/choice.ts";
 import { DrainRate } from "../../src/policy/drain_rate.ts";
+import { Headroom } from "../../src/policy/headroom.ts";
 import {
   PeerBacklogs,
   URGENT_NEWS_MS,
@@ -34,8 +35,8 @@
   readonly hopMs: number;
   readonly ordinaryGapMs: number;
   readonly pressingGapMs: number;
-  /** Slots of each instance that deferred work leaves free. */
-  readonly headroom: number;
+  /** Whether deferred work leaves room free for urgent work. */
+  readonly headroom: boolean;
   /** Whether failing workers are taken out of use. */
   readonly quarantine: boolean;
 }
@@ -92,7 +93,7 @@
   readonly #announcer: Announcer;
   readonly #drain = new DrainRate(0);
   readonly #quarantine = new Quarantine();
-  readonly #headroom: Resources;
+  readonly #headroom = new Headroom();
   readonly #usage = new Map<string, Resources>();
   readonly #peerUsage = new Map<string, ReadonlyMap<string, Resources>>();
   readonly #reservations = new Set<Reservation>();
@@ -105,7 +106,6 @@
     const random = new Random(world.instances.length + 1);
     this.#backlogs = new PeerBacklogs(() => random.unit());
     this.#announcer = new Announcer(world.parameters);
-    this.#headroom = { ...noResources, slots: world.parameters.headroom };
     this.#shares.setCapacity({ ...noResources, slots: SLOTS });
   }
 
@@ -129,6 +129,9 @@
       this.#world.outcomes.settle(item, "refused");
       return;
     }
+    if (item.urgency === "urgent") {
+      this.#headroom.urgent(item.need, this.#nowMs);
+    }
     this.#enqueue(item);
     this.#fill();
     if (this.#queue.get(item.id) === undefined) return;
@@ -183,7 +186,7 @@
 
   /** Sends an item to a peer known to have room. */
   #pushOut(item: Item): boolean {
-    const margin = item.urgency === "urgent" ? noResources : this.#headroom;
+    const margin = this.#kept(item.urgency);
     const owner = this.#rooms.pick(item.need, { margin });
     const peer = this.#world.instances.find(({ id }) => id === owner);
     if (peer === undefined) return false;
@@ -216,6 +219,9 @@
     },
   ): void {
     const { holder, reservation } = from;
+    if (item.urgency === "urgent") {
+      this.#headroom.urgent(item.need, this.#nowMs);
+    }
     this.#onNews(holder, from.news);
     if (reservation !== undefined) this.#unreserve(reservation);
     if (this.#hasRoom(item.need, reservation ? "urgent" : item.urgency)) {
@@ -265,11 +271,19 @@
   }
 
   #hasRoom(need: Resources, urgency: Urgency): boolean {
-    const kept = urgency === "urgent" ? noResources : this.#headroom;
+    const kept = this.#kept(urgency);
     return fits(add(need, kept), this.pool.totals().free) &&
       this.pool.place(need, { strategy: "even" }) !== undefined;
   }
 
+  /** Room that work of this urgency leaves free. */
+  #kept(urgency: Urgency): Resources {
+    if (urgency === "urgent" || !this.#world.parameters.headroom) {
+      return noResources;
+    }
+    return this.#headroom.room(this.pool.totals().capacity, this.#nowMs);
+  }
+
   /** Gives free room to what should run next, here or at a peer. */
   #fill(): void {
     this.#shares.advance(this.#nowMs);
@@ -366,6 +380,7 @@
     const { holder, worker, failed } = at;
     if (!this.alive) return;
     this.pool.release(worker, item.need);
+    this.#headroom.ended(this.#nowMs);
     this.#use(item.team, -1);
     if (failed) this.#world.outcomes.failed++;
     else this.#world.outcomes.end(item, this.#nowMs);
--- a/bench/waiting.ts
+++ b/bench/waiting.ts
@@ -28,7 +28,7 @@
   hopMs: HOP_MS,
   ordinaryGapMs: 10,
   pressingGapMs: 0,
-  headroom: 0,
+  headroom: true,
   quarantine: true,
 };
 
