--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -199,7 +199,7 @@
     const { pool } = this.#fleet;
     const chosen = chooseNext<Candidate>(this.#candidates(), {
       shares: this.#shares,
-      hasRoom: (need) => pool.place(need) !== undefined,
+      hasRoom: (need) => pool.hasRoom(need),
       nowMs: this.#nowMs,
       turns: this.#turns,
     });
--- a/bench/model/instance.ts
+++ b/bench/model/instance.ts
@@ -273,7 +273,7 @@
   #hasRoom(need: Resources, urgency: Urgency): boolean {
     const kept = this.#kept(urgency);
     return fits(add(need, kept), this.pool.totals().free) &&
-      this.pool.place(need, { strategy: "even" }) !== undefined;
+      this.pool.hasRoom(need);
   }
 
   /** Room that work of this urgency leaves free. */
--- a/src/policy/choice.ts
+++ b/src/policy/choice.ts
@@ -104,10 +104,19 @@
   return decide(bests, options.turns);
 }
 
+/** A candidate with what it is ordered by. */
+interface Ranked<T extends Candidate> {
+  readonly candidate: T;
+  readonly priorityDueMs: number;
+  readonly step: number;
+}
+
 /** The best candidate of each urgency. */
 class Bests<T extends Candidate> {
-  urgent: T | undefined;
-  deferred: T | undefined;
+  readonly #best: Record<Urgency, Ranked<T> | undefined> = {
+    urgent: undefined,
+    deferred: undefined,
+  };
   readonly #options: ChoiceOptions;
   readonly #fairRank: number;
 
@@ -116,6 +125,16 @@
     this.#fairRank = options.shares.fairRank();
   }
 
+  /** The best urgent candidate. */
+  get urgent(): T | undefined {
+    return this.#best.urgent?.candidate;
+  }
+
+  /** The best deferred candidate. */
+  get deferred(): T | undefined {
+    return this.#best.deferred?.candidate;
+  }
+
   /** Pressure of the best deferred candidate. */
   get pressure(): Pressure {
     return this.deferred === undefined
@@ -124,27 +143,21 @@
   }
 
   offer(candidate: T): void {
-    const best = this[candidate.urgency];
-    if (best !== undefined && !this.#precedes(candidate, best)) return;
+    const best = this.#best[candidate.urgency];
+    const step = this.#step(candidate);
+    const priorityDueMs = this.#priorityDueMs(candidate, step);
+    const ranked = { candidate, priorityDueMs, step };
+    if (best !== undefined && !precedes(ranked, best)) return;
     const { need, urgency } = candidate;
     if (!this.#options.hasRoom(need, urgency)) return;
-    this[candidate.urgency] = candidate;
-  }
-
-  #precedes(a: T, b: T): boolean {
-    const dueA = this.#priorityDue(a);
-    const dueB = this.#priorityDue(b);
-    if (dueA !== dueB) return dueA < dueB;
-    const stepA = this.#step(a);
-    const stepB = this.#step(b);
-    return stepA === stepB ? byDueThenArrival(a, b) < 0 : stepA < stepB;
+    this.#best[urgency] = ranked;
   }
 
   /** Due time of late deferred work of a team within its share; infinite for all else. */
-  #priorityDue(candidate: T): number {
-    if (candidate.urgency === "urgent") return Infinity;
-    if (pressureOf(candidate, this.#options.nowMs) !== "late") return Infinity;
-    return this.#step(candidate) === 0 ? candidate.dueAtMs! : Infinity;
+  #priorityDueMs(candidate: T, step: number): number {
+    if (candidate.urgency === "urgent" || step > 0) return Infinity;
+    const late = pressureOf(candidate, this.#options.nowMs) === "late";
+    return late ? candidate.dueAtMs! : Infinity;
   }
 
   /** How far the team is above its share; 0 within it and for urgent work that has hardly waited. */
@@ -160,6 +173,14 @@
   }
 }
 
+function precedes<T extends Candidate>(a: Ranked<T>, b: Ranked<T>): boolean {
+  if (a.priorityDueMs !== b.priorityDueMs) {
+    return a.priorityDueMs < b.priorityDueMs;
+  }
+  if (a.step !== b.step) return a.step < b.step;
+  return byDueThenArrival(a.candidate, b.candidate) < 0;
+}
+
 function decide<T extends Candidate>(
   bests: Bests<T>,
   turns: DeferredTurns | undefined,
--- a/src/policy/pool.ts
+++ b/src/policy/pool.ts
@@ -105,6 +105,11 @@
     });
   }
 
+  /** Whether a need fits anywhere now. */
+  hasRoom(need: Resources): boolean {
+    return this.#rooms.holds(need);
+  }
+
   /**
    * Workers for `count` tasks at once, one id a task, or `undefined` if not
    * all of them fit; nothing is taken.
--- a/src/policy/room_index.ts
+++ b/src/policy/room_index.ts
@@ -86,6 +86,14 @@
     return this.#search(search, PROBES) ?? this.#search(search, MAX_PROBES);
   }
 
+  /** Whether any room holds a need. */
+  holds(need: Resources): boolean {
+    for (const group of this.#groups.values()) {
+      if (fits(need, group.bound) && anyFits(need, group)) return true;
+    }
+    return false;
+  }
+
   #search(search: Search, probes: number): string | undefined {
     const best: Best = { room: undefined, score: Infinity };
     for (const group of this.#groups.values()) {
@@ -105,6 +113,14 @@
   }
 }
 
+function anyFits(need: Resources, group: Group): boolean {
+  const end = Math.min(MAX_PROBES, group.members.length);
+  for (let i = 0; i < end; i++) {
+    if (fits(need, group.members[i]!.free)) return true;
+  }
+  return false;
+}
+
 /** Scores up to `probes` members and keeps the best. */
 function probe(
   group: Group,
