--- a/bench/packing.ts
+++ b/bench/packing.ts
@@ -1,2 +1,124 @@
+/**
+ * How full workers get: against the fractional bound on mixed shapes, and with
+ * declared sizes that are off by up to four times.
+ *
+ * @module
+ */
+import { WorkerPool } from "../src/policy/pool.ts";
+import { add, fits, noResources } from "../src/resources.ts";
+import type { Resources } from "../src/types.ts";
+import { drawNeed, drawPool } from "./cluster.ts";
+import { runMisdeclared } from "./misdeclared.ts";
+import { Random } from "./random.ts";
 import type { Results } from "./results.ts";
-export function benchPacking(_results: Results, _seed: number): void {}
+
+const WORKERS = 240;
+const WORKER_SLOTS = 64;
+const PARTS = 8;
+const MIN_MIXED = 0.95;
+const MIN_MISDECLARED = 0.9;
+
+/** Runs the bench. */
+export function benchPacking(results: Results, seed: number): void {
+  benchMixed(results, seed);
+  benchMisdeclared(results, seed);
+}
+
+function benchMixed(results: Results, seed: number): void {
+  const needs = fractionalLoad(seed);
+  const packed = (place: Placer) => packedPart(newPool(seed), { needs, place });
+  results.line("mixed_tasks", needs.length);
+  results.atLeast("mixed_packed", packed(bestFit), MIN_MIXED);
+  results.line("mixed_first_fit_packed", packed(firstFit));
+  results.line("mixed_fifo_first_fit_packed", packed(inOrder(firstFit)));
+  results.line("mixed_split_packed", packed(split()));
+}
+
+function benchMisdeclared(results: Results, seed: number): void {
+  const random = () => new Random(seed);
+  const learned = runMisdeclared(random(), "estimated");
+  results.atLeast("misdeclared_packed", learned.packed, MIN_MISDECLARED);
+  results.atMost("misdeclared_over", learned.over, 0);
+  results.line("misdeclared_over_while_learning", learned.overWhileLearning);
+  results.line("misdeclared_throttled", learned.throttled);
+  results.line("misdeclared_evicted", learned.evicted);
+  const declared = runMisdeclared(random(), "declared");
+  results.line("misdeclared_as_declared_packed", declared.packed);
+  results.line("misdeclared_as_declared_over", declared.over);
+  results.line("misdeclared_as_declared_evicted", declared.evicted);
+}
+
+function newPool(seed: number): WorkerPool {
+  const options = { workers: WORKERS, slots: WORKER_SLOTS };
+  return drawPool(new Random(seed), options);
+}
+
+/** Tasks in order of arrival that would just fill the fleet if it were one large worker. */
+function fractionalLoad(seed: number): Resources[] {
+  const random = new Random(seed + 1);
+  const { capacity } = newPool(seed).totals();
+  const needs: Resources[] = [];
+  let sum = noResources;
+  for (;;) {
+    const need = drawNeed(random);
+    const total = add(sum, need);
+    if (total.accelerators > capacity.accelerators) continue;
+    if (!fits(total, capacity)) return needs;
+    needs.push(need);
+    sum = total;
+  }
+}
+
+type Placer = (pool: WorkerPool, need: Resources) => string | undefined;
+
+function bestFit(pool: WorkerPool, need: Resources): string | undefined {
+  return pool.place(need);
+}
+
+function firstFit(pool: WorkerPool, need: Resources): string | undefined {
+  for (const id of pool.ids()) {
+    if (fits(need, pool.free(id)!)) return id;
+  }
+  return undefined;
+}
+
+/** Places nothing more once one task had to wait. */
+function inOrder(place: Placer): Placer {
+  let blocked = false;
+  return (pool, need) => {
+    const worker = blocked ? undefined : place(pool, need);
+    blocked ||= worker === undefined;
+    return worker;
+  };
+}
+
+/** Gives each instance its own part of the workers; tasks arrive at one after the other. */
+function split(): Placer {
+  let next = 0;
+  return (pool, need) => {
+    const part = next++ % PARTS;
+    const elsewhere = [...pool.ids()].filter((_, i) => i % PARTS !== part);
+    return pool.place(need, { avoid: new Set(elsewhere) });
+  };
+}
+
+/** Part of the scarcest resource's load that was placed. */
+function packedPart(
+  pool: WorkerPool,
+  options: { readonly needs: readonly Resources[]; readonly place: Placer },
+): number {
+  const { needs, place } = options;
+  const offered = needs.reduce(add, noResources);
+  let placed = noResources;
+  for (const need of needs) {
+    const worker = place(pool, need);
+    if (worker === undefined || !pool.take(worker, need)) continue;
+    placed = add(placed, need);
+  }
+  const { capacity } = pool.totals();
+  const memoryIsScarce = offered.memoryMib / capacity.memoryMib >
+    offered.cpuMillis / capacity.cpuMillis;
+  return memoryIsScarce
+    ? placed.memoryMib / offered.memoryMib
+    : placed.cpuMillis / offered.cpuMillis;
+}
