Judge a placement by the imbalance that it adds

Change: only what a placement adds counts, with weight 16. Work never seen before is placed as if it used four times its declared size, up to the largest worker, until a report shows what it uses.

--- a/bench/misdeclared.ts
+++ b/bench/misdeclared.ts
@@ -26,6 +26,14 @@
 /** Largest part by which one task differs from others of its workload. */
 const SPREAD = 0.05;
 
+/** Capacity of the largest worker. */
+const LARGEST: Resources = {
+  cpuMillis: 64_000,
+  memoryMib: 256 * 1_024,
+  accelerators: 8,
+  slots: WORKER_SLOTS,
+};
+
 interface Template extends EstimateKey {
   readonly real: Resources;
   readonly declared: Resources;
@@ -151,7 +159,9 @@
       case "declared":
         return template.declared;
       case "estimated":
-        return this.#estimates.estimate(template, template.declared);
+        return this.#estimates.estimate(template, template.declared, {
+          largest: LARGEST,
+        });
       case "real":
         return template.real;
     }
--- a/src/policy/estimates.ts
+++ b/src/policy/estimates.ts
@@ -37,6 +37,8 @@
 const MIN_ENDED = 20;
 /** Ended attempts after which the older half of the history is dropped. */
 const HISTORY_LENGTH = 512;
+/** How many times its declared size work never seen before may use. */
+const UNPROVEN_FACTOR = 4;
 /** Percentile of the peaks of processors that an estimate covers. */
 const CPU_PERCENTILE = 98;
 /** Room left above what was seen. */
@@ -46,6 +48,12 @@
 /** Largest processor usage that is recorded exactly. */
 const HIGHEST_CPU_MILLIS = 1 << 20;
 
+/** Bounds of an estimate. */
+export interface EstimateOptions {
+  /** Capacity of the largest worker; bounds the size of work never seen before. */
+  readonly largest?: Resources;
+}
+
 /** What tasks of each team and workload really take. */
 export class Estimates {
   readonly #histories = new Map<string, History>();
@@ -85,10 +93,20 @@
     this.#peaks.delete(attempt);
   }
 
-  /** The size to place by: as declared until enough was seen, then what was used at most times. */
-  estimate(key: EstimateKey, declared: Resources): Resources {
+  /**
+   * The size to place by: several times what was declared until anything was
+   * seen, at least as declared until enough was, then what was used at most
+   * times.
+   */
+  estimate(
+    key: EstimateKey,
+    declared: Resources,
+    options: EstimateOptions = {},
+  ): Resources {
     const history = this.#histories.get(keyOf(key));
-    if (history === undefined) return declared;
+    if (history === undefined) {
+      return unproven(declared, options.largest ?? declared);
+    }
     const seen = {
       cpuMillis: Math.ceil(cpuOf(history) * MARGIN),
       memoryMib: Math.ceil(history.maxMemoryMib * MARGIN),
@@ -118,6 +136,16 @@
   }
 }
 
+function unproven(declared: Resources, largest: Resources): Resources {
+  const grown = (size: number, most: number) =>
+    Math.max(size, Math.min(size * UNPROVEN_FACTOR, most));
+  return {
+    ...declared,
+    cpuMillis: grown(declared.cpuMillis, largest.cpuMillis),
+    memoryMib: grown(declared.memoryMib, largest.memoryMib),
+  };
+}
+
 function cpuOf(history: History): number {
   if (history.ended < MIN_ENDED) return history.maxCpuMillis;
   return Math.max(
--- a/src/policy/fit.ts
+++ b/src/policy/fit.ts
@@ -14,8 +14,8 @@
 
 /** Added where a task would sit beside accelerators that it does not use. */
 const ACCELERATOR_PENALTY = 10;
-/** Weight of the imbalance that a placement leaves between processors and memory. */
-const IMBALANCE_WEIGHT = 4;
+/** Weight of the imbalance that a placement adds between processors and memory. */
+const IMBALANCE_WEIGHT = 16;
 
 /** Scores one placement; `free` must hold `need`. */
 export function score(
@@ -27,17 +27,22 @@
   },
 ): number {
   const { free, capacity, strategy } = room;
-  const cpu = part(free.cpuMillis - need.cpuMillis, capacity.cpuMillis);
-  const memory = part(free.memoryMib - need.memoryMib, capacity.memoryMib);
-  const slots = part(free.slots - need.slots, capacity.slots);
+  const cpuBefore = part(free.cpuMillis, capacity.cpuMillis);
+  const memoryBefore = part(free.memoryMib, capacity.memoryMib);
+  const cpu = cpuBefore - part(need.cpuMillis, capacity.cpuMillis);
+  const memory = memoryBefore - part(need.memoryMib, capacity.memoryMib);
   const penalty = need.accelerators === 0 && free.accelerators > 0
     ? ACCELERATOR_PENALTY
     : 0;
-  if (strategy === "even") return penalty - Math.min(cpu, memory, slots);
-  return penalty + cpu + memory + IMBALANCE_WEIGHT * Math.abs(cpu - memory) +
+  if (strategy === "even") {
+    const slots = part(free.slots - need.slots, capacity.slots);
+    return penalty - Math.min(cpu, memory, slots);
+  }
+  const imbalance = Math.abs(cpu - memory) - Math.abs(cpuBefore - memoryBefore);
+  return penalty + cpu + memory + IMBALANCE_WEIGHT * imbalance +
     part(free.accelerators - need.accelerators, capacity.accelerators);
 }
 
-function part(left: number, whole: number): number {
-  return whole === 0 ? 0 : left / whole;
+function part(amount: number, whole: number): number {
+  return whole === 0 ? 0 : amount / whole;
 }
