--- a/bench/model/baselines.ts
+++ b/bench/model/baselines.ts
@@ -22,6 +22,7 @@
   readonly parts: number;
   /** Part at which an item arrives. */
   readonly entryOf: (item: Item) => number;
+  readonly weights?: ReadonlyMap<string, number>;
 }
 
 /** Runs a trace without latency. */
@@ -39,7 +40,7 @@
         slots: SLOTS / options.parts,
         line: options.discipline === "fifo"
           ? new FifoLine()
-          : new PolicyLine(SLOTS / options.parts),
+          : new PolicyLine(SLOTS / options.parts, options.weights ?? new Map()),
       }),
   );
   for (const item of trace) {
@@ -85,8 +86,9 @@
   readonly #shares = new Shares();
   readonly #turns = new DeferredTurns();
 
-  constructor(slots: number) {
+  constructor(slots: number, weights: ReadonlyMap<string, number>) {
     this.#shares.setCapacity({ ...noResources, slots });
+    this.#shares.setWeights(weights);
   }
 
   push(item: Item): void {
--- a/bench/model/instance.ts
+++ b/bench/model/instance.ts
@@ -39,6 +39,8 @@
   readonly headroom: boolean;
   /** Whether failing workers are taken out of use. */
   readonly quarantine: boolean;
+  /** Weights of the teams. */
+  readonly weights: ReadonlyMap<string, number>;
 }
 
 /** What all instances of a model share. */
@@ -107,6 +109,7 @@
     this.#backlogs = new PeerBacklogs(() => random.unit());
     this.#announcer = new Announcer(world.parameters);
     this.#shares.setCapacity({ ...noResources, slots: SLOTS });
+    this.#shares.setWeights(world.parameters.weights);
   }
 
   /** Makes this instance the owner of a worker. */
--- a/bench/model/trace.ts
+++ b/bench/model/trace.ts
@@ -25,13 +25,17 @@
   readonly durationMs: number;
   /** Deferred tasks that arrive together. */
   readonly monthEnd: number;
+  /** Arrivals by team; a few large client accounts by default. */
+  readonly teams?: readonly number[];
+  /** Part of the arrivals that is urgent. */
+  readonly urgentPart?: number;
 }
 
 /** Slots of the whole fleet. */
 export const SLOTS = 240;
 /** Mean time of one request or task. */
 export const MEAN_SERVICE_MS = 100;
-/** Part of the arrivals that is urgent. */
+/** Part of the arrivals that is urgent by default. */
 const URGENT_PART = 0.3;
 /** Part of the urgent requests that must not be repeated. */
 const ONCE_PART = 0.3;
@@ -41,7 +45,7 @@
 const MONTH_END_DUE_MS = 30_000;
 /** Time in which other deferred work should be done. */
 const DEFERRED_DUE_MS = 40_000;
-/** Arrivals by client account: a few large ones. */
+/** Arrivals by client account by default. */
 const TEAM_WEIGHTS = [6, 5, 4, 1, 1, 1];
 
 /** What one slot of a worker is to a request. */
@@ -49,7 +53,8 @@
 
 /** Draws a trace, ordered by arrival. */
 export function drawTrace(options: TraceOptions): readonly Item[] {
-  const random = new Random(options.seed);
+  const { seed, teams = TEAM_WEIGHTS, urgentPart = URGENT_PART } = options;
+  const random = new Random(seed);
   const gapMs = MEAN_SERVICE_MS / (SLOTS * options.load);
   const items: Omit<Item, "index" | "id">[] = [];
   let monthEnd = options.monthEnd;
@@ -59,21 +64,30 @@
     atMs += random.exponential(gapMs)
   ) {
     for (; monthEnd > 0 && atMs >= MONTH_END_AT_MS; monthEnd--) {
-      items.push(deferred(random, MONTH_END_AT_MS, MONTH_END_DUE_MS));
+      items.push(deferred(random, {
+        atMs: MONTH_END_AT_MS,
+        dueMs: MONTH_END_DUE_MS,
+        teams,
+      }));
     }
-    const urgent = random.unit() < URGENT_PART;
+    const urgent = random.unit() < urgentPart;
     items.push(
       urgent
-        ? urgentItem(random, atMs)
-        : deferred(random, atMs, DEFERRED_DUE_MS),
+        ? urgentItem(random, { atMs, teams })
+        : deferred(random, { atMs, teams, dueMs: DEFERRED_DUE_MS }),
     );
   }
   return items.map((item, index) => ({ ...item, index, id: `${index}` }));
 }
 
-function urgentItem(random: Random, atMs: number): Omit<Item, "index" | "id"> {
+interface Draw {
+  readonly atMs: number;
+  readonly teams: readonly number[];
+}
+
+function urgentItem(random: Random, draw: Draw): Omit<Item, "index" | "id"> {
   return {
-    ...common(random, atMs),
+    ...common(random, draw),
     queue: "counter",
     workload: "receipts",
     urgency: "urgent",
@@ -83,24 +97,23 @@
 
 function deferred(
   random: Random,
-  atMs: number,
-  dueMs: number,
+  draw: Draw & { readonly dueMs: number },
 ): Omit<Item, "index" | "id"> {
   return {
-    ...common(random, atMs),
+    ...common(random, draw),
     queue: "month-end",
     workload: "billing",
     urgency: "deferred",
     idempotent: true,
-    dueAtMs: atMs + dueMs,
+    dueAtMs: draw.atMs + draw.dueMs,
   };
 }
 
-function common(random: Random, atMs: number) {
+function common(random: Random, draw: Draw) {
   return {
-    team: `team${random.weighted(TEAM_WEIGHTS)}`,
+    team: `team${random.weighted(draw.teams)}`,
     need: oneSlot,
-    arrivedAtMs: atMs,
+    arrivedAtMs: draw.atMs,
     serviceMs: random.exponential(MEAN_SERVICE_MS),
     entry: random.unit(),
   };
--- a/bench/waiting.ts
+++ b/bench/waiting.ts
@@ -30,6 +30,7 @@
   pressingGapMs: 0,
   headroom: true,
   quarantine: true,
+  weights: new Map(),
 };
 
 const entries = {
