Order deferred work by share alone, in steps relative to the fair share

Cause: teams within their share were equal, so a small team's young work waited behind a large team's old backlog; steps of half a percent of the fleet were too coarse for teams with large weights.

--- a/src/policy/choice.ts
+++ b/src/policy/choice.ts
@@ -39,8 +39,8 @@
 /** How pressing deferred work is. */
 type Pressure = "none" | "aged" | "late";
 
-/** Weighted shares closer than this, in parts of the fleet, count as equal. */
-const RANK_STEP = 0.005;
+/** Weighted shares closer than this, in parts of the fair one, count as equal. */
+const RANK_STEP = 0.01;
 /** Deferred work due within this time counts as late. */
 export const SLACK_MS = 5_000;
 /** Deferred work that has waited longer than this counts as aged. */
@@ -145,7 +145,7 @@
   offer(candidate: T): void {
     const best = this.#best[candidate.urgency];
     const step = this.#step(candidate);
-    const priorityDueMs = this.#priorityDueMs(candidate, step);
+    const priorityDueMs = this.#priorityDueMs(candidate);
     const ranked = { candidate, priorityDueMs, step };
     if (best !== undefined && !precedes(ranked, best)) return;
     const { need, urgency } = candidate;
@@ -154,22 +154,27 @@
   }
 
   /** Due time of late deferred work of a team within its share; infinite for all else. */
-  #priorityDueMs(candidate: T, step: number): number {
-    if (candidate.urgency === "urgent" || step > 0) return Infinity;
-    const late = pressureOf(candidate, this.#options.nowMs) === "late";
-    return late ? candidate.dueAtMs! : Infinity;
+  #priorityDueMs(candidate: T): number {
+    if (candidate.urgency === "urgent") return Infinity;
+    if (pressureOf(candidate, this.#options.nowMs) !== "late") return Infinity;
+    return this.#excess(candidate) <= 0 ? candidate.dueAtMs! : Infinity;
   }
 
-  /** How far the team is above its share; 0 within it and for urgent work that has hardly waited. */
+  /**
+   * Order by share. Deferred work goes to the team with the lowest share;
+   * urgent work only counts how far its team is above its share, and nothing
+   * while it has hardly waited.
+   */
   #step(candidate: T): number {
-    if (this.#isYoung(candidate)) return 0;
-    const excess = this.#options.shares.rank(candidate.team) - this.#fairRank;
-    return Math.max(0, Math.ceil(excess / RANK_STEP));
+    const excess = this.#excess(candidate);
+    if (candidate.urgency === "deferred") return Math.ceil(excess / RANK_STEP);
+    const waitedMs = this.#options.nowMs - candidate.arrivedAtMs;
+    return waitedMs < GRACE_MS ? 0 : Math.max(0, Math.ceil(excess / RANK_STEP));
   }
 
-  #isYoung(candidate: T): boolean {
-    return candidate.urgency === "urgent" &&
-      this.#options.nowMs - candidate.arrivedAtMs < GRACE_MS;
+  /** How far the team is above its share, as a part of that. */
+  #excess(candidate: T): number {
+    return this.#options.shares.rank(candidate.team) / this.#fairRank - 1;
   }
 }
 
