Count work sent to peers until they tell their usage

Cause: a holder whose peers took its work saw their usage 20 ms late and sent much of one team's work at a time.

--- a/bench/model/instance.ts
+++ b/bench/model/instance.ts
@@ -18,6 +18,7 @@
   URGENT_NEWS_MS,
 } from "../../src/policy/peer_backlogs.ts";
 import { PeerRooms } from "../../src/policy/peer_rooms.ts";
+import { PeerUsage } from "../../src/policy/peer_usage.ts";
 import { WorkerPool } from "../../src/policy/pool.ts";
 import { Quarantine } from "../../src/policy/quarantine.ts";
 import { Shares } from "../../src/policy/shares.ts";
@@ -97,7 +98,7 @@
   readonly #quarantine = new Quarantine();
   readonly #headroom = new Headroom();
   readonly #usage = new Map<string, Resources>();
-  readonly #peerUsage = new Map<string, ReadonlyMap<string, Resources>>();
+  readonly #peerUsage = new PeerUsage(this.#shares);
   readonly #reservations = new Set<Reservation>();
   readonly #sent = new Map<string, Sent>();
   #urgentWaiting = 0;
@@ -151,7 +152,7 @@
   lost(peer: Instance): void {
     this.#backlogs.forget(peer.id);
     this.#rooms.forget(peer.id);
-    this.#setPeerUsage(peer.id, new Map());
+    this.#peerUsage.forget(peer.id);
     for (const reservation of this.#reservations) {
       if (reservation.candidate.holder === peer.id) {
         this.#unreserve(reservation);
@@ -207,6 +208,7 @@
     const { owner, reservation } = to;
     this.#dequeue(item);
     this.#sent.set(item.id, { item, owner });
+    this.#peerUsage.sent(owner.id, item);
     const news = this.#news();
     this.#world.network.send(owner, "run", () => {
       owner.#onRun(item, { holder: this, reservation, news });
@@ -319,6 +321,7 @@
     const worker = this.pool.place(candidate.need, { strategy: "even" })!;
     this.pool.take(worker, candidate.need);
     this.#backlogs.claim(candidate);
+    this.#shares.charge(candidate.team, candidate.need);
     const reservation = { worker, candidate };
     this.#reservations.add(reservation);
     const holder = this.#world.instances.find(({ id }) =>
@@ -334,7 +337,9 @@
   #unreserve(reservation: Reservation): void {
     if (!this.#reservations.delete(reservation)) return;
     this.#backlogs.settle(reservation.candidate);
-    this.pool.release(reservation.worker, reservation.candidate.need);
+    const { team, need } = reservation.candidate;
+    this.#shares.refund(team, need);
+    this.pool.release(reservation.worker, need);
   }
 
   #onReady(owner: Instance, reservation: Reservation): void {
@@ -473,13 +478,6 @@
     this.#shares.advance(this.#nowMs);
     this.#backlogs.set(from.id, { backlogs, receivedAtMs: this.#nowMs });
     this.#rooms.set(from.id, free);
-    this.#setPeerUsage(from.id, usage);
-  }
-
-  #setPeerUsage(peer: string, usage: ReadonlyMap<string, Resources>): void {
-    const before = this.#peerUsage.get(peer) ?? new Map<string, Resources>();
-    for (const [team, used] of before) this.#shares.refund(team, used);
-    for (const [team, used] of usage) this.#shares.charge(team, used);
-    this.#peerUsage.set(peer, usage);
+    this.#peerUsage.set(from.id, usage);
   }
 }
--- a/src/policy/peers_test.ts
+++ b/src/policy/peers_test.ts
@@ -3,6 +3,8 @@
 import { Announcer } from "./announcer.ts";
 import { PeerBacklogs } from "./peer_backlogs.ts";
 import { PeerRooms } from "./peer_rooms.ts";
+import { PeerUsage } from "./peer_usage.ts";
+import { Shares } from "./shares.ts";
 import type { Backlog } from "./waiting.ts";
 
 const need = { ...noResources, slots: 1 };
@@ -53,6 +55,18 @@
   t.is(rooms.pick(need, { margin: noResources }), "a");
 });
 
+test("usage: sent work counts until the peer tells its usage", (t) => {
+  const shares = new Shares();
+  const usage = new PeerUsage(shares);
+  usage.sent("p", { team: "red", need });
+  t.is(shares.usage("red").slots, 1);
+  usage.set("p", new Map([["red", { ...need, slots: 5 }]]));
+  usage.sent("p", { team: "red", need });
+  t.is(shares.usage("red").slots, 6);
+  usage.forget("p");
+  t.is(shares.usage("red").slots, 0);
+});
+
 test("announcer: pressing changes at once, others gathered", (t) => {
   const announcer = new Announcer({ ordinaryGapMs: 20, pressingGapMs: 1 });
   t.is(announcer.dueAtMs, Infinity);
