Add faults to the waiting bench

Cause: waiting under a killed instance, overload and failing workers was not measured. Pressing news leave 1 ms between them.

--- a/bench/model/instance.ts
+++ b/bench/model/instance.ts
@@ -102,6 +102,7 @@
   readonly #reservations = new Set<Reservation>();
   readonly #sent = new Map<string, Sent>();
   #urgentWaiting = 0;
+  #sentAtMs = -Infinity;
 
   constructor(world: World, id: string) {
     this.#world = world;
@@ -366,6 +367,7 @@
     const worker = this.pool.place(item.need, { strategy: "even" })!;
     this.pool.take(worker, item.need);
     this.#use(item.team, 1);
+    if (holder === this) this.#sent.set(item.id, { item, owner: this });
     const failing = this.#world.badWorkers.has(worker);
     if (!failing) this.#world.outcomes.start(item, this.#nowMs);
     if (this.#quarantine.standing(worker, this.#nowMs).type === "probing") {
@@ -447,7 +449,7 @@
   #announce(): void {
     if (!this.alive || this.#nowMs < this.#announcer.dueAtMs) return;
     this.#announcer.sent(this.#nowMs);
-    if (this.#urgentWaiting > 0) this.#renewLater();
+    if (this.#urgentWaiting > 0) this.#renewLater(this.#nowMs);
     const news = this.#news();
     for (const peer of this.#world.instances) {
       if (peer === this || !peer.alive) continue;
@@ -458,10 +460,13 @@
     }
   }
 
-  /** Urgent work is announced again as long as it waits. */
-  #renewLater(): void {
+  /** Urgent work is announced again as long as it waits and nothing else was sent. */
+  #renewLater(sentAtMs: number): void {
+    this.#sentAtMs = sentAtMs;
     this.#world.events.after(URGENT_NEWS_MS, () => {
-      if (this.#urgentWaiting > 0) this.#note("pressing");
+      if (this.#sentAtMs === sentAtMs && this.#urgentWaiting > 0) {
+        this.#note("pressing");
+      }
     });
   }
 
--- a/bench/waiting.ts
+++ b/bench/waiting.ts
@@ -10,6 +10,7 @@
 import { type Outcomes, percentile, waitsOf } from "./model/record.ts";
 import { drawTrace, type Item } from "./model/trace.ts";
 import type { Results } from "./results.ts";
+import { benchFaults } from "./waiting_faults.ts";
 
 const LOADS = [0.6, 0.8, 0.9];
 const DURATION_MS = 20_000;
@@ -27,7 +28,7 @@
 export const bestParameters: Parameters = {
   hopMs: HOP_MS,
   ordinaryGapMs: 20,
-  pressingGapMs: 0,
+  pressingGapMs: 1,
   headroom: true,
   quarantine: true,
   weights: new Map(),
@@ -43,6 +44,7 @@
 /** Runs the bench. */
 export function benchWaiting(results: Results, seed: number): void {
   for (const load of LOADS) benchLoad(results, { seed, load });
+  benchFaults(results, { seed, parameters: bestParameters });
 }
 
 function benchLoad(
