--- a/bench/model/trace.ts
+++ b/bench/model/trace.ts
@@ -48,6 +48,9 @@
 /** Arrivals by client account by default. */
 const TEAM_WEIGHTS = [6, 5, 4, 1, 1, 1];
 
+/** How long an urgent caller waits. */
+export const URGENT_BUDGET_MS = 1_000;
+
 /** What one slot of a worker is to a request. */
 export const oneSlot = { ...noResources, slots: 1 };
 
@@ -92,6 +95,7 @@
     workload: "receipts",
     urgency: "urgent",
     idempotent: random.unit() >= ONCE_PART,
+    deadlineAtMs: draw.atMs + URGENT_BUDGET_MS,
   };
 }
 
