--- a/bench/model/instance.ts
+++ b/bench/model/instance.ts
@@ -11,35 +11,30 @@
   DeferredTurns,
   type PeerCandidate,
 } from "../../src/policy/choice.ts";
-import { DrainRate } from "../../src/policy/drain_rate.ts";
-import { Headroom } from "../../src/policy/headroom.ts";
 import {
   PeerBacklogs,
   URGENT_NEWS_MS,
 } from "../../src/policy/peer_backlogs.ts";
 import { PeerRooms } from "../../src/policy/peer_rooms.ts";
 import { PeerUsage } from "../../src/policy/peer_usage.ts";
-import { WorkerPool } from "../../src/policy/pool.ts";
-import { Quarantine } from "../../src/policy/quarantine.ts";
+import type { WorkerPool } from "../../src/policy/pool.ts";
 import { Shares } from "../../src/policy/shares.ts";
-import { type Backlog, WaitingQueue } from "../../src/policy/waiting.ts";
+import type { Backlog } from "../../src/policy/waiting.ts";
 import { add, fits, noResources } from "../../src/resources.ts";
-import type { Resources, Urgency } from "../../src/types.ts";
+import type { Resources } from "../../src/types.ts";
 import { Random } from "../random.ts";
 import type { Events } from "./events.ts";
+import { HeldQueue } from "./held_queue.ts";
 import type { Endpoint, Network } from "./network.ts";
+import { OwnedWorkers, type Protections } from "./owned_workers.ts";
 import type { Outcomes } from "./record.ts";
-import { type Item, SLOTS, URGENT_BUDGET_MS } from "./trace.ts";
+import { type Item, SLOTS } from "./trace.ts";
 
 /** Settings of the exchange between instances. */
-export interface Parameters {
+export interface Parameters extends Protections {
   readonly hopMs: number;
   readonly ordinaryGapMs: number;
   readonly pressingGapMs: number;
-  /** Whether deferred work leaves room free for urgent work. */
-  readonly headroom: boolean;
-  /** Whether failing workers are taken out of use. */
-  readonly quarantine: boolean;
   /** Weights of the teams. */
   readonly weights: ReadonlyMap<string, number>;
 }
@@ -74,40 +69,31 @@
 
 type Answer = "done" | "failed" | "refused";
 
-/** Part of a caller's time that the queue may take when a request is let in. */
-const ADMITTED_PART = 0.8;
 /** Time in which a failing worker fails. */
 const FAILURE_MS = 5;
 
 /** The instance. */
 export class Instance implements Endpoint {
   readonly id: string;
-  readonly pool = new WorkerPool();
   alive = true;
   readonly #world: World;
-  readonly #queue = new WaitingQueue(() => ({
-    maxWaiting: Infinity,
-    maxWaitingPerTeam: Infinity,
-  }));
+  readonly #queue = new HeldQueue();
+  readonly #workers: OwnedWorkers;
   readonly #shares = new Shares();
   readonly #turns = new DeferredTurns();
   readonly #backlogs: PeerBacklogs;
   readonly #rooms = new PeerRooms();
   readonly #announcer: Announcer;
-  readonly #drains = new Map<string, DrainRate>();
-  readonly #quarantine = new Quarantine();
-  readonly #headroom = new Headroom();
   readonly #usage = new Map<string, Resources>();
   readonly #peerUsage = new PeerUsage(this.#shares);
   readonly #reservations = new Set<Reservation>();
   readonly #sent = new Map<string, Sent>();
-  readonly #teamWaiting = new Map<string, number>();
-  #urgentWaiting = 0;
   #sentAtMs = -Infinity;
 
   constructor(world: World, id: string) {
     this.#world = world;
     this.id = id;
+    this.#workers = new OwnedWorkers(world.events, world.parameters);
     const random = new Random(world.instances.length + 1);
     this.#backlogs = new PeerBacklogs(() => random.unit());
     this.#announcer = new Announcer(world.parameters);
@@ -115,38 +101,33 @@
     this.#shares.setWeights(world.parameters.weights);
   }
 
+  /** The workers that this instance owns. */
+  get pool(): WorkerPool {
+    return this.#workers.pool;
+  }
+
   /** Makes this instance the owner of a worker. */
   own(worker: string, slots: number): void {
-    this.pool.upsert({
-      id: worker,
-      address: "10.0.0.1:80",
-      zone: "a",
-      rack: "a",
-      capacity: { ...noResources, slots },
-      connections: 60,
-    });
-    this.#quarantine.add(worker);
+    this.#workers.add(worker, slots);
     this.#fill();
   }
 
   /** Takes a request from a caller. */
   arrive(item: Item): void {
-    if (!this.#canAnswer(item)) {
+    if (!this.#queue.canAnswer(item, this.#nowMs)) {
       this.#world.outcomes.settle(item, "refused");
       return;
     }
-    if (item.urgency === "urgent") {
-      this.#headroom.urgent(item.need, this.#nowMs);
-    }
-    this.#enqueue(item);
+    this.#workers.asked(item);
+    this.#queue.push(item);
     this.#fill();
-    if (this.#queue.get(item.id) === undefined) return;
+    if (!this.#queue.has(item)) return;
     if (!this.#pushOut(item)) this.#noteQueued(item);
   }
 
   /** Everything that waits here or was sent elsewhere. */
   held(): Item[] {
-    const waiting = [...this.#queue.all()] as Item[];
+    const waiting = [...this.#queue.all()];
     return [...waiting, ...[...this.#sent.values()].map(({ item }) => item)];
   }
 
@@ -170,42 +151,9 @@
     return this.#world.events.nowMs;
   }
 
-  #canAnswer(item: Item): boolean {
-    if (item.urgency === "deferred") return true;
-    const ahead = this.#teamWaiting.get(item.team) ?? 0;
-    return this.#drain(item.team).canAnswerInTime(ahead, {
-      budgetMs: ADMITTED_PART * URGENT_BUDGET_MS,
-      nowMs: this.#nowMs,
-    });
-  }
-
-  #drain(team: string): DrainRate {
-    const drain = this.#drains.get(team) ?? new DrainRate(this.#nowMs);
-    this.#drains.set(team, drain);
-    return drain;
-  }
-
-  #countUrgent(item: Item, change: number): void {
-    if (item.urgency !== "urgent") return;
-    this.#urgentWaiting += change;
-    const waiting = (this.#teamWaiting.get(item.team) ?? 0) + change;
-    this.#teamWaiting.set(item.team, waiting);
-  }
-
-  #enqueue(item: Item): void {
-    this.#queue.push(item);
-    this.#countUrgent(item, 1);
-  }
-
-  #dequeue(item: Item): void {
-    this.#queue.remove(item.id);
-    this.#countUrgent(item, -1);
-    if (item.urgency === "urgent") this.#drain(item.team).record(this.#nowMs);
-  }
-
   /** Sends an item to a peer known to have room. */
   #pushOut(item: Item): boolean {
-    const margin = this.#kept(item.urgency);
+    const margin = this.#workers.kept(item.urgency);
     const owner = this.#rooms.pick(item.need, { margin });
     const peer = this.#world.instances.find(({ id }) => id === owner);
     if (peer === undefined) return false;
@@ -221,7 +169,7 @@
     },
   ): void {
     const { owner, reservation } = to;
-    this.#dequeue(item);
+    this.#queue.take(item, this.#nowMs);
     this.#sent.set(item.id, { item, owner });
     this.#peerUsage.sent(owner.id, item);
     const news = this.#news();
@@ -239,12 +187,12 @@
     },
   ): void {
     const { holder, reservation } = from;
-    if (item.urgency === "urgent") {
-      this.#headroom.urgent(item.need, this.#nowMs);
-    }
+    this.#workers.asked(item);
     this.#onNews(holder, from.news);
     if (reservation !== undefined) this.#unreserve(reservation);
-    if (this.#hasRoom(item.need, reservation ? "urgent" : item.urgency)) {
+    if (
+      this.#workers.hasRoom(item.need, reservation ? "urgent" : item.urgency)
+    ) {
       this.#start(item, holder);
     } else {
       this.#reply(item, { holder, answer: "refused" });
@@ -285,25 +233,11 @@
   }
 
   #again(item: Item): void {
-    this.#enqueue(item);
+    this.#queue.push(item);
     this.#noteQueued(item);
     this.#fill();
   }
 
-  #hasRoom(need: Resources, urgency: Urgency): boolean {
-    const kept = this.#kept(urgency);
-    return fits(add(need, kept), this.pool.totals().free) &&
-      this.pool.hasRoom(need);
-  }
-
-  /** Room that work of this urgency leaves free. */
-  #kept(urgency: Urgency): Resources {
-    if (urgency === "urgent" || !this.#world.parameters.headroom) {
-      return noResources;
-    }
-    return this.#headroom.room(this.pool.totals().capacity, this.#nowMs);
-  }
-
   /** Gives free room to what should run next, here or at a peer. */
   #fill(): void {
     this.#shares.advance(this.#nowMs);
@@ -311,7 +245,7 @@
     for (;;) {
       const chosen = chooseNext<Candidate>(this.#candidates(), {
         shares: this.#shares,
-        hasRoom: (need, urgency) => this.#hasRoom(need, urgency),
+        hasRoom: (need, urgency) => this.#workers.hasRoom(need, urgency),
         nowMs: this.#nowMs,
         turns: this.#turns,
       });
@@ -323,8 +257,7 @@
 
   /** Refuses what nobody waits for any more. */
   #expire(): void {
-    for (const item of this.#queue.expire(this.#nowMs) as Item[]) {
-      this.#countUrgent(item, -1);
+    for (const item of this.#queue.expire(this.#nowMs)) {
       this.#world.outcomes.settle(item, "refused");
     }
   }
@@ -336,14 +269,13 @@
   }
 
   #startOwn(item: Item): void {
-    this.#dequeue(item);
+    this.#queue.take(item, this.#nowMs);
     this.#noteChange();
     this.#start(item, this);
   }
 
   #ask(candidate: PeerCandidate): void {
-    const worker = this.pool.place(candidate.need, { strategy: "even" })!;
-    this.pool.take(worker, candidate.need);
+    const worker = this.#workers.take(candidate.need);
     this.#backlogs.claim(candidate);
     this.#shares.charge(candidate.team, candidate.need);
     const reservation = { worker, candidate };
@@ -387,16 +319,12 @@
   }
 
   #start(item: Item, holder: Instance): void {
-    const worker = this.pool.place(item.need, { strategy: "even" })!;
-    this.pool.take(worker, item.need);
+    const worker = this.#workers.take(item.need);
     this.#use(item.team, 1);
     if (holder === this) this.#sent.set(item.id, { item, owner: this });
     const failing = this.#world.badWorkers.has(worker);
     if (!failing) this.#world.outcomes.start(item, this.#nowMs);
-    if (this.#quarantine.standing(worker, this.#nowMs).type === "probing") {
-      this.#quarantine.beginProbe(worker, this.#nowMs);
-      this.pool.setUsable(worker, false);
-    }
+    this.#workers.started(worker);
     this.#world.events.after(failing ? FAILURE_MS : item.serviceMs, () => {
       this.#end(item, { holder, worker, failed: failing });
     });
@@ -412,40 +340,16 @@
   ): void {
     const { holder, worker, failed } = at;
     if (!this.alive) return;
-    this.pool.release(worker, item.need);
-    this.#headroom.ended(this.#nowMs);
+    const freed = () => this.#fill();
+    this.#workers.ended(item, { worker, failed, freed });
     this.#use(item.team, -1);
     if (failed) this.#world.outcomes.failed++;
     else this.#world.outcomes.end(item, this.#nowMs);
-    if (this.#world.parameters.quarantine) this.#judge(item, at);
     this.#reply(item, { holder, answer: failed ? "failed" : "done" });
     this.#noteChange();
     this.#fill();
   }
 
-  #judge(
-    item: Item,
-    at: { readonly worker: string; readonly failed: boolean },
-  ): void {
-    const { worker, failed } = at;
-    const { workload } = item;
-    const nowMs = this.#nowMs;
-    const standing = this.#quarantine.record({
-      worker,
-      workload,
-      failed,
-      nowMs,
-    });
-    this.pool.setUsable(worker, standing.type !== "quarantined");
-    if (standing.type !== "quarantined") return;
-    this.#world.events.after(standing.untilMs - nowMs, () => {
-      const usable =
-        this.#quarantine.standing(worker, this.#nowMs).type !== "quarantined";
-      this.pool.setUsable(worker, usable);
-      this.#fill();
-    });
-  }
-
   #use(team: string, slots: number): void {
     const need = { ...noResources, slots };
     this.#usage.set(team, add(this.#usage.get(team) ?? noResources, need));
@@ -472,7 +376,7 @@
   #announce(): void {
     if (!this.alive || this.#nowMs < this.#announcer.dueAtMs) return;
     this.#announcer.sent(this.#nowMs);
-    if (this.#urgentWaiting > 0) this.#renewLater(this.#nowMs);
+    if (this.#queue.urgentWaiting > 0) this.#renewLater(this.#nowMs);
     const news = this.#news();
     for (const peer of this.#world.instances) {
       if (peer === this || !peer.alive) continue;
@@ -487,7 +391,7 @@
   #renewLater(sentAtMs: number): void {
     this.#sentAtMs = sentAtMs;
     this.#world.events.after(URGENT_NEWS_MS, () => {
-      if (this.#sentAtMs === sentAtMs && this.#urgentWaiting > 0) {
+      if (this.#sentAtMs === sentAtMs && this.#queue.urgentWaiting > 0) {
         this.#note("pressing");
       }
     });
