--- /dev/null
+++ b/src/operator_set/checks.ts
@@ -0,0 +1,187 @@
+/**
+ * Checks of the set as a whole: references, shares, limits and workloads.
+ *
+ * @module
+ */
+import type { IniSection } from "../ini/document.ts";
+import { type Problem, problem, type ProblemType } from "../ini/problem.ts";
+import { suggestion } from "../ini/nearest.ts";
+import type { OperatorSet, Queue, Workload } from "../operator_set.ts";
+import { gangsOverLimit } from "./fleet.ts";
+import type { SectionKind } from "./schemas.ts";
+
+/** Sections by object name. */
+export type Sections = ReadonlyMap<string, IniSection>;
+
+/** Where a problem stands and what it is. */
+interface Finding {
+  readonly object: string;
+  readonly field: string;
+  readonly message: string;
+}
+
+/** All that is wrong with a set whose objects are sound one by one. */
+export function checkSet(set: OperatorSet, sections: Sections): Problem[] {
+  return [
+    ...danglingReferences(set, sections),
+    ...queueProblems(set, sections),
+    ...clashes([...set.shares.values()], {
+      kind: "share",
+      type: "shareClash",
+      sections,
+    }),
+    ...clashes([...set.limits.values()], {
+      kind: "limit",
+      type: "limitClash",
+      sections,
+    }),
+    ...workloadProblems(set, sections),
+    ...gangsOverLimit(set).map((found) => locate(found, sections)),
+  ];
+}
+
+/** Gives a problem the line of its field, or of its object. */
+export function locate(found: Problem, sections: Sections): Problem {
+  const section = sections.get(found.object);
+  const field = section?.fields.find((other) => other.name === found.field);
+  return { ...found, line: field?.line ?? section?.line ?? 0 };
+}
+
+interface Reference {
+  readonly object: string;
+  readonly field: string;
+  readonly kind: SectionKind;
+  readonly name: string;
+}
+
+function danglingReferences(
+  set: OperatorSet,
+  sections: Sections,
+): Problem[] {
+  return references(set)
+    .filter(({ kind, name }) => !sections.has(`${kind} ${name}`))
+    .map((reference) => dangling(reference, sections));
+}
+
+function dangling(reference: Reference, sections: Sections): Problem {
+  const { object, field, kind, name } = reference;
+  const known = [...sections.values()]
+    .filter((section) => section.kind === kind)
+    .map((section) => section.name);
+  const hint = suggestion(name, known);
+  const message = `there is no ${kind} \`${name}\`${hint}`;
+  return found("danglingReference", { object, field, message }, sections);
+}
+
+function references(set: OperatorSet): Reference[] {
+  return [
+    ...[...set.keys.values()].map((key) => teamOf("key", key)),
+    ...[...set.shares.values()].map((share) => teamOf("share", share)),
+    ...[...set.limits.values()].map((limit) => teamOf("limit", limit)),
+    ...[...set.queues.values()].flatMap(teamsOf),
+    ...[...set.workloads.values()].map(queueOf),
+  ];
+}
+
+function teamOf(
+  kind: SectionKind,
+  object: { readonly name: string; readonly team: string },
+): Reference {
+  return {
+    object: `${kind} ${object.name}`,
+    field: "team",
+    kind: "team",
+    name: object.team,
+  };
+}
+
+function teamsOf(queue: Queue): Reference[] {
+  return queue.teams.map((name) => ({
+    object: `queue ${queue.name}`,
+    field: "teams",
+    kind: "team",
+    name,
+  }));
+}
+
+function queueOf(workload: Workload): Reference {
+  return {
+    object: `workload ${workload.name}`,
+    field: "queue",
+    kind: "queue",
+    name: workload.queue,
+  };
+}
+
+function queueProblems(set: OperatorSet, sections: Sections): Problem[] {
+  return [...set.queues.values()].flatMap((queue) => {
+    const object = `queue ${queue.name}`;
+    const field = "teams";
+    if (queue.teams.length === 0) {
+      const message = "the queue has no team";
+      const finding = { object, field, message };
+      return [found("queueWithoutTeam", finding, sections)];
+    }
+    if (queue.open && queue.teams.length > 1) {
+      const message = "an open queue must have exactly one team";
+      return [found("openQueue", { object, field, message }, sections)];
+    }
+    return [];
+  });
+}
+
+function clashes(
+  objects: readonly { readonly name: string; readonly team: string }[],
+  options: {
+    readonly kind: "share" | "limit";
+    readonly type: ProblemType;
+    readonly sections: Sections;
+  },
+): Problem[] {
+  const { kind, type, sections } = options;
+  return objects.flatMap((object, index) => {
+    const earlier = objects.findIndex((other) => other.team === object.team);
+    if (earlier === index) return [];
+    const first = objects[earlier]!;
+    const message =
+      `team \`${object.team}\` already has ${kind} \`${first.name}\``;
+    const finding = {
+      object: `${kind} ${object.name}`,
+      field: "team",
+      message,
+    };
+    return [found(type, finding, sections)];
+  });
+}
+
+function workloadProblems(set: OperatorSet, sections: Sections): Problem[] {
+  return [...set.workloads.values()].flatMap((workload) => {
+    const misfit = describeMisfit(workload);
+    if (misfit === undefined) return [];
+    const object = `workload ${workload.name}`;
+    return [found("workloadMisfit", { object, ...misfit }, sections)];
+  });
+}
+
+function describeMisfit(
+  workload: Workload,
+): Omit<Finding, "object"> | undefined {
+  switch (workload.kind) {
+    case "service":
+      if (workload.path.startsWith("/")) return undefined;
+      return { field: "path", message: "must begin with /" };
+    case "batch":
+    case "gang":
+      if (workload.dueMs === 0) return undefined;
+      if (workload.dueMs >= workload.timeoutMs) return undefined;
+      return { field: "due", message: "is shorter than the timeout" };
+  }
+}
+
+function found(
+  type: ProblemType,
+  finding: Finding,
+  sections: Sections,
+): Problem {
+  return locate(problem(type, finding), sections);
+}
