--- /dev/null
+++ b/src/controllers/fleet.ts
@@ -0,0 +1,98 @@
+/**
+ * The fleet as the platform's lagging list tells it.
+ *
+ * @module
+ */
+import type { Clock, Timer } from "../clock.ts";
+import type { Log } from "../logger.ts";
+import type { List, Listing, Presence } from "../ports/list.ts";
+import type { Worker } from "../types.ts";
+
+/** Time between readings of the list, milliseconds. */
+export const LIST_INTERVAL_MS = 1_000;
+
+/** What the controller needs. */
+export interface FleetOptions {
+  readonly list: List;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Reads the list and tells of changes. */
+export class Fleet {
+  readonly #options: FleetOptions;
+  readonly #workers = new Map<string, Worker>();
+  readonly #presence = new Map<string, Presence>();
+  readonly #listeners: (() => void)[] = [];
+  #listing: Listing | undefined;
+  #timer: Timer | undefined;
+  #fingerprint = "";
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+  }
+
+  /** Starts to read the list; resolves after the first reading. */
+  async start(): Promise<void> {
+    await this.#poll();
+  }
+
+  /** Stops reading. */
+  stop(): void {
+    this.#timer?.cancel();
+  }
+
+  /** The newest reading. */
+  listing(): Listing | undefined {
+    return this.#listing;
+  }
+
+  /** A worker that the list names, live or leaving. */
+  worker(id: string): Worker | undefined {
+    return this.#workers.get(id);
+  }
+
+  /** Whether a worker may get new work according to the list. */
+  live(id: string): boolean {
+    return this.#presence.get(id) === "live";
+  }
+
+  /** All workers that the list names. */
+  workers(): readonly Worker[] {
+    return [...this.#workers.values()];
+  }
+
+  /** Calls `listener` after each reading that differs from the one before. */
+  onChange(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  async #poll(): Promise<void> {
+    const reading = await this.#options.list.read();
+    reading.match(
+      (listing) => this.#take(listing),
+      (failure) =>
+        this.#options.log.warn("list.unavailable", {
+          message: failure.message,
+        }),
+    );
+    this.#timer = this.#options.clock.after(
+      LIST_INTERVAL_MS,
+      () => void this.#poll(),
+    );
+  }
+
+  #take(listing: Listing): void {
+    const fingerprint = JSON.stringify(listing);
+    this.#listing = listing;
+    if (fingerprint === this.#fingerprint) return;
+    this.#fingerprint = fingerprint;
+    this.#workers.clear();
+    this.#presence.clear();
+    for (const { worker, presence } of listing.workers) {
+      this.#workers.set(worker.id, worker);
+      this.#presence.set(worker.id, presence);
+    }
+    for (const listener of this.#listeners) listener();
+  }
+}
--- /dev/null
+++ b/src/logger.ts
@@ -0,0 +1,76 @@
+/**
+ * One line of key=value pairs for each event.
+ *
+ * @module
+ */
+import process from "node:process";
+import { Logger as TsLogger } from "tslog";
+
+/** Levels in order of urgency; the values are tslog's. */
+export const logLevels = {
+  debug: 2,
+  info: 3,
+  warn: 4,
+  error: 5,
+} as const;
+
+/** Name of a log level. */
+export type LogLevel = keyof typeof logLevels;
+
+/** What an event may carry. Keys and bodies of callers never go in. */
+export type Fields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+/** Writes events. */
+export interface Log {
+  debug(event: string, fields?: Fields): void;
+  info(event: string, fields?: Fields): void;
+  warn(event: string, fields?: Fields): void;
+  error(event: string, fields?: Fields): void;
+}
+
+/** A log that drops everything. */
+export const silentLog: Log = {
+  debug() {},
+  info() {},
+  warn() {},
+  error() {},
+};
+
+/** Formats one event as a line without its newline. */
+export function formatLine(event: string, fields: Fields): string {
+  const pairs = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => `${name}=${quote(String(value))}`);
+  return [`event=${event}`, ...pairs].join(" ");
+}
+
+/** Opens a log on standard error. `common` goes into every line. */
+export function openLog(level: LogLevel, common: Fields): Log {
+  const logger = new TsLogger<{ line: string }>({
+    type: "hidden",
+    minLevel: logLevels[level],
+  });
+  logger.attachTransport((record) => {
+    const line = (record as unknown as { line: string }).line;
+    process.stderr.write(line + "\n");
+  });
+  function write(severity: LogLevel, event: string, fields: Fields = {}): void {
+    if (logLevels[severity] < logLevels[level]) return;
+    const time = new Date().toISOString();
+    const all = { level: severity, ...common, ...fields };
+    const line = `time=${time} ${formatLine(event, all)}`;
+    logger.log(logLevels[severity], severity, { line });
+  }
+  return {
+    debug: (event, fields) => write("debug", event, fields),
+    info: (event, fields) => write("info", event, fields),
+    warn: (event, fields) => write("warn", event, fields),
+    error: (event, fields) => write("error", event, fields),
+  };
+}
+
+function quote(value: string): string {
+  return /^[\w./:@+-]+$/.test(value) ? value : JSON.stringify(value);
+}
