--- a/src/configuration/head.ts
+++ b/src/configuration/head.ts
@@ -6,7 +6,7 @@
  */
 import { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
-import { isRight } from "fp-ts/lib/Either.js";
+import { either } from "fp-ts";
 import * as t from "io-ts";
 import { err, ok, type Result } from "neverthrow";
 import type { Publication } from "../operator_set.ts";
@@ -31,7 +31,7 @@
 );
 
 /** Codec of {@linkcode Head}. */
-export const headCodec = t.readonly(t.type({
+export const HeadCodec = t.readonly(t.type({
   number: positiveInteger,
   publishId: t.string,
   operator: t.string,
@@ -41,7 +41,7 @@
 }));
 
 /** What the store says of a publication: all but its text. */
-export type Head = t.TypeOf<typeof headCodec>;
+export type Head = t.TypeOf<typeof HeadCodec>;
 
 /** Describes a publication by the hash and the chunks of its text. */
 export function headOf(publication: Publication): Head {
@@ -55,8 +55,8 @@
 
 /** Reads a head as stored. */
 export function decodeHead(value: string): Result<Head, PublicationFailure> {
-  const decoded = headCodec.decode(parseJson(value));
-  if (isRight(decoded)) return ok(decoded.right);
+  const decoded = HeadCodec.decode(parseJson(value));
+  if (either.isRight(decoded)) return ok(decoded.right);
   return err({
     type: "headMalformed",
     message: "the stored head is no head of a publication",
--- a/src/ini/units.ts
+++ b/src/ini/units.ts
@@ -30,6 +30,10 @@
   d: 86_400_000,
 } as const;
 
+const MAX_PORT = 65_535;
+const HOST = /^([^\s:]+|\[[0-9a-fA-F:.]+\])$/;
+const SECRET_LETTERS = 16;
+
 /** Names of objects. */
 export const NAME = /^[a-z0-9-]+$/;
 
@@ -161,13 +165,26 @@
   };
 }
 
-/** `host:port` where the host is an IP number. */
-export const ipAddress: Unit<string> = {
+/** `IP:port` on which others connect. */
+export const reachableAddress: Unit<string> = {
   name: "IP:port",
+  parse(value) {
+    const { host, port } = splitAddress(value);
+    if (!isIp(host)) return bad(`\`${value}\` is not an IP number and a port`);
+    if (/^(0\.0\.0\.0|\[[:0]+\])$/.test(host) || port === "0") {
+      return bad(`\`${value}\` is nothing to connect to`);
+    }
+    return parseAddress(value);
+  },
+};
+
+/** Text that is kept out of messages. */
+export const secret: Unit<string> = {
+  name: `text of ${SECRET_LETTERS} letters or more`,
   parse: (value) =>
-    isIp(splitAddress(value).host)
-      ? parseAddress(value)
-      : bad(`\`${value}\` must be an IP number and a port`),
+    value.length >= SECRET_LETTERS
+      ? ok(value)
+      : bad(`must have ${SECRET_LETTERS} letters or more`),
 };
 
 /** `host:port`. */
@@ -177,6 +194,15 @@
 };
 
 /** One or more `host:port`, parted by commas. */
+export const someAddresses: Unit<readonly string[]> = {
+  name: "host:port, ...",
+  parse: (value) =>
+    addresses.parse(value).andThen((items) =>
+      items.length > 0 ? ok(items) : bad("must name at least one address")
+    ),
+};
+
+/** Any number of `host:port`, parted by commas. */
 export const addresses: Unit<readonly string[]> = {
   name: "host:port, ...",
   parse: (value) => parseList(value, parseAddress),
@@ -218,8 +244,7 @@
 function parseAddress(value: string): Result<string, UnitFailure> {
   const { host, port } = splitAddress(value);
   const number = Number(port);
-  const valid = host !== "" && !/\s/.test(host) && /^\d+$/.test(port) &&
-    number >= 0 && number <= 65_535;
+  const valid = HOST.test(host) && /^\d+$/.test(port) && number <= MAX_PORT;
   return valid ? ok(value) : bad(`\`${value}\` is not like host:port`);
 }
 
