Add the owner's placement and the matching of waiting work with room

Cause: each worker is owned by one instance that alone decides what starts on it; work waits where it arrived. Room is offered to the holder of the work that should run next, and work is pushed to peers known to have room.

--- /dev/null
+++ b/src/controllers/matching.ts
@@ -0,0 +1,358 @@
+/**
+ * Brings waiting work and room together. As an owner of workers, an instance
+ * gives each free room to what should run next by policy, its own or a
+ * peer's; as a holder of waiting work it pushes what it cannot run itself to
+ * peers known to have room.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import type { Clock, Timer } from "../clock.ts";
+import { type Candidate, chooseNext, DeferredTurns } from "../policy/choice.ts";
+import type { WorkerPool } from "../policy/pool.ts";
+import type { Shares } from "../policy/shares.ts";
+import type { QueueFull, Waiting, WaitingQueue } from "../policy/waiting.ts";
+import type { Peers } from "../ports/peers.ts";
+import { add, noResources } from "../resources.ts";
+import type { Resources } from "../types.ts";
+import {
+  declineNotice,
+  type News,
+  newsNotice,
+  type Offer,
+  offerNotice,
+} from "../wire/dispatch.ts";
+import type { Result } from "neverthrow";
+import { Neighbours, type RemoteCandidate } from "./neighbours.ts";
+import type { Placement } from "./placement.ts";
+
+/** Offered room that nobody takes is free again after so long, milliseconds. */
+const OFFER_LAPSE_MS = 1_000;
+/** Least time between two pieces of news, milliseconds. */
+const NEWS_SPACING_MS = 5;
+/** Time between pieces of news when nothing changes, milliseconds. */
+const NEWS_HEARTBEAT_MS = 1_000;
+
+/** Where waiting work should start. */
+export type Target =
+  | { readonly type: "self" }
+  | {
+    readonly type: "peer";
+    readonly peer: string;
+    /** Room that the peer holds for it. */
+    readonly offer?: Offer;
+  };
+
+/** Waiting work with what is to be done with it. */
+export interface Startable {
+  readonly waiting: Waiting;
+  /** Starts it; called after it has left the queue. */
+  start(target: Target): void;
+  /** Its deadline passed in the queue. */
+  expired(): void;
+}
+
+/** What the controller needs. */
+export interface MatchingOptions {
+  readonly placement: Placement;
+  readonly pool: WorkerPool;
+  readonly queue: WaitingQueue;
+  readonly shares: Shares;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  /** Ids of the other instances. */
+  readonly members: () => readonly string[];
+}
+
+/** Both roles of an instance. */
+export class Matching {
+  readonly neighbours = new Neighbours();
+  readonly #options: MatchingOptions;
+  readonly #startables = new Map<string, Startable>();
+  readonly #blocked = new Map<string, number>();
+  readonly #turns = new DeferredTurns();
+  #sequence = 0;
+  #lastNews = "";
+  #newsTimer: Timer | undefined;
+  #newsAtMs = -Infinity;
+  #deadlineTimer: Timer | undefined;
+  #pumping = false;
+  #scheduled = false;
+  #stopped = false;
+
+  constructor(options: MatchingOptions) {
+    this.#options = options;
+    options.placement.onRoom(() => this.schedule());
+    options.peers.listen(newsNotice, (news, from) => this.#heard(from, news));
+    options.peers.listen(offerNotice, (offer, from) => {
+      this.#offered(from, offer);
+    });
+    options.peers.listen(declineNotice, ({ offer }) => {
+      options.placement.offers.release(offer);
+    });
+    options.peers.onLost((peer) => this.neighbours.forget(peer));
+    this.#heartbeat();
+  }
+
+  /** Number of items that wait here. */
+  get waiting(): number {
+    return this.#options.queue.size;
+  }
+
+  /** Lets work wait for its turn. */
+  submit(startable: Startable): Result<void, QueueFull> {
+    const { queue } = this.#options;
+    const pushed = queue.push(startable.waiting);
+    if (pushed.isErr()) return pushed;
+    this.#startables.set(startable.waiting.id, startable);
+    this.schedule();
+    this.#armDeadline();
+    return pushed;
+  }
+
+  /** Takes waiting work out; `false` if it does not wait here any more. */
+  withdraw(id: string): boolean {
+    this.#startables.delete(id);
+    const removed = this.#options.queue.remove(id);
+    if (removed !== undefined) this.#tell();
+    return removed !== undefined;
+  }
+
+  /** Starts no work of a team for a while, because its limit is reached. */
+  block(team: string, forMs: number): void {
+    const until = this.#options.clock.monotonic() + forMs;
+    this.#blocked.set(team, until);
+    this.#options.clock.after(forMs, () => this.schedule());
+  }
+
+  /** A team has allowance again. */
+  unblock(team: string): void {
+    if (this.#blocked.delete(team)) this.schedule();
+  }
+
+  /** Matches as soon as the present event is done with. */
+  schedule(): void {
+    if (this.#scheduled || this.#stopped) return;
+    this.#scheduled = true;
+    queueMicrotask(() => {
+      this.#scheduled = false;
+      this.#pump();
+    });
+  }
+
+  /** Ends the timers. */
+  stop(): void {
+    this.#stopped = true;
+    this.#newsTimer?.cancel();
+    this.#deadlineTimer?.cancel();
+  }
+
+  #pump(): void {
+    if (this.#pumping) return;
+    this.#pumping = true;
+    this.#refreshShares();
+    while (this.#giveRoom());
+    while (this.#push());
+    this.#pumping = false;
+    this.#tell();
+  }
+
+  /** Gives one free room of this instance away; `false` if there is none or nobody for it. */
+  #giveRoom(): boolean {
+    const { pool } = this.#options;
+    if (pool.totals().free.slots <= 0) return false;
+    const hasRoom = (need: Resources) => pool.place(need) !== undefined;
+    const chosen = this.#choose(this.#allCandidates(), hasRoom);
+    if (chosen === undefined) return false;
+    if ("holder" in chosen) return this.#offerRoom(chosen as RemoteCandidate);
+    return this.#startOwn(chosen as Waiting, { type: "self" });
+  }
+
+  /** Pushes one item to a peer; `false` if none can be. */
+  #push(): boolean {
+    const nowMs = this.#options.clock.monotonic();
+    const roomAt = (need: Resources) => this.neighbours.withRoom(need, nowMs);
+    const chosen = this.#choose(
+      this.#options.queue.heads(),
+      (need) => roomAt(need) !== undefined,
+    );
+    const peer = chosen && roomAt(chosen.need);
+    if (chosen === undefined || peer === undefined) return false;
+    this.neighbours.spend(peer, chosen.need);
+    return this.#startOwn(chosen as Waiting, { type: "peer", peer });
+  }
+
+  #choose<T extends Candidate>(
+    candidates: Iterable<T>,
+    hasRoom: (need: Resources) => boolean,
+  ): T | undefined {
+    return chooseNext(this.#unblocked(candidates), {
+      shares: this.#options.shares,
+      hasRoom,
+      nowMs: this.#options.clock.monotonic(),
+      turns: this.#turns,
+    });
+  }
+
+  *#allCandidates(): Generator<Candidate> {
+    yield* this.#options.queue.heads();
+    yield* this.neighbours.waiting(this.#options.clock.monotonic());
+  }
+
+  *#unblocked<T extends Candidate>(candidates: Iterable<T>): Generator<T> {
+    const nowMs = this.#options.clock.monotonic();
+    for (const candidate of candidates) {
+      const until = this.#blocked.get(candidate.team);
+      if (until === undefined || until <= nowMs) yield candidate;
+    }
+  }
+
+  #startOwn(waiting: Waiting, target: Target): boolean {
+    this.#options.queue.remove(waiting.id);
+    const startable = this.#startables.get(waiting.id);
+    this.#startables.delete(waiting.id);
+    this.#options.shares.charge(waiting.team, waiting.need);
+    startable?.start(target);
+    return true;
+  }
+
+  #offerRoom(candidate: RemoteCandidate): boolean {
+    const { peers, placement, shares } = this.#options;
+    this.neighbours.offered(candidate);
+    const { team, workload, urgency, need, holder } = candidate;
+    const place = placement.takeRoom(need, []);
+    if (place === undefined) return false;
+    const offer = randomUUID();
+    const { worker, fence } = place;
+    placement.offers.hold(
+      { offer, worker, team, need, reservation: offer },
+      OFFER_LAPSE_MS,
+    );
+    shares.charge(team, need);
+    peers.notify(holder, offerNotice, {
+      offer,
+      team,
+      workload,
+      urgency,
+      worker,
+      fence,
+      need,
+    });
+    return true;
+  }
+
+  #offered(peer: string, offer: Offer): void {
+    const { peers, queue } = this.#options;
+    const waiting = queue.headOf(offer);
+    if (waiting === undefined) {
+      peers.notify(peer, declineNotice, { offer: offer.offer });
+      return;
+    }
+    this.#startOwn(waiting, { type: "peer", peer, offer });
+    this.#tell();
+  }
+
+  #heard(peer: string, news: News): void {
+    const nowMs = this.#options.clock.monotonic();
+    if (this.neighbours.heard(peer, news, nowMs)) this.schedule();
+  }
+
+  #refreshShares(): void {
+    const { clock, placement, pool, shares } = this.#options;
+    shares.advance(clock.monotonic());
+    const usage = this.neighbours.usage();
+    for (const [team, used] of placement.usage()) {
+      usage.set(team, add(usage.get(team) ?? noResources, used));
+    }
+    for (const [team, used] of usage) shares.setUsage(team, used);
+    shares.setCapacity(add(pool.totals().capacity, this.neighbours.capacity()));
+  }
+
+  /** Sends news if it differs from the last, urgent backlog at once. */
+  #tell(): void {
+    if (this.#newsTimer !== undefined || this.#stopped) return;
+    const sinceMs = this.#options.clock.monotonic() - this.#newsAtMs;
+    if (sinceMs >= NEWS_SPACING_MS) return this.#sendNews(false);
+    this.#newsTimer = this.#options.clock.after(
+      NEWS_SPACING_MS - sinceMs,
+      () => {
+        this.#newsTimer = undefined;
+        this.#sendNews(false);
+      },
+    );
+  }
+
+  #heartbeat(): void {
+    if (this.#stopped) return;
+    this.#sendNews(true);
+    this.#options.clock.after(NEWS_HEARTBEAT_MS, () => this.#heartbeat());
+  }
+
+  #sendNews(evenIfSame: boolean): void {
+    const news = this.#news();
+    const fingerprint = JSON.stringify([news.free, laneCounts(news)]);
+    if (!evenIfSame && fingerprint === this.#lastNews) return;
+    this.#lastNews = fingerprint;
+    this.#newsAtMs = this.#options.clock.monotonic();
+    const numbered = { ...news, sequence: ++this.#sequence };
+    for (const peer of this.#options.members()) {
+      this.#options.peers.notify(peer, newsNotice, numbered);
+    }
+  }
+
+  #news(): News {
+    const { clock, placement, pool, queue } = this.#options;
+    const { free, capacity } = pool.totals();
+    const spare = this.#options.queue.size > 0 ? noResources : free;
+    return {
+      sequence: this.#sequence,
+      free: spare,
+      largest: largestRoom(pool),
+      capacity,
+      backlog: [...queue.summary(clock.monotonic())],
+      usage: Object.fromEntries(placement.usage()),
+    };
+  }
+
+  #armDeadline(): void {
+    const { clock, queue } = this.#options;
+    this.#deadlineTimer?.cancel();
+    const next = queue.nextDeadlineMs();
+    if (next === undefined) return;
+    const delayMs = Math.max(0, next - clock.monotonic());
+    this.#deadlineTimer = clock.after(delayMs, () => this.#expire());
+  }
+
+  #expire(): void {
+    const { clock, queue } = this.#options;
+    for (const waiting of queue.expire(clock.monotonic())) {
+      const startable = this.#startables.get(waiting.id);
+      this.#startables.delete(waiting.id);
+      startable?.expired();
+    }
+    this.#armDeadline();
+    this.#tell();
+  }
+}
+
+function laneCounts(news: News): string[] {
+  return news.backlog.map((lane) =>
+    `${lane.urgency} ${lane.team} ${lane.workload} ${lane.count}`
+  );
+}
+
+/** The most that one worker has free in each dimension. */
+function largestRoom(pool: WorkerPool): Resources {
+  let largest = noResources;
+  for (const id of pool.ids()) {
+    const free = pool.usable(id) ? pool.free(id) : undefined;
+    if (free === undefined) continue;
+    largest = {
+      cpuMillis: Math.max(largest.cpuMillis, free.cpuMillis),
+      memoryMib: Math.max(largest.memoryMib, free.memoryMib),
+      accelerators: Math.max(largest.accelerators, free.accelerators),
+      slots: Math.max(largest.slots, free.slots),
+    };
+  }
+  return largest;
+}
--- /dev/null
+++ b/src/controllers/neighbours.ts
@@ -0,0 +1,133 @@
+/**
+ * What this instance knows of its peers' room, backlog and usage, from their
+ * news and from what it has asked of them since.
+ *
+ * @module
+ */
+import { type Candidate, candidateOf } from "../policy/choice.ts";
+import type { Backlog } from "../policy/waiting.ts";
+import { add, fits, noResources, subtract } from "../resources.ts";
+import type { Resources } from "../types.ts";
+import type { News } from "../wire/dispatch.ts";
+
+/** News older than this is not acted on, milliseconds. */
+const STALE_MS = 3_000;
+
+interface Neighbour {
+  sequence: number;
+  receivedAtMs: number;
+  free: Resources;
+  largest: Resources;
+  capacity: Resources;
+  backlog: Map<string, Backlog & { count: number }>;
+  usage: ReadonlyMap<string, Resources>;
+}
+
+/** Work of one team and workload that waits at a peer. */
+export interface RemoteCandidate extends Candidate {
+  readonly holder: string;
+}
+
+/** The peers by instance id. */
+export class Neighbours {
+  readonly #known = new Map<string, Neighbour>();
+
+  /** Takes news in; `false` if newer news was there already. */
+  heard(peer: string, news: News, nowMs: number): boolean {
+    const known = this.#known.get(peer);
+    if (known !== undefined && known.sequence >= news.sequence) return false;
+    this.#known.set(peer, {
+      sequence: news.sequence,
+      receivedAtMs: nowMs,
+      free: news.free,
+      largest: news.largest,
+      capacity: news.capacity,
+      backlog: new Map(news.backlog.map((lane) => [laneOf(lane), { ...lane }])),
+      usage: new Map(Object.entries(news.usage)),
+    });
+    return true;
+  }
+
+  /** Forgets a peer. */
+  forget(peer: string): void {
+    this.#known.delete(peer);
+  }
+
+  /** The peer with the most room for a need; `undefined` if none is known to have any. */
+  withRoom(
+    need: Resources,
+    nowMs: number,
+    avoid: ReadonlySet<string> = new Set(),
+  ): string | undefined {
+    let best: string | undefined;
+    let most = 0;
+    for (const [peer, known] of this.#fresh(nowMs)) {
+      const room = fits(need, known.free) && fits(need, known.largest);
+      if (!room || avoid.has(peer) || known.free.slots <= most) continue;
+      best = peer;
+      most = known.free.slots;
+    }
+    return best;
+  }
+
+  /** Notes that room was asked of a peer. */
+  spend(peer: string, need: Resources): void {
+    const known = this.#known.get(peer);
+    if (known !== undefined) known.free = subtract(known.free, need);
+  }
+
+  /** Notes that a peer has no room after all. */
+  exhausted(peer: string): void {
+    const known = this.#known.get(peer);
+    if (known !== undefined) known.free = noResources;
+  }
+
+  /** What waits at the peers. */
+  *waiting(nowMs: number): Generator<RemoteCandidate> {
+    for (const [holder, known] of this.#fresh(nowMs)) {
+      const { receivedAtMs } = known;
+      for (const lane of known.backlog.values()) {
+        if (lane.count > 0) yield candidateOf(lane, { holder, receivedAtMs });
+      }
+    }
+  }
+
+  /** Notes that room was offered to work that waits at a peer. */
+  offered(candidate: RemoteCandidate): void {
+    const lane = this.#known.get(candidate.holder)?.backlog
+      .get(laneOf(candidate));
+    if (lane !== undefined) lane.count--;
+  }
+
+  /** Notes that nothing of a kind waits at a peer any more. */
+  declined(peer: string, lane: Pick<Backlog, "team" | "workload" | "urgency">) {
+    this.#known.get(peer)?.backlog.delete(laneOf(lane));
+  }
+
+  /** What every team has running on the peers' workers. */
+  usage(): Map<string, Resources> {
+    const total = new Map<string, Resources>();
+    for (const known of this.#known.values()) {
+      for (const [team, used] of known.usage) {
+        total.set(team, add(total.get(team) ?? noResources, used));
+      }
+    }
+    return total;
+  }
+
+  /** What the peers' workers offer. */
+  capacity(): Resources {
+    return [...this.#known.values()]
+      .reduce((sum, known) => add(sum, known.capacity), noResources);
+  }
+
+  *#fresh(nowMs: number): Generator<[string, Neighbour]> {
+    for (const entry of this.#known) {
+      if (nowMs - entry[1].receivedAtMs < STALE_MS) yield entry;
+    }
+  }
+}
+
+function laneOf(lane: Pick<Backlog, "team" | "workload" | "urgency">): string {
+  return `${lane.urgency} ${lane.team} ${lane.workload}`;
+}
--- /dev/null
+++ b/src/controllers/owned_workers.ts
@@ -0,0 +1,285 @@
+/**
+ * The workers that this instance owns: which of them may get new work, and
+ * what runs on them that this instance did not start.
+ *
+ * @module
+ */
+import type { Clock, Timer } from "../clock.ts";
+import type { Log } from "../logger.ts";
+import { Leftover } from "../policy/leftover.ts";
+import type { WorkerPool } from "../policy/pool.ts";
+import type { Authority } from "../ports/authority.ts";
+import type { Report, TaskReport, Upstream } from "../ports/upstream.ts";
+import { add, noResources } from "../resources.ts";
+import type { Resources, Worker } from "../types.ts";
+import type { Fleet } from "./fleet.ts";
+
+/** Time between reports asked of a worker, milliseconds. */
+export const REPORT_INTERVAL_MS = 1_000;
+/** Time between attempts to reach a worker that has not reported yet, milliseconds. */
+const FIRST_REPORT_INTERVAL_MS = 200;
+
+/** Prefix of the units of ownership that are workers. */
+export const WORKER_UNIT = "worker:";
+
+/** What the controller needs. */
+export interface OwnedWorkersOptions {
+  readonly authority: Authority;
+  readonly fleet: Fleet;
+  readonly pool: WorkerPool;
+  readonly upstream: Upstream;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Whether the operators have taken a worker out of use. */
+  readonly drained: (worker: string) => boolean;
+}
+
+/** Tells of what happens on owned workers. */
+export interface WorkerListener {
+  /** A worker may have more room than before. */
+  roomChanged(): void;
+  /** The tasks that a worker reported. */
+  tasksReported(worker: Worker, tasks: readonly TaskReport[]): void;
+  /** What runs on a worker as tasks that this instance tracks. */
+  trackedOn(worker: string): ReadonlySet<string>;
+}
+
+interface Owned {
+  readonly worker: Worker;
+  readonly leftover: Leftover;
+  fence: number;
+  owned: boolean;
+  reachable: boolean;
+  leaving: boolean;
+  foreignTasks: Resources;
+  timer?: Timer;
+}
+
+/** Keeps the pool in step with ownership, the list and the workers' reports. */
+export class OwnedWorkers {
+  readonly #options: OwnedWorkersOptions;
+  readonly #entries = new Map<string, Owned>();
+  readonly #listeners: WorkerListener[] = [];
+
+  constructor(options: OwnedWorkersOptions) {
+    this.#options = options;
+    options.authority.onChange(() => this.refresh());
+    options.fleet.onChange(() => this.refresh());
+  }
+
+  /** Adds a listener. */
+  listen(listener: WorkerListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Looks at ownership, the list and the drains again. */
+  refresh(): void {
+    const units = this.#options.authority.owned(WORKER_UNIT);
+    const owned = new Set(units.map((unit) => unit.slice(WORKER_UNIT.length)));
+    for (const id of owned) this.#adopt(id);
+    for (const [id, entry] of this.#entries) {
+      if (!owned.has(id)) this.#drop(id, entry);
+      else this.#judge(id, entry);
+    }
+    for (const listener of this.#listeners) listener.roomChanged();
+  }
+
+  /** The fencing number under which this instance owns a worker; `undefined` if it does not. */
+  fence(id: string): number | undefined {
+    const unit = WORKER_UNIT + id;
+    const entry = this.#entries.get(id);
+    const fence = this.#options.authority.fenceOf(unit);
+    return entry?.owned && entry.fence === fence ? fence : undefined;
+  }
+
+  /** Whether a worker may get new work right now. */
+  usable(id: string): boolean {
+    return this.#options.pool.usable(id);
+  }
+
+  /** Most requests that may run on a worker without this instance waiting for them. */
+  unaccounted(id: string): number {
+    return this.#entries.get(id)?.leftover.count ?? 0;
+  }
+
+  /** A request is about to be sent to a worker. */
+  requestStarted(id: string, request: string): void {
+    const now = this.#options.clock.monotonic();
+    this.#entries.get(id)?.leftover.started(request, now);
+  }
+
+  /** A request was answered whole, or never reached its worker. */
+  requestEnded(id: string, request: string): void {
+    const now = this.#options.clock.monotonic();
+    this.#entries.get(id)?.leftover.ended(request, now);
+    this.#sweep(id);
+  }
+
+  /** A request was given up and may still run on its worker. */
+  requestLost(id: string, request: string): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    entry.leftover.lost(request);
+    this.#reserve(id, entry);
+  }
+
+  /** A worker said that it is leaving, or cannot be reached: no new work until it reports again. */
+  suspect(id: string, leaving: boolean): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    entry.reachable = false;
+    entry.leaving ||= leaving;
+    this.#judge(id, entry);
+  }
+
+  /** Stops asking for reports. */
+  stop(): void {
+    for (const entry of this.#entries.values()) entry.timer?.cancel();
+  }
+
+  #adopt(id: string): void {
+    const { authority, clock, fleet, log, pool } = this.#options;
+    const worker = fleet.worker(id);
+    const fence = authority.fenceOf(WORKER_UNIT + id);
+    if (worker === undefined || fence === undefined) return;
+    const known = this.#entries.get(id);
+    if (known?.owned && known.fence === fence) return;
+    if (known !== undefined) {
+      known.owned = true;
+      known.fence = fence;
+      known.reachable = false;
+      known.leftover.reset(clock.monotonic());
+    } else {
+      pool.upsert(worker);
+      pool.setUsable(id, false);
+      this.#entries.set(id, newEntry(worker, fence, clock.monotonic()));
+    }
+    log.info("worker.adopted", { worker: id, fence });
+    this.#poll(id);
+  }
+
+  #drop(id: string, entry: Owned): void {
+    if (entry.owned) {
+      this.#options.log.info("worker.given_up", { worker: id });
+    }
+    entry.owned = false;
+    this.#options.pool.setUsable(id, false);
+    this.#sweep(id);
+  }
+
+  /** Forgets a worker that is no longer owned once nothing of this instance runs on it. */
+  #sweep(id: string): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined || entry.owned) return;
+    if (entry.leftover.active > 0) return;
+    const tracked = this.#listeners.some((listener) =>
+      listener.trackedOn(id).size > 0
+    );
+    if (tracked) return;
+    entry.timer?.cancel();
+    this.#entries.delete(id);
+    this.#options.pool.remove(id);
+  }
+
+  #judge(id: string, entry: Owned): void {
+    const { drained, fleet, pool } = this.#options;
+    const usable = entry.owned && entry.reachable && entry.leftover.known &&
+      !entry.leaving && fleet.live(id) && !drained(id);
+    pool.setUsable(id, usable);
+  }
+
+  #poll(id: string): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    entry.timer?.cancel();
+    const { clock, upstream } = this.#options;
+    const sentAtMs = clock.monotonic();
+    void upstream.report(entry.worker.address).match(
+      (report) => this.#reported(id, { report, sentAtMs }),
+      () => this.suspect(id, false),
+    ).then(() => this.#schedule(id));
+  }
+
+  #schedule(id: string): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    const delayMs = entry.leftover.known
+      ? REPORT_INTERVAL_MS
+      : FIRST_REPORT_INTERVAL_MS;
+    entry.timer?.cancel();
+    entry.timer = this.#options.clock.after(delayMs, () => this.#poll(id));
+  }
+
+  #reported(
+    id: string,
+    { report, sentAtMs }: {
+      readonly report: Report;
+      readonly sentAtMs: number;
+    },
+  ): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    const measuredAtMs = sentAtMs - report.ageMs;
+    entry.reachable = true;
+    entry.leaving = report.leaving;
+    entry.leftover.sighted({ measuredAtMs, requests: report.requests });
+    for (const listener of this.#listeners) {
+      listener.tasksReported(entry.worker, report.tasks);
+    }
+    entry.foreignTasks = this.#foreign(id, report);
+    this.#reserve(id, entry);
+    this.#judge(id, entry);
+    for (const listener of this.#listeners) listener.roomChanged();
+    this.#sweep(id);
+  }
+
+  #foreign(id: string, report: Report): Resources {
+    const tracked = new Set(
+      this.#listeners.flatMap((listener) => [...listener.trackedOn(id)]),
+    );
+    return report.tasks
+      .filter((task) => !tracked.has(task.attempt))
+      .filter(({ state }) =>
+        state.type === "running" || state.type === "throttled"
+      )
+      .reduce((sum, task) => add(sum, task.declared), noResources);
+  }
+
+  #reserve(id: string, entry: Owned): void {
+    const each = oneSlot(entry.worker.capacity);
+    const requests = times(each, entry.leftover.count);
+    this.#options.pool.reserveFor(id, add(requests, entry.foreignTasks));
+  }
+}
+
+function newEntry(worker: Worker, fence: number, nowMs: number): Owned {
+  return {
+    worker,
+    fence,
+    leftover: new Leftover(nowMs),
+    owned: true,
+    reachable: false,
+    leaving: false,
+    foreignTasks: noResources,
+  };
+}
+
+/** What a request of unknown workload is taken to use. */
+function oneSlot(capacity: Resources): Resources {
+  const slots = Math.max(1, capacity.slots);
+  return {
+    cpuMillis: Math.floor(capacity.cpuMillis / slots),
+    memoryMib: Math.floor(capacity.memoryMib / slots),
+    accelerators: 0,
+    slots: 1,
+  };
+}
+
+function times(resources: Resources, count: number): Resources {
+  return {
+    cpuMillis: resources.cpuMillis * count,
+    memoryMib: resources.memoryMib * count,
+    accelerators: resources.accelerators * count,
+    slots: resources.slots * count,
+  };
+}
--- /dev/null
+++ b/src/controllers/placement.ts
@@ -0,0 +1,351 @@
+/**
+ * The owner's side of dispatching: places requests on owned workers and sends
+ * them there. A request is sent only while the lease holds, the worker is
+ * owned, its room is taken and the team's allowance is in hand.
+ *
+ * @module
+ */
+import type { Clock } from "../clock.ts";
+import { unreachable, type WorkerFailure } from "../errors.ts";
+import type { Log } from "../logger.ts";
+import type { WorkerPool } from "../policy/pool.ts";
+import type {
+  Allowances,
+  Authority,
+  LimitFailure,
+} from "../ports/authority.ts";
+import type { Upstream } from "../ports/upstream.ts";
+import type { Reason, Resources } from "../types.ts";
+import type { RunOrder, RunResult } from "../wire/dispatch.ts";
+import { type HeldRoom, Offers } from "./offers.ts";
+import type { OwnedWorkers } from "./owned_workers.ts";
+
+/** Longest wait for a team's home instance, milliseconds. */
+const ALLOWANCE_WAIT_MS = 200;
+/** Orders are remembered for so long, milliseconds. */
+const ORDER_MEMORY_MS = 15_000;
+
+/** Told how each run on a worker went. */
+export interface RunObserver {
+  /** `failed`: the worker failed what it started. */
+  ran(
+    worker: string,
+    run: {
+      readonly workload: string;
+      readonly failed: boolean;
+      readonly tookMs: number;
+    },
+  ): void;
+}
+
+/** What the controller needs. */
+export interface PlacementOptions {
+  readonly authority: Authority;
+  readonly allowances: Allowances;
+  readonly workers: OwnedWorkers;
+  readonly pool: WorkerPool;
+  readonly upstream: Upstream;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly observer: RunObserver;
+}
+
+interface OrderMemory {
+  /** A barred order came too late: its holder has counted it as not started. */
+  readonly state: "started" | "barred";
+  readonly atMs: number;
+}
+
+/** Room taken on a worker. */
+export interface Place {
+  readonly worker: string;
+  readonly fence: number;
+}
+
+type PlaceResult =
+  | { readonly type: "place"; readonly place: Place }
+  | {
+    readonly type: "none";
+    readonly reason: Reason;
+    readonly retryAfterMs?: number;
+  };
+
+/** Decides for the owned workers. */
+export class Placement {
+  readonly offers: Offers;
+  readonly #options: PlacementOptions;
+  readonly #roomListeners: (() => void)[] = [];
+  readonly #orders = new Map<string, OrderMemory>();
+  readonly #lost = new Map<string, string[]>();
+  readonly #usage = new Map<string, Resources>();
+
+  constructor(options: PlacementOptions) {
+    this.#options = options;
+    this.offers = new Offers({
+      pool: options.pool,
+      clock: options.clock,
+      released: () => this.roomChanged(),
+    });
+    options.workers.listen({
+      roomChanged: () => {
+        this.#settleLost();
+        this.roomChanged();
+      },
+      tasksReported: () => {},
+      trackedOn: () => new Set(),
+    });
+  }
+
+  /** Calls `listener` whenever there may be more room. */
+  onRoom(listener: () => void): void {
+    this.#roomListeners.push(listener);
+  }
+
+  /** Tells the listeners that there may be more room. */
+  roomChanged(): void {
+    for (const listener of this.#roomListeners) listener();
+  }
+
+  /** What each team has running on the owned workers. */
+  usage(): ReadonlyMap<string, Resources> {
+    return this.#usage;
+  }
+
+  /** Sends a request to a worker, or says why not. */
+  async run(order: RunOrder): Promise<RunResult> {
+    if (this.#orders.has(order.id)) {
+      return notStarted({ type: "duplicateKey" });
+    }
+    const found = await this.#acquire(order);
+    if (found.type === "none") {
+      return { ...notStarted(found.reason), retryAfterMs: found.retryAfterMs };
+    }
+    const { place } = found;
+    const barrier = this.#barrier(order.id, place);
+    if (barrier !== undefined) {
+      this.#vacate(order, place);
+      return notStarted(barrier);
+    }
+    return await this.#send(order, place);
+  }
+
+  /** Whether an order was started. One that was not is barred from then on. */
+  settle(id: string): boolean {
+    if (this.#orders.get(id)?.state === "started") return true;
+    this.#remember(id, "barred");
+    return false;
+  }
+
+  /** Takes room for one task or request; the caller holds it from then on. */
+  takeRoom(
+    need: Resources,
+    avoid: readonly string[],
+  ): Place | undefined {
+    const { authority, pool, workers } = this.#options;
+    if (!authority.mayDecide()) return undefined;
+    const worker = pool.place(need, { avoid: new Set(avoid) });
+    if (worker === undefined) return undefined;
+    const fence = workers.fence(worker);
+    if (fence === undefined || !pool.take(worker, need)) return undefined;
+    return { worker, fence };
+  }
+
+  /** Why nothing may start on a worker under a fencing number now; `undefined` if it may. */
+  refusal(place: Place): Reason | undefined {
+    const { authority, workers } = this.#options;
+    if (!authority.mayDecide()) return { type: "isolated" };
+    if (workers.fence(place.worker) !== place.fence) return { type: "noOwner" };
+    return undefined;
+  }
+
+  /** Accounts for what a team has running. */
+  charge(team: string, need: Resources, sign: 1 | -1): void {
+    const before = this.#usage.get(team);
+    const after = {
+      cpuMillis: (before?.cpuMillis ?? 0) + sign * need.cpuMillis,
+      memoryMib: (before?.memoryMib ?? 0) + sign * need.memoryMib,
+      accelerators: (before?.accelerators ?? 0) + sign * need.accelerators,
+      slots: (before?.slots ?? 0) + sign * need.slots,
+    };
+    if (after.slots <= 0 && after.cpuMillis <= 0) this.#usage.delete(team);
+    else this.#usage.set(team, after);
+  }
+
+  async #acquire(order: RunOrder): Promise<PlaceResult> {
+    const { authority, allowances } = this.#options;
+    if (!authority.mayDecide()) return none({ type: "isolated" });
+    const place = this.#room(order);
+    if (place === undefined) {
+      return none({ type: "noRoom", workload: order.workload });
+    }
+    if (allowances.tryTake(order.team)) return { type: "place", place };
+    const taken = await allowances.take(order.team, ALLOWANCE_WAIT_MS);
+    if (taken.isOk()) return { type: "place", place };
+    this.#options.pool.release(place.worker, order.need);
+    this.roomChanged();
+    return {
+      type: "none",
+      reason: reasonOfLimit(taken.error),
+      retryAfterMs: taken.error.retryAfterMs,
+    };
+  }
+
+  #room(order: RunOrder): Place | undefined {
+    if (order.offer === undefined) {
+      return this.takeRoom(order.need, order.avoid);
+    }
+    const held = this.offers.claim(order.offer);
+    if (held === undefined) return this.takeRoom(order.need, order.avoid);
+    return this.#placeOf(held, order);
+  }
+
+  #placeOf(held: HeldRoom, order: RunOrder): Place | undefined {
+    const { pool, workers } = this.#options;
+    const fence = workers.fence(held.worker);
+    const suits = fence !== undefined && workers.usable(held.worker) &&
+      !order.avoid.includes(held.worker);
+    if (suits) return { worker: held.worker, fence };
+    pool.release(held.worker, held.need);
+    return this.takeRoom(order.need, order.avoid);
+  }
+
+  #barrier(id: string, place: Place): Reason | undefined {
+    if (this.#orders.has(id)) return { type: "cancelled" };
+    const refusal = this.refusal(place);
+    if (refusal === undefined) this.#remember(id, "started");
+    return refusal;
+  }
+
+  async #send(order: RunOrder, place: Place): Promise<RunResult> {
+    const { clock, observer, pool, upstream, workers } = this.#options;
+    const { worker } = place;
+    const address = pool.worker(worker)?.address ?? "";
+    const headers = {
+      ...order.request.headers,
+      "zinniapoint-fence": String(place.fence),
+    };
+    const sentAtMs = clock.monotonic();
+    this.charge(order.team, order.need, 1);
+    workers.requestStarted(worker, order.id);
+    const request = { ...order.request, headers };
+    const result = await upstream.request(address, request);
+    const tookMs = clock.monotonic() - sentAtMs;
+    return result.match(
+      (answer) => {
+        const failed = answer.status >= 500;
+        observer.ran(worker, { workload: order.workload, failed, tookMs });
+        workers.requestEnded(worker, order.id);
+        this.#vacate(order, place, true);
+        return { type: "done", answer: { ...answer, worker } };
+      },
+      (failure) => this.#failed(order, { place, failure, tookMs }),
+    );
+  }
+
+  #failed(
+    order: RunOrder,
+    { place, failure, tookMs }: {
+      readonly place: Place;
+      readonly failure: WorkerFailure;
+      readonly tookMs: number;
+    },
+  ): RunResult {
+    const { log, observer, workers } = this.#options;
+    const { worker } = place;
+    log.warn("worker.failed", { worker, failure: failure.type, id: order.id });
+    switch (failure.type) {
+      case "workerUnreached":
+      case "workerLeaving":
+        this.#orders.delete(order.id);
+        workers.suspect(worker, failure.type === "workerLeaving");
+        workers.requestEnded(worker, order.id);
+        this.#vacate(order, place, true);
+        return { ...notStarted({ type: "workerLost", worker }), worker };
+      case "workerRefused":
+      case "workerFenced":
+        this.#orders.delete(order.id);
+        workers.requestEnded(worker, order.id);
+        this.#vacate(order, place, true);
+        return { ...notStarted({ type: "workerFailed", worker }), worker };
+      case "workerSilent":
+        observer.ran(worker, {
+          workload: order.workload,
+          failed: false,
+          tookMs,
+        });
+        this.#lose(order, worker);
+        return { type: "lost", reason: { type: "workerLost", worker }, worker };
+      default:
+        return unreachable(failure);
+    }
+  }
+
+  /** Frees room at once but keeps the allowance until the worker's reports show the request gone. */
+  #lose(order: RunOrder, worker: string): void {
+    const { pool, workers } = this.#options;
+    workers.requestLost(worker, order.id);
+    pool.release(worker, order.need);
+    this.charge(order.team, order.need, -1);
+    const teams = this.#lost.get(worker) ?? [];
+    teams.push(order.team);
+    this.#lost.set(worker, teams);
+    this.roomChanged();
+  }
+
+  #settleLost(): void {
+    for (const [worker, teams] of this.#lost) {
+      const still = this.#options.workers.unaccounted(worker);
+      while (teams.length > still) {
+        this.#options.allowances.give(teams.shift()!);
+      }
+      if (teams.length === 0) this.#lost.delete(worker);
+    }
+  }
+
+  #vacate(order: RunOrder, place: Place, charged = false): void {
+    this.#options.pool.release(place.worker, order.need);
+    this.#options.allowances.give(order.team);
+    if (charged) this.charge(order.team, order.need, -1);
+    this.roomChanged();
+  }
+
+  #remember(id: string, state: OrderMemory["state"]): void {
+    const nowMs = this.#options.clock.monotonic();
+    this.#orders.set(id, { state, atMs: nowMs });
+    for (const [oldest, { atMs }] of this.#orders) {
+      if (nowMs - atMs < ORDER_MEMORY_MS) return;
+      this.#orders.delete(oldest);
+    }
+  }
+}
+
+function notStarted(
+  reason: Reason,
+): RunResult & { readonly type: "notStarted" } {
+  return {
+    type: "notStarted",
+    reason,
+    retryAfterMs: undefined,
+    worker: undefined,
+  };
+}
+
+function none(reason: Reason): PlaceResult {
+  return { type: "none", reason };
+}
+
+/** The reason that a caller is told for a {@linkcode LimitFailure}. */
+export function reasonOfLimit(failure: LimitFailure): Reason {
+  switch (failure.type) {
+    case "overLimit":
+      return {
+        type: "overLimit",
+        team: failure.team,
+        limit: failure.limit,
+      };
+    case "homeAway":
+      return { type: "noOwner" };
+    default:
+      return unreachable(failure);
+  }
+}
--- /dev/null
+++ b/src/ports/authority.ts
@@ -0,0 +1,49 @@
+/**
+ * What an instance may decide, as the dispatching controllers see it.
+ *
+ * @module
+ */
+import type { ResultAsync } from "neverthrow";
+import type { Instance } from "../types.ts";
+
+/** Ownership of units: `worker:<id>`, `team:<name>`, `home:<n>`, `segment:<member>`. */
+export interface Authority {
+  /** Whether this instance's lease holds right now; asked right before each start. */
+  mayDecide(): boolean;
+  /** The units with the prefix that this instance owns. */
+  owned(prefix: string): readonly string[];
+  /** The owner of a unit; `undefined` while there is none. */
+  ownerOf(unit: string): Instance | undefined;
+  /** Grows with each change of the unit's owner. */
+  fenceOf(unit: string): number | undefined;
+  /** Calls `listener` after each change. */
+  onChange(listener: () => void): void;
+}
+
+/** Why a team may not start more now. */
+export type LimitFailure =
+  | {
+    readonly type: "overLimit";
+    readonly message: string;
+    readonly team: string;
+    readonly limit: number;
+    readonly retryAfterMs: number;
+  }
+  | {
+    readonly type: "homeAway";
+    readonly message: string;
+    readonly team: string;
+    readonly retryAfterMs: number;
+  };
+
+/** Permission to have one more running, within the teams' upper limits. */
+export interface Allowances {
+  /** Takes from what is in hand, without waiting. */
+  tryTake(team: string): boolean;
+  /** Takes, asking the team's home instance if nothing is in hand. */
+  take(team: string, timeoutMs: number): ResultAsync<void, LimitFailure>;
+  /** Gives one back after its work has ended. */
+  give(team: string): void;
+  /** Accounts for running work that was found on an adopted worker. */
+  adopt(team: string, count: number): void;
+}
