--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -24,10 +24,12 @@
 } from "../wire/dispatch.ts";
 import type { Result } from "neverthrow";
 import { Neighbours, type RemoteCandidate } from "./neighbours.ts";
-import type { Placement } from "./placement.ts";
+import type { Place, Placement } from "./placement.ts";
 
 /** Offered room that nobody takes is free again after so long, milliseconds. */
 const OFFER_LAPSE_MS = 1_000;
+/** Pause of a team that is at its limit, milliseconds. */
+export const LIMIT_PAUSE_MS = 50;
 /** Least time between two pieces of news, milliseconds. */
 const NEWS_SPACING_MS = 5;
 /** Time between pieces of news when nothing changes, milliseconds. */
@@ -217,28 +219,49 @@
   }
 
   #offerRoom(candidate: RemoteCandidate): boolean {
-    const { peers, placement, shares } = this.#options;
+    const { placement, shares } = this.#options;
+    const { team, need } = candidate;
     this.neighbours.offered(candidate);
-    const { team, workload, urgency, need, holder } = candidate;
+    shares.charge(team, need);
+    if (candidate.urgency === "deferred") {
+      void this.#offerReserved(candidate);
+      return true;
+    }
     const place = placement.takeRoom(need, []);
     if (place === undefined) return false;
+    this.#sendOffer(candidate, { place, allowed: false });
+    return true;
+  }
+
+  /** Offers room together with the team's allowance, since attempts of tasks are written ahead. */
+  async #offerReserved(candidate: RemoteCandidate): Promise<void> {
+    const { placement } = this.#options;
+    const reserved = await placement.reserve(candidate, []);
+    if (reserved.type === "place") {
+      this.#sendOffer(candidate, { place: reserved.place, allowed: true });
+    } else if (reserved.reason.type === "overLimit") {
+      this.block(candidate.team, reserved.retryAfterMs ?? LIMIT_PAUSE_MS);
+    }
+  }
+
+  #sendOffer(
+    candidate: RemoteCandidate,
+    { place, allowed }: { readonly place: Place; readonly allowed: boolean },
+  ): void {
+    const { peers, placement } = this.#options;
+    const { team, workload, urgency, need, holder } = candidate;
     const offer = randomUUID();
-    const { worker, fence } = place;
-    placement.offers.hold(
-      { offer, worker, team, need, reservation: offer },
-      OFFER_LAPSE_MS,
-    );
-    shares.charge(team, need);
+    const room = { offer, ...place, team, need, reservation: offer, allowed };
+    placement.offers.hold(room, OFFER_LAPSE_MS);
     peers.notify(holder, offerNotice, {
       offer,
       team,
       workload,
       urgency,
-      worker,
-      fence,
+      worker: place.worker,
+      fence: place.fence,
       need,
     });
-    return true;
   }
 
   #offered(peer: string, offer: Offer): void {
@@ -309,7 +332,8 @@
       free: spare,
       largest: largestRoom(pool),
       capacity,
-      backlog: [...queue.summary(clock.monotonic())],
+      backlog: queue.summary(clock.monotonic())
+        .map((lane) => ({ ...lane, dueInMs: lane.dueInMs })),
       usage: Object.fromEntries(placement.usage()),
     };
   }
--- a/src/controllers/offers.ts
+++ b/src/controllers/offers.ts
@@ -18,8 +18,11 @@
   readonly worker: string;
   readonly team: string;
   readonly need: Resources;
+  readonly fence: number;
   /** Groups the offers of one reservation. */
   readonly reservation: string;
+  /** The team's allowance is held with it. */
+  readonly allowed: boolean;
 }
 
 interface HeldOffer extends HeldRoom {
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -18,7 +18,7 @@
 import type { Reason, Resources } from "../types.ts";
 import type { RunOrder, RunResult } from "../wire/dispatch.ts";
 import { type HeldRoom, Offers } from "./offers.ts";
-import type { OwnedWorkers } from "./owned_workers.ts";
+import { type OwnedWorkers, WORKER_UNIT } from "./owned_workers.ts";
 
 /** Longest wait for a team's home instance, milliseconds. */
 const ALLOWANCE_WAIT_MS = 200;
@@ -62,7 +62,8 @@
   readonly fence: number;
 }
 
-type PlaceResult =
+/** Room with its team's allowance, or why there is none. */
+export type PlaceResult =
   | { readonly type: "place"; readonly place: Place }
   | {
     readonly type: "none";
@@ -84,7 +85,10 @@
     this.offers = new Offers({
       pool: options.pool,
       clock: options.clock,
-      released: () => this.roomChanged(),
+      released: (room) => {
+        if (room.allowed) options.allowances.give(room.team);
+        this.roomChanged();
+      },
     });
     options.workers.listen({
       roomChanged: () => {
@@ -142,7 +146,7 @@
     avoid: readonly string[],
   ): Place | undefined {
     const { authority, pool, workers } = this.#options;
-    if (!authority.mayDecide()) return undefined;
+    if (!authority.inContact()) return undefined;
     const worker = pool.place(need, { avoid: new Set(avoid) });
     if (worker === undefined) return undefined;
     const fence = workers.fence(worker);
@@ -153,9 +157,11 @@
   /** Why nothing may start on a worker under a fencing number now; `undefined` if it may. */
   refusal(place: Place): Reason | undefined {
     const { authority, workers } = this.#options;
-    if (!authority.mayDecide()) return { type: "isolated" };
-    if (workers.fence(place.worker) !== place.fence) return { type: "noOwner" };
-    return undefined;
+    if (!authority.inContact()) return { type: "isolated" };
+    const unit = WORKER_UNIT + place.worker;
+    const owned = authority.mayDecide(unit) &&
+      workers.fence(place.worker) === place.fence;
+    return owned ? undefined : { type: "noOwner" };
   }
 
   /** Accounts for what a team has running. */
@@ -172,22 +178,45 @@
   }
 
   async #acquire(order: RunOrder): Promise<PlaceResult> {
-    const { authority, allowances } = this.#options;
-    if (!authority.mayDecide()) return none({ type: "isolated" });
     const place = this.#room(order);
-    if (place === undefined) {
-      return none({ type: "noRoom", workload: order.workload });
-    }
-    if (allowances.tryTake(order.team)) return { type: "place", place };
-    const taken = await allowances.take(order.team, ALLOWANCE_WAIT_MS);
+    if (place === undefined) return this.#noRoom(order.workload);
+    return await this.#allow(order, place);
+  }
+
+  /** Takes room and allowance for a task; whoever gets them gives them back. */
+  async reserve(
+    task: {
+      readonly team: string;
+      readonly workload: string;
+      readonly need: Resources;
+    },
+    avoid: readonly string[],
+  ): Promise<PlaceResult> {
+    const place = this.takeRoom(task.need, avoid);
+    if (place === undefined) return this.#noRoom(task.workload);
+    return await this.#allow(task, place);
+  }
+
+  #noRoom(workload: string): PlaceResult {
+    const inContact = this.#options.authority.inContact();
+    return inContact
+      ? none({ type: "noRoom", workload })
+      : none({ type: "isolated" });
+  }
+
+  /** Adds the team's allowance to room that was taken, or frees the room. */
+  async #allow(
+    { team, need }: { readonly team: string; readonly need: Resources },
+    place: Place,
+  ): Promise<PlaceResult> {
+    const { allowances, pool } = this.#options;
+    if (allowances.tryTake(team)) return { type: "place", place };
+    const taken = await allowances.take(team, ALLOWANCE_WAIT_MS);
     if (taken.isOk()) return { type: "place", place };
-    this.#options.pool.release(place.worker, order.need);
+    pool.release(place.worker, need);
     this.roomChanged();
-    return {
-      type: "none",
-      reason: reasonOfLimit(taken.error),
-      retryAfterMs: taken.error.retryAfterMs,
-    };
+    const reason = reasonOfLimit(taken.error);
+    return { type: "none", reason, retryAfterMs: taken.error.retryAfterMs };
   }
 
   #room(order: RunOrder): Place | undefined {
--- /dev/null
+++ b/src/controllers/requests.ts
@@ -0,0 +1,272 @@
+/**
+ * The holder's side of dispatching requests: each waits in the queue of the
+ * instance where it arrived until a worker answers it, its deadline passes or
+ * its caller goes away.
+ *
+ * @module
+ */
+import type { Clock } from "../clock.ts";
+import { type PeerFailure, unreachable } from "../errors.ts";
+import type { Log } from "../logger.ts";
+import type { Waiting } from "../policy/waiting.ts";
+import type { Peers } from "../ports/peers.ts";
+import type { UpstreamRequest } from "../ports/upstream.ts";
+import type { Outcome, Reason } from "../types.ts";
+import {
+  runCall,
+  type RunOrder,
+  type RunResult,
+  settleCall,
+} from "../wire/dispatch.ts";
+import {
+  LIMIT_PAUSE_MS,
+  type Matching,
+  type Startable,
+  type Target,
+} from "./matching.ts";
+import type { Placement } from "./placement.ts";
+
+/** Time that a peer has beyond the request's own timeout, milliseconds. */
+const ANSWER_GRACE_MS = 1_000;
+/** Time to ask a peer what became of an order, milliseconds. */
+const SETTLE_WAIT_MS = 1_000;
+/** Most workers that one request is tried on. */
+const MAX_TRIES = 5;
+
+/** One request of a caller. */
+export interface CallerRequest {
+  /** Unique to the request. */
+  readonly id: string;
+  readonly waiting: Waiting;
+  readonly idempotent: boolean;
+  readonly request: UpstreamRequest;
+}
+
+/** Bounds retries to a part of the first tries. */
+export interface RetryBudget {
+  /** Notes a first try. */
+  deposit(): void;
+  /** Takes one retry; `false` if the budget is spent. */
+  withdraw(): boolean;
+}
+
+/** What the controller needs. */
+export interface RequestsOptions {
+  readonly matching: Matching;
+  readonly placement: Placement;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly retries: RetryBudget;
+  /** When a caller should come back to a queue. */
+  readonly retryAfterMs: (queue: string) => number;
+  /** Told when a request leaves the queue for a worker. */
+  readonly departed: (queue: string) => void;
+}
+
+/** A request on its way. */
+interface Flight extends CallerRequest {
+  readonly finish: (outcome: Outcome) => void;
+  tries: number;
+  /** A worker may have run an earlier try. */
+  mayHaveRun: boolean;
+  readonly avoid: string[];
+}
+
+/** Takes requests in and gives each its outcome. */
+export class Requests {
+  readonly #options: RequestsOptions;
+  readonly #flights = new Map<string, Flight>();
+
+  constructor(options: RequestsOptions) {
+    this.#options = options;
+    const { peers, placement } = options;
+    peers.serve(runCall, (order) => placement.run(order));
+    peers.serve(settleCall, ({ id }) => ({ started: placement.settle(id) }));
+  }
+
+  /** Requests that have no outcome yet. */
+  get inFlight(): number {
+    return this.#flights.size;
+  }
+
+  /** Runs a request; resolves with its one outcome. */
+  run(request: CallerRequest): Promise<Outcome> {
+    this.#options.retries.deposit();
+    return new Promise((resolve) => {
+      const flight: Flight = {
+        ...request,
+        tries: 0,
+        mayHaveRun: false,
+        avoid: [],
+        finish: (outcome) => {
+          this.#flights.delete(request.id);
+          resolve(outcome);
+        },
+      };
+      this.#flights.set(request.id, flight);
+      this.#wait(flight);
+    });
+  }
+
+  /** The caller has gone: a request that still waits never runs. */
+  abandon(id: string): void {
+    if (!this.#options.matching.withdraw(id)) return;
+    const flight = this.#flights.get(id);
+    if (flight !== undefined) this.#refuse(flight, { type: "cancelled" });
+  }
+
+  #wait(flight: Flight): void {
+    const { matching } = this.#options;
+    const startable: Startable = {
+      waiting: flight.waiting,
+      start: (target) => void this.#start(flight, target),
+      expired: () =>
+        this.#refuse(flight, {
+          type: "deadlineTooClose",
+          queue: flight.waiting.queue,
+        }),
+    };
+    const pushed = matching.submit(startable);
+    if (pushed.isOk()) return;
+    const { queue } = flight.waiting;
+    this.#refuse(flight, { type: "queueFull", queue });
+  }
+
+  async #start(flight: Flight, target: Target): Promise<void> {
+    flight.tries++;
+    const order = orderOf(flight, target);
+    this.#options.departed(flight.waiting.queue);
+    switch (target.type) {
+      case "self":
+        return this.#settled(flight, await this.#options.placement.run(order));
+      case "peer":
+        return await this.#startAt(flight, { peer: target.peer, order });
+      default:
+        return unreachable(target);
+    }
+  }
+
+  async #startAt(
+    flight: Flight,
+    { peer, order }: { readonly peer: string; readonly order: RunOrder },
+  ): Promise<void> {
+    const timeoutMs = flight.request.timeoutMs + ANSWER_GRACE_MS;
+    const result = await this.#options.peers
+      .call(peer, runCall, { params: order, timeoutMs });
+    if (result.isErr()) {
+      return await this.#peerFailed(flight, {
+        peer,
+        order,
+        failure: result.error,
+      });
+    }
+    const noRoom = result.value.type === "notStarted" &&
+      result.value.reason.type === "noRoom";
+    if (noRoom) this.#options.matching.neighbours.exhausted(peer);
+    this.#settled(flight, result.value);
+  }
+
+  async #peerFailed(
+    flight: Flight,
+    { peer, order, failure }: {
+      readonly peer: string;
+      readonly order: RunOrder;
+      readonly failure: PeerFailure;
+    },
+  ): Promise<void> {
+    const { log, matching } = this.#options;
+    log.warn("peer.failed", { peer, failure: failure.type, id: flight.id });
+    switch (failure.type) {
+      case "peerUnreached":
+        matching.neighbours.exhausted(peer);
+        return this.#again(flight, { type: "peerLost", peer });
+      case "peerRefused":
+      case "peerSilent": {
+        const started = await this.#askStarted(peer, order.id);
+        const reason: Reason = { type: "peerLost", peer };
+        return started
+          ? this.#lost(flight, reason)
+          : this.#again(flight, reason);
+      }
+      default:
+        return unreachable(failure);
+    }
+  }
+
+  /** Whether a peer may have started an order; if it says no, it never will. */
+  async #askStarted(peer: string, id: string): Promise<boolean> {
+    const answer = await this.#options.peers.call(peer, settleCall, {
+      params: { id },
+      timeoutMs: SETTLE_WAIT_MS,
+    });
+    return answer.match(({ started }) => started, () => true);
+  }
+
+  #settled(flight: Flight, result: RunResult): void {
+    switch (result.type) {
+      case "done":
+        return flight.finish({ type: "done", answer: result.answer });
+      case "lost":
+        flight.avoid.push(result.worker);
+        return this.#lost(flight, result.reason);
+      case "notStarted":
+        return this.#notStarted(flight, result);
+      default:
+        return unreachable(result);
+    }
+  }
+
+  #notStarted(
+    flight: Flight,
+    result: RunResult & { readonly type: "notStarted" },
+  ): void {
+    if (result.worker !== undefined) flight.avoid.push(result.worker);
+    switch (result.reason.type) {
+      case "overLimit":
+      case "noOwner":
+        this.#options.matching.block(flight.waiting.team, LIMIT_PAUSE_MS);
+        return this.#wait(flight);
+      case "noRoom":
+        return this.#wait(flight);
+      default:
+        return this.#again(flight, result.reason);
+    }
+  }
+
+  /** Tries a request that has not been started once more. */
+  #again(flight: Flight, reason: Reason): void {
+    if (flight.tries >= MAX_TRIES) return this.#refuse(flight, reason);
+    this.#wait(flight);
+  }
+
+  /** A worker may have run it: only an idempotent request is tried again. */
+  #lost(flight: Flight, reason: Reason): void {
+    flight.mayHaveRun = true;
+    const again = flight.idempotent && flight.tries < MAX_TRIES &&
+      this.#options.retries.withdraw();
+    if (again) return this.#wait(flight);
+    flight.finish({ type: "unknown", reason });
+  }
+
+  #refuse(flight: Flight, reason: Reason): void {
+    if (flight.mayHaveRun) return flight.finish({ type: "unknown", reason });
+    const { queue } = flight.waiting;
+    const retryAfterMs = this.#options.retryAfterMs(queue);
+    flight.finish({ type: "notRun", reason, retryAfterMs });
+  }
+}
+
+function orderOf(flight: Flight, target: Target): RunOrder {
+  const { waiting, idempotent, request } = flight;
+  return {
+    id: `${flight.id}.${flight.tries}`,
+    team: waiting.team,
+    workload: waiting.workload,
+    need: waiting.need,
+    idempotent,
+    request: { ...request },
+    offer: target.type === "peer" ? target.offer?.offer : undefined,
+    avoid: [...flight.avoid],
+  };
+}
--- /dev/null
+++ b/src/controllers/task_keeper.ts
@@ -0,0 +1,405 @@
+/**
+ * The owner's side of tasks: starts them on owned workers, keeps their leases,
+ * and tells their holders how they ended.
+ *
+ * @module
+ */
+import type { Clock, Timer } from "../clock.ts";
+import { unreachable } from "../errors.ts";
+import type { Log } from "../logger.ts";
+import type { WorkerPool } from "../policy/pool.ts";
+import type { Allowances } from "../ports/authority.ts";
+import type { Peers } from "../ports/peers.ts";
+import type { TaskReport, TaskState, Upstream } from "../ports/upstream.ts";
+import type { Resources, Worker } from "../types.ts";
+import {
+  type AttemptEnd,
+  findCall,
+  startCall,
+  type StartOrder,
+  type StartResult,
+  stopNotice,
+} from "../wire/dispatch.ts";
+import type { HeldRoom } from "./offers.ts";
+import type { OwnedWorkers } from "./owned_workers.ts";
+import type { Placement, RunObserver } from "./placement.ts";
+
+/** A worker stops a task whose lease was not renewed for so long, milliseconds. */
+export const TASK_LEASE_MS = 15_000;
+/** Time between renewals, milliseconds. */
+const RENEW_INTERVAL_MS = 4_000;
+/** Time between attempts to tell a holder of an end, milliseconds. */
+const TELL_INTERVAL_MS = 500;
+/** A start is in every report taken this much later, milliseconds. */
+const START_BLUR_MS = 2_000;
+/** Leases on a worker that has not reported for so long are not renewed, milliseconds. */
+const UNREACHABLE_MS = 10_000;
+/** Attempts that were never started are barred for so long, milliseconds. */
+const BARRED_MEMORY_MS = 600_000;
+
+/** Tells the holder of a task how an attempt ended; resolves with whether it has kept that. */
+export type TellHolder = (ended: {
+  readonly task: string;
+  readonly attempt: string;
+  readonly end: AttemptEnd;
+  readonly worker: string;
+}) => Promise<boolean>;
+
+/** What the controller needs. */
+export interface TaskKeeperOptions {
+  readonly placement: Placement;
+  readonly workers: OwnedWorkers;
+  readonly pool: WorkerPool;
+  readonly allowances: Allowances;
+  readonly upstream: Upstream;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly observer: RunObserver;
+  readonly tell: TellHolder;
+}
+
+interface Kept {
+  readonly attempt: string;
+  readonly task: string;
+  readonly team: string;
+  readonly workload: string;
+  readonly worker: string;
+  readonly address: string;
+  readonly need: Resources;
+  readonly startedAtMs: number;
+  /** Started by a former owner: its room is not taken from the pool. */
+  readonly adopted: boolean;
+  end?: AttemptEnd;
+}
+
+/** What is known of an attempt on a worker. */
+export type Whereabouts = "running" | "neverStarted" | "unknown";
+
+/** Keeps the tasks of the owned workers. */
+export class TaskKeeper {
+  readonly #options: TaskKeeperOptions;
+  readonly #kept = new Map<string, Kept>();
+  readonly #onWorker = new Map<string, Map<string, Kept>>();
+  readonly #barred = new Map<string, number>();
+  readonly #seen = new Map<string, number>();
+  #timer: Timer | undefined;
+  #stopped = false;
+
+  constructor(options: TaskKeeperOptions) {
+    this.#options = options;
+    const { peers, workers } = options;
+    workers.listen({
+      roomChanged: () => {},
+      tasksReported: (worker, tasks) => this.#reported(worker, tasks),
+      trackedOn: (worker) => this.#placedOn(worker),
+    });
+    peers.serve(startCall, (order) => this.start(order));
+    peers.serve(findCall, async ({ worker, attempt }) => ({
+      state: await this.find(worker, attempt),
+    }));
+    peers.listen(stopNotice, ({ attempts }) => this.stop(attempts));
+    this.#renewLater();
+  }
+
+  /** Number of tasks that are kept. */
+  get size(): number {
+    return this.#kept.size;
+  }
+
+  /** Starts a task in the room that was offered for it. */
+  async start(order: StartOrder): Promise<StartResult> {
+    const { clock, pool, upstream, workers } = this.#options;
+    const room = this.#options.placement.offers.claim(order.offer);
+    if (room === undefined) return notStarted("cancelled");
+    const worker = pool.worker(room.worker);
+    const refusal = this.#refusal(order, room);
+    if (refusal !== undefined || worker === undefined) {
+      this.#vacate(room);
+      return notStarted(refusal ?? "noOwner");
+    }
+    const kept: Kept = {
+      ...order,
+      worker: room.worker,
+      address: worker.address,
+      need: room.need,
+      startedAtMs: clock.monotonic(),
+      adopted: false,
+    };
+    this.#keep(kept);
+    const result = await upstream.start(worker.address, {
+      attempt: order.attempt,
+      task: order.task,
+      team: order.team,
+      workload: order.workload,
+      resources: room.need,
+      fence: room.fence,
+      leaseMs: TASK_LEASE_MS,
+      payload: order.payload,
+    });
+    if (result.isOk()) return { type: "started" };
+    const { type } = result.error;
+    this.#options.log.warn("task.start_failed", { worker: room.worker, type });
+    switch (type) {
+      case "workerSilent":
+        return { type: "lost" };
+      case "workerUnreached":
+      case "workerLeaving":
+        workers.suspect(room.worker, type === "workerLeaving");
+        this.#forget(kept);
+        this.#free(kept);
+        return notStarted("noRoom");
+      case "workerRefused":
+      case "workerFenced":
+        this.#forget(kept);
+        this.#free(kept);
+        return notStarted("noOwner");
+      default:
+        return unreachable(type);
+    }
+  }
+
+  /** Stops attempts that run on owned workers. */
+  stop(attempts: readonly string[], checkpoint = false): void {
+    const { upstream, workers } = this.#options;
+    for (const attempt of attempts) {
+      const kept = this.#kept.get(attempt);
+      const fence = kept && workers.fence(kept.worker);
+      if (kept === undefined || fence === undefined) continue;
+      void upstream.stop(kept.address, attempt, { fence, checkpoint });
+    }
+  }
+
+  /** Finds out about an attempt on an owned worker; one that was not started is barred. */
+  async find(worker: string, attempt: string): Promise<Whereabouts> {
+    const { clock, pool, upstream, workers } = this.#options;
+    if (this.#kept.has(attempt)) return "running";
+    const fence = workers.fence(worker);
+    const address = pool.worker(worker)?.address;
+    if (fence === undefined || address === undefined) return "unknown";
+    this.#bar(attempt);
+    const seenBeforeMs = clock.monotonic();
+    const fenced = await upstream.renew(address, fence, []);
+    if (fenced.isErr()) return "unknown";
+    const seenAtMs = this.#seen.get(worker) ?? -Infinity;
+    if (seenAtMs < seenBeforeMs) {
+      return this.#barredLongEnough(attempt, worker)
+        ? "neverStarted"
+        : "unknown";
+    }
+    return this.#kept.has(attempt) ? "running" : "neverStarted";
+  }
+
+  /** Ends the timers. */
+  close(): void {
+    this.#stopped = true;
+    this.#timer?.cancel();
+  }
+
+  #refusal(
+    order: StartOrder,
+    room: HeldRoom,
+  ): "cancelled" | "noOwner" | "isolated" | undefined {
+    if (this.#barred.has(order.attempt)) return "cancelled";
+    const { placement } = this.#options;
+    const { worker, fence } = room;
+    const reason = placement.refusal({ worker, fence });
+    if (reason === undefined) return undefined;
+    return reason.type === "isolated" ? "isolated" : "noOwner";
+  }
+
+  #bar(attempt: string): void {
+    const nowMs = this.#options.clock.monotonic();
+    if (!this.#barred.has(attempt)) this.#barred.set(attempt, nowMs);
+    for (const [oldest, atMs] of this.#barred) {
+      if (nowMs - atMs < BARRED_MEMORY_MS) return;
+      this.#barred.delete(oldest);
+    }
+  }
+
+  /** Whether a report taken since the attempt was barred has not shown it. */
+  #barredLongEnough(attempt: string, worker: string): boolean {
+    const barredAtMs = this.#barred.get(attempt) ?? Infinity;
+    const seenAtMs = this.#seen.get(worker) ?? -Infinity;
+    return seenAtMs > barredAtMs;
+  }
+
+  #keep(kept: Kept): void {
+    this.#kept.set(kept.attempt, kept);
+    const others = this.#onWorker.get(kept.worker) ?? new Map<string, Kept>();
+    others.set(kept.attempt, kept);
+    this.#onWorker.set(kept.worker, others);
+    this.#options.placement.charge(kept.team, kept.need, 1);
+  }
+
+  #forget(kept: Kept): void {
+    this.#kept.delete(kept.attempt);
+    const others = this.#onWorker.get(kept.worker);
+    others?.delete(kept.attempt);
+    if (others?.size === 0) this.#onWorker.delete(kept.worker);
+  }
+
+  #free(kept: Kept): void {
+    this.#options.placement.charge(kept.team, kept.need, -1);
+    this.#vacate(kept);
+  }
+
+  #vacate(
+    room: {
+      readonly worker: string;
+      readonly team: string;
+      readonly need: Resources;
+      readonly adopted?: boolean;
+    },
+  ): void {
+    const { allowances, placement, pool } = this.#options;
+    if (room.adopted !== true) pool.release(room.worker, room.need);
+    allowances.give(room.team);
+    placement.roomChanged();
+  }
+
+  #placedOn(worker: string): ReadonlySet<string> {
+    const all = [...(this.#onWorker.get(worker)?.values() ?? [])];
+    return new Set(
+      all.filter(({ adopted, end }) => !adopted && end === undefined).map(({ attempt }) => attempt),
+    );
+  }
+
+  #reported(worker: Worker, tasks: readonly TaskReport[]): void {
+    const { clock, workers } = this.#options;
+    const nowMs = clock.monotonic();
+    this.#seen.set(worker.id, nowMs);
+    const reported = new Set(tasks.map(({ attempt }) => attempt));
+    for (const task of tasks) this.#take(worker, task);
+    if (workers.fence(worker.id) === undefined) return;
+    for (const kept of this.#onWorker.get(worker.id)?.values() ?? []) {
+      const settled = nowMs - kept.startedAtMs > START_BLUR_MS;
+      if (settled && !reported.has(kept.attempt)) {
+        this.#end(kept, {
+          type: "lost",
+          detail: "the worker does not know it",
+        });
+      }
+    }
+  }
+
+  #take(worker: Worker, task: TaskReport): void {
+    const known = this.#kept.get(task.attempt);
+    const kept = known ?? this.#adopt(worker, task);
+    if (kept === undefined) return;
+    const end = endOf(task.state);
+    if (end !== undefined) this.#end(kept, end);
+  }
+
+  #adopt(worker: Worker, task: TaskReport): Kept | undefined {
+    const { allowances, clock, log, workers } = this.#options;
+    if (workers.fence(worker.id) === undefined) return undefined;
+    const kept: Kept = {
+      attempt: task.attempt,
+      task: task.task,
+      team: task.team,
+      workload: task.workload,
+      worker: worker.id,
+      address: worker.address,
+      need: task.declared,
+      startedAtMs: clock.monotonic(),
+      adopted: true,
+    };
+    log.info("task.adopted", { attempt: task.attempt, worker: worker.id });
+    allowances.adopt(task.team, 1);
+    this.#keep(kept);
+    return kept;
+  }
+
+  #end(kept: Kept, end: AttemptEnd): void {
+    if (kept.end !== undefined) return;
+    kept.end = end;
+    const { clock, log, observer } = this.#options;
+    const tookMs = clock.monotonic() - kept.startedAtMs;
+    const failed = end.type === "failed";
+    observer.ran(kept.worker, { workload: kept.workload, failed, tookMs });
+    log.info("task.ended", {
+      attempt: kept.attempt,
+      task: kept.task,
+      worker: kept.worker,
+      end: end.type,
+    });
+    this.#free(kept);
+    void this.#tell(kept, end);
+  }
+
+  async #tell(kept: Kept, end: AttemptEnd): Promise<void> {
+    const { attempt, task, worker, address } = kept;
+    const { clock, tell, upstream } = this.#options;
+    const taken = await tell({ attempt, task, worker, end });
+    if (!taken) {
+      if (this.#stopped) return;
+      clock.after(TELL_INTERVAL_MS, () => void this.#tell(kept, end));
+      return;
+    }
+    await upstream.forget(address, [attempt]);
+    this.#forget(kept);
+  }
+
+  #renewLater(): void {
+    this.#timer = this.#options.clock.after(RENEW_INTERVAL_MS, () => {
+      for (const worker of this.#onWorker.keys()) void this.#renew(worker);
+      if (!this.#stopped) this.#renewLater();
+    });
+  }
+
+  async #renew(worker: string): Promise<void> {
+    const { upstream, workers } = this.#options;
+    if (this.#silentMs(worker) > UNREACHABLE_MS) return this.#giveUp(worker);
+    const fence = workers.fence(worker);
+    const all = [...(this.#onWorker.get(worker)?.values() ?? [])];
+    const running = all.filter(({ end }) => end === undefined);
+    const first = running[0];
+    if (fence === undefined || first === undefined) return;
+    const attempts = running.map(({ attempt }) => attempt);
+    const renewed = await upstream.renew(first.address, fence, attempts);
+    if (renewed.isErr()) {
+      const { type } = renewed.error;
+      this.#options.log.warn("task.renew_failed", { worker, type });
+    }
+  }
+
+  #silentMs(worker: string): number {
+    const nowMs = this.#options.clock.monotonic();
+    const seenAtMs = this.#seen.get(worker) ?? nowMs;
+    this.#seen.set(worker, seenAtMs);
+    return nowMs - seenAtMs;
+  }
+
+  /** Counts the tasks of a worker as lost once their leases must have lapsed. */
+  #giveUp(worker: string): void {
+    const lapsedMs = UNREACHABLE_MS + RENEW_INTERVAL_MS + TASK_LEASE_MS;
+    if (this.#silentMs(worker) <= lapsedMs) return;
+    for (const kept of this.#onWorker.get(worker)?.values() ?? []) {
+      this.#end(kept, { type: "lost", detail: "the worker is gone" });
+    }
+  }
+}
+
+function endOf(state: TaskState): AttemptEnd | undefined {
+  switch (state.type) {
+    case "running":
+    case "throttled":
+      return undefined;
+    case "succeeded":
+      return { type: "succeeded", result: state.result };
+    case "failed":
+      return { type: "failed", detail: state.detail };
+    case "stopped":
+      return { type: "stopped", checkpoint: state.checkpoint };
+    default:
+      return unreachable(state);
+  }
+}
+
+function notStarted(type: "cancelled" | "noOwner" | "isolated" | "noRoom") {
+  const reason = type === "noRoom"
+    ? { type, workload: "" } as const
+    : { type } as const;
+  return { type: "notStarted", reason } as const;
+}
--- /dev/null
+++ b/src/http/caller_routes.ts
@@ -0,0 +1,158 @@
+/**
+ * Routes for callers' requests.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../clock.ts";
+import type { Exchange, Next } from "../filters/chain.ts";
+import type { Log } from "../logger.ts";
+import type { Metrics } from "../metrics.ts";
+import { traced } from "../tracing.ts";
+import type { Outcome } from "../types.ts";
+import { sendFailure, sendOutcome } from "./answers.ts";
+import { type BodyFailure, type BodyMemory } from "./bodies.ts";
+import type { Route, RouteCall } from "./routes.ts";
+
+/** Headers that belong to one connection and are not passed on. */
+const CONNECTION_HEADERS = new Set([
+  "authorization",
+  "connection",
+  "content-length",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** What the routes need. */
+export interface CallerRoutesOptions {
+  /** The filter chain. */
+  readonly handle: Next;
+  /** Told when a caller goes away before its answer. */
+  readonly abandon: (id: string) => void;
+  readonly bodies: BodyMemory;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly log: Log;
+}
+
+/** Routes on which callers send requests to services. */
+export function callerRoutes(options: CallerRoutesOptions): readonly Route[] {
+  return [{
+    method: "*",
+    pattern: "/v1/request/:workload/*path",
+    answer: (call) => serve(options, call),
+  }, {
+    method: "*",
+    pattern: "/v1/request/:workload",
+    answer: (call) => serve(options, call),
+  }];
+}
+
+/** The key that a caller presents; `undefined` if there is none. */
+export function presentedKey(message: IncomingMessage): string | undefined {
+  const header = message.headers.authorization ?? "";
+  const found = /^Bearer (\S+)$/.exec(header);
+  return found?.[1];
+}
+
+/** Answers that a body could not be read. */
+export function refuseBody(
+  response: ServerResponse,
+  failure: BodyFailure,
+): void {
+  if (failure.type === "callerGone") {
+    response.destroy();
+    return;
+  }
+  const { limitBytes } = failure;
+  response.setHeader("connection", "close");
+  sendFailure(response, {
+    type: "notRun",
+    reason: { type: "tooLarge", limitBytes },
+  });
+}
+
+async function serve(
+  options: CallerRoutesOptions,
+  call: RouteCall,
+): Promise<void> {
+  const { bodies, clock } = options;
+  const arrivedAtMs = clock.monotonic();
+  const body = await bodies.read(call.message);
+  if (body.isErr()) return refuseBody(call.response, body.error);
+  const exchange = exchangeOf(call, { body: body.value, arrivedAtMs });
+  const watch = () => options.abandon(exchange.id);
+  call.response.once("close", watch);
+  const outcome = await answer(options, exchange);
+  bodies.free(body.value.length);
+  call.response.off("close", watch);
+  record(options, exchange, outcome);
+  sendOutcome(call.response, outcome);
+}
+
+function answer(
+  options: CallerRoutesOptions,
+  exchange: Exchange,
+): Promise<Outcome> {
+  const { workload, headers, id } = exchange;
+  const attributes = { workload, id };
+  return traced("request", { carrier: headers, attributes }, (outgoing) => {
+    const carried = { ...headers, ...outgoing, "zinniapoint-request": id };
+    return options.handle({ ...exchange, headers: carried });
+  });
+}
+
+function record(
+  { clock, log, metrics }: CallerRoutesOptions,
+  exchange: Exchange,
+  outcome: Outcome,
+): void {
+  const { workload, id, arrivedAtMs } = exchange;
+  const tookMs = clock.monotonic() - arrivedAtMs;
+  metrics.count("requests_total", { workload, outcome: outcome.type });
+  metrics.observe("request_milliseconds", tookMs, { workload });
+  log.info("request", {
+    id,
+    workload,
+    outcome: outcome.type,
+    reason: outcome.type === "done" ? "placed" : outcome.reason.type,
+    worker: outcome.type === "done" ? outcome.answer.worker : undefined,
+    took_ms: tookMs.toFixed(1),
+  });
+}
+
+function exchangeOf(
+  { message, url, parts }: RouteCall,
+  { body, arrivedAtMs }: {
+    readonly body: Buffer;
+    readonly arrivedAtMs: number;
+  },
+): Exchange {
+  return {
+    id: randomUUID(),
+    workload: parts.workload ?? "",
+    method: message.method ?? "GET",
+    path: `/${parts.path ?? ""}${url.search}`,
+    headers: passedOn(message),
+    body: body.toString("base64"),
+    key: presentedKey(message),
+    arrivedAtMs,
+  };
+}
+
+function passedOn(message: IncomingMessage): Record<string, string> {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(message.headers)) {
+    if (value === undefined || CONNECTION_HEADERS.has(name)) continue;
+    headers[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return headers;
+}
--- a/src/ports/authority.ts
+++ b/src/ports/authority.ts
@@ -8,8 +8,10 @@
 
 /** Ownership of units: `worker:<id>`, `team:<name>`, `home:<n>`, `segment:<member>`. */
 export interface Authority {
-  /** Whether this instance's lease holds right now; asked right before each start. */
-  mayDecide(): boolean;
+  /** Whether this instance's lease holds right now. */
+  inContact(): boolean;
+  /** Whether this instance may decide for a unit right now; asked right before each start. */
+  mayDecide(unit: string): boolean;
   /** The units with the prefix that this instance owns. */
   owned(prefix: string): readonly string[];
   /** The owner of a unit; `undefined` while there is none. */
--- a/src/types.ts
+++ b/src/types.ts
@@ -54,7 +54,12 @@
     readonly retryAfterMs?: number;
   }
   /** It may have run, once at most. */
-  | { readonly type: "unknown"; readonly reason: Reason };
+  | {
+    readonly type: "unknown";
+    readonly reason: Reason;
+    /** Milliseconds until asking for the outcome again makes sense. */
+    readonly retryAfterMs?: number;
+  };
 
 /** A whole HTTP answer of an upstream. */
 export interface Answer {
