--- a/standins/common/endpoint.ts
+++ b/standins/common/endpoint.ts
@@ -18,6 +18,14 @@
   response: ServerResponse,
 ) => void | Promise<void>;
 
+/** Settings of an endpoint. */
+export interface EndpointOptions {
+  /** 0 for any free port. */
+  readonly port?: number | undefined;
+  /** Called with each new connection. */
+  readonly connected?: (socket: Socket) => void;
+}
+
 const HOST = "127.0.0.1";
 const INTERNAL_ERROR = 500;
 
@@ -25,10 +33,12 @@
 export class Endpoint {
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #connected: (socket: Socket) => void;
   #port: number;
 
-  constructor(handler: Handler, port = 0) {
-    this.#port = port;
+  constructor(handler: Handler, options: EndpointOptions = {}) {
+    this.#port = options.port ?? 0;
+    this.#connected = options.connected ?? (() => {});
     this.#server = createServer((request, response) => {
       void answer(handler, request, response);
     });
@@ -79,6 +89,7 @@
   #track(socket: Socket): void {
     this.#sockets.add(socket);
     socket.once("close", () => this.#sockets.delete(socket));
+    this.#connected(socket);
   }
 }
 
--- a/standins/list/list.ts
+++ b/standins/list/list.ts
@@ -43,11 +43,12 @@
 
   constructor(options: ListOptions = {}) {
     this.#lagMs = options.lagMs ?? 0;
-    this.#endpoint = new Endpoint(this.#serve.bind(this), options.port);
-    this.#control = new Endpoint(
-      this.#serveControl.bind(this),
-      options.controlPort,
-    );
+    this.#endpoint = new Endpoint(this.#serve.bind(this), {
+      port: options.port,
+    });
+    this.#control = new Endpoint(this.#serveControl.bind(this), {
+      port: options.controlPort,
+    });
   }
 
   /** `host:port` of the list. */
@@ -84,10 +85,10 @@
     await this.#endpoint.listen();
   }
 
-  async #serve(
+  #serve(
     request: IncomingMessage,
     response: ServerResponse,
-  ): Promise<void> {
+  ): void | Promise<void> {
     const path = pathOf(request);
     if (path.startsWith("/control")) {
       return this.#serveControl(request, response);
--- a/standins/store/store.ts
+++ b/standins/store/store.ts
@@ -97,11 +97,12 @@
       faults: this.#faults,
       progressMs: options.progressMs ?? DEFAULT_PROGRESS_MS,
     });
-    this.#endpoint = new Endpoint(this.#serve.bind(this), options.port);
-    this.#control = new Endpoint(
-      this.#serveControl.bind(this),
-      options.controlPort,
-    );
+    this.#endpoint = new Endpoint(this.#serve.bind(this), {
+      port: options.port,
+    });
+    this.#control = new Endpoint(this.#serveControl.bind(this), {
+      port: options.controlPort,
+    });
     this.#leaseCheck = setInterval(() => this.#expireLeases(), LEASE_CHECK_MS);
     this.state.subscribe((events) => this.record.wrote(events));
   }
