--- a/standins/store/messages.ts
+++ b/standins/store/messages.ts
@@ -105,6 +105,16 @@
       status: 400,
       code: 3,
     }),
+  tooManyOperations: () =>
+    new GatewayError("etcdserver: too many operations in txn request", {
+      status: 400,
+      code: 3,
+    }),
+  duplicateKey: () =>
+    new GatewayError("etcdserver: duplicate key given in txn request", {
+      status: 400,
+      code: 3,
+    }),
   leaseNotFound: () =>
     new GatewayError("etcdserver: requested lease not found", {
       status: 404,
--- a/standins/store/transactions.ts
+++ b/standins/store/transactions.ts
@@ -21,6 +21,9 @@
 /** JSON object of the gateway; fields with their zero value are left out. */
 export type Message = Readonly<Record<string, unknown>>;
 
+/** Most operations of a transaction, as etcd is shipped. */
+const MAX_OPERATIONS = 128;
+
 /** Header of every answer. */
 export function header(state: State): Message {
   return {
@@ -78,9 +81,11 @@
     const compares = request.compare ?? [];
     const succeeded = compares.every((compare) => this.#holds(compare));
     const operations = (succeeded ? request.success : request.failure) ?? [];
+    if (operations.length > MAX_OPERATIONS) throw REFUSALS.tooManyOperations();
     const mutations = operations.flatMap((operation) =>
       this.#mutation(operation)
     );
+    if (putsAKeyTwice(mutations)) throw REFUSALS.duplicateKey();
     this.#state.apply(mutations);
     const responses = operations.map((operation) => this.#respond(operation));
     return {
@@ -154,6 +159,13 @@
   }
 }
 
+function putsAKeyTwice(mutations: readonly Mutation[]): boolean {
+  const keys = mutations
+    .filter((mutation) => mutation.type === "put")
+    .map((mutation) => mutation.key);
+  return new Set(keys).size < keys.length;
+}
+
 function deleteMutation(request: DeleteRequest): Mutation {
   return {
     type: "delete",
