--- /dev/null
+++ b/src/state/ownership_codec.ts
@@ -0,0 +1,86 @@
+/**
+ * Compact text form of the ownership map. Units are grouped by owner, fence
+ * and kind, so that a name costs little more than its length.
+ *
+ * @module
+ */
+import { either } from "fp-ts";
+import * as t from "io-ts";
+import { err, ok, type Result } from "neverthrow";
+import type { Failure } from "../errors.ts";
+import {
+  type Holding,
+  kindOf,
+  type Member,
+  type OwnershipMap,
+} from "./ownership_map.ts";
+
+/** A stored map that this version cannot read. */
+export interface MapUnreadable extends Failure {
+  readonly type: "mapUnreadable";
+}
+
+const Standings = t.keyof({ voter: null, joining: null, lost: null });
+
+/** Codec of {@linkcode Instance}. */
+export const InstanceCodec = t.readonly(t.type({
+  id: t.string,
+  peerAddress: t.string,
+  callerAddress: t.string,
+  zone: t.string,
+}));
+
+const Text = t.type({
+  epoch: t.number,
+  members: t.array(t.type({
+    instance: InstanceCodec,
+    standing: Standings,
+    since: t.number,
+  })),
+  /** Owner's index among the members, fence, kind, names. */
+  groups: t.array(t.tuple([t.number, t.number, t.string, t.array(t.string)])),
+});
+
+type Group = [number, number, string, string[]];
+
+/** Text of a map; equal maps have equal texts. */
+export function encodeMap(map: OwnershipMap): string {
+  const members = [...map.members.values()]
+    .sort((a, b) => (a.instance.id < b.instance.id ? -1 : 1));
+  const index = new Map(members.map((each, at) => [each.instance.id, at]));
+  const groups = new Map<string, Group>();
+  for (const unit of [...map.units.keys()].sort()) {
+    const { owner, fence } = map.units.get(unit)!;
+    const at = index.get(owner) ?? -1;
+    const kind = kindOf(unit);
+    const label = `${at} ${fence} ${kind}`;
+    const group: Group = groups.get(label) ?? [at, fence, kind, []];
+    group[3].push(unit.slice(kind.length + 1));
+    groups.set(label, group);
+  }
+  const text = { epoch: map.epoch, members, groups: [...groups.values()] };
+  return JSON.stringify(text);
+}
+
+/** Reads what {@linkcode encodeMap} wrote. */
+export function decodeMap(text: string): Result<OwnershipMap, MapUnreadable> {
+  const decoded = either.tryCatch(() => JSON.parse(text), () => unreadable);
+  if (either.isLeft(decoded)) return err(unreadable);
+  const parsed = Text.decode(decoded.right);
+  if (either.isLeft(parsed)) return err(unreadable);
+  const { epoch, members, groups } = parsed.right;
+  const units = new Map<string, Holding>();
+  for (const [at, fence, kind, names] of groups) {
+    const owner = members[at]?.instance.id ?? "";
+    for (const name of names) units.set(`${kind}:${name}`, { owner, fence });
+  }
+  const byId = new Map<string, Member>(
+    members.map((member) => [member.instance.id, member]),
+  );
+  return ok({ epoch, members: byId, units });
+}
+
+const unreadable: MapUnreadable = {
+  type: "mapUnreadable",
+  message: "the ownership map in the store cannot be read",
+};
