--- /dev/null
+++ b/src/journal/segment.ts
@@ -0,0 +1,289 @@
+/**
+ * A segment of the journal held by this instance: group commit of appended
+ * records, one write in flight, and compaction of its oldest batches.
+ *
+ * @module
+ */
+import { err, errAsync, ok, type Result, type ResultAsync } from "neverthrow";
+import { type Clock, sleep } from "../clock.ts";
+import type { Store } from "../ports/store.ts";
+import { type Append, AppendQueue } from "./append_queue.ts";
+import {
+  type AppendFailure,
+  journalFull,
+  type OpenFailure,
+  recordsTooLarge,
+  segmentClosed,
+  segmentLost,
+  storeAway,
+} from "./failures.ts";
+import { FencedWriter, type SegmentChange } from "./fenced_writer.ts";
+import { batchKey } from "./layout.ts";
+import { encodeBatch, type JournalRecord, recordBytes } from "./records.ts";
+import { type Claim, type Claimed, claimSegment } from "./replay.ts";
+import type { WorkTable } from "./work_table.ts";
+import type { WriteBudget } from "./write_budget.ts";
+
+/** Bounds of a segment. */
+export interface SegmentLimits {
+  /** Time that records wait for company, milliseconds. */
+  readonly delayMs: number;
+  /** Largest batch, bytes. */
+  readonly batchBytes: number;
+  /** Most that may be queued, bytes. */
+  readonly queueBytes: number;
+  /** Delay before a service that was away is asked again, milliseconds. */
+  readonly retryMs: number;
+  /** Compaction starts above so many batches. */
+  readonly batches: number;
+  /** Compaction starts when the dead bytes pass so many and the live ones. */
+  readonly deadBytes: number;
+}
+
+/** Bounds that suit a service of 1 MB values and some hundred writes a second. */
+export const SEGMENT_LIMITS: SegmentLimits = {
+  delayMs: 10,
+  batchBytes: 700_000,
+  queueBytes: 8_000_000,
+  retryMs: 500,
+  batches: 256,
+  deadBytes: 1_000_000,
+};
+
+/** Most batches that one compaction removes. */
+const COMPACTION_BATCHES = 64;
+
+/** What a segment works with. */
+export interface SegmentOptions {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly budget: WriteBudget;
+  readonly claim: Claim;
+  readonly limits: SegmentLimits;
+  /** State that committed records are applied to before their append resolves. */
+  readonly table: WorkTable;
+  /** Called once when another owner has been seen. */
+  readonly lost: () => void;
+}
+
+/** A segment that this instance may append to. */
+export class Segment {
+  readonly #options: SegmentOptions;
+  readonly #writer: FencedWriter;
+  readonly #sizes = new Map<number, number>();
+  readonly #queue = new AppendQueue();
+  #storedBytes = 0;
+  #sequence: number;
+  #awayUntilMs = 0;
+  #closed = false;
+  #pump: Promise<void> | undefined;
+
+  /** Claims a segment and applies what it holds to the table. */
+  static open(options: SegmentOptions): ResultAsync<Segment, OpenFailure> {
+    return claimSegment(options.store, options.claim)
+      .map((claimed) => new Segment(options, claimed));
+  }
+
+  private constructor(options: SegmentOptions, claimed: Claimed) {
+    this.#options = options;
+    this.#sequence = claimed.head.sequence;
+    this.#writer = new FencedWriter({
+      store: options.store,
+      clock: options.clock,
+      claim: options.claim,
+      retryMs: options.limits.retryMs,
+      inDoubt: () => this.#goAway(),
+    }, claimed);
+    for (const batch of claimed.batches) {
+      this.#applyBatch(batch.number, batch.records, batch.bytes);
+    }
+  }
+
+  /** Bytes queued and not yet written. */
+  get queuedBytes(): number {
+    return this.#queue.bytes;
+  }
+
+  /** Batches kept in the service. */
+  get batches(): number {
+    return this.#sizes.size;
+  }
+
+  /** Milliseconds until the service is asked again; 0 while it answers. */
+  get awayMs(): number {
+    return Math.max(0, this.#awayUntilMs - this.#options.clock.monotonic());
+  }
+
+  /** A sequence that no other submission of the segment has. */
+  takeSequence(): number {
+    return this.#sequence++;
+  }
+
+  /** Writes the records, all in one batch; resolves once they are written and applied. */
+  append(records: readonly JournalRecord[]): ResultAsync<void, AppendFailure> {
+    const bytes = records.reduce((sum, record) => sum + recordBytes(record), 0);
+    const refusal = this.#refusal(bytes);
+    if (refusal !== undefined) return errAsync(refusal);
+    const written = this.#queue.push(records, bytes);
+    this.#pump ??= this.#run();
+    return written;
+  }
+
+  /** Writes what is queued, then takes no more. */
+  async close(): Promise<void> {
+    this.#closed = true;
+    this.#writer.close();
+    await this.#pump;
+    this.#queue.fail(segmentClosed);
+  }
+
+  #refusal(bytes: number): AppendFailure | undefined {
+    const { limits } = this.#options;
+    if (this.#closed) return segmentClosed;
+    if (bytes > limits.batchBytes) return recordsTooLarge(limits.batchBytes);
+    if (this.awayMs > 0) return storeAway(Math.ceil(this.awayMs));
+    if (this.#queue.bytes + bytes > limits.queueBytes) {
+      return journalFull(limits.retryMs);
+    }
+    return undefined;
+  }
+
+  async #run(): Promise<void> {
+    const { clock, limits } = this.#options;
+    await sleep(clock, limits.delayMs);
+    while (this.#queue.length > 0) {
+      await this.#waitForBudget();
+      await this.#writeBatch(this.#queue.take(limits.batchBytes));
+      if (this.#needsCompaction()) await this.#compact();
+    }
+    this.#pump = undefined;
+  }
+
+  async #waitForBudget(): Promise<void> {
+    const { budget, clock } = this.#options;
+    for (let waitMs = budget.take(); waitMs > 0; waitMs = budget.take()) {
+      await sleep(clock, waitMs);
+    }
+  }
+
+  async #writeBatch(batch: readonly Append[]): Promise<void> {
+    if (batch.length === 0) return;
+    const records = batch.flatMap((append) => append.records);
+    const result = await this.#put(records, this.#writer.head.first);
+    for (const append of batch) append.resolve(result);
+    this.#afterWrite(result);
+  }
+
+  /** Writes one batch and moves the oldest kept batch up to `first`. */
+  async #put(
+    records: readonly JournalRecord[],
+    first: number,
+  ): Promise<Result<void, AppendFailure>> {
+    const number = this.#writer.head.next;
+    const change = this.#changeOf(records, first);
+    const result = await this.#writer.write(change.change);
+    if (result.isErr()) return err(result.error);
+    this.#applyBatch(number, records, change.bytes);
+    this.#removeBatches(first);
+    return ok(undefined);
+  }
+
+  #changeOf(
+    records: readonly JournalRecord[],
+    first: number,
+  ): { readonly change: SegmentChange; readonly bytes: number } {
+    const { claim } = this.#options;
+    const old = this.#writer.head;
+    const write = claim.newWriteId();
+    const value = encodeBatch({ write, records });
+    const next = old.next + 1;
+    const head = { ...old, first, next, sequence: this.#sequence, write };
+    const key = batchKey(claim.segment, old.next);
+    const deletes = numbersBetween(old.first, first).map((number) => ({
+      type: "delete" as const,
+      key: batchKey(claim.segment, number),
+    }));
+    const writes = [{ type: "put" as const, key, value }, ...deletes];
+    return { change: { writes, head }, bytes: Buffer.byteLength(value) };
+  }
+
+  #applyBatch(
+    number: number,
+    records: readonly JournalRecord[],
+    bytes: number,
+  ): void {
+    this.#sizes.set(number, bytes);
+    this.#storedBytes += bytes;
+    for (const record of records) this.#options.table.apply(number, record);
+  }
+
+  #removeBatches(first: number): void {
+    for (const number of [...this.#sizes.keys()]) {
+      if (number >= first) break;
+      this.#storedBytes -= this.#sizes.get(number) ?? 0;
+      this.#sizes.delete(number);
+    }
+  }
+
+  #needsCompaction(): boolean {
+    const { limits, table } = this.#options;
+    if (this.#closed || this.awayMs > 0 || this.#writer.lost) return false;
+    const { length } = this.#oldest();
+    if (length === 0) return false;
+    return this.#sizes.size > limits.batches ||
+      this.#storedBytes > 2 * table.bytes + limits.deadBytes;
+  }
+
+  /** Batches that a compaction may remove. */
+  #oldest(): number[] {
+    return [...this.#sizes.keys()].slice(0, COMPACTION_BATCHES);
+  }
+
+  async #compact(): Promise<void> {
+    const { table, limits } = this.#options;
+    await this.#waitForBudget();
+    const oldest = this.#oldest();
+    const records = table.snapshots(oldest, limits.batchBytes);
+    const first = this.#firstAfter(oldest, records);
+    this.#afterWrite(await this.#put(records, first));
+  }
+
+  /** The oldest batch that is still needed once the snapshots are written. */
+  #firstAfter(
+    oldest: readonly number[],
+    snapshots: readonly JournalRecord[],
+  ): number {
+    const { table } = this.#options;
+    const moved = new Set(
+      snapshots.map((record) =>
+        record.type === "snapshot" ? record.state.sequence : undefined
+      ),
+    );
+    const needed = oldest.find((batch) =>
+      table.sequencesAt(batch).some((sequence) => !moved.has(sequence))
+    );
+    return needed ?? (oldest.at(-1) ?? 0) + 1;
+  }
+
+  #afterWrite(result: Result<void, AppendFailure>): void {
+    if (result.isErr() && result.error.type === "storeAway") this.#goAway();
+    if (this.#writer.lost) this.#lose();
+  }
+
+  #goAway(): void {
+    const { clock, limits } = this.#options;
+    this.#awayUntilMs = clock.monotonic() + limits.retryMs;
+    this.#queue.fail(storeAway(limits.retryMs));
+  }
+
+  #lose(): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#queue.fail(segmentLost(this.#options.claim.segment));
+    this.#options.lost();
+  }
+}
+
+function numbersBetween(from: number, to: number): number[] {
+  return Array.from({ length: to - from }, (_, index) => from + index);
+}
--- /dev/null
+++ b/src/journal/segment_test.ts
@@ -0,0 +1,328 @@
+import test from "ava";
+import { ManualClock } from "../clock.ts";
+import { MemoryService, MemoryStore } from "../fakes/memory_store.ts";
+import { headKey, segmentPrefix } from "./layout.ts";
+import type { JournalRecord } from "./records.ts";
+import { Segment, SEGMENT_LIMITS, type SegmentLimits } from "./segment.ts";
+import { statusOf } from "./work_state.ts";
+import { WorkTable } from "./work_table.ts";
+import { WriteBudget } from "./write_budget.ts";
+
+const SETTLE_MS = 3000;
+
+class Bench {
+  readonly clock = new ManualClock();
+  readonly service = new MemoryService(this.clock);
+  #ids = 0;
+
+  async open(
+    owner: string,
+    fence: number,
+    options: { limits?: Partial<SegmentLimits>; perSecond?: number } = {},
+  ) {
+    const store = new MemoryStore(this.service);
+    const table = new WorkTable();
+    const losses: string[] = [];
+    const opened = await this.settle(Segment.open({
+      store,
+      clock: this.clock,
+      budget: new WriteBudget(this.clock, {
+        perSecond: options.perSecond ?? 1000,
+        burst: 1,
+      }),
+      claim: {
+        segment: "a",
+        owner,
+        fence,
+        newWriteId: () => `${owner}-${this.#ids++}`,
+      },
+      limits: { ...SEGMENT_LIMITS, ...options.limits },
+      table,
+      lost: () => losses.push(owner),
+    }));
+    return { store, table, losses, opened };
+  }
+
+  async openOk(...args: Parameters<Bench["open"]>) {
+    const { opened, ...rest } = await this.open(...args);
+    return { segment: opened._unsafeUnwrap(), ...rest };
+  }
+
+  async settle<T>(pending: PromiseLike<T>): Promise<T> {
+    const started = Promise.resolve(pending);
+    await this.clock.run(SETTLE_MS, 10);
+    return await started;
+  }
+}
+
+function submitted(work: number, payload = "x"): JournalRecord {
+  return {
+    type: "submitted",
+    work,
+    team: "t",
+    workload: "w",
+    payload,
+    count: 1,
+    gang: false,
+    at: 0,
+  };
+}
+
+test("records are written together", async (t) => {
+  const bench = new Bench();
+  const { segment } = await bench.openOk("a", 1);
+  const before = bench.service.calls;
+  const appends = Array.from(
+    { length: 100 },
+    (_, work) => segment.append([submitted(work)]),
+  );
+  const results = await bench.settle(Promise.all(appends));
+  t.true(results.every((result) => result.isOk()));
+  t.is(bench.service.calls - before, 1);
+});
+
+test("a successor replays what was acknowledged", async (t) => {
+  const bench = new Bench();
+  const { segment } = await bench.openOk("a", 1);
+  await bench.settle(segment.append([submitted(segment.takeSequence())]));
+  await bench.settle(segment.append([submitted(segment.takeSequence())]));
+  const next = await bench.openOk("b", 2);
+  t.is(next.table.size, 2);
+  t.is(next.segment.takeSequence(), 2);
+});
+
+test("a paused former owner cannot append", async (t) => {
+  const bench = new Bench();
+  const old = await bench.openOk("a", 1);
+  const next = await bench.openOk("b", 2);
+  const result = await bench.settle(old.segment.append([submitted(0)]));
+  t.is(result._unsafeUnwrapErr().type, "segmentLost");
+  t.deepEqual(old.losses, ["a"]);
+  t.is(old.table.size, 0);
+  const own = await bench.settle(next.segment.append([submitted(0)]));
+  t.true(own.isOk());
+});
+
+test("an older grant cannot claim the segment back", async (t) => {
+  const bench = new Bench();
+  await bench.openOk("b", 2);
+  const { opened } = await bench.open("a", 1);
+  t.is(opened._unsafeUnwrapErr().type, "segmentLost");
+});
+
+test("of two claimants with one fence the first wins", async (t) => {
+  const bench = new Bench();
+  const [first, second] = await Promise.all([
+    bench.open("b", 2),
+    bench.open("c", 2),
+  ]);
+  const wins = [first, second].filter(({ opened }) => opened.isOk());
+  t.is(wins.length, 1);
+});
+
+test("a lost answer is settled by reading back", async (t) => {
+  const bench = new Bench();
+  const { segment, store, table } = await bench.openOk("a", 1);
+  store.faults.loseAnswers = 1;
+  const result = await bench.settle(segment.append([submitted(0)]));
+  t.true(result.isOk());
+  t.is(table.size, 1);
+  const again = await bench.settle(segment.append([submitted(1)]));
+  t.true(again.isOk());
+  t.is((await bench.openOk("b", 2)).table.size, 2);
+});
+
+test("a write without effect is repeated after a lost answer", async (t) => {
+  const bench = new Bench();
+  const { segment, store, table } = await bench.openOk("a", 1);
+  const commit = store.commit.bind(store);
+  let drops = 2;
+  store.commit = (conditions, writes) => {
+    if (drops-- <= 0) return commit(conditions, writes);
+    store.faults.loseAnswers = 1;
+    return commit([{ key: "none", revision: 9 }], writes);
+  };
+  const result = await bench.settle(segment.append([submitted(0)]));
+  t.true(result.isOk());
+  t.is(table.size, 1);
+});
+
+test("an append in doubt outlasts an outage", async (t) => {
+  const bench = new Bench();
+  const { segment, store, table } = await bench.openOk("a", 1);
+  store.faults.loseAnswers = 1;
+  const get = store.get.bind(store);
+  store.get = (key) => {
+    store.cut();
+    return get(key);
+  };
+  const pending = segment.append([submitted(0)]);
+  await bench.clock.run(SETTLE_MS);
+  const refused = await segment.append([submitted(1)]);
+  t.is(refused._unsafeUnwrapErr().type, "storeAway");
+  store.get = get;
+  store.heal();
+  t.true((await bench.settle(pending)).isOk());
+  t.is(table.size, 1);
+});
+
+const inDoubtThenLost = [
+  { name: "written", drop: false, expected: "ok" },
+  { name: "not written", drop: true, expected: "segmentLost" },
+];
+
+for (const { name, drop, expected } of inDoubtThenLost) {
+  test(`an append in doubt at a takeover, ${name}`, async (t) => {
+    const bench = new Bench();
+    const { segment, store } = await bench.openOk("a", 1);
+    store.faults.loseAnswers = 1;
+    const commit = store.commit.bind(store);
+    const get = store.get.bind(store);
+    store.commit = (conditions, writes) =>
+      commit(drop ? [{ key: "none", revision: 9 }] : conditions, writes);
+    store.get = (key) => {
+      store.cut();
+      return get(key);
+    };
+    const pending = segment.append([submitted(0)]);
+    await bench.clock.run(SETTLE_MS);
+    const next = await bench.openOk("b", 2);
+    t.is(next.table.size, drop ? 0 : 1);
+    store.get = get;
+    store.heal();
+    const result = await bench.settle(pending);
+    t.is(result.isOk() ? "ok" : result.error.type, expected);
+  });
+}
+
+test("an outage refuses at once and ends", async (t) => {
+  const bench = new Bench();
+  const { segment, store, table } = await bench.openOk("a", 1);
+  store.cut();
+  const first = await bench.settle(segment.append([submitted(0)]));
+  t.is(first._unsafeUnwrapErr().type, "storeAway");
+  store.heal();
+  const second = await bench.settle(segment.append([submitted(1)]));
+  t.true(second.isOk());
+  t.is(table.size, 1);
+});
+
+test("the queue is bounded", async (t) => {
+  const bench = new Bench();
+  const { segment } = await bench.openOk("a", 1, {
+    limits: { queueBytes: 500 },
+  });
+  const appends = Array.from(
+    { length: 10 },
+    (_, work) => segment.append([submitted(work)]),
+  );
+  const results = await bench.settle(Promise.all(appends));
+  const refused = results.filter((result) => result.isErr());
+  t.true(refused.length > 0 && refused.length < 10);
+  t.true(refused.every((result) => result.error.type === "journalFull"));
+});
+
+test("records larger than a value are refused", async (t) => {
+  const bench = new Bench();
+  const { segment } = await bench.openOk("a", 1);
+  const result = await segment.append([submitted(0, "x".repeat(800_000))]);
+  t.is(result._unsafeUnwrapErr().type, "recordsTooLarge");
+});
+
+test("writes keep to the budget", async (t) => {
+  const bench = new Bench();
+  const { segment } = await bench.openOk("a", 1, { perSecond: 10 });
+  const before = bench.service.calls;
+  for (let work = 0; work < 200; work++) {
+    segment.append([submitted(work)]);
+    await bench.clock.run(10);
+  }
+  await bench.clock.run(SETTLE_MS);
+  t.true(bench.service.calls - before <= 2 * 10 + 2);
+});
+
+test("compaction keeps what is live", async (t) => {
+  const bench = new Bench();
+  const limits = { batches: 8, deadBytes: 0 };
+  const { segment, table } = await bench.openOk("a", 1, { limits });
+  for (let work = 0; work < 100; work++) {
+    segment.append([submitted(segment.takeSequence())]);
+    if (work % 10 !== 0) {
+      segment.append([{ type: "cancelled", works: [work], at: 1 }]);
+    }
+    await bench.clock.run(20);
+    if (work % 10 !== 0) table.drop(work);
+  }
+  t.true(segment.batches <= 10);
+  const next = await bench.openOk("b", 2, { limits });
+  const live = [...next.table.works()].filter((work) =>
+    statusOf(work) === "waiting"
+  );
+  t.deepEqual(
+    live.map((work) => work.sequence).sort((a, b) => a - b),
+    [0, 10, 20, 30, 40, 50, 60, 70, 80, 90],
+  );
+  t.is(next.segment.takeSequence(), 100);
+});
+
+test("compaction is cut off halfway", async (t) => {
+  for (let fail = 1; fail < 30; fail++) {
+    const bench = new Bench();
+    const limits = { batches: 3, deadBytes: 0, retryMs: 20 };
+    const { segment, store } = await bench.openOk("a", 1, { limits });
+    const commit = store.commit.bind(store);
+    let commits = 0;
+    store.commit = (conditions, writes) => {
+      if (++commits === fail) store.faults.loseAnswers = 1;
+      if (commits === fail + 1) store.cut();
+      return commit(conditions, writes);
+    };
+    let written = 0;
+    for (let work = 0; work < 15; work++) {
+      const pending = segment.append([submitted(segment.takeSequence())]);
+      pending.map(() => written++);
+      await bench.clock.run(30);
+    }
+    const next = await bench.openOk("b", 2, { limits });
+    t.is(next.table.size, written, `write ${fail}`);
+  }
+});
+
+const garbage = [
+  { name: "damaged batch", edit: "{", type: "journalDamaged" },
+  {
+    name: "later release",
+    edit: JSON.stringify({ version: 99, write: "x" }),
+    type: "journalNewer",
+  },
+  { name: "missing batch", edit: undefined, type: "batchMissing" },
+] as const;
+
+for (const { name, edit, type } of garbage) {
+  test(`a ${name} stops the claim and loses nothing`, async (t) => {
+    const bench = new Bench();
+    const { segment, store } = await bench.openOk("a", 1);
+    await bench.settle(segment.append([submitted(0)]));
+    const key = `${segmentPrefix("a")}000000000000`;
+    await store.commit([], [
+      edit === undefined
+        ? { type: "delete", key }
+        : { type: "put", key, value: edit },
+    ]);
+    const before = new Map(bench.service.rows);
+    const { opened } = await bench.open("b", 2);
+    t.is(opened._unsafeUnwrapErr().type, type);
+    t.deepEqual(new Map(bench.service.rows), before);
+    t.true(before.has(headKey("a")));
+  });
+}
+
+test("closing writes what is queued", async (t) => {
+  const bench = new Bench();
+  const { segment } = await bench.openOk("a", 1);
+  const pending = segment.append([submitted(0)]);
+  await bench.settle(segment.close());
+  t.true((await pending).isOk());
+  const late = await segment.append([submitted(1)]);
+  t.is(late._unsafeUnwrapErr().type, "segmentClosed");
+});
