--- a/standins/store/store.ts
+++ b/standins/store/store.ts
@@ -52,7 +52,7 @@
 
 const DEFAULT_WRITES_PER_SECOND = 500;
 const DEFAULT_READS_PER_SECOND = 2000;
-const DEFAULT_MAX_VALUE_BYTES = 1_048_576;
+const DEFAULT_MAX_VALUE_BYTES = 1_000_000;
 const DEFAULT_PROGRESS_MS = 1000;
 const LEASE_CHECK_MS = 50;
 
@@ -97,11 +97,12 @@
       faults: this.#faults,
       progressMs: options.progressMs ?? DEFAULT_PROGRESS_MS,
     });
-    this.#endpoint = new Endpoint(this.#serve.bind(this), options.port);
-    this.#control = new Endpoint(
-      this.#serveControl.bind(this),
-      options.controlPort,
-    );
+    this.#endpoint = new Endpoint(this.#serve.bind(this), {
+      port: options.port,
+    });
+    this.#control = new Endpoint(this.#serveControl.bind(this), {
+      port: options.controlPort,
+    });
     this.#leaseCheck = setInterval(() => this.#expireLeases(), LEASE_CHECK_MS);
     this.state.subscribe((events) => this.record.wrote(events));
   }
