Add the command-line tool

Operators need to check, publish and read the set, issue and withdraw keys, drain workers and resume parked work, and to ask instances. Each command is one entry of a table with its arguments, options and an example; edits of the set are made anew when another operator publishes in between.

--- /dev/null
+++ b/src/cli/commands/diff.ts
@@ -0,0 +1,36 @@
+/**
+ * `diff FILE`: shows what publishing a set would change.
+ *
+ * @module
+ */
+import { ok, safeTry } from "neverthrow";
+import { readPublication } from "../../configuration/publication.ts";
+import { compareSets, type Difference } from "../difference.ts";
+import { formatTable } from "../report.ts";
+import { argument, readText, storeOf, type ToolCommand } from "../tool.ts";
+
+/** Compares a set with the one in force. */
+export const diffCommand: ToolCommand = {
+  name: "diff",
+  arguments: "<file>",
+  summary: "show what publishing a set would change",
+  example: "zinniapoint diff set.ini",
+  run(tool, input) {
+    return safeTry(async function* () {
+      const text = yield* readText(tool, argument(input, 0));
+      const { store } = yield* storeOf(tool);
+      const publication = yield* readPublication(store);
+      const differences = compareSets(publication?.text ?? "", text);
+      const number = publication?.number ?? 0;
+      return ok({
+        json: { number, differences },
+        text: describe(differences),
+      });
+    });
+  },
+};
+
+function describe(differences: readonly Difference[]): string {
+  if (differences.length === 0) return "no change";
+  return formatTable(differences.map((difference) => ({ ...difference })));
+}
--- /dev/null
+++ b/src/cli/commands/key_issue.ts
@@ -0,0 +1,44 @@
+/**
+ * `key issue NAME`: makes a key for a team and publishes it.
+ *
+ * @module
+ */
+import { err, errAsync, ok } from "neverthrow";
+import { NAME } from "../../ini/units.ts";
+import { issueKey } from "../../operator_set/keys.ts";
+import { usageFailure } from "../failures.ts";
+import { republish } from "../republish.ts";
+import { addObject, hasObject } from "../set_edit.ts";
+import { argument, option, type ToolCommand } from "../tool.ts";
+
+/** Issues a key; its secret is printed this once. */
+export const keyIssueCommand: ToolCommand = {
+  name: "key issue",
+  arguments: "<name>",
+  summary: "make a key for a team and publish it; prints the secret once",
+  example: "zinniapoint key issue counter-12 --team shops",
+  options: [
+    { flags: "--team <team>", help: "team of the key", required: true },
+  ],
+  run(tool, input) {
+    const name = argument(input, 0);
+    const team = option(input, "team") ?? "";
+    if (!NAME.test(name)) return errAsync(badName);
+    const { key, presented } = issueKey(name, team);
+    const { salt, hash } = key;
+    const object = `key ${name}`;
+    return republish(tool, (text) => {
+      if (hasObject(text, object)) {
+        const message = `there already is a key ${name}`;
+        return err({ type: "objectState", message });
+      }
+      const fields = [["team", team], ["salt", salt], ["hash", hash]] as const;
+      return ok(addObject(text, object, { fields }));
+    }).map(({ number }) => ({
+      json: { name, team, key: presented, number },
+      text: presented,
+    }));
+  },
+};
+
+const badName = usageFailure("the name must be of a-z, 0-9 and -");
--- /dev/null
+++ b/src/cli/commands/work_show.ts
@@ -0,0 +1,22 @@
+/**
+ * `work show ID`: shows one submission.
+ *
+ * @module
+ */
+import { reportValue } from "../report.ts";
+import { keyOption, readAsTeam } from "../instances.ts";
+import { argument, type ToolCommand } from "../tool.ts";
+
+/** Shows work. */
+export const workShowCommand: ToolCommand = {
+  name: "work show",
+  arguments: "<id>",
+  summary: "show one submission and its tasks",
+  example: "zinniapoint work show w-1842",
+  options: [keyOption],
+  run(tool, input) {
+    const path = `/v1/work/${encodeURIComponent(argument(input, 0))}`;
+    return readAsTeam(tool, input, { path })
+      .map(reportValue);
+  },
+};
--- /dev/null
+++ b/src/cli/report.ts
@@ -0,0 +1,74 @@
+/**
+ * What commands print.
+ *
+ * @module
+ */
+
+/** The result of a command, for programs and for people. */
+export interface Report {
+  readonly json: unknown;
+  readonly text: string;
+  /** Printed as they are in place of the text. */
+  readonly bytes?: Uint8Array;
+}
+
+/** Gap between the columns of a table. */
+const GAP = "  ";
+
+/** Reports a value: objects as lines of fields, lists of objects as tables. */
+export function reportValue(json: unknown): Report {
+  return { json, text: formatValue(json) };
+}
+
+/** Formats rows as a table; its columns are those of all rows. */
+export function formatTable(
+  rows: readonly Readonly<Record<string, unknown>>[],
+): string {
+  if (rows.length === 0) return "none";
+  const columns = [...new Set(rows.flatMap((row) => Object.keys(row)))];
+  const lines = [
+    columns.map((column) => column.toUpperCase()),
+    ...rows.map((row) => columns.map((column) => formatCell(row[column]))),
+  ];
+  const widths = columns.map((_, index) =>
+    Math.max(...lines.map((line) => line[index]!.length))
+  );
+  return lines
+    .map((line) =>
+      line.map((cell, index) => cell.padEnd(widths[index]!)).join(GAP).trimEnd()
+    )
+    .join("\n");
+}
+
+function formatValue(value: unknown): string {
+  if (isRows(value)) return formatTable(value);
+  if (!isRecord(value)) return formatCell(value);
+  return Object.entries(value).map(([name, part]) => formatPart(name, part))
+    .join("\n");
+}
+
+function formatPart(name: string, part: unknown): string {
+  if (isRows(part) && part.length > 0) {
+    return `${name}:\n${formatTable(part)}`;
+  }
+  return `${name}: ${formatCell(part)}`;
+}
+
+function formatCell(value: unknown): string {
+  if (value === undefined || value === null) return "-";
+  if (Array.isArray(value)) return value.map(formatCell).join(", ") || "-";
+  if (isRecord(value)) {
+    return Object.entries(value)
+      .map(([name, part]) => `${name}=${formatCell(part)}`)
+      .join(" ");
+  }
+  return String(value);
+}
+
+function isRecord(value: unknown): value is Record<string, unknown> {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+function isRows(value: unknown): value is Record<string, unknown>[] {
+  return Array.isArray(value) && value.every(isRecord);
+}
--- a/src/controllers/task_keeper.ts
+++ b/src/controllers/task_keeper.ts
@@ -261,7 +261,9 @@
   #placedOn(worker: string): ReadonlySet<string> {
     const all = [...(this.#onWorker.get(worker)?.values() ?? [])];
     return new Set(
-      all.filter(({ adopted, end }) => !adopted && end === undefined).map(({ attempt }) => attempt),
+      all.filter(({ adopted, end }) => !adopted && end === undefined).map((
+        { attempt },
+      ) => attempt),
     );
   }
 
