--- a/src/journal/fenced_writer.ts
+++ b/src/journal/fenced_writer.ts
@@ -75,6 +75,18 @@
     return err(this.#refusal(result.error));
   }
 
+  /** Removes the head and the batches; `false` if it has to be asked again. */
+  async remove(batches: readonly string[]): Promise<boolean> {
+    const key = headKey(this.#options.claim.segment);
+    const result = await this.#options.store.commit(
+      [{ key, revision: this.#revision }],
+      [key, ...batches].map((name) => ({ type: "delete", key: name })),
+    );
+    if (result.isErr()) return false;
+    if (result.value.type === "conflict") this.#lost = true;
+    return result.value.type === "committed";
+  }
+
   /** Revision of the commit, `undefined` for a conflict. */
   async #commit(
     change: SegmentChange,
--- a/src/journal/records.ts
+++ b/src/journal/records.ts
@@ -39,7 +39,7 @@
 
 const succeededTask = t.intersection([
   t.type({ type: t.literal("succeeded") }),
-  t.partial({ result: t.string }),
+  t.partial({ result: t.string, omittedBytes: t.number }),
 ]);
 
 const parkedTask = t.intersection([
@@ -71,7 +71,7 @@
 const outcomeCodec = t.union([
   t.intersection([
     t.type({ type: t.literal("succeeded") }),
-    t.partial({ result: t.string }),
+    t.partial({ result: t.string, omittedBytes: t.number }),
   ]),
   t.type({ type: t.literal("failed"), detail: t.string }),
   t.intersection([
--- a/src/journal/segment.ts
+++ b/src/journal/segment.ts
@@ -21,6 +21,7 @@
 import { batchKey } from "./layout.ts";
 import { encodeBatch, type JournalRecord, recordBytes } from "./records.ts";
 import { type Claim, type Claimed, claimSegment } from "./replay.ts";
+import { StoredBatches } from "./stored_batches.ts";
 import type { WorkTable } from "./work_table.ts";
 import type { WriteBudget } from "./write_budget.ts";
 
@@ -70,9 +71,8 @@
 export class Segment {
   readonly #options: SegmentOptions;
   readonly #writer: FencedWriter;
-  readonly #sizes = new Map<number, number>();
+  readonly #stored = new StoredBatches();
   readonly #queue = new AppendQueue();
-  #storedBytes = 0;
   #sequence: number;
   #awayUntilMs = 0;
   #closed = false;
@@ -106,7 +106,7 @@
 
   /** Batches kept in the service. */
   get batches(): number {
-    return this.#sizes.size;
+    return this.#stored.count;
   }
 
   /** Milliseconds until the service is asked again; 0 while it answers. */
@@ -137,6 +137,29 @@
     this.#queue.fail(segmentClosed);
   }
 
+  /** Removes the segment from the service; `false` if it is not empty or has to be asked again. */
+  async retire(): Promise<boolean> {
+    const { claim, table } = this.#options;
+    if (table.size > 0 || this.#pump !== undefined) return false;
+    this.#pump = this.#retireOnce(claim);
+    await this.#pump;
+    return this.#closed;
+  }
+
+  async #retireOnce(claim: Claim): Promise<void> {
+    if (this.#stored.count > COMPACTION_BATCHES) {
+      await this.#compact();
+    } else {
+      const keys = this.#stored.oldest(COMPACTION_BATCHES)
+        .map((number) => batchKey(claim.segment, number));
+      if (await this.#writer.remove(keys)) this.#closed = true;
+      if (this.#writer.lost) this.#lose();
+    }
+    this.#pump = undefined;
+    if (this.#closed) this.#queue.fail(segmentClosed);
+    else if (this.#queue.length > 0) this.#pump = this.#run();
+  }
+
   #refusal(bytes: number): AppendFailure | undefined {
     const { limits } = this.#options;
     if (this.#closed) return segmentClosed;
@@ -184,7 +207,7 @@
     const result = await this.#writer.write(change.change);
     if (result.isErr()) return err(result.error);
     this.#applyBatch(number, records, change.bytes);
-    this.#removeBatches(first);
+    this.#stored.removeBefore(first);
     return ok(undefined);
   }
 
@@ -212,37 +235,21 @@
     records: readonly JournalRecord[],
     bytes: number,
   ): void {
-    this.#sizes.set(number, bytes);
-    this.#storedBytes += bytes;
+    this.#stored.add(number, bytes);
     for (const record of records) this.#options.table.apply(number, record);
   }
 
-  #removeBatches(first: number): void {
-    for (const number of [...this.#sizes.keys()]) {
-      if (number >= first) break;
-      this.#storedBytes -= this.#sizes.get(number) ?? 0;
-      this.#sizes.delete(number);
-    }
-  }
-
   #needsCompaction(): boolean {
     const { limits, table } = this.#options;
     if (this.#closed || this.awayMs > 0 || this.#writer.lost) return false;
-    const { length } = this.#oldest();
-    if (length === 0) return false;
-    return this.#sizes.size > limits.batches ||
-      this.#storedBytes > 2 * table.bytes + limits.deadBytes;
-  }
-
-  /** Batches that a compaction may remove. */
-  #oldest(): number[] {
-    return [...this.#sizes.keys()].slice(0, COMPACTION_BATCHES);
+    return this.#stored.count > limits.batches ||
+      this.#stored.bytes > 2 * table.bytes + limits.deadBytes;
   }
 
   async #compact(): Promise<void> {
     const { table, limits } = this.#options;
     await this.#waitForBudget();
-    const oldest = this.#oldest();
+    const oldest = this.#stored.oldest(COMPACTION_BATCHES);
     const records = table.snapshots(oldest, limits.batchBytes);
     const first = this.#firstAfter(oldest, records);
     this.#afterWrite(await this.#put(records, first));
