--- a/src/adapters/etcd_failures.ts
+++ b/src/adapters/etcd_failures.ts
@@ -9,6 +9,7 @@
 import type { ExchangeFailure, WholeAnswer } from "./exchange.ts";
 
 const TOO_LARGE = /too large/;
+const OK_STATUS = 200;
 const TOO_MANY_REQUESTS_STATUS = 429;
 const SERVER_ERROR_STATUS = 500;
 
@@ -51,6 +52,12 @@
   return { type: "storeProtocol", message };
 }
 
+/** Whether the service says that there is no such lease. */
+export function isNotFound(answer: WholeAnswer): boolean {
+  const refusal = decodeJson(Refusal, answer.body).unwrapOr({} as Refusal);
+  return answer.status !== OK_STATUS && refusal.code === CODES.notFound;
+}
+
 function isBusy(status: number, refusal: Refusal): boolean {
   return status === TOO_MANY_REQUESTS_STATUS ||
     refusal.code === CODES.resourceExhausted;
--- a/src/adapters/etcd_store.ts
+++ b/src/adapters/etcd_store.ts
@@ -5,7 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type * as t from "io-ts";
-import { err, errAsync, type Result, type ResultAsync } from "neverthrow";
+import { err, errAsync, ok, type Result, type ResultAsync } from "neverthrow";
 import type { Clock } from "../clock.ts";
 import type { StoreFailure } from "../errors.ts";
 import type {
@@ -20,6 +20,7 @@
 import { Connections } from "./connections.ts";
 import { decodeJson } from "./decoding.ts";
 import {
+  isNotFound,
   protocolFailure,
   refusalFailure,
   unansweredFailure,
@@ -128,8 +129,11 @@
   }
 
   revoke(lease: string): ResultAsync<void, StoreFailure> {
-    return this.#call("/v3/lease/revoke", { ID: lease }, RevokeAnswer)
-      .map(() => undefined);
+    return this.#send("/v3/lease/revoke", { ID: lease }).andThen((answer) =>
+      isNotFound(answer)
+        ? ok(undefined)
+        : this.#decode(answer, RevokeAnswer).map(() => undefined)
+    );
   }
 
   watch(prefix: string, fromRevision: number, watcher: Watcher): Watch {
@@ -184,6 +188,15 @@
     message: unknown,
     codec: t.Decoder<unknown, A>,
   ): ResultAsync<A, StoreFailure> {
+    return this.#send(path, message).andThen((answer) =>
+      this.#decode(answer, codec)
+    );
+  }
+
+  #send(
+    path: string,
+    message: unknown,
+  ): ResultAsync<WholeAnswer, StoreFailure> {
     const request = {
       method: "POST",
       path,
@@ -191,8 +204,7 @@
       body: Buffer.from(JSON.stringify(message)),
     };
     return this.#connections.send(request, this.#options.timeoutMs)
-      .mapErr(unansweredFailure)
-      .andThen((answer) => this.#decode(answer, codec));
+      .mapErr(unansweredFailure);
   }
 
   #decode<A>(
