--- a/src/controllers/fleet.ts
+++ b/src/controllers/fleet.ts
@@ -23,6 +23,7 @@
   readonly #options: FleetOptions;
   readonly #workers = new Map<string, Worker>();
   readonly #presence = new Map<string, Presence>();
+  readonly #absentSinceMs = new Map<string, number>();
   readonly #listeners: (() => void)[] = [];
   #listing: Listing | undefined;
   #timer: Timer | undefined;
@@ -57,6 +58,13 @@
     return this.#presence.get(id) === "live";
   }
 
+  /** Time since the list no longer names a worker, milliseconds; 0 if it does or never did. */
+  absentMs(id: string): number {
+    const sinceMs = this.#absentSinceMs.get(id);
+    if (sinceMs === undefined) return 0;
+    return this.#options.clock.monotonic() - sinceMs;
+  }
+
   /** All workers that the list names. */
   workers(): readonly Worker[] {
     return [...this.#workers.values()];
@@ -87,11 +95,14 @@
     this.#listing = listing;
     if (fingerprint === this.#fingerprint) return;
     this.#fingerprint = fingerprint;
+    const nowMs = this.#options.clock.monotonic();
+    for (const id of this.#workers.keys()) this.#absentSinceMs.set(id, nowMs);
     this.#workers.clear();
     this.#presence.clear();
     for (const { worker, presence } of listing.workers) {
       this.#workers.set(worker.id, worker);
       this.#presence.set(worker.id, presence);
+      this.#absentSinceMs.delete(worker.id);
     }
     for (const listener of this.#listeners) listener();
   }
--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -34,12 +34,19 @@
   readonly drained: (worker: string) => boolean;
 }
 
+/** The tasks that a worker reported. */
+export interface TaskSight {
+  readonly tasks: readonly TaskReport[];
+  /** Earliest time at which the figures may have been taken, monotonic milliseconds. */
+  readonly measuredAtMs: number;
+}
+
 /** Tells of what happens on owned workers. */
 export interface WorkerListener {
   /** A worker may have more room than before. */
   roomChanged(): void;
   /** The tasks that a worker reported. */
-  tasksReported(worker: Worker, tasks: readonly TaskReport[]): void;
+  tasksReported(worker: Worker, sight: TaskSight): void;
   /** What runs on a worker as tasks that this instance tracks. */
   trackedOn(worker: string): ReadonlySet<string>;
 }
@@ -224,7 +231,10 @@
     entry.leaving = report.leaving;
     entry.leftover.sighted({ measuredAtMs, requests: report.requests });
     for (const listener of this.#listeners) {
-      listener.tasksReported(entry.worker, report.tasks);
+      listener.tasksReported(entry.worker, {
+        tasks: report.tasks,
+        measuredAtMs,
+      });
     }
     entry.foreignTasks = this.#foreign(id, report);
     this.#reserve(id, entry);
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -154,6 +154,13 @@
     return { worker, fence };
   }
 
+  /** Gives back room and allowance that were reserved and not used. */
+  giveBack(room: Pick<HeldRoom, "worker" | "team" | "need">): void {
+    this.#options.pool.release(room.worker, room.need);
+    this.#options.allowances.give(room.team);
+    this.roomChanged();
+  }
+
   /** Why nothing may start on a worker under a fencing number now; `undefined` if it may. */
   refusal(place: Place): Reason | undefined {
     const { authority, workers } = this.#options;
@@ -332,10 +339,8 @@
   }
 
   #vacate(order: RunOrder, place: Place, charged = false): void {
-    this.#options.pool.release(place.worker, order.need);
-    this.#options.allowances.give(order.team);
     if (charged) this.charge(order.team, order.need, -1);
-    this.roomChanged();
+    this.giveBack({ ...order, worker: place.worker });
   }
 
   #remember(id: string, state: OrderMemory["state"]): void {
--- a/src/controllers/task_keeper.ts
+++ b/src/controllers/task_keeper.ts
@@ -21,7 +21,7 @@
   stopNotice,
 } from "../wire/dispatch.ts";
 import type { HeldRoom } from "./offers.ts";
-import type { OwnedWorkers } from "./owned_workers.ts";
+import type { OwnedWorkers, TaskSight } from "./owned_workers.ts";
 import type { Placement, RunObserver } from "./placement.ts";
 
 /** A worker stops a task whose lease was not renewed for so long, milliseconds. */
@@ -74,7 +74,7 @@
 }
 
 /** What is known of an attempt on a worker. */
-export type Whereabouts = "running" | "neverStarted" | "unknown";
+export type Whereabouts = "running" | "neverStarted" | "pending";
 
 /** Keeps the tasks of the owned workers. */
 export class TaskKeeper {
@@ -82,7 +82,10 @@
   readonly #kept = new Map<string, Kept>();
   readonly #onWorker = new Map<string, Map<string, Kept>>();
   readonly #barred = new Map<string, number>();
+  /** When each worker last reported. */
   readonly #seen = new Map<string, number>();
+  /** Earliest time at which the figures of its last report were taken. */
+  readonly #measured = new Map<string, number>();
   #timer: Timer | undefined;
   #stopped = false;
 
@@ -91,7 +94,7 @@
     const { peers, workers } = options;
     workers.listen({
       roomChanged: () => {},
-      tasksReported: (worker, tasks) => this.#reported(worker, tasks),
+      tasksReported: (worker, sight) => this.#reported(worker, sight),
       trackedOn: (worker) => this.#placedOn(worker),
     });
     peers.serve(startCall, (order) => this.start(order));
@@ -172,22 +175,15 @@
 
   /** Finds out about an attempt on an owned worker; one that was not started is barred. */
   async find(worker: string, attempt: string): Promise<Whereabouts> {
-    const { clock, pool, upstream, workers } = this.#options;
+    const { pool, upstream, workers } = this.#options;
     if (this.#kept.has(attempt)) return "running";
     const fence = workers.fence(worker);
     const address = pool.worker(worker)?.address;
-    if (fence === undefined || address === undefined) return "unknown";
-    this.#bar(attempt);
-    const seenBeforeMs = clock.monotonic();
+    if (fence === undefined || address === undefined) return "pending";
+    if (this.#unseenSinceBarred(attempt, worker)) return "neverStarted";
     const fenced = await upstream.renew(address, fence, []);
-    if (fenced.isErr()) return "unknown";
-    const seenAtMs = this.#seen.get(worker) ?? -Infinity;
-    if (seenAtMs < seenBeforeMs) {
-      return this.#barredLongEnough(attempt, worker)
-        ? "neverStarted"
-        : "unknown";
-    }
-    return this.#kept.has(attempt) ? "running" : "neverStarted";
+    if (fenced.isOk()) this.#bar(attempt);
+    return "pending";
   }
 
   /** Ends the timers. */
@@ -217,11 +213,14 @@
     }
   }
 
-  /** Whether a report taken since the attempt was barred has not shown it. */
-  #barredLongEnough(attempt: string, worker: string): boolean {
+  /**
+   * Whether the worker has reported without the attempt after it refused
+   * older fencing numbers and starts of the attempt were barred here.
+   */
+  #unseenSinceBarred(attempt: string, worker: string): boolean {
     const barredAtMs = this.#barred.get(attempt) ?? Infinity;
-    const seenAtMs = this.#seen.get(worker) ?? -Infinity;
-    return seenAtMs > barredAtMs;
+    const measuredAtMs = this.#measured.get(worker) ?? -Infinity;
+    return measuredAtMs > barredAtMs;
   }
 
   #keep(kept: Kept): void {
@@ -261,19 +260,21 @@
   #placedOn(worker: string): ReadonlySet<string> {
     const all = [...(this.#onWorker.get(worker)?.values() ?? [])];
     return new Set(
-      all.filter(({ adopted, end }) => !adopted && end === undefined).map(({ attempt }) => attempt),
+      all.filter(({ adopted, end }) => !adopted && end === undefined).map((
+        { attempt },
+      ) => attempt),
     );
   }
 
-  #reported(worker: Worker, tasks: readonly TaskReport[]): void {
+  #reported(worker: Worker, { tasks, measuredAtMs }: TaskSight): void {
     const { clock, workers } = this.#options;
-    const nowMs = clock.monotonic();
-    this.#seen.set(worker.id, nowMs);
+    this.#seen.set(worker.id, clock.monotonic());
+    this.#measured.set(worker.id, measuredAtMs);
     const reported = new Set(tasks.map(({ attempt }) => attempt));
     for (const task of tasks) this.#take(worker, task);
     if (workers.fence(worker.id) === undefined) return;
     for (const kept of this.#onWorker.get(worker.id)?.values() ?? []) {
-      const settled = nowMs - kept.startedAtMs > START_BLUR_MS;
+      const settled = measuredAtMs - kept.startedAtMs > START_BLUR_MS;
       if (settled && !reported.has(kept.attempt)) {
         this.#end(kept, {
           type: "lost",
--- a/src/wire/dispatch.ts
+++ b/src/wire/dispatch.ts
@@ -225,7 +225,7 @@
 /** Asks the owner of a worker for an attempt. */
 export const findCall: Call<
   { worker: string; attempt: string },
-  { state: "running" | "neverStarted" | "unknown" }
+  { state: "running" | "neverStarted" | "pending" }
 > = {
   method: "dispatch.find",
   params: t.type({ worker: t.string, attempt: t.string }),
@@ -233,7 +233,8 @@
     state: t.union([
       t.literal("running"),
       t.literal("neverStarted"),
-      t.literal("unknown"),
+      /** Nothing can be said yet. */
+      t.literal("pending"),
     ]),
   }),
 };
