--- /dev/null
+++ b/src/controllers/loopback.ts
@@ -0,0 +1,66 @@
+/**
+ * Peers that reach this instance itself as well.
+ *
+ * @module
+ */
+import { errAsync, ResultAsync } from "neverthrow";
+import type { PeerFailure } from "../errors.ts";
+import type { Call, Notice, Peers } from "../ports/peers.ts";
+
+type Handler = (params: unknown, from: string) => unknown;
+
+/** Carries messages to this instance without a network, all others through it. */
+export class Loopback implements Peers {
+  readonly #self: string;
+  readonly #peers: Peers;
+  readonly #handlers = new Map<string, Handler>();
+
+  constructor(self: string, peers: Peers) {
+    this.#self = self;
+    this.#peers = peers;
+  }
+
+  call<P, R>(
+    peer: string,
+    call: Call<P, R>,
+    options: { readonly params: P; readonly timeoutMs: number },
+  ): ResultAsync<R, PeerFailure> {
+    if (peer !== this.#self) return this.#peers.call(peer, call, options);
+    const handler = this.#handlers.get(call.method);
+    if (handler === undefined) return errAsync(failed);
+    const answer = Promise.resolve()
+      .then(() => handler(options.params, peer) as R);
+    return ResultAsync.fromPromise(answer, () => failed);
+  }
+
+  notify<P>(peer: string, notice: Notice<P>, params: P): void {
+    if (peer !== this.#self) return this.#peers.notify(peer, notice, params);
+    queueMicrotask(() => this.#handlers.get(notice.method)?.(params, peer));
+  }
+
+  serve<P, R>(
+    call: Call<P, R>,
+    handler: (params: P, from: string) => Promise<R> | R,
+  ): void {
+    this.#handlers.set(call.method, handler as Handler);
+    this.#peers.serve(call, handler);
+  }
+
+  listen<P>(
+    notice: Notice<P>,
+    handler: (params: P, from: string) => void,
+  ): void {
+    this.#handlers.set(notice.method, handler as Handler);
+    this.#peers.listen(notice, handler);
+  }
+
+  onLost(handler: (peer: string) => void): void {
+    this.#peers.onLost(handler);
+  }
+}
+
+const failed: PeerFailure = {
+  type: "peerRefused",
+  message: "handler failed",
+  code: -32603,
+};
--- a/src/fakes/memory_store.ts
+++ b/src/fakes/memory_store.ts
@@ -166,6 +166,8 @@
   };
   readonly #service: MemoryService;
   readonly #watches = new Set<Watcher>();
+  #paused = false;
+  #held: (() => void)[] = [];
 
   constructor(service: MemoryService) {
     this.#service = service;
@@ -185,6 +187,19 @@
     this.faults.away = false;
   }
 
+  /** Holds what watches have to tell, as for a process that is paused. */
+  pause(): void {
+    this.#paused = true;
+  }
+
+  /** Tells what was held. */
+  resume(): void {
+    this.#paused = false;
+    const held = this.#held;
+    this.#held = [];
+    for (const tell of held) tell();
+  }
+
   get(key: string): ResultAsync<Entry | undefined, StoreFailure> {
     return this.#call(() => this.#service.rows.get(key), "read");
   }
@@ -235,7 +250,9 @@
     this.#service.calls++;
     const guarded: Watcher = {
       changed: (changes) => {
-        if (this.#watches.has(guarded)) watcher.changed(changes);
+        if (!this.#watches.has(guarded)) return;
+        if (this.#paused) this.#held.push(() => watcher.changed(changes));
+        else watcher.changed(changes);
       },
       ended: (failure) => watcher.ended(failure),
     };
