--- a/src/controllers/deferred.ts
+++ b/src/controllers/deferred.ts
@@ -15,7 +15,6 @@
 import { unreachable } from "../errors.ts";
 import type { AttemptOutcome } from "../journal/records.ts";
 import { Segment } from "../journal/segment.ts";
-import { statusOf } from "../journal/work_state.ts";
 import { WorkTable } from "../journal/work_table.ts";
 import { journalFull } from "../journal/failures.ts";
 import type { Resume } from "../operator_set.ts";
@@ -28,6 +27,7 @@
   notHeld,
   type StartFailure,
   type SubmitFailure,
+  unknownWork,
 } from "./deferred_failures.ts";
 import type { DeferredOptions } from "./deferred_options.ts";
 import type {
@@ -36,12 +36,8 @@
   TaskPlacement,
 } from "./deferred_types.ts";
 import { HeldSegment } from "./held_segment.ts";
-import { Settler } from "./settler.ts";
-import {
-  type CheckedSubmission,
-  checkSubmission,
-  type Submission,
-} from "./submission.ts";
+import { Holdings } from "./holdings.ts";
+import { checkSubmission, type Submission } from "./submission.ts";
 import {
   summaryOf,
   viewOf,
@@ -49,20 +45,16 @@
   type WorkView,
 } from "./work_view.ts";
 
-interface Holding {
-  readonly held: HeldSegment;
-  readonly settler: Settler;
-}
-
 /** Deferred work of the segments that this instance holds. */
 export class Deferred {
   readonly #options: DeferredOptions;
-  readonly #holdings = new Map<string, Holding>();
+  readonly #holdings: Holdings;
   #resumes: readonly Resume[] = [];
   #stopping = false;
 
   constructor(options: DeferredOptions) {
     this.#options = options;
+    this.#holdings = new Holdings(options);
     this.#scheduleSweep();
   }
 
@@ -75,17 +67,17 @@
     const workload = workloadOf(submission.workload);
     const checked = checkSubmission(submission, { workload, limits });
     if (checked.isErr()) return errAsync(checked.error);
-    if (this.#heldBytes() > limits.heldBytes) {
+    if (this.#holdings.bytes() > limits.heldBytes) {
       return errAsync(journalFull(limits.sweepMs));
     }
-    const held = this.#holderOf(checked.value);
+    const held = this.#holdings.holderOf(checked.value);
     if (held === undefined) return errAsync(noSegment);
     return this.#inTime(held.submit(checked.value));
   }
 
   /** A work with its tasks. */
   show(id: string): Result<WorkView, CancelFailure> {
-    return this.#find(id).andThen(({ held, sequence }) => {
+    return this.#holdings.find(id).andThen(({ held, sequence }) => {
       const work = held.table.get(sequence);
       return work === undefined ? err(unknownWork) : ok(viewOf(id, work));
     });
@@ -93,7 +85,7 @@
 
   /** Works of a team that are held here, parked ones first. */
   list(team: string, options: { readonly limit: number }): WorkSummary[] {
-    const all = this.#helds().flatMap((held) =>
+    const all = this.#holdings.all().flatMap((held) =>
       [...held.table.works()]
         .filter((work) => work.team === team)
         .map((work) => summaryOf(held.idOf(work), work))
@@ -141,7 +133,7 @@
     if (placements.some((other) => other.work !== first.work)) {
       return errAsync(noTask);
     }
-    const held = this.#holdings.get(id.segment)?.held;
+    const held = this.#holdings.get(id.segment);
     if (held === undefined) return errAsync(notHeld(id.segment));
     const { sequence } = id;
     return held.start(
@@ -155,7 +147,7 @@
     outcome: AttemptOutcome,
   ): ResultAsync<void, EndFailure> {
     const id = parseWorkId(attempt.work);
-    const held = this.#holdings.get(id?.segment ?? "")?.held;
+    const held = this.#holdings.get(id?.segment ?? "");
     if (id === undefined || held === undefined) {
       return errAsync(notHeld(id?.segment ?? attempt.work));
     }
@@ -178,61 +170,29 @@
     }).map((opened) => {
       const opening = { segment: opened, table };
       held = new HeldSegment(segment, this.#options, opening);
-      this.#hold(held);
+      this.#holdings.hold(held);
+      this.#applyResumes();
     });
   }
 
   /** Writes what is queued and lets go of a segment. */
   async release(segment: string): Promise<void> {
-    const held = this.#holdings.get(segment)?.held;
+    const held = this.#holdings.get(segment);
     if (held === undefined) return;
-    this.#holdings.delete(segment);
+    this.#holdings.remove(held);
     await held.close();
   }
 
   /** Refuses new work and lets go of every segment. */
   async stop(): Promise<void> {
     this.#stopping = true;
-    const names = [...this.#holdings.keys()];
-    await Promise.all(names.map((name) => this.release(name)));
+    const helds = this.#holdings.all();
+    await Promise.all(helds.map((held) => this.release(held.name)));
   }
 
   /** Amounts for the status page. */
   counts(): DeferredCounts {
-    const holdings = [...this.#holdings.values()];
-    const works = this.#helds().flatMap((held) => [...held.table.works()]);
-    const statuses = works.map(statusOf);
-    const count = (status: string) =>
-      statuses.filter((other) => other === status).length;
-    return {
-      segments: holdings.length,
-      works: works.length,
-      waitingWorks: count("waiting"),
-      runningWorks: count("running"),
-      parkedWorks: count("parked"),
-      unsettledAttempts: sum(holdings.map(({ settler }) => settler.count)),
-      unwrittenEndings: sum(holdings.map(({ held }) => held.endings)),
-      heldBytes: this.#heldBytes(),
-    };
-  }
-
-  #helds(): HeldSegment[] {
-    return [...this.#holdings.values()].map(({ held }) => held);
-  }
-
-  #heldBytes(): number {
-    return sum(this.#helds().map((held) => held.table.bytes));
-  }
-
-  /** The segment for a submission: the one that knows its key, or this instance's own. */
-  #holderOf(submission: CheckedSubmission): HeldSegment | undefined {
-    const { team, key } = submission;
-    const helds = this.#helds();
-    const knowing = key === undefined
-      ? undefined
-      : helds.find((held) => held.table.withKey(team, key) !== undefined);
-    const own = this.#holdings.get(this.#options.self)?.held;
-    return knowing ?? own ?? helds[0];
+    return this.#holdings.counts();
   }
 
   #inTime<T>(
@@ -252,30 +212,21 @@
     return new ResultAsync(first);
   }
 
-  #find(
-    id: string,
-  ): Result<{ held: HeldSegment; sequence: number }, CancelFailure> {
-    const parsed = parseWorkId(id);
-    if (parsed === undefined) return err(unknownWork);
-    const held = this.#holdings.get(parsed.segment)?.held;
-    if (held === undefined) return err(notHeld(parsed.segment));
-    return ok({ held, sequence: parsed.sequence });
-  }
-
   #cancelWork(
     target: { readonly id: string; readonly team: string },
   ): ResultAsync<number, CancelFailure> {
-    return this.#find(target.id).asyncAndThen(({ held, sequence }) => {
-      const work = held.table.get(sequence);
-      if (work?.team !== target.team) return errAsync(unknownWork);
-      return held.cancel([sequence]);
+    return this.#holdings.find(target.id).asyncAndThen(({ held, sequence }) => {
+      const isOwn = held.table.get(sequence)?.team === target.team;
+      return isOwn
+        ? held.cancel([sequence]).mapErr((failure): CancelFailure => failure)
+        : errAsync<number, CancelFailure>(unknownWork);
     });
   }
 
   #cancelWave(
     target: { readonly team: string; readonly workload: string },
   ): ResultAsync<number, CancelFailure> {
-    const waves = this.#helds().map((held) => {
+    const waves = this.#holdings.all().map((held) => {
       const works = [...held.table.works()].filter((work) =>
         work.team === target.team && work.workload === target.workload
       );
@@ -284,26 +235,16 @@
     return ResultAsync.combine(waves).map(sum);
   }
 
-  #hold(held: HeldSegment): void {
-    this.#holdings.get(held.name)?.held.drop();
-    const settler = new Settler(this.#options, held, held.begin());
-    this.#holdings.set(held.name, { held, settler });
-    settler.start();
-    this.#applyResumes();
-  }
-
   #lose(held: HeldSegment | undefined): void {
     if (held === undefined) return;
     held.drop();
-    if (this.#holdings.get(held.name)?.held !== held) return;
-    this.#holdings.delete(held.name);
-    this.#options.lost(held.name);
+    if (this.#holdings.remove(held)) this.#options.lost(held.name);
   }
 
   #applyResumes(): void {
     for (const { name, work } of this.#resumes) {
       const id = parseWorkId(work);
-      const held = this.#holdings.get(id?.segment ?? "")?.held;
+      const held = this.#holdings.get(id?.segment ?? "");
       if (id !== undefined) held?.resume(id.sequence, name);
     }
   }
@@ -317,19 +258,17 @@
   }
 
   async #sweep(): Promise<void> {
-    const { clock, limits, self } = this.#options;
+    const { clock, limits } = this.#options;
     const before = clock.now().getTime() - limits.retentionMs;
     this.#applyResumes();
-    for (const held of this.#helds()) {
-      held.expire(before);
-      if (held.name === self || held.table.size > 0) continue;
-      if (await held.retire()) this.#retired(held);
+    for (const held of this.#holdings.expire(before)) {
+      if (await held.retire()) this.#retire(held);
     }
   }
 
-  #retired(held: HeldSegment): void {
+  #retire(held: HeldSegment): void {
     held.drop();
-    this.#holdings.delete(held.name);
+    this.#holdings.remove(held);
     this.#options.retired(held.name);
   }
 }
@@ -353,11 +292,6 @@
   message: "the journal has not answered in time",
 };
 
-const unknownWork: CancelFailure = {
-  type: "unknownWork",
-  message: "no such work",
-};
-
 const noTask: StartFailure = {
   type: "notWaiting",
   message: "no such task",
--- a/src/controllers/deferred_failures.ts
+++ b/src/controllers/deferred_failures.ts
@@ -107,3 +107,9 @@
     segment,
   };
 }
+
+/** Failure for an identifier that names nothing the team has here. */
+export const unknownWork = {
+  type: "unknownWork",
+  message: "no such work",
+} as const;
--- a/src/controllers/deferred_test.ts
+++ b/src/controllers/deferred_test.ts
@@ -256,6 +256,19 @@
   t.is(taskOf(member, id)?.type, "cancelled");
 });
 
+test("a start followed by a cancellation in one batch", async (t) => {
+  const bench = new Bench();
+  const member = await bench.opened("a");
+  const id = await submit(bench, member);
+  const placement = { work: id, task: 0, worker: "w1", fence: 1 };
+  const starting = member.deferred.mayStart(placement);
+  const cancelling = member.deferred.cancel({ type: "work", id, team: "t" });
+  await bench.clock.run(SETTLE_MS);
+  t.is((await starting)._unsafeUnwrapErr().type, "notWaiting");
+  t.true((await cancelling).isOk());
+  t.is(taskOf(member, id)?.type, "cancelled");
+});
+
 test("a running task that is cancelled is stopped", async (t) => {
   const bench = new Bench();
   const member = await bench.opened("a");
--- a/src/controllers/held_segment.ts
+++ b/src/controllers/held_segment.ts
@@ -4,20 +4,9 @@
  *
  * @module
  */
-import {
-  err,
-  errAsync,
-  ok,
-  okAsync,
-  type Result,
-  type ResultAsync,
-} from "neverthrow";
+import { errAsync, okAsync, type ResultAsync } from "neverthrow";
 import type { AppendFailure } from "../journal/failures.ts";
-import type {
-  AttemptOutcome,
-  JournalRecord,
-  Work,
-} from "../journal/records.ts";
+import type { Work } from "../journal/records.ts";
 import type { Segment } from "../journal/segment.ts";
 import type { WorkTable } from "../journal/work_table.ts";
 import type { StartedAttempt } from "../ports/runner.ts";
@@ -33,23 +22,17 @@
   SubmitFailure,
 } from "./deferred_failures.ts";
 import type { DeferredOptions } from "./deferred_options.ts";
+import { type Placement, Starts } from "./starts.ts";
 import type { CheckedSubmission } from "./submission.ts";
 import { type EndedAttempt, Endings } from "./endings.ts";
 
-/** Where a task is to be started. */
-export interface Placement {
-  readonly sequence: number;
-  readonly task: number;
-  readonly worker: string;
-  readonly fence: number;
-}
-
 /** One held segment. */
 export class HeldSegment {
   readonly name: string;
   readonly table: WorkTable;
   readonly #segment: Segment;
   readonly #options: DeferredOptions;
+  readonly #starts: Starts;
   readonly #endings: Endings;
   #closed = false;
 
@@ -62,6 +45,7 @@
     this.table = held.table;
     this.#segment = held.segment;
     this.#options = options;
+    this.#starts = new Starts(options, held);
     this.#endings = new Endings(options, held);
   }
 
@@ -97,19 +81,7 @@
   start(
     placements: readonly Placement[],
   ): ResultAsync<readonly string[], StartFailure> {
-    if (!placements.every((placement) => this.#isWaiting(placement))) {
-      return errAsync(notWaiting);
-    }
-    const attempts = placements.map((placement) => ({
-      placement,
-      attempt: this.#options.newId(),
-    }));
-    const records = attempts.map(({ placement, attempt }) =>
-      this.#attemptRecord(placement, attempt)
-    );
-    return this.#segment.append(records)
-      .mapErr((failure): StartFailure => failure)
-      .andThen(() => this.#confirm(attempts));
+    return this.#starts.write(placements, (ended) => this.end(ended));
   }
 
   /** Writes how an attempt ended, waiting for the service if it is away. */
@@ -207,32 +179,6 @@
     return okAsync({ id });
   }
 
-  #attemptRecord(placement: Placement, attempt: string): JournalRecord {
-    const { sequence, task, worker, fence } = placement;
-    const started = { attempt, worker, fence, at: this.#now() };
-    return { type: "attempt", work: sequence, task, ...started };
-  }
-
-  /** Whether the journal took the attempts; another record may have come first. */
-  #confirm(
-    attempts: readonly {
-      readonly placement: Placement;
-      readonly attempt: string;
-    }[],
-  ): Result<readonly string[], StartFailure> {
-    const taken = attempts.filter(({ placement, attempt }) =>
-      this.#runs(placement, attempt)
-    );
-    if (taken.length === attempts.length) {
-      return ok(attempts.map(({ attempt }) => attempt));
-    }
-    for (const { placement, attempt } of taken) {
-      const { sequence, task } = placement;
-      this.end({ sequence, task, attempt, outcome: notStarted });
-    }
-    return err(notWaiting);
-  }
-
   #afterEnding({ sequence, task }: EndedAttempt): void {
     const work = this.table.get(sequence);
     if (work === undefined || this.#closed) return;
@@ -290,27 +236,11 @@
     return work.finishedAt === undefined && work.cancelledAt === undefined;
   }
 
-  #isWaiting({ sequence, task }: Placement): boolean {
-    return this.table.get(sequence)?.tasks[task]?.type === "waiting";
-  }
-
-  #runs({ sequence, task }: Placement, attempt: string): boolean {
-    const state = this.table.get(sequence)?.tasks[task];
-    return state?.type === "running" && state.attempt === attempt;
-  }
-
   #now(): number {
     return this.#options.clock.now().getTime();
   }
 }
 
-const notStarted: AttemptOutcome = { type: "notStarted" };
-
-const notWaiting: StartFailure = {
-  type: "notWaiting",
-  message: "the task does not wait to be started",
-};
-
 const duplicateKey: SubmitFailure = {
   type: "duplicateKey",
   message: "the key was used for other work",
