--- a/src/adapters/etcd_watch.ts
+++ b/src/adapters/etcd_watch.ts
@@ -84,7 +84,10 @@
   }
 
   onResponseEnd(): void {
-    if (this.#status === OK_STATUS) return this.#end(CLOSED);
+    if (this.#status === OK_STATUS) {
+      this.#take(this.#rest);
+      return this.#end(CLOSED);
+    }
     const answer = { status: this.#status, body: this.#rest };
     this.#end(refusalFailure(answer, this.#options.valueLimitBytes));
   }
