--- /dev/null
+++ b/src/state/key_memory_test.ts
@@ -0,0 +1,238 @@
+import test from "ava";
+import fc from "fast-check";
+import type { Outcome } from "../types.ts";
+import { KEY_LIMITS, KeyMemory, type KeyUse } from "./key_memory.ts";
+import { keyTimeMs } from "./key_time.ts";
+
+const SEED = 20260102;
+const DAY = 86_400_000;
+const START = 20_000 * DAY;
+const { retentionMs, skewMs } = KEY_LIMITS;
+
+const done: Outcome = {
+  type: "done",
+  answer: { status: 200, headers: {}, body: "eA==", worker: "w" },
+};
+const notRun: Outcome = { type: "notRun", reason: { type: "noOwner" } };
+
+function memory(completeSince = 0, limits = {}): KeyMemory {
+  return new KeyMemory({ ...KEY_LIMITS, ...limits }, {
+    completeSince,
+    rows: [],
+  });
+}
+
+function use(request: string, key = "k", deadline = START + 30_000): KeyUse {
+  return { team: "t", key, request, entry: "e", deadline };
+}
+
+function uuidAt(time: number): string {
+  const hex = time.toString(16).padStart(12, "0");
+  return `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-000000000000`;
+}
+
+test("times of keys", (t) => {
+  t.is(keyTimeMs("017F22E2-79B0-7CC3-98C4-DC0C0C07398F"), 1645557742000);
+  t.is(keyTimeMs("01ARZ3NDEKTSV4RRFFQ69G5FAV"), 1469922850259);
+  t.is(keyTimeMs("9b2d6a52-5f9c-4a0e-8f3e-1d2c3b4a5f60"), undefined);
+  t.is(keyTimeMs("receipt-7"), undefined);
+});
+
+test("a repeat gets the first outcome", (t) => {
+  const keys = memory();
+  t.is(keys.begin(use("1"), START).type, "fresh");
+  t.is(keys.begin(use("2"), START).type, "inProgress");
+  keys.finish(use("1"), done, START);
+  t.deepEqual(keys.begin(use("2"), START), { type: "done", outcome: done });
+});
+
+test("a doubled begin of one request stays fresh", (t) => {
+  const keys = memory();
+  keys.begin(use("1"), START);
+  t.is(keys.begin(use("1"), START).type, "fresh");
+});
+
+test("not run frees the key", (t) => {
+  const keys = memory();
+  keys.begin(use("1"), START);
+  keys.finish(use("1"), notRun, START);
+  t.is(keys.begin(use("2"), START).type, "fresh");
+});
+
+test("a begin later than its own release is refused", (t) => {
+  const keys = memory();
+  keys.finish(use("1"), notRun, START);
+  t.is(keys.begin(use("1"), START).type, "withdrawn");
+  t.is(keys.begin(use("2"), START).type, "fresh");
+});
+
+test("a late release does not free another's key", (t) => {
+  const keys = memory();
+  keys.begin(use("1"), START);
+  keys.finish(use("1"), notRun, START);
+  keys.begin(use("2"), START);
+  keys.finish(use("1"), notRun, START);
+  t.is(keys.begin(use("3"), START).type, "inProgress");
+});
+
+test("a release tells a new home nothing about earlier uses", (t) => {
+  const keys = memory(START);
+  keys.finish(use("1"), notRun, START + 1);
+  t.is(keys.begin(use("2"), START + 2).type, "unknown");
+});
+
+const takeovers = [
+  { name: "opaque key", key: "k", after: 1, type: "unknown" },
+  { name: "opaque key later", key: "k", after: retentionMs, type: "fresh" },
+  {
+    name: "key from before",
+    key: uuidAt(START - 1),
+    after: 1,
+    type: "unknown",
+  },
+  {
+    name: "key within the skew",
+    key: uuidAt(START + skewMs),
+    after: skewMs + 1,
+    type: "unknown",
+  },
+  {
+    name: "key from after",
+    key: uuidAt(START + skewMs + 1),
+    after: skewMs + 2,
+    type: "fresh",
+  },
+  {
+    name: "key ahead of all clocks",
+    key: uuidAt(START + 60_000),
+    after: 1,
+    type: "clockAhead",
+  },
+  {
+    name: "very late repeat",
+    key: uuidAt(START - retentionMs),
+    after: retentionMs + 1,
+    type: "unknown",
+  },
+] as const;
+
+for (const { name, key, after, type } of takeovers) {
+  test(`after a takeover, ${name}`, (t) => {
+    t.is(memory(START).begin(use("1", key), START + after).type, type);
+  });
+}
+
+test("a handover loses nothing", (t) => {
+  const former = memory();
+  former.begin(use("1"), START);
+  former.finish(use("1"), done, START);
+  const next = new KeyMemory(KEY_LIMITS, former.export());
+  t.is(next.begin(use("2"), START).type, "done");
+  t.is(next.begin(use("3", "other"), START).type, "fresh");
+});
+
+test("a lost entry instance leaves unknown", (t) => {
+  const keys = memory();
+  keys.begin(use("1"), START);
+  keys.abandon("e", START);
+  const answer = keys.begin(use("2"), START);
+  t.is(answer.type === "done" && answer.outcome.type, "unknown");
+  keys.finish(use("1"), done, START);
+  t.deepEqual(keys.begin(use("3"), START), { type: "done", outcome: done });
+});
+
+test("a deadline passed leaves unknown", (t) => {
+  const keys = memory();
+  keys.begin(use("0", "ended"), START);
+  keys.finish(use("0", "ended"), done, START);
+  keys.begin(use("1"), START);
+  const answer = keys.begin(use("2"), START + 30_001 + skewMs);
+  t.is(answer.type === "done" && answer.outcome.type, "unknown");
+});
+
+test("keys are bounded", (t) => {
+  const keys = memory(0, { keys: 2 });
+  const types = ["a", "b", "c"].map((key) =>
+    keys.begin(use(key, key), START).type
+  );
+  t.deepEqual(types, ["fresh", "fresh", "full"]);
+  keys.finish(use("a", "a"), done, START);
+  t.is(keys.begin(use("d", "d"), START + retentionMs + 1).type, "fresh");
+});
+
+test("outcomes are bounded, keys stay", (t) => {
+  const keys = memory(0, { outcomeChars: 500 });
+  for (const key of ["a", "b", "c", "d"]) {
+    keys.begin(use(key, key), START);
+    keys.finish(use(key, key), done, START);
+  }
+  t.is(keys.begin(use("x", "a"), START).type, "unknown");
+  t.is(keys.begin(use("x", "d"), START).type, "done");
+});
+
+const step = fc.oneof(
+  fc.record({ type: fc.constant("begin" as const), request: fc.nat(5) }),
+  fc.record({
+    type: fc.constant("finish" as const),
+    request: fc.nat(5),
+    ran: fc.boolean(),
+  }),
+  fc.record({ type: fc.constant("wait" as const), ms: fc.nat(40_000) }),
+  fc.record({ type: fc.constant("takeover" as const) }),
+  fc.record({ type: fc.constant("handover" as const) }),
+);
+
+test("at most one run whatever the order", (t) => {
+  fc.assert(
+    fc.property(
+      fc.array(step, { maxLength: 60, size: "max" }),
+      fc.constantFrom("k", uuidAt(START)),
+      (steps, key) => {
+        let now = START;
+        let keys = memory();
+        const started = new Set<number>();
+        const withdrawn = new Set<number>();
+        for (const action of steps) {
+          switch (action.type) {
+            case "begin": {
+              const answer = keys.begin(
+                use(String(action.request), key, now + 30_000),
+                now,
+              );
+              const acts = answer.type === "fresh" &&
+                !withdrawn.has(action.request);
+              if (acts) started.add(action.request);
+              break;
+            }
+            case "finish": {
+              const ran = action.ran && started.has(action.request);
+              if (action.ran && !ran) break;
+              if (!action.ran) {
+                started.delete(action.request);
+                withdrawn.add(action.request);
+              }
+              keys.finish(
+                use(String(action.request), key, now + 30_000),
+                ran ? done : notRun,
+                now,
+              );
+              break;
+            }
+            case "wait":
+              now += action.ms;
+              break;
+            case "takeover":
+              keys = memory(now);
+              break;
+            case "handover":
+              keys = new KeyMemory(KEY_LIMITS, keys.export());
+              break;
+          }
+        }
+        t.true(now < START + retentionMs * 2);
+        if (now < START + retentionMs) t.true(started.size <= 1);
+      },
+    ),
+    { seed: SEED, numRuns: 2000 },
+  );
+});
