Join the parts into a daemon

Cause: the whole path needs one process an instance: filters for requests, controllers for state, adapters towards the platform, listeners for callers, operators and peers.

--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -47,6 +47,8 @@
   roomChanged(): void;
   /** The tasks that a worker reported. */
   tasksReported(worker: Worker, sight: TaskSight): void;
+  /** All that runs on a worker has been accounted for. */
+  settled?(worker: string): void;
   /** What runs on a worker as tasks that this instance tracks. */
   trackedOn(worker: string): ReadonlySet<string>;
 }
@@ -139,6 +141,12 @@
     this.#judge(id, entry);
   }
 
+  /** Requests that this instance has sent to workers and that are not answered. */
+  get inFlight(): number {
+    return [...this.#entries.values()]
+      .reduce((sum, { leftover }) => sum + leftover.active, 0);
+  }
+
   /** Stops asking for reports. */
   stop(): void {
     for (const entry of this.#entries.values()) entry.timer?.cancel();
@@ -239,6 +247,9 @@
     entry.foreignTasks = this.#foreign(id, report);
     this.#reserve(id, entry);
     this.#judge(id, entry);
+    if (entry.leftover.known && entry.leftover.count === 0) {
+      for (const listener of this.#listeners) listener.settled?.(id);
+    }
     for (const listener of this.#listeners) listener.roomChanged();
     this.#sweep(id);
   }
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,206 @@
+/**
+ * The daemon: one instance with its listeners, from settings to shutdown.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import { EtcdStore } from "../adapters/etcd_store.ts";
+import { HttpList } from "../adapters/http_list.ts";
+import { HttpUpstream } from "../adapters/http_upstream.ts";
+import { sleep, systemClock } from "../clock.ts";
+import type { Settings } from "../config.ts";
+import { type Admission, admit } from "../filters/admit.ts";
+import { atMostOnce } from "../filters/at_most_once.ts";
+import { authenticate } from "../filters/authenticate.ts";
+import { chain, type Exchange, type Next } from "../filters/chain.ts";
+import { check } from "../filters/check.ts";
+import { BodyMemory } from "../http/bodies.ts";
+import { callerRoutes } from "../http/caller_routes.ts";
+import { operatorRoutes } from "../http/operator_routes.ts";
+import { HttpServer } from "../http/server.ts";
+import { workRoutes } from "../http/work_routes.ts";
+import { type Log, openLog } from "../logger.ts";
+import { TcpPeers } from "../peers/tcp_peers.ts";
+import type { KeyGuard } from "../ports/key_guard.ts";
+import { startTracing } from "../tracing.ts";
+import type { Outcome } from "../types.ts";
+import { Instance } from "./instance.ts";
+
+/** Bytes of an id that tell one start of a process from another. */
+const INCARNATION_CHARS = 8;
+/** Time for the balancer to see that the instance is not ready any more, milliseconds. */
+const BALANCER_MS = 1_000;
+/** Time between looks at what is in flight during shutdown, milliseconds. */
+const DRAIN_POLL_MS = 50;
+
+/** A running daemon. */
+export class Daemon {
+  readonly #settings: Settings;
+  readonly #log: Log;
+  readonly #instance: Instance;
+  readonly #peers: TcpPeers;
+  readonly #store: EtcdStore;
+  readonly #upstream: HttpUpstream;
+  readonly #server: HttpServer;
+  readonly #stopTracing: () => Promise<void>;
+
+  constructor(settings: Settings) {
+    const { instance, platform, operator } = settings;
+    const clock = systemClock;
+    const incarnation = randomUUID().slice(0, INCARNATION_CHARS);
+    const self = {
+      id: `${instance.name}-${incarnation}`,
+      peerAddress: instance.peerAddress,
+      callerAddress: instance.callerAddress,
+      zone: instance.zone,
+    };
+    const log = openLog(settings.log.level, { instance: self.id });
+    this.#settings = settings;
+    this.#log = log;
+    this.#stopTracing = startTracing({ ...settings.trace, instance: self.id });
+    this.#store = new EtcdStore({
+      address: platform.store[0]!,
+      clock,
+      timeoutMs: settings.timing.storeTimeoutMs,
+    });
+    this.#upstream = new HttpUpstream({ clock });
+    this.#peers = new TcpPeers({
+      self,
+      listen: instance.peerListen,
+      key: settings.peers.key,
+      clock,
+      log,
+    });
+    this.#instance = new Instance({
+      self,
+      store: this.#store,
+      list: new HttpList({ address: platform.list, clock }),
+      peers: this.#peers,
+      upstream: this.#upstream,
+      clock,
+      log,
+      random: Math.random,
+    });
+    this.#server = new HttpServer({
+      listen: instance.listen,
+      routes: this.#routes(operator.key),
+      log,
+    });
+  }
+
+  /** Starts to listen and to take part. */
+  async start(): Promise<void> {
+    await this.#peers.listening();
+    await this.#server.listening();
+    await this.#instance.start();
+    const { instance } = this.#settings;
+    this.#log.info("started", {
+      callers: instance.listen,
+      peers: instance.peerListen,
+    });
+  }
+
+  /** Shuts down without cutting a request: refuses new ones, finishes those in flight, hands over. */
+  async stop(): Promise<void> {
+    this.#log.info("stopping");
+    this.#instance.beginStop();
+    await sleep(systemClock, BALANCER_MS);
+    await this.#server.close();
+    await this.#instance.leave();
+    await this.#drain();
+    this.#instance.stop();
+    this.#peers.close();
+    await this.#upstream.close();
+    await this.#stopTracing();
+    this.#log.info("stopped");
+  }
+
+  /** Waits for what peers have asked of this instance. */
+  async #drain(): Promise<void> {
+    const { workers } = this.#instance;
+    const untilMs = systemClock.monotonic() + this.#settings.timing.shutdownMs;
+    while (workers.inFlight > 0 && systemClock.monotonic() < untilMs) {
+      await sleep(systemClock, DRAIN_POLL_MS);
+    }
+  }
+
+  #routes(operatorKey: string) {
+    const instance = this.#instance;
+    const log = this.#log;
+    const bodies = new BodyMemory();
+    const admission: Admission = {
+      stopping: () => false,
+      configured: () => instance.settings.known,
+      inContact: () => instance.authority.inContact(),
+    };
+    const current = () => instance.settings.set();
+    const couldEverFit = instance.couldEverFit.bind(instance);
+    return [
+      ...callerRoutes({
+        handle: this.#chain(admission),
+        abandon: (id) => instance.requests.abandon(id),
+        bodies,
+        clock: systemClock,
+        metrics: instance.metrics,
+        log,
+      }),
+      ...workRoutes({
+        admission,
+        current,
+        couldEverFit,
+        deferred: instance.deferred,
+        desk: instance.desk,
+        bodies,
+        log,
+      }),
+      ...operatorRoutes({ instance, key: operatorKey }),
+    ];
+  }
+
+  #chain(admission: Admission): Next {
+    const instance = this.#instance;
+    const couldEverFit = instance.couldEverFit.bind(instance);
+    return chain([
+      admit(admission),
+      authenticate(() => instance.settings.set()),
+      check({ couldEverFit }),
+      atMostOnce(forgetful),
+    ], (exchange) => dispatch(instance, exchange));
+  }
+}
+
+function dispatch(instance: Instance, exchange: Exchange): Promise<Outcome> {
+  const { id, arrivedAtMs, method, path, headers, body } = exchange;
+  const service = exchange.service!;
+  const queue = exchange.queue!;
+  return instance.requests.run({
+    id,
+    idempotent: service.idempotent,
+    waiting: {
+      id,
+      team: exchange.team!,
+      queue: queue.name,
+      workload: service.name,
+      urgency: queue.urgency,
+      need: service.resources,
+      arrivedAtMs,
+      deadlineAtMs: arrivedAtMs + queue.maxWaitMs,
+    },
+    request: {
+      method,
+      path: join(service.path, path),
+      headers,
+      body,
+      timeoutMs: service.timeoutMs,
+    },
+  });
+}
+
+function join(prefix: string, path: string): string {
+  return prefix.replace(/\/$/, "") + path;
+}
+
+const forgetful: KeyGuard = {
+  begin: () => Promise.resolve({ type: "fresh" }),
+  finish: () => Promise.resolve(),
+};
--- /dev/null
+++ b/src/daemon/drain_rates.ts
@@ -0,0 +1,51 @@
+/**
+ * Measured drain rates by queue, for the advice when to come back.
+ *
+ * @module
+ */
+import type { Clock } from "../clock.ts";
+import { DrainRate } from "../policy/drain_rate.ts";
+import type { WaitingQueue } from "../policy/waiting.ts";
+
+/** What the rates depend on. */
+export interface DrainRatesOptions {
+  readonly clock: Clock;
+  readonly queue: WaitingQueue;
+}
+
+/** The rates of all queues of an instance. */
+export class DrainRates {
+  readonly #options: DrainRatesOptions;
+  readonly #rates = new Map<string, DrainRate>();
+
+  constructor(options: DrainRatesOptions) {
+    this.#options = options;
+  }
+
+  /** Notes that one item has left a queue for a worker. */
+  departed(queue: string): void {
+    this.#rate(queue).record(this.#options.clock.monotonic());
+  }
+
+  /** When a caller that was refused should ask again, milliseconds. */
+  retryAfterMs(queue: string): number {
+    const nowMs = this.#options.clock.monotonic();
+    const waiting = this.#options.queue.waitingIn(queue);
+    return this.#rate(queue).retryAfterMs(waiting, nowMs);
+  }
+
+  /** Whether a new item would leave a queue within `budgetMs`. */
+  canAnswerInTime(queue: string, budgetMs: number): boolean {
+    const nowMs = this.#options.clock.monotonic();
+    const ahead = this.#options.queue.waitingIn(queue);
+    return this.#rate(queue).canAnswerInTime(ahead, { budgetMs, nowMs });
+  }
+
+  #rate(queue: string): DrainRate {
+    const known = this.#rates.get(queue);
+    if (known !== undefined) return known;
+    const rate = new DrainRate(this.#options.clock.monotonic());
+    this.#rates.set(queue, rate);
+    return rate;
+  }
+}
--- /dev/null
+++ b/src/daemon/settings_in_force.ts
@@ -0,0 +1,94 @@
+/**
+ * The operators' set in the shapes that the controllers ask for.
+ *
+ * @module
+ */
+import type { OperatorSet, Queue, Workload } from "../operator_set.ts";
+import type { QueueBound } from "../policy/waiting.ts";
+
+/** Teams may fill this part of a queue. */
+const TEAM_PART = 0.5;
+
+const closedQueue: QueueBound = { maxWaiting: 0, maxWaitingPerTeam: 0 };
+
+/** Deferred work is bounded where it is accepted, by the journal. */
+const unbounded: QueueBound = {
+  maxWaiting: Infinity,
+  maxWaitingPerTeam: Infinity,
+};
+
+/** Views of the set in force. */
+export class SettingsInForce {
+  #set: OperatorSet | undefined;
+  #drained: ReadonlySet<string> = new Set();
+  #limits: ReadonlyMap<string, number> = new Map();
+
+  /** Puts a set in force. */
+  replace(set: OperatorSet): void {
+    this.#set = set;
+    this.#drained = new Set(
+      [...set.drains.values()].map(({ worker }) => worker),
+    );
+    this.#limits = new Map(
+      [...set.limits.values()].map(({ team, running }) => [team, running]),
+    );
+  }
+
+  /** Whether a set is in force. */
+  get known(): boolean {
+    return this.#set !== undefined;
+  }
+
+  /** The set in force; only asked for once one is known. */
+  set(): OperatorSet {
+    return this.#set ?? noSet;
+  }
+
+  /** Upper limits by team. */
+  limits(): ReadonlyMap<string, number> {
+    return this.#limits;
+  }
+
+  /** Weights of shares by team. */
+  weights(): ReadonlyMap<string, number> {
+    return new Map(
+      [...this.set().shares.values()].map(({ team, weight }) => [team, weight]),
+    );
+  }
+
+  /** Whether the operators have taken a worker out of use. */
+  drained(worker: string): boolean {
+    return this.#drained.has(worker);
+  }
+
+  /** A workload by name. */
+  workload(name: string): Workload | undefined {
+    return this.set().workloads.get(name);
+  }
+
+  /** A queue by name. */
+  queue(name: string): Queue | undefined {
+    return this.set().queues.get(name);
+  }
+
+  /** How much may wait in a queue. */
+  boundOf(name: string): QueueBound {
+    const queue = this.queue(name);
+    if (queue === undefined) return closedQueue;
+    if (queue.urgency === "deferred") return unbounded;
+    const { maxWaiting, teams } = queue;
+    const part = teams.length > 1 ? TEAM_PART : 1;
+    return { maxWaiting, maxWaitingPerTeam: Math.ceil(maxWaiting * part) };
+  }
+}
+
+const noSet: OperatorSet = {
+  teams: new Map(),
+  keys: new Map(),
+  queues: new Map(),
+  shares: new Map(),
+  limits: new Map(),
+  workloads: new Map(),
+  drains: new Map(),
+  resumes: new Map(),
+};
--- /dev/null
+++ b/src/http/work_routes.ts
@@ -0,0 +1,243 @@
+/**
+ * Routes for deferred work.
+ *
+ * @module
+ */
+import { either } from "fp-ts";
+import * as t from "io-ts";
+import { err, ok, type Result } from "neverthrow";
+import type { Deferred } from "../controllers/deferred.ts";
+import { submitOutcome } from "../controllers/deferred_failures.ts";
+import type { WorkDesk } from "../controllers/work_desk.ts";
+import { unreachable } from "../errors.ts";
+import { type Admission, refusalOf } from "../filters/admit.ts";
+import { KEY_HEADER } from "../filters/at_most_once.ts";
+import { accessOf, teamOf } from "../filters/authenticate.ts";
+import type { Log } from "../logger.ts";
+import type { OperatorSet } from "../operator_set.ts";
+import type { Outcome, Reason, Resources } from "../types.ts";
+import type { CancelAnswer } from "../wire/work.ts";
+import { sendFailure, sendJson } from "./answers.ts";
+import type { BodyMemory } from "./bodies.ts";
+import { presentedKey, refuseBody } from "./caller_routes.ts";
+import type { Route, RouteCall } from "./routes.ts";
+
+/** Time to come back after while no instance holds a work, milliseconds. */
+const TAKEOVER_RETRY_MS = 2_000;
+
+const SubmissionCodec = t.intersection([
+  t.type({ workload: t.string, payload: t.string }),
+  t.partial({ count: t.number }),
+]);
+
+type SubmissionBody = t.TypeOf<typeof SubmissionCodec>;
+
+/** What the routes need. */
+export interface WorkRoutesOptions {
+  readonly admission: Admission;
+  readonly current: () => OperatorSet;
+  readonly couldEverFit: (need: Resources) => boolean;
+  readonly deferred: Deferred;
+  readonly desk: WorkDesk;
+  readonly bodies: BodyMemory;
+  readonly log: Log;
+}
+
+/** Routes on which callers submit work and ask for it. */
+export function workRoutes(options: WorkRoutesOptions): readonly Route[] {
+  return [
+    {
+      method: "POST",
+      pattern: "/v1/work",
+      answer: (call) => submit(options, call),
+    },
+    {
+      method: "GET",
+      pattern: "/v1/work",
+      answer: (call) =>
+        withTeam(options, call, async (team) => {
+          const works = await options.desk.list(team);
+          sendJson(call.response, 200, { works });
+        }),
+    },
+    {
+      method: "POST",
+      pattern: "/v1/work/cancel",
+      answer: (call) =>
+        withTeam(options, call, async (team) => {
+          const workload = call.url.searchParams.get("workload") ?? "";
+          const answer = await options.desk.cancelWave({ team, workload });
+          sendCancel(call, answer);
+        }),
+    },
+    {
+      method: "GET",
+      pattern: "/v1/work/:id",
+      answer: (call) =>
+        withTeam(options, call, (team) => show(options, { call, team })),
+    },
+    {
+      method: "POST",
+      pattern: "/v1/work/:id/cancel",
+      answer: (call) =>
+        withTeam(options, call, async (team) => {
+          const id = call.parts.id ?? "";
+          sendCancel(call, await options.desk.cancel({ id, team }));
+        }),
+    },
+  ];
+}
+
+async function submit(
+  options: WorkRoutesOptions,
+  call: RouteCall,
+): Promise<void> {
+  const { bodies, deferred, log } = options;
+  const body = await bodies.read(call.message);
+  if (body.isErr()) return refuseBody(call.response, body.error);
+  bodies.free(body.value.length);
+  const accepted = acceptedOf(options, { call, text: body.value.toString() });
+  if (accepted.isErr()) {
+    return sendFailure(call.response, accepted.error);
+  }
+  const { submission, queue } = accepted.value;
+  const result = await deferred.submit(submission);
+  log.info("work.submitted", {
+    workload: submission.workload,
+    team: submission.team,
+    id: result.isOk() ? result.value.id : undefined,
+    failure: result.isErr() ? result.error.type : undefined,
+  });
+  if (result.isOk()) return sendJson(call.response, 202, result.value);
+  const outcome = submitOutcome(result.error, {
+    workload: submission.workload,
+    queue,
+  });
+  if (outcome.type !== "done") sendFailure(call.response, outcome);
+}
+
+interface Accepted {
+  readonly submission: SubmissionBody & {
+    readonly team: string;
+    readonly idempotencyKey?: string;
+  };
+  readonly queue: string;
+}
+
+type Refusal = Exclude<Outcome, { type: "done" }>;
+
+function acceptedOf(
+  options: WorkRoutesOptions,
+  { call, text }: { readonly call: RouteCall; readonly text: string },
+): Result<Accepted, Refusal> {
+  const refusal = refusalOf(options.admission);
+  if (refusal !== undefined) return notRun(refusal, TAKEOVER_RETRY_MS);
+  const parsed = parseSubmission(text);
+  if (parsed === undefined) {
+    const detail =
+      'the body is JSON: {"workload", "payload" (base64), "count"}';
+    return notRun({ type: "badRequest", detail });
+  }
+  const key = presentedKey(call.message);
+  const access = accessOf(options.current(), {
+    workload: parsed.workload,
+    key,
+  });
+  if (access.isErr()) return notRun(access.error);
+  const { workload, queue, team } = access.value;
+  if (!options.couldEverFit(workload.resources)) {
+    return notRun({ type: "neverFits", workload: workload.name });
+  }
+  const header = call.message.headers[KEY_HEADER];
+  const idempotencyKey = Array.isArray(header) ? header[0] : header;
+  const submission = { ...parsed, team, idempotencyKey };
+  return ok({ submission, queue: queue.name });
+}
+
+function parseSubmission(text: string): SubmissionBody | undefined {
+  try {
+    const decoded = SubmissionCodec.decode(JSON.parse(text));
+    return either.isRight(decoded) ? decoded.right : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function notRun(
+  reason: Reason,
+  retryAfterMs?: number,
+): Result<Accepted, Refusal> {
+  return err({ type: "notRun", reason, retryAfterMs });
+}
+
+async function withTeam(
+  options: WorkRoutesOptions,
+  call: RouteCall,
+  action: (team: string) => Promise<void>,
+): Promise<void> {
+  const refusal = refusalOf(options.admission);
+  if (refusal !== undefined) {
+    const retryAfterMs = TAKEOVER_RETRY_MS;
+    const failure = { type: "notRun", reason: refusal, retryAfterMs } as const;
+    return sendFailure(call.response, failure);
+  }
+  const team = teamOf(options.current(), presentedKey(call.message));
+  if (team.isErr()) {
+    return sendFailure(call.response, { type: "notRun", reason: team.error });
+  }
+  await action(team.value);
+}
+
+async function show(
+  options: WorkRoutesOptions,
+  { call, team }: { readonly call: RouteCall; readonly team: string },
+): Promise<void> {
+  const answer = await options.desk.show(call.parts.id ?? "");
+  switch (answer.type) {
+    case "found": {
+      const owner = (answer.work as { team?: unknown }).team;
+      if (owner !== team) return sendUnknown(call);
+      return sendJson(call.response, 200, answer.work);
+    }
+    case "unknownWork":
+      return sendUnknown(call);
+    case "notHeld":
+      return sendNotHeld(call);
+    default:
+      return unreachable(answer);
+  }
+}
+
+function sendCancel(call: RouteCall, answer: CancelAnswer): void {
+  switch (answer.type) {
+    case "cancelled":
+      return sendJson(call.response, 200, { cancelled: answer.works });
+    case "unknownWork":
+      return sendUnknown(call);
+    case "notHeld":
+      return sendNotHeld(call);
+    case "storeAway":
+      return sendFailure(call.response, {
+        type: "notRun",
+        reason: { type: "storeAway" },
+        retryAfterMs: TAKEOVER_RETRY_MS,
+      });
+    default:
+      return unreachable(answer);
+  }
+}
+
+function sendUnknown(call: RouteCall): void {
+  sendJson(call.response, 404, {
+    type: "unknownWork",
+    message: "there is no such work of this team",
+  });
+}
+
+function sendNotHeld(call: RouteCall): void {
+  sendFailure(call.response, {
+    type: "notRun",
+    reason: { type: "noOwner" },
+    retryAfterMs: TAKEOVER_RETRY_MS,
+  });
+}
--- a/src/peers/outbound.ts
+++ b/src/peers/outbound.ts
@@ -51,6 +51,7 @@
   #socket: Socket | undefined;
   #ready = false;
   #closed = false;
+  #retiring = false;
   #heardAtMs = 0;
   #timer: Timer | undefined;
   #opening: Promise<void> = Promise.resolve();
@@ -82,6 +83,7 @@
         timer.cancel();
         this.#waiters.delete(waiter);
         action();
+        if (this.#retiring && this.#waiters.size === 0) this.close();
       };
       const timer = this.#options.clock.after(
         timeoutMs,
@@ -100,6 +102,12 @@
     if (this.#usable()) this.#client.notify(method, params);
   }
 
+  /** Ends the link once no call waits on it. */
+  retire(): void {
+    this.#retiring = true;
+    if (this.#waiters.size === 0) this.close();
+  }
+
   /** Ends the link for good. */
   close(): void {
     this.#closed = true;
@@ -198,7 +206,7 @@
     for (const waiter of waiters) waiter(silent("the link to the peer broke"));
     this.#client.rejectAllPendingRequests("link lost");
     if (wasReady) this.#options.onLost();
-    if (this.#closed) return;
+    if (this.#closed || this.#retiring) return;
     this.#timer = this.#options.clock.after(REDIAL_MS, () => this.#dial());
   }
 }
--- a/src/peers/tcp_peers.ts
+++ b/src/peers/tcp_peers.ts
@@ -70,13 +70,13 @@
     });
   }
 
-  /** Sets the peers that there are; links to others end. */
+  /** Sets the peers that there are; links to others end after their last call. */
   setMembers(members: readonly Instance[]): void {
     const wanted = new Map(members.map((member) => [member.id, member]));
     wanted.delete(this.#options.self.id);
     for (const [id, link] of this.#links) {
       if (wanted.has(id)) continue;
-      link.close();
+      link.retire();
       this.#links.delete(id);
     }
     for (const member of wanted.values()) {
