--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -34,12 +34,21 @@
   readonly drained: (worker: string) => boolean;
 }
 
+/** The tasks that a worker reported. */
+export interface TaskSight {
+  readonly tasks: readonly TaskReport[];
+  /** Earliest time at which the figures may have been taken, monotonic milliseconds. */
+  readonly measuredAtMs: number;
+}
+
 /** Tells of what happens on owned workers. */
 export interface WorkerListener {
   /** A worker may have more room than before. */
   roomChanged(): void;
   /** The tasks that a worker reported. */
-  tasksReported(worker: Worker, tasks: readonly TaskReport[]): void;
+  tasksReported(worker: Worker, sight: TaskSight): void;
+  /** All that runs on a worker has been accounted for. */
+  settled?(worker: string): void;
   /** What runs on a worker as tasks that this instance tracks. */
   trackedOn(worker: string): ReadonlySet<string>;
 }
@@ -132,6 +141,12 @@
     this.#judge(id, entry);
   }
 
+  /** Requests that this instance has sent to workers and that are not answered. */
+  get inFlight(): number {
+    return [...this.#entries.values()]
+      .reduce((sum, { leftover }) => sum + leftover.active, 0);
+  }
+
   /** Stops asking for reports. */
   stop(): void {
     for (const entry of this.#entries.values()) entry.timer?.cancel();
@@ -224,11 +239,17 @@
     entry.leaving = report.leaving;
     entry.leftover.sighted({ measuredAtMs, requests: report.requests });
     for (const listener of this.#listeners) {
-      listener.tasksReported(entry.worker, report.tasks);
+      listener.tasksReported(entry.worker, {
+        tasks: report.tasks,
+        measuredAtMs,
+      });
     }
     entry.foreignTasks = this.#foreign(id, report);
     this.#reserve(id, entry);
     this.#judge(id, entry);
+    if (entry.leftover.known && entry.leftover.count === 0) {
+      for (const listener of this.#listeners) listener.settled?.(id);
+    }
     for (const listener of this.#listeners) listener.roomChanged();
     this.#sweep(id);
   }
