--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -34,6 +34,11 @@
   5  problems in the set or the settings
   6  the answer was lost; it may have been done`;
 
+const groupSummaries: Readonly<Record<string, string>> = {
+  key: "issue and withdraw keys",
+  work: "show, list, cancel and resume work",
+};
+
 /** Runs one call of the tool; `args` are those after the program's name. */
 export async function run(
   args: readonly string[],
@@ -110,7 +115,7 @@
 function group(program: Command, name: string, host: Host): Command {
   const known = program.commands.find((other) => other.name() === name);
   if (known !== undefined) return known;
-  const added = program.command(name).description(`commands on ${name}s`);
+  const added = program.command(name).description(groupSummaries[name] ?? "");
   configure(added, host);
   return added;
 }
--- /dev/null
+++ b/src/docs_test.ts
@@ -0,0 +1,36 @@
+import { readFileSync } from "node:fs";
+import test from "ava";
+import { commands } from "./cli/commands/index.ts";
+import { exitCodes } from "./cli/failures.ts";
+import { documentSchema } from "./ini/schema.ts";
+import { objectSchemas, workloadSchemas } from "./operator_set/schemas.ts";
+import { settingsSchemas } from "./settings_schemas.ts";
+
+/** A table without its padding. */
+function plain(text: string): string {
+  return text.replaceAll(/ +/g, " ").replaceAll(/-+/g, "-");
+}
+
+const settingsPage = plain(readFileSync("docs/settings.md", "utf8"));
+const toolPage = plain(readFileSync("docs/cli.md", "utf8"));
+
+const schemas = { ...settingsSchemas, ...objectSchemas, ...workloadSchemas };
+
+for (const [name, schema] of Object.entries(schemas)) {
+  test(`settings page: ${name}`, (t) => {
+    t.true(settingsPage.includes(plain(documentSchema(schema).join("\n"))));
+  });
+}
+
+test("tool page: commands", (t) => {
+  for (const command of commands) {
+    t.true(toolPage.includes(`\`${plain(command.name)}`), command.name);
+    t.true(toolPage.includes(plain(command.summary)), command.name);
+  }
+});
+
+test("tool page: exit codes", (t) => {
+  for (const code of Object.values(exitCodes)) {
+    t.regex(toolPage, new RegExp(`^\\| ${code} \\|`, "m"));
+  }
+});
