--- a/bench/model/instance.ts
+++ b/bench/model/instance.ts
@@ -12,7 +12,10 @@
   type PeerCandidate,
 } from "../../src/policy/choice.ts";
 import { DrainRate } from "../../src/policy/drain_rate.ts";
-import { PeerBacklogs } from "../../src/policy/peer_backlogs.ts";
+import {
+  PeerBacklogs,
+  URGENT_NEWS_MS,
+} from "../../src/policy/peer_backlogs.ts";
 import { PeerRooms } from "../../src/policy/peer_rooms.ts";
 import { WorkerPool } from "../../src/policy/pool.ts";
 import { Quarantine } from "../../src/policy/quarantine.ts";
@@ -20,6 +23,7 @@
 import { type Backlog, WaitingQueue } from "../../src/policy/waiting.ts";
 import { add, fits, noResources } from "../../src/resources.ts";
 import type { Resources, Urgency } from "../../src/types.ts";
+import { Random } from "../random.ts";
 import type { Events } from "./events.ts";
 import type { Endpoint, Network } from "./network.ts";
 import type { Outcomes } from "./record.ts";
@@ -83,7 +87,7 @@
   }));
   readonly #shares = new Shares();
   readonly #turns = new DeferredTurns();
-  readonly #backlogs = new PeerBacklogs();
+  readonly #backlogs: PeerBacklogs;
   readonly #rooms = new PeerRooms();
   readonly #announcer: Announcer;
   readonly #drain = new DrainRate(0);
@@ -98,6 +102,8 @@
   constructor(world: World, id: string) {
     this.#world = world;
     this.id = id;
+    const random = new Random(world.instances.length + 1);
+    this.#backlogs = new PeerBacklogs(() => random.unit());
     this.#announcer = new Announcer(world.parameters);
     this.#headroom = { ...noResources, slots: world.parameters.headroom };
     this.#shares.setCapacity({ ...noResources, slots: SLOTS });
@@ -283,7 +289,7 @@
   *#candidates(): Generator<Candidate> {
     if (this.pool.totals().free.slots < 1) return;
     yield* this.#queue.heads();
-    yield* this.#backlogs.candidates();
+    yield* this.#backlogs.candidates(this.#nowMs);
   }
 
   #startOwn(item: Item): void {
@@ -418,6 +424,7 @@
   #announce(): void {
     if (!this.alive || this.#nowMs < this.#announcer.dueAtMs) return;
     this.#announcer.sent(this.#nowMs);
+    if (this.#urgentWaiting > 0) this.#renewLater();
     const news = this.#news();
     for (const peer of this.#world.instances) {
       if (peer === this || !peer.alive) continue;
@@ -428,6 +435,13 @@
     }
   }
 
+  /** Urgent work is announced again as long as it waits. */
+  #renewLater(): void {
+    this.#world.events.after(URGENT_NEWS_MS, () => {
+      if (this.#urgentWaiting > 0) this.#note("pressing");
+    });
+  }
+
   #news(): News {
     return {
       backlogs: this.#queue.summary(this.#nowMs),
