Serve the whole path by separate processes

Cause: nothing had run end to end. Also mended: a team without running work kept its last usage in the shares.

--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -72,6 +72,8 @@
   readonly #options: MatchingOptions;
   readonly #startables = new Map<string, Startable>();
   readonly #blocked = new Map<string, number>();
+  /** Teams that are charged for something. */
+  #charged = new Set<string>();
   readonly #turns = new DeferredTurns();
   #sequence = 0;
   #lastNews = "";
@@ -213,16 +215,21 @@
     this.#options.queue.remove(waiting.id);
     const startable = this.#startables.get(waiting.id);
     this.#startables.delete(waiting.id);
-    this.#options.shares.charge(waiting.team, waiting.need);
+    this.#charge(waiting);
     startable?.start(target);
     return true;
   }
 
+  #charge({ team, need }: Pick<Candidate, "team" | "need">): void {
+    this.#options.shares.charge(team, need);
+    this.#charged.add(team);
+  }
+
   #offerRoom(candidate: RemoteCandidate): boolean {
-    const { placement, shares } = this.#options;
-    const { team, need } = candidate;
+    const { placement } = this.#options;
+    const { need } = candidate;
     this.neighbours.offered(candidate);
-    shares.charge(team, need);
+    this.#charge(candidate);
     if (candidate.urgency === "deferred") {
       void this.#offerReserved(candidate);
       return true;
@@ -287,7 +294,11 @@
     for (const [team, used] of placement.usage()) {
       usage.set(team, add(usage.get(team) ?? noResources, used));
     }
+    for (const team of this.#charged) {
+      if (!usage.has(team)) shares.setUsage(team, noResources);
+    }
     for (const [team, used] of usage) shares.setUsage(team, used);
+    this.#charged = new Set(usage.keys());
     shares.setCapacity(add(pool.totals().capacity, this.neighbours.capacity()));
   }
 
--- a/src/controllers/neighbours.ts
+++ b/src/controllers/neighbours.ts
@@ -87,7 +87,9 @@
     for (const [holder, known] of this.#fresh(nowMs)) {
       const { receivedAtMs } = known;
       for (const lane of known.backlog.values()) {
-        if (lane.count > 0) yield candidateOf(lane, { holder, receivedAtMs });
+        if (lane.count > 0) {
+          yield candidateOf(lane, { holder, receivedAtMs, jitterMs: 0 });
+        }
       }
     }
   }
--- /dev/null
+++ b/testbed/processes.ts
@@ -0,0 +1,115 @@
+/**
+ * Starts the stand-ins and daemons of a testbed as processes of this machine.
+ *
+ * @module
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createServer } from "node:net";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+
+/** A started process. */
+export interface StartedProcess {
+  readonly child: ChildProcess;
+  /** Lines that it has written to standard error, the last ones. */
+  readonly log: string[];
+}
+
+const MAX_LOG_LINES = 20_000;
+const READY_TIMEOUT_MS = 15_000;
+
+/** Folder of the built files. */
+const built = new URL("../", import.meta.url);
+
+/** Starts a built script. */
+export function startScript(
+  script: string,
+  args: readonly string[],
+): StartedProcess {
+  const file = fileURLToPath(new URL(script, built));
+  const child = spawn(process.execPath, [file, ...args], {
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  const log: string[] = [];
+  child.stderr?.setEncoding("utf8").on("data", (text: string) => {
+    log.push(...text.split("\n").filter((line) => line !== ""));
+    if (log.length > MAX_LOG_LINES) log.splice(0, log.length - MAX_LOG_LINES);
+  });
+  return { child, log };
+}
+
+/** Waits for the line in which a stand-in says where it listens. */
+export function announced(
+  { child, log }: StartedProcess,
+): Promise<Record<string, string>> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(
+      () => reject(new StartFailure(log)),
+      READY_TIMEOUT_MS,
+    );
+    child.once("exit", () => reject(new StartFailure(log)));
+    child.stdout?.setEncoding("utf8").on("data", (text: string) => {
+      const line = text.split("\n").find((part) =>
+        part.startsWith("listening ")
+      );
+      if (line === undefined) return;
+      clearTimeout(timer);
+      resolve(Object.fromEntries(pairsOf(line)));
+    });
+  });
+}
+
+/** Ends a process and waits for its exit. */
+export function ended(
+  { child }: StartedProcess,
+  signal: "SIGTERM" | "SIGKILL" = "SIGTERM",
+): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return Promise.resolve();
+  }
+  return new Promise((resolve) => {
+    child.once("exit", () => resolve());
+    child.kill(signal);
+  });
+}
+
+/** Ports of this machine that are free now. */
+export async function freePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from({ length: count }, () => openServer()),
+  );
+  const ports = servers.map(({ port }) => port);
+  await Promise.all(
+    servers.map(({ server }) =>
+      new Promise((resolve) => server.close(resolve))
+    ),
+  );
+  return ports;
+}
+
+/** A process of the testbed did not start. */
+export class StartFailure extends Error {
+  readonly type = "startFailure";
+
+  constructor(log: readonly string[]) {
+    super(`a process did not start: ${log.slice(-5).join(" | ")}`);
+  }
+}
+
+function openServer() {
+  const server = createServer();
+  return new Promise<{ server: typeof server; port: number }>((resolve) => {
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      const port = typeof address === "object" ? address?.port ?? 0 : 0;
+      resolve({ server, port });
+    });
+  });
+}
+
+function pairsOf(line: string): [string, string][] {
+  return line.trim().split(" ").slice(1).map((pair) => {
+    const [name = "", value = ""] = pair.split("=");
+    return [name, value];
+  });
+}
