--- /dev/null
+++ b/bench/faults.ts
@@ -0,0 +1,250 @@
+/**
+ * Daemons as processes under load while an instance is killed, one is paused,
+ * a worker's connections go silent and the key-value service goes away; the
+ * stand-ins' records are checked at the end.
+ *
+ * @module
+ */
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { call } from "../testbed/http.ts";
+import { checkRecords, type WorkerRecord } from "../testbed/checker.ts";
+import { Load } from "../testbed/load.ts";
+import { smallSet } from "../testbed/small_set.ts";
+import { type Node, pause, Testbed } from "../testbed/testbed.ts";
+import { Random } from "./random.ts";
+import type { Results } from "./results.ts";
+
+const INSTANCES = 8;
+const WORKERS = 30;
+const CAPACITY = {
+  cpuMillis: 64_000,
+  memoryMib: 262_144,
+  accelerators: 0,
+  slots: 8,
+};
+const LIMITS = { counter: 60, billing: 80 };
+const DURATION_MS = 45_000;
+const SETTLE_MS = 60_000;
+const REQUEST_NEED = {
+  cpuMillis: 1_000,
+  memoryMib: 1_024,
+  accelerators: 0,
+  slots: 1,
+};
+
+/** One fault and when it strikes. */
+interface Fault {
+  readonly name: string;
+  readonly atMs: number;
+  readonly strike: (bed: Testbed) => Promise<void>;
+}
+
+/** The faults of the run in order. */
+const faults: readonly Fault[] = [
+  {
+    name: "kill",
+    atMs: 5_000,
+    strike: (bed) => bed.kill(bed.nodes[0]!),
+  },
+  { name: "pause", atMs: 10_000, strike: (bed) => pauseNode(bed, 1) },
+  {
+    name: "silent_worker",
+    atMs: 15_000,
+    strike: async (bed) => {
+      const path = "/control/worker-3";
+      await bed.control(bed.workersControl, path, { silent: true });
+    },
+  },
+  {
+    name: "restart",
+    atMs: 18_000,
+    strike: (bed) => {
+      bed.restart(bed.nodes[0]!);
+      return Promise.resolve();
+    },
+  },
+  {
+    name: "store_outage",
+    atMs: 22_000,
+    strike: async (bed) => {
+      await bed.control(bed.storeControl, "/control", { outage: "refuse" });
+    },
+  },
+  {
+    name: "kill_in_outage",
+    atMs: 26_000,
+    strike: (bed) => bed.kill(bed.nodes[2]!),
+  },
+  {
+    name: "store_back",
+    atMs: 34_000,
+    strike: async (bed) => {
+      await bed.control(bed.storeControl, "/control", { outage: false });
+    },
+  },
+  {
+    name: "lost_answers",
+    atMs: 38_000,
+    strike: async (bed) => {
+      await bed.control(bed.storeControl, "/control", {
+        loseAnswers: { next: 10 },
+      });
+    },
+  },
+];
+
+/** Runs the bench. */
+export async function benchFaults(
+  results: Results,
+  seed: number,
+): Promise<void> {
+  const set = smallSet({ limits: LIMITS });
+  const bed = await Testbed.start({
+    instances: INSTANCES,
+    workers: WORKERS,
+    zones: ["zone-1", "zone-2", "zone-3"],
+    workerArguments: ["--report-lag-ms", "200"],
+    listLagMs: 1_000,
+    set: set.text,
+  });
+  try {
+    await run(results, { bed, keys: set.keys, random: drawsOf(seed) });
+  } finally {
+    keepLogs(bed);
+    await bed.stop();
+  }
+}
+
+/** Keeps the daemons' logs where the environment asks for them. */
+function keepLogs(bed: Testbed): void {
+  const folder = process.env.FAULTS_LOGS;
+  if (folder === undefined) return;
+  for (const node of bed.nodes) {
+    const text = node.process.log.join("\n");
+    writeFileSync(join(folder, `${node.name}.log`), text);
+  }
+}
+
+async function run(
+  results: Results,
+  { bed, keys, random }: {
+    readonly bed: Testbed;
+    readonly keys: Readonly<Record<string, string>>;
+    readonly random: () => number;
+  },
+): Promise<void> {
+  const load = new Load({
+    nodes: bed.nodes,
+    keys,
+    requestsPerSecond: 300,
+    worksPerSecond: 6,
+    workMs: 80,
+    taskMs: 1_500,
+    durationMs: DURATION_MS,
+    random,
+  });
+  const timers = faults.map(({ name, atMs, strike }) =>
+    setTimeout(() => {
+      results.line(`fault_${name}_at_ms`, atMs);
+      void strike(bed);
+    }, atMs)
+  );
+  await load.run();
+  for (const timer of timers) clearTimeout(timer);
+  const unfinished = await settle(bed, load, keys);
+  const { workers } = await bed.workerRecords() as {
+    workers: readonly WorkerRecord[];
+  };
+  const violations = checkRecords({
+    load,
+    records: workers,
+    capacity: CAPACITY,
+    requestNeeds: {
+      "receipt-print": REQUEST_NEED,
+      "recipe-check": REQUEST_NEED,
+    },
+    limits: LIMITS,
+    requestTeam: "counter",
+    unfinished,
+  });
+  report(results, load, unfinished);
+  for (const [name, count] of Object.entries(violations)) {
+    results.atMost(name, count, 0);
+  }
+}
+
+function report(
+  results: Results,
+  load: Load,
+  unfinished: readonly string[],
+): void {
+  const outcomes = new Map<string, number>();
+  for (const { outcome, reason } of load.requests) {
+    const name = reason === undefined ? outcome : `${outcome}_${reason}`;
+    outcomes.set(name, (outcomes.get(name) ?? 0) + 1);
+  }
+  results.line("requests", load.requests.length);
+  for (const [name, count] of outcomes) results.line(`outcome_${name}`, count);
+  results.line("works", load.works.length);
+  for (const [name, count] of load.refusedWorks) {
+    results.line(`work_refused_${name}`, count);
+  }
+  for (const id of unfinished.slice(0, 5)) results.line("unfinished", id);
+}
+
+/** Waits for the works to end; gives those that did not. */
+async function settle(
+  bed: Testbed,
+  load: Load,
+  keys: Readonly<Record<string, string>>,
+): Promise<string[]> {
+  const until = Date.now() + SETTLE_MS;
+  let open = load.works.map(({ id }) => id);
+  while (open.length > 0 && Date.now() < until) {
+    open = (await Promise.all(open.map((id) => ended(bed, id, keys))))
+      .flatMap((id) => id ?? []);
+    if (open.length > 0) await pause(1_000);
+  }
+  return open;
+}
+
+/** The id if the work has not ended. */
+async function ended(
+  bed: Testbed,
+  id: string,
+  keys: Readonly<Record<string, string>>,
+): Promise<string | undefined> {
+  const node = living(bed)[0]!;
+  try {
+    const reply = await call(node.callers, {
+      path: `/v1/work/${id}`,
+      headers: { authorization: `Bearer ${keys.billing}` },
+    });
+    const { status } = JSON.parse(reply.body) as { status?: string };
+    return status === "finished" || status === "parked" ? undefined : id;
+  } catch {
+    return id;
+  }
+}
+
+function drawsOf(seed: number): () => number {
+  const draws = new Random(seed);
+  return () => draws.unit();
+}
+
+function living(bed: Testbed): Node[] {
+  return bed.nodes.filter(({ process }) =>
+    process.child.exitCode === null && process.child.signalCode === null
+  );
+}
+
+const PAUSE_MS = 9_000;
+
+async function pauseNode(bed: Testbed, index: number): Promise<void> {
+  const { child } = bed.nodes[index]!.process;
+  child.kill("SIGSTOP");
+  await pause(PAUSE_MS);
+  child.kill("SIGCONT");
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,22 +6,24 @@
  */
 import { Command } from "commander";
 import { benchDecisions } from "./decisions.ts";
+import { benchFaults } from "./faults.ts";
 import { benchPacking } from "./packing.ts";
 import { Results } from "./results.ts";
 import { benchShares } from "./shares.ts";
 import { benchWaiting } from "./waiting.ts";
 
 /** A bench fills in its results from a seed. */
-export type Bench = (results: Results, seed: number) => void;
+export type Bench = (results: Results, seed: number) => void | Promise<void>;
 
 const benches: Readonly<Record<string, Bench>> = {
   decisions: benchDecisions,
+  faults: benchFaults,
   packing: benchPacking,
   shares: benchShares,
   waiting: benchWaiting,
 };
 
-function main(): void {
+async function main(): Promise<void> {
   const command = new Command("bench")
     .argument("<name>", `one of ${Object.keys(benches).join(", ")}`)
     .option("--seed <number>", "seed of all random numbers", Number, 1)
@@ -35,8 +37,8 @@
   const results = new Results();
   results.line("bench", name!);
   results.line("seed", seed);
-  bench(results, seed);
+  await bench(results, seed);
   results.end();
 }
 
-main();
+await main();
--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -138,9 +138,9 @@
   schedule(): void {
     if (this.#scheduled || this.#stopped) return;
     this.#scheduled = true;
-    queueMicrotask(() => {
+    setImmediate(() => {
       this.#scheduled = false;
-      this.#pump();
+      if (!this.#stopped) this.#pump();
     });
   }
 
@@ -163,9 +163,9 @@
 
   /** Gives one free room of this instance away; `false` if there is none or nobody for it. */
   #giveRoom(): boolean {
-    const { pool } = this.#options;
+    const { placement, pool } = this.#options;
     if (pool.totals().free.slots <= 0) return false;
-    const hasRoom = (need: Resources) => pool.place(need) !== undefined;
+    const hasRoom = (need: Resources) => placement.findRoom(need) !== undefined;
     const chosen = this.#choose(this.#allCandidates(), hasRoom);
     if (chosen === undefined) return false;
     if ("holder" in chosen) return this.#offerRoom(chosen as RemoteCandidate);
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -140,18 +140,27 @@
     return false;
   }
 
-  /** Takes room for one task or request; the caller holds it from then on. */
-  takeRoom(
+  /** Where a task or request could be placed now; nothing is taken. */
+  findRoom(
     need: Resources,
-    avoid: readonly string[],
+    avoid: readonly string[] = [],
   ): Place | undefined {
     const { authority, pool, workers } = this.#options;
     if (!authority.inContact()) return undefined;
     const worker = pool.place(need, { avoid: new Set(avoid) });
     if (worker === undefined) return undefined;
     const fence = workers.fence(worker);
-    if (fence === undefined || !pool.take(worker, need)) return undefined;
-    return { worker, fence };
+    return fence === undefined ? undefined : { worker, fence };
+  }
+
+  /** Takes room for one task or request; the caller holds it from then on. */
+  takeRoom(
+    need: Resources,
+    avoid: readonly string[],
+  ): Place | undefined {
+    const place = this.findRoom(need, avoid);
+    if (place === undefined) return undefined;
+    return this.#options.pool.take(place.worker, need) ? place : undefined;
   }
 
   /** Gives back room and allowance that were reserved and not used. */
--- a/testbed/processes.ts
+++ b/testbed/processes.ts
@@ -15,7 +15,7 @@
   readonly log: string[];
 }
 
-const MAX_LOG_LINES = 20_000;
+const MAX_LOG_LINES = 100_000;
 const READY_TIMEOUT_MS = 15_000;
 
 /** Folder of the built files. */
