Read what arrived during a pause before giving a connection up

A paused process found its deadlines due before it had read the answers that waited in its sockets, and destroyed connections that had answered. The deadline now leaves one short interval to read.

--- a/src/adapters/exchange.ts
+++ b/src/adapters/exchange.ts
@@ -48,6 +48,9 @@
   readonly maxAnswerBytes: number;
 }
 
+/** Time after the deadline in which answers that have arrived are read. */
+const LAST_READ_MS = 20;
+
 type Settle = (outcome: Result<WholeAnswer, ExchangeFailure>) => void;
 
 /** Sends a request, once, and waits for the whole answer. */
@@ -95,6 +98,7 @@
   #progressAt: number;
   #deadline: Timer;
   #settled = false;
+  #overdue = false;
   #status = 0;
   #headers: Readonly<Record<string, string>> = {};
   #chunks: Buffer[] = [];
@@ -167,12 +171,14 @@
 
   #progress(): void {
     this.#progressAt = this.#options.clock.monotonic();
+    this.#overdue = false;
   }
 
   #arm(delayMs: number): Timer {
     return this.#options.clock.after(delayMs, () => this.#checkProgress());
   }
 
+  /** A process that was paused finds its timers due before it has read what arrived meanwhile. */
   #checkProgress(): void {
     const { clock, timeoutMs } = this.#options;
     const leftMs = this.#progressAt + timeoutMs - clock.monotonic();
@@ -180,6 +186,11 @@
       this.#deadline = this.#arm(leftMs);
       return;
     }
+    if (!this.#overdue) {
+      this.#overdue = true;
+      this.#deadline = this.#arm(LAST_READ_MS);
+      return;
+    }
     const message = `no progress for ${timeoutMs} ms`;
     const sent = this.#controller !== undefined;
     this.#giveUp({ type: sent ? "silent" : "notSent", message });
