--- a/src/policy/choice.ts
+++ b/src/policy/choice.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Resources, Urgency } from "../types.ts";
+import { byDueThenArrival } from "./order.ts";
 import type { Shares } from "./shares.ts";
 import type { Backlog } from "./waiting.ts";
 
@@ -29,7 +30,7 @@
 export interface ChoiceOptions {
   readonly shares: Pick<Shares, "rank" | "fairRank">;
   /** Whether a need can be placed now. */
-  readonly hasRoom: (need: Resources) => boolean;
+  readonly hasRoom: (need: Resources, urgency: Urgency) => boolean;
   readonly nowMs: number;
   /** Counts the starts owed to deferred work; without it urgent work always goes first. */
   readonly turns?: DeferredTurns;
@@ -44,6 +45,11 @@
 export const SLACK_MS = 5_000;
 /** Deferred work that has waited longer than this counts as aged. */
 export const AGED_MS = 60_000;
+/** How much older than its own work a peer's work has to be before an instance prefers it. */
+export const HANDOVER_MS: Readonly<Record<Urgency, number>> = {
+  urgent: 5,
+  deferred: 1_000,
+};
 /** Part of the starts that late deferred work gets while urgent work waits. */
 const LATE_PART = 0.1;
 /** Part of the starts that aged deferred work gets while urgent work waits. */
@@ -65,18 +71,24 @@
   }
 }
 
-/** Turns a peer's backlog into a candidate. */
+/** Turns a peer's backlog into a candidate; it counts as younger than it is, so that work moves only if that helps. */
 export function candidateOf(
   backlog: Backlog,
-  options: { readonly holder: string; readonly receivedAtMs: number },
+  options: {
+    readonly holder: string;
+    readonly receivedAtMs: number;
+    /** Added to the handover time, so that instances do not all ask the same holder. */
+    readonly jitterMs: number;
+  },
 ): PeerCandidate {
-  const { holder, receivedAtMs } = options;
+  const { holder, receivedAtMs, jitterMs } = options;
   const { dueInMs, oldestArrivedAgoMs, ...rest } = backlog;
+  const originMs = receivedAtMs + HANDOVER_MS[backlog.urgency] + jitterMs;
   return {
     ...rest,
     holder,
-    arrivedAtMs: receivedAtMs - oldestArrivedAgoMs,
-    ...(dueInMs === undefined ? {} : { dueAtMs: receivedAtMs + dueInMs }),
+    arrivedAtMs: originMs - oldestArrivedAgoMs,
+    ...(dueInMs === undefined ? {} : { dueAtMs: originMs + dueInMs }),
   };
 }
 
@@ -95,11 +107,11 @@
   urgent: T | undefined;
   deferred: T | undefined;
   readonly #options: ChoiceOptions;
-  readonly #fairStep: number;
+  readonly #fairRank: number;
 
   constructor(options: ChoiceOptions) {
     this.#options = options;
-    this.#fairStep = stepOf(options.shares.fairRank());
+    this.#fairRank = options.shares.fairRank();
   }
 
   /** Pressure of the best deferred candidate. */
@@ -111,8 +123,9 @@
 
   offer(candidate: T): void {
     const best = this[candidate.urgency];
-    const better = best === undefined || this.#precedes(candidate, best);
-    if (!better || !this.#options.hasRoom(candidate.need)) return;
+    if (best !== undefined && !this.#precedes(candidate, best)) return;
+    const { need, urgency } = candidate;
+    if (!this.#options.hasRoom(need, urgency)) return;
     this[candidate.urgency] = candidate;
   }
 
@@ -122,20 +135,20 @@
     if (dueA !== dueB) return dueA < dueB;
     const stepA = this.#step(a);
     const stepB = this.#step(b);
-    return stepA === stepB ? comesFirst(a, b) : stepA < stepB;
+    return stepA === stepB ? byDueThenArrival(a, b) < 0 : stepA < stepB;
   }
 
   /** Due time of late deferred work of a team within its share; infinite for all else. */
   #priorityDue(candidate: T): number {
     if (candidate.urgency === "urgent") return Infinity;
     if (pressureOf(candidate, this.#options.nowMs) !== "late") return Infinity;
-    return this.#step(candidate) <= this.#fairStep
-      ? candidate.dueAtMs!
-      : Infinity;
+    return this.#step(candidate) === 0 ? candidate.dueAtMs! : Infinity;
   }
 
+  /** How far the team is above its share; 0 within it. */
   #step(candidate: T): number {
-    return stepOf(this.#options.shares.rank(candidate.team));
+    const excess = this.#options.shares.rank(candidate.team) - this.#fairRank;
+    return Math.max(0, Math.ceil(excess / RANK_STEP));
   }
 }
 
@@ -166,13 +179,3 @@
   if (slackMs <= SLACK_MS) return "late";
   return nowMs - candidate.arrivedAtMs > AGED_MS ? "aged" : "none";
 }
-
-function comesFirst(a: Candidate, b: Candidate): boolean {
-  const dueA = a.dueAtMs ?? Infinity;
-  const dueB = b.dueAtMs ?? Infinity;
-  return dueA === dueB ? a.arrivedAtMs < b.arrivedAtMs : dueA < dueB;
-}
-
-function stepOf(rank: number): number {
-  return Math.floor(rank / RANK_STEP);
-}
--- a/src/policy/waiting.ts
+++ b/src/policy/waiting.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Resources, Urgency } from "../types.ts";
 import { Heap } from "./heap.ts";
+import { byDueThenArrival } from "./order.ts";
 
 /** One request or task that waits. Times are monotonic milliseconds of its holder. */
 export interface Waiting {
@@ -121,6 +122,11 @@
     return this.#items.get(id);
   }
 
+  /** Everything that waits, in no particular order. */
+  all(): IterableIterator<Waiting> {
+    return this.#items.values();
+  }
+
   /** The first item of each team and workload that the filter lets through. */
   *heads(filter: LaneFilter = {}): Generator<Waiting> {
     for (const lane of this.#lanes.values()) {
@@ -201,11 +207,9 @@
   }
 }
 
-/** Order within a team and workload: first due, then first come. */
+/** Order within a team and workload. */
 function precedes(a: Waiting, b: Waiting): boolean {
-  const dueA = a.dueAtMs ?? Infinity;
-  const dueB = b.dueAtMs ?? Infinity;
-  return dueA === dueB ? a.arrivedAtMs < b.arrivedAtMs : dueA < dueB;
+  return byDueThenArrival(a, b) < 0;
 }
 
 function backlogOf(lane: Lane, nowMs: number): Backlog {
