--- a/src/adapters/etcd_watch.ts
+++ b/src/adapters/etcd_watch.ts
@@ -6,13 +6,14 @@
  */
 import { Buffer } from "node:buffer";
 import { Client, type Dispatcher } from "undici";
-import type { Clock, Timer } from "../clock.ts";
+import type { Clock } from "../clock.ts";
 import type { StoreFailure } from "../errors.ts";
 import type { Watch, Watcher } from "../ports/store.ts";
 import { decodeJson } from "./decoding.ts";
 import { protocolFailure, refusalFailure } from "./etcd_failures.ts";
 import { changeOf, prefixRange, WatchLine } from "./etcd_messages.ts";
 import { dispatchOptions } from "./exchange.ts";
+import { ProgressDeadline } from "./progress_deadline.ts";
 
 /** Settings of a watch. */
 export interface EtcdWatchOptions {
@@ -41,7 +42,7 @@
   readonly #options: EtcdWatchOptions;
   readonly #watcher: Watcher;
   readonly #client: Client;
-  #idle: Timer;
+  readonly #idle: ProgressDeadline;
   #ended = false;
   #sent = false;
   #status = 0;
@@ -53,7 +54,11 @@
     this.#client = new Client(`http://${options.address}`, {
       connectTimeout: options.connectTimeoutMs,
     });
-    this.#idle = this.#armIdle();
+    this.#idle = new ProgressDeadline({
+      clock: options.clock,
+      timeoutMs: options.idleTimeoutMs,
+      expired: () => this.#expire(),
+    });
     this.#client.dispatch(dispatchOptions(watchRequest(target)), this);
   }
 
@@ -70,11 +75,11 @@
 
   onResponseStart(_: Dispatcher.DispatchController, status: number): void {
     this.#status = status;
-    this.#heard();
+    this.#idle.progress();
   }
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.#heard();
+    this.#idle.progress();
     this.#rest = Buffer.concat([this.#rest, chunk]);
     if (this.#status !== OK_STATUS) return;
     this.#takeLines();
@@ -127,18 +132,10 @@
     if (changes.length > 0) this.#watcher.changed(changes);
   }
 
-  #heard(): void {
-    this.#idle.cancel();
-    if (!this.#ended) this.#idle = this.#armIdle();
-  }
-
-  #armIdle(): Timer {
-    const { clock, idleTimeoutMs } = this.#options;
-    return clock.after(idleTimeoutMs, () => {
-      const message = `no message for ${idleTimeoutMs} ms`;
-      const type = this.#sent ? "storeAnswerLost" : "storeUnreachable";
-      this.#end({ type, message });
-    });
+  #expire(): void {
+    const message = `no message for ${this.#options.idleTimeoutMs} ms`;
+    const type = this.#sent ? "storeAnswerLost" : "storeUnreachable";
+    this.#end({ type, message });
   }
 
   #end(failure: StoreFailure): void {
--- a/src/adapters/exchange.ts
+++ b/src/adapters/exchange.ts
@@ -7,7 +7,8 @@
 import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
-import type { Clock, Timer } from "../clock.ts";
+import type { Clock } from "../clock.ts";
+import { ProgressDeadline } from "./progress_deadline.ts";
 
 /** A request as it is sent. */
 export interface ExchangeRequest {
@@ -48,9 +49,6 @@
   readonly maxAnswerBytes: number;
 }
 
-/** Time after the deadline in which answers that have arrived are read. */
-const LAST_READ_MS = 20;
-
 type Settle = (outcome: Result<WholeAnswer, ExchangeFailure>) => void;
 
 /** Sends a request, once, and waits for the whole answer. */
@@ -95,10 +93,8 @@
   readonly #request: ExchangeRequest;
   readonly #options: ExchangeOptions & { readonly settle: Settle };
   #controller: Dispatcher.DispatchController | undefined;
-  #progressAt: number;
-  #deadline: Timer;
+  readonly #deadline: ProgressDeadline;
   #settled = false;
-  #overdue = false;
   #status = 0;
   #headers: Readonly<Record<string, string>> = {};
   #chunks: Buffer[] = [];
@@ -110,8 +106,10 @@
   ) {
     this.#request = request;
     this.#options = options;
-    this.#progressAt = options.clock.monotonic();
-    this.#deadline = this.#arm(options.timeoutMs);
+    this.#deadline = new ProgressDeadline({
+      ...options,
+      expired: () => this.#expire(),
+    });
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -120,7 +118,7 @@
       throw new Error("a request is never sent twice");
     }
     this.#controller = controller;
-    this.#progress();
+    this.#deadline.progress();
   }
 
   onResponseStart(
@@ -128,13 +126,13 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    this.#progress();
+    this.#deadline.progress();
     this.#status = status;
     this.#headers = flattenHeaders(headers);
   }
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.#progress();
+    this.#deadline.progress();
     this.#bytes += chunk.length;
     this.#chunks.push(chunk);
     const limitBytes = this.#options.maxAnswerBytes;
@@ -169,29 +167,8 @@
       "transfer-encoding" in this.#headers;
   }
 
-  #progress(): void {
-    this.#progressAt = this.#options.clock.monotonic();
-    this.#overdue = false;
-  }
-
-  #arm(delayMs: number): Timer {
-    return this.#options.clock.after(delayMs, () => this.#checkProgress());
-  }
-
-  /** A process that was paused finds its timers due before it has read what arrived meanwhile. */
-  #checkProgress(): void {
-    const { clock, timeoutMs } = this.#options;
-    const leftMs = this.#progressAt + timeoutMs - clock.monotonic();
-    if (leftMs > 0) {
-      this.#deadline = this.#arm(leftMs);
-      return;
-    }
-    if (!this.#overdue) {
-      this.#overdue = true;
-      this.#deadline = this.#arm(LAST_READ_MS);
-      return;
-    }
-    const message = `no progress for ${timeoutMs} ms`;
+  #expire(): void {
+    const message = `no progress for ${this.#options.timeoutMs} ms`;
     const sent = this.#controller !== undefined;
     this.#giveUp({ type: sent ? "silent" : "notSent", message });
   }
--- a/standins/store/faults.ts
+++ b/standins/store/faults.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as t from "io-ts";
+import type { Outage } from "../common/endpoint.ts";
 
 /** Body of POST /control; what is left out stays as it is. */
 export const Control = t.partial({
@@ -27,7 +28,7 @@
 export class Faults {
   latencyMs: number;
   slowMs = 0;
-  outage: "refuse" | "hang" | false = false;
+  outage: Outage = false;
   pauseLeases = false;
   silentWatches = false;
   #loseNext = 0;
--- a/standins/worker/record.ts
+++ b/standins/worker/record.ts
@@ -91,6 +91,11 @@
     this.#refusals = new BoundedLog(limits.refusals);
   }
 
+  /** Requests that have come in. */
+  get requestCount(): number {
+    return this.#requestCount;
+  }
+
   /** Keeps the start of a request. */
   requestStarted(entry: RequestEntry): void {
     this.#requestCount += 1;
--- a/standins/worker/worker.ts
+++ b/standins/worker/worker.ts
@@ -136,6 +136,11 @@
     if (control.refuse === false) await this.#endpoint.listen();
   }
 
+  /** Requests that have come in. */
+  get requestCount(): number {
+    return this.#record.requestCount;
+  }
+
   /** What really happened, as a JSON object. */
   report(): unknown {
     return {
