--- a/src/adapters/exchange.ts
+++ b/src/adapters/exchange.ts
@@ -7,7 +7,8 @@
 import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
-import type { Clock, Timer } from "../clock.ts";
+import type { Clock } from "../clock.ts";
+import { ProgressDeadline } from "./progress_deadline.ts";
 
 /** A request as it is sent. */
 export interface ExchangeRequest {
@@ -92,8 +93,7 @@
   readonly #request: ExchangeRequest;
   readonly #options: ExchangeOptions & { readonly settle: Settle };
   #controller: Dispatcher.DispatchController | undefined;
-  #progressAt: number;
-  #deadline: Timer;
+  readonly #deadline: ProgressDeadline;
   #settled = false;
   #status = 0;
   #headers: Readonly<Record<string, string>> = {};
@@ -106,8 +106,10 @@
   ) {
     this.#request = request;
     this.#options = options;
-    this.#progressAt = options.clock.monotonic();
-    this.#deadline = this.#arm(options.timeoutMs);
+    this.#deadline = new ProgressDeadline({
+      ...options,
+      expired: () => this.#expire(),
+    });
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -116,7 +118,7 @@
       throw new Error("a request is never sent twice");
     }
     this.#controller = controller;
-    this.#progress();
+    this.#deadline.progress();
   }
 
   onResponseStart(
@@ -124,13 +126,13 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    this.#progress();
+    this.#deadline.progress();
     this.#status = status;
     this.#headers = flattenHeaders(headers);
   }
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.#progress();
+    this.#deadline.progress();
     this.#bytes += chunk.length;
     this.#chunks.push(chunk);
     const limitBytes = this.#options.maxAnswerBytes;
@@ -165,22 +167,8 @@
       "transfer-encoding" in this.#headers;
   }
 
-  #progress(): void {
-    this.#progressAt = this.#options.clock.monotonic();
-  }
-
-  #arm(delayMs: number): Timer {
-    return this.#options.clock.after(delayMs, () => this.#checkProgress());
-  }
-
-  #checkProgress(): void {
-    const { clock, timeoutMs } = this.#options;
-    const leftMs = this.#progressAt + timeoutMs - clock.monotonic();
-    if (leftMs > 0) {
-      this.#deadline = this.#arm(leftMs);
-      return;
-    }
-    const message = `no progress for ${timeoutMs} ms`;
+  #expire(): void {
+    const message = `no progress for ${this.#options.timeoutMs} ms`;
     const sent = this.#controller !== undefined;
     this.#giveUp({ type: sent ? "silent" : "notSent", message });
   }
