--- a/src/cli/failures.ts
+++ b/src/cli/failures.ts
@@ -105,6 +105,8 @@
         .join("\n");
     case "publishConflict":
       return `${failure.message}, published by ${failure.operator} at ${failure.at}`;
+    case "publishUnsettled":
+      return `${failure.message}; its id is ${failure.publishId}`;
     default:
       return failure.message;
   }
--- a/src/cli/set_edit.ts
+++ b/src/cli/set_edit.ts
@@ -26,23 +26,21 @@
   return `${text}${gap}[${object}]\n${lines.join("\n")}\n`;
 }
 
-/** Removes objects, from the header to before the next header. */
+/** Removes objects, from the header to the last field and a blank line after it. */
 export function removeObjects(
   text: string,
   objects: readonly string[],
 ): string {
   const lines = text.split("\n");
-  const { sections } = readDocument(text, "");
-  const removed = sections.flatMap((section, index) => {
-    if (!objects.includes(objectName(section))) return [];
-    const end = sections[index + 1]?.line ?? lines.length + 1;
-    return [{ start: section.line, end }];
-  });
-  return lines
-    .filter((_, index) =>
-      !removed.some(({ start, end }) => index + 1 >= start && index + 1 < end)
-    )
-    .join("\n");
+  const removed = new Set<number>();
+  for (const section of readDocument(text, "").sections) {
+    if (!objects.includes(objectName(section))) continue;
+    const last = section.fields.at(-1)?.line ?? section.line;
+    const isGap = last < lines.length - 1 && lines[last]?.trim() === "";
+    const end = isGap ? last + 1 : last;
+    for (let line = section.line; line <= end; line++) removed.add(line);
+  }
+  return lines.filter((_, index) => !removed.has(index + 1)).join("\n");
 }
 
 /** Sets a field of an object that is there. */
