Let the tool ask the instance of its settings file

With a daemon's settings file the tool had no instances to ask; it now takes the one of the file where none are set. A slow answer of the store is tested not to look fresh.

--- a/src/config.ts
+++ b/src/config.ts
@@ -101,11 +101,20 @@
 ): Result<ToolSettings, readonly Problem[]> {
   return readSections(text, { ...options, needed: TOOL_SECTIONS })
     .map((sections) => {
-      const { platform, operator, timing } = sections as Sections;
+      const { platform, timing } = sections as Sections;
+      const operator = withOwnInstance(sections as Sections);
       return { platform, operator, timing: asTiming(timing) };
     });
 }
 
+/** Where no instances are set, the tool asks the one of the file. */
+function withOwnInstance(
+  { operator, instance }: Pick<Sections, "operator"> & Partial<Sections>,
+): OperatorSettings {
+  if (operator.instances.length > 0 || instance === undefined) return operator;
+  return { ...operator, instances: [instance.advertise] };
+}
+
 function asSettings(sections: Sections): Settings {
   const { instance, platform, peers, operator, log, trace } = sections;
   return {
--- a/src/config_test.ts
+++ b/src/config_test.ts
@@ -36,6 +36,23 @@
   t.true(problems.every((found) => found.type === "missingField"));
 });
 
+const instanceCases = [
+  { name: "of the file", lines: LINES, instances: ["10.0.0.1:8080"] },
+  {
+    name: "that are set",
+    lines: [...LINES, "instances = a:1, b:2"],
+    instances: ["a:1", "b:2"],
+  },
+  { name: "none", lines: LINES.slice(7), instances: [] },
+];
+
+for (const { name, lines, instances } of instanceCases) {
+  test(`the tool asks instances: ${name}`, (t) => {
+    const settings = readToolSettings(lines.join("\n"), { file: "s.ini" });
+    t.deepEqual(settings._unsafeUnwrap().operator.instances, instances);
+  });
+}
+
 interface Fault {
   readonly name: string;
   /** Index of the line replaced. */
--- a/src/controllers/configuration_test.ts
+++ b/src/controllers/configuration_test.ts
@@ -188,6 +188,18 @@
   t.true(lone!.controller.ageMs() < 5_000);
 });
 
+test("a slow answer of the store does not look fresh", async (t) => {
+  const cell = new Cell();
+  const [node] = await cell.add(1);
+  await cell.publish(0);
+  node!.store.faults.latencyMs = 300;
+  await cell.clock.run(2_000, 50);
+  for (let step = 0; step < 100; step++) {
+    await cell.clock.run(50);
+    t.true(node!.controller.ageMs() >= 300);
+  }
+});
+
 test("a publication made during an outage comes into force after it", async (t) => {
   const cell = new Cell();
   const nodes = await cell.add(4);
--- a/src/settings_schemas.ts
+++ b/src/settings_schemas.ts
@@ -54,7 +54,8 @@
     instances: {
       unit: unit.addresses,
       fallback: "",
-      help: "Instances or their balancer, which the tool asks in turn.",
+      help:
+        "Instances or their balancer, which the tool asks in turn; the one of the file if empty.",
     },
   },
   log: {
