--- a/src/cli/report.ts
+++ b/src/cli/report.ts
@@ -4,6 +4,9 @@
  * @module
  */
 
+import type { Resources } from "../types.ts";
+import { ResourcesCodec } from "../wire/codecs.ts";
+
 /** The result of a command, for programs and for people. */
 export interface Report {
   readonly json: unknown;
@@ -15,6 +18,9 @@
 /** Gap between the columns of a table. */
 const GAP = "  ";
 
+const MILLIS_PER_CORE = 1000;
+const MIB_PER_GIB = 1024;
+
 /** Reports a value: objects as lines of fields, lists of objects as tables. */
 export function reportValue(json: unknown): Report {
   return { json, text: formatValue(json) };
@@ -57,6 +63,7 @@
 function formatCell(value: unknown): string {
   if (value === undefined || value === null) return "-";
   if (Array.isArray(value)) return value.map(formatCell).join(", ") || "-";
+  if (ResourcesCodec.is(value)) return formatResources(value);
   if (isRecord(value)) {
     return Object.entries(value)
       .map(([name, part]) => `${name}=${formatCell(part)}`)
@@ -65,6 +72,19 @@
   return String(value);
 }
 
+function formatResources(resources: Resources): string {
+  const { cpuMillis, memoryMib, accelerators, slots } = resources;
+  const parts = [`cpu=${cpuMillis / MILLIS_PER_CORE}`, formatMemory(memoryMib)];
+  if (accelerators > 0) parts.push(`accelerators=${accelerators}`);
+  return [...parts, `slots=${slots}`].join(" ");
+}
+
+function formatMemory(memoryMib: number): string {
+  return memoryMib > 0 && memoryMib % MIB_PER_GIB === 0
+    ? `memory=${memoryMib / MIB_PER_GIB}GiB`
+    : `memory=${memoryMib}MiB`;
+}
+
 function isRecord(value: unknown): value is Record<string, unknown> {
   return typeof value === "object" && value !== null && !Array.isArray(value);
 }
