--- a/src/cli/failures.ts
+++ b/src/cli/failures.ts
@@ -39,7 +39,7 @@
   | {
     readonly type: "workFailed";
     readonly message: string;
-    readonly state: string;
+    readonly status: string;
   };
 
 /** Exit codes of the tool. */
@@ -105,6 +105,8 @@
         .join("\n");
     case "publishConflict":
       return `${failure.message}, published by ${failure.operator} at ${failure.at}`;
+    case "publishUnsettled":
+      return `${failure.message}; its id is ${failure.publishId}`;
     default:
       return failure.message;
   }
