Tell the home when a holder holds less than the home may think

Cause: work adopted from a dead member raised the bound at the home through the survey; when it ended nothing was lowered on the holder's side, so nothing was said and the limit stayed short for good (test: holder dies, seen red). A refused take also asked the home again at once, without end, where the home answered locally; it now waits. Ruled out: late grants, which sequence numbers void.

--- a/src/controllers/limits.ts
+++ b/src/controllers/limits.ts
@@ -74,8 +74,6 @@
   readonly waiters: Waiter[];
   limited: boolean;
   asking: boolean;
-  /** Whether the home may think that this instance holds more than it does. */
-  untold: boolean;
   /** Most to keep while others wait. */
   keep: number;
   scarceUntilMs: number;
@@ -232,7 +230,8 @@
       return true;
     }
     const taken = holder.tryTake();
-    if (holder.spare <= LOW_WATER && !this.#scarce(account)) this.#ask(account);
+    const low = taken && holder.spare <= LOW_WATER;
+    if (low && !this.#scarce(account)) this.#ask(account);
     return taken;
   }
 
@@ -310,7 +309,6 @@
     if (answer.isErr() || answer.value.type !== "granted") return false;
     if (!account.holder.accept(answer.value)) return false;
     account.homeAnswered = true;
-    account.untold = false;
     return true;
   }
 
@@ -318,8 +316,9 @@
   #trim(account: Account, keep: number): void {
     const { holder, waiters } = account;
     const useful = holder.running + waiters.length;
-    if (holder.lowerTo(Math.min(useful, keep))) account.untold = true;
-    if (account.untold) this.#exchange(account, 0);
+    const lowered = holder.lowerTo(Math.min(useful, keep));
+    const overstated = holder.overstated && !account.asking;
+    if (lowered || overstated) this.#exchange(account, 0);
   }
 
   #scarce(account: Account): boolean {
@@ -337,7 +336,7 @@
     const idleMs = this.#now() - account.usedAtMs;
     const { holder } = account;
     const idle = idleMs >= IDLE_RETURN_MS && holder.spare > 0;
-    if (idle || account.untold) this.#trim(account, holder.granted);
+    if (idle || holder.overstated) this.#trim(account, holder.granted);
   }
 
   #account(team: string): Account {
@@ -349,7 +348,6 @@
       waiters: [],
       limited: this.#limits.has(team),
       asking: false,
-      untold: false,
       keep: Infinity,
       scarceUntilMs: -Infinity,
       usedAtMs: this.#now(),
--- a/src/state/allowance.ts
+++ b/src/state/allowance.ts
@@ -42,6 +42,8 @@
   #seq = 0;
   #granted = 0;
   #running = 0;
+  /** Most that the home may think that this holder holds. */
+  #thought = 0;
 
   get fence(): number {
     return this.#fence;
@@ -60,6 +62,11 @@
     return Math.max(0, this.#granted - this.#running);
   }
 
+  /** Whether the home may think that this holder holds more than it does. */
+  get overstated(): boolean {
+    return this.#thought > this.#hold();
+  }
+
   /** Takes one from the allowance in hand. */
   tryTake(): boolean {
     if (this.#running >= this.#granted) return false;
@@ -85,20 +92,25 @@
 
   /** Asks for more. Answers to earlier requests no longer count. */
   request(need: number): AllowanceRequest {
+    if (need > 0) this.#thought = Infinity;
     return { fence: this.#fence, need, ...this.report() };
   }
 
   /** Says what it holds. Answers to earlier requests no longer count. */
   report(): Holdings {
     this.#seq++;
-    return { seq: this.#seq, hold: Math.max(this.#granted, this.#running) };
+    const hold = this.#hold();
+    this.#thought = Math.max(this.#thought, hold);
+    return { seq: this.#seq, hold };
   }
 
   /** Takes an answer; gives whether it was to the latest request. */
   accept(grant: Grant): boolean {
     const latest = grant.fence === this.#fence && grant.seq === this.#seq;
-    if (latest) this.#granted = grant.hold;
-    return latest;
+    if (!latest) return false;
+    this.#granted = grant.hold;
+    this.#thought = grant.hold;
+    return true;
   }
 
   /** Lowers the allowance to what is running or to `keep`, whichever is more; gives whether it was lowered. */
@@ -113,8 +125,13 @@
   /** Drops the allowance, as this instance was taken for dead. Its work is counted on. */
   reset(): void {
     this.#granted = 0;
+    this.#thought = 0;
     this.#seq++;
   }
+
+  #hold(): number {
+    return Math.max(this.#granted, this.#running);
+  }
 }
 
 /** The home's side of one team's limit. */
