--- a/src/controllers/membership.ts
+++ b/src/controllers/membership.ts
@@ -91,6 +91,11 @@
     this.#watch.close();
   }
 
+  /** Whether it has been started and neither stopped nor left. */
+  get running(): boolean {
+    return this.#running;
+  }
+
   /** Whether this instance may decide right now; asked before each start of work. */
   mayDecide(): boolean {
     if (!this.#running) return false;
