Keep adopted work apart from the allowance

Cause: work that a member found on an adopted worker raised its allowance, and with it the sum at the home above the limit, while the former owner still counted the same work. Ruled out: crossed grants, which the dump of the holdings showed to be in order. Adopted work is now reported beside the allowance, and its end frees nothing at the adopter.

--- a/src/controllers/limit_homes.ts
+++ b/src/controllers/limit_homes.ts
@@ -206,9 +206,9 @@
     if (answer.isErr()) return false;
     const { holdings, settled, since } = answer.value;
     const homes = new Map(surveyed);
-    for (const { team, seq, hold } of holdings) {
+    for (const { team, ...held } of holdings) {
       const label = labelOf(id, since);
-      homes.get(team)?.allowance.report(label, { seq, hold });
+      homes.get(team)?.allowance.report(label, held);
     }
     const whole = holdings.length === teams.length;
     return whole && settled && answer.value.epoch === epoch;
--- a/src/controllers/limits.ts
+++ b/src/controllers/limits.ts
@@ -315,7 +315,7 @@
   /** Returns what is neither running nor waited for, and what is beyond `keep`. */
   #trim(account: Account, keep: number): void {
     const { holder, waiters } = account;
-    const useful = holder.running + waiters.length;
+    const useful = holder.granted - holder.spare + waiters.length;
     const lowered = holder.lowerTo(Math.min(useful, keep));
     const overstated = holder.overstated && !account.asking;
     if (lowered || overstated) this.#exchange(account, 0);
--- a/src/controllers/limits_protocol.ts
+++ b/src/controllers/limits_protocol.ts
@@ -15,6 +15,7 @@
     readonly fence: number;
     readonly seq: number;
     readonly hold: number;
+    readonly adopted: number;
     readonly need: number;
     /** Epoch since which the holder is a member. */
     readonly since: number;
@@ -33,7 +34,12 @@
   method: "limits.allowance",
   params: t.intersection([
     Grants,
-    t.type({ team: t.string, need: t.number, since: t.number }),
+    t.type({
+      team: t.string,
+      adopted: t.number,
+      need: t.number,
+      since: t.number,
+    }),
   ]),
   result: t.union([
     t.intersection([t.type({ type: t.literal("granted") }), Grants]),
@@ -61,6 +67,7 @@
       readonly team: string;
       readonly seq: number;
       readonly hold: number;
+      readonly adopted: number;
     }[];
   }
 > = {
@@ -74,7 +81,12 @@
     settled: t.boolean,
     since: t.number,
     holdings: t.readonlyArray(
-      t.type({ team: t.string, seq: t.number, hold: t.number }),
+      t.type({
+        team: t.string,
+        seq: t.number,
+        hold: t.number,
+        adopted: t.number,
+      }),
     ),
   }),
 };
--- a/src/state/allowance.ts
+++ b/src/state/allowance.ts
@@ -14,8 +14,10 @@
 export interface Holdings {
   /** Grows with each message of this holder. */
   readonly seq: number;
-  /** Most that it may have running until the answer to this message. */
+  /** Most work that it may start and have running until the answer to this message. */
   readonly hold: number;
+  /** Work that it has running besides. */
+  readonly adopted: number;
 }
 
 /** A holder's request. */
@@ -31,7 +33,7 @@
   readonly fence: number;
   /** The request that is answered. */
   readonly seq: number;
-  /** Most that the holder may have running from now on. */
+  /** Most work that the holder may start and have running from now on. */
   readonly hold: number;
 }
 
@@ -41,9 +43,14 @@
   #fence = 0;
   #seq = 0;
   #granted = 0;
+  /** Work that was started against the allowance; never more than it. */
   #running = 0;
+  /** Work that was not. Its end frees nothing here, as the home may be over the limit because of it. */
+  #adopted = 0;
   /** Most that the home may think that this holder holds. */
   #thought = 0;
+  /** Adopted work in the latest message. */
+  #reported = 0;
 
   get fence(): number {
     return this.#fence;
@@ -53,18 +60,19 @@
     return this.#granted;
   }
 
+  /** All work that is running. */
   get running(): number {
-    return this.#running;
+    return this.#running + this.#adopted;
   }
 
   /** Room for further work. */
   get spare(): number {
-    return Math.max(0, this.#granted - this.#running);
+    return this.#granted - this.#running;
   }
 
   /** Whether the home may think that this holder holds more than it does. */
   get overstated(): boolean {
-    return this.#thought > this.#hold();
+    return this.#thought > this.#granted + this.#adopted;
   }
 
   /** Takes one from the allowance in hand. */
@@ -76,12 +84,13 @@
 
   /** Counts work that runs without having been taken from the allowance. */
   adopt(count: number): void {
-    this.#running += count;
+    this.#adopted += count;
   }
 
   /** Work has ended. */
   give(): void {
-    this.#running = Math.max(0, this.#running - 1);
+    if (this.#adopted > 0) this.#adopted--;
+    else if (this.#running > 0) this.#running--;
   }
 
   /** Hears of a home; gives whether it is the newest. */
@@ -99,9 +108,11 @@
   /** Says what it holds. Answers to earlier requests no longer count. */
   report(): Holdings {
     this.#seq++;
-    const hold = this.#hold();
-    this.#thought = Math.max(this.#thought, hold);
-    return { seq: this.#seq, hold };
+    const hold = this.#granted;
+    const adopted = this.#adopted;
+    this.#reported = adopted;
+    this.#thought = Math.max(this.#thought, hold + adopted);
+    return { seq: this.#seq, hold, adopted };
   }
 
   /** Takes an answer; gives whether it was to the latest request. */
@@ -109,11 +120,11 @@
     const latest = grant.fence === this.#fence && grant.seq === this.#seq;
     if (!latest) return false;
     this.#granted = grant.hold;
-    this.#thought = grant.hold;
+    this.#thought = grant.hold + this.#reported;
     return true;
   }
 
-  /** Lowers the allowance to what is running or to `keep`, whichever is more; gives whether it was lowered. */
+  /** Lowers the allowance to what was started against it or to `keep`, whichever is more; gives whether it was lowered. */
   lowerTo(keep: number): boolean {
     const next = Math.min(this.#granted, Math.max(keep, this.#running));
     const lowered = next < this.#granted;
@@ -124,14 +135,12 @@
 
   /** Drops the allowance, as this instance was taken for dead. Its work is counted on. */
   reset(): void {
+    this.#adopted += this.#running;
+    this.#running = 0;
     this.#granted = 0;
     this.#thought = 0;
     this.#seq++;
   }
-
-  #hold(): number {
-    return Math.max(this.#granted, this.#running);
-  }
 }
 
 /** The home's side of one team's limit. */
@@ -157,7 +166,9 @@
   /** Sum of what holders may have running. */
   get held(): number {
     let sum = 0;
-    for (const { hold } of this.#holdings.values()) sum += hold;
+    for (const { hold, adopted } of this.#holdings.values()) {
+      sum += hold + adopted;
+    }
     return sum;
   }
 
@@ -175,8 +186,8 @@
   report(holder: string, holdings: Holdings): void {
     const known = this.#holdings.get(holder);
     if (known !== undefined && holdings.seq <= known.seq) return;
-    const { seq, hold } = holdings;
-    this.#holdings.set(holder, { seq, hold });
+    const { seq, hold, adopted } = holdings;
+    this.#holdings.set(holder, { seq, hold, adopted });
   }
 
   /**
@@ -198,9 +209,9 @@
     const generous = Math.floor(available / (2 * Math.max(1, share.holders)));
     const wanted = request.need === 0 ? 0 : Math.max(request.need, generous);
     const more = Math.min(available, wanted);
-    const { seq } = request;
+    const { seq, adopted } = request;
     const hold = request.hold + more;
-    this.#holdings.set(holder, { seq, hold });
+    this.#holdings.set(holder, { seq, hold, adopted });
     return { fence: this.fence, seq, hold };
   }
 
