--- a/src/state/allowance.ts
+++ b/src/state/allowance.ts
@@ -14,8 +14,10 @@
 export interface Holdings {
   /** Grows with each message of this holder. */
   readonly seq: number;
-  /** Most that it may have running until the answer to this message. */
+  /** Most work that it may start and have running until the answer to this message. */
   readonly hold: number;
+  /** Work that it has running besides. */
+  readonly adopted: number;
 }
 
 /** A holder's request. */
@@ -31,7 +33,7 @@
   readonly fence: number;
   /** The request that is answered. */
   readonly seq: number;
-  /** Most that the holder may have running from now on. */
+  /** Most work that the holder may start and have running from now on. */
   readonly hold: number;
 }
 
@@ -41,7 +43,14 @@
   #fence = 0;
   #seq = 0;
   #granted = 0;
+  /** Work that was started against the allowance; never more than it. */
   #running = 0;
+  /** Work that was not. Its end frees nothing here, as the home may be over the limit because of it. */
+  #adopted = 0;
+  /** Most that the home may think that this holder holds. */
+  #thought = 0;
+  /** Adopted work in the latest message. */
+  #reported = 0;
 
   get fence(): number {
     return this.#fence;
@@ -51,13 +60,19 @@
     return this.#granted;
   }
 
+  /** All work that is running. */
   get running(): number {
-    return this.#running;
+    return this.#running + this.#adopted;
   }
 
   /** Room for further work. */
   get spare(): number {
-    return Math.max(0, this.#granted - this.#running);
+    return this.#granted - this.#running;
+  }
+
+  /** Whether the home may think that this holder holds more than it does. */
+  get overstated(): boolean {
+    return this.#thought > this.#granted + this.#adopted;
   }
 
   /** Takes one from the allowance in hand. */
@@ -69,12 +84,13 @@
 
   /** Counts work that runs without having been taken from the allowance. */
   adopt(count: number): void {
-    this.#running += count;
+    this.#adopted += count;
   }
 
   /** Work has ended. */
   give(): void {
-    this.#running = Math.max(0, this.#running - 1);
+    if (this.#adopted > 0) this.#adopted--;
+    else if (this.#running > 0) this.#running--;
   }
 
   /** Hears of a home; gives whether it is the newest. */
@@ -85,23 +101,30 @@
 
   /** Asks for more. Answers to earlier requests no longer count. */
   request(need: number): AllowanceRequest {
+    if (need > 0) this.#thought = Infinity;
     return { fence: this.#fence, need, ...this.report() };
   }
 
   /** Says what it holds. Answers to earlier requests no longer count. */
   report(): Holdings {
     this.#seq++;
-    return { seq: this.#seq, hold: Math.max(this.#granted, this.#running) };
+    const hold = this.#granted;
+    const adopted = this.#adopted;
+    this.#reported = adopted;
+    this.#thought = Math.max(this.#thought, hold + adopted);
+    return { seq: this.#seq, hold, adopted };
   }
 
   /** Takes an answer; gives whether it was to the latest request. */
   accept(grant: Grant): boolean {
     const latest = grant.fence === this.#fence && grant.seq === this.#seq;
-    if (latest) this.#granted = grant.hold;
-    return latest;
+    if (!latest) return false;
+    this.#granted = grant.hold;
+    this.#thought = grant.hold + this.#reported;
+    return true;
   }
 
-  /** Lowers the allowance to what is running or to `keep`, whichever is more; gives whether it was lowered. */
+  /** Lowers the allowance to what was started against it or to `keep`, whichever is more; gives whether it was lowered. */
   lowerTo(keep: number): boolean {
     const next = Math.min(this.#granted, Math.max(keep, this.#running));
     const lowered = next < this.#granted;
@@ -112,7 +135,10 @@
 
   /** Drops the allowance, as this instance was taken for dead. Its work is counted on. */
   reset(): void {
+    this.#adopted += this.#running;
+    this.#running = 0;
     this.#granted = 0;
+    this.#thought = 0;
     this.#seq++;
   }
 }
@@ -140,7 +166,9 @@
   /** Sum of what holders may have running. */
   get held(): number {
     let sum = 0;
-    for (const { hold } of this.#holdings.values()) sum += hold;
+    for (const { hold, adopted } of this.#holdings.values()) {
+      sum += hold + adopted;
+    }
     return sum;
   }
 
@@ -158,8 +186,8 @@
   report(holder: string, holdings: Holdings): void {
     const known = this.#holdings.get(holder);
     if (known !== undefined && holdings.seq <= known.seq) return;
-    const { seq, hold } = holdings;
-    this.#holdings.set(holder, { seq, hold });
+    const { seq, hold, adopted } = holdings;
+    this.#holdings.set(holder, { seq, hold, adopted });
   }
 
   /**
@@ -181,9 +209,9 @@
     const generous = Math.floor(available / (2 * Math.max(1, share.holders)));
     const wanted = request.need === 0 ? 0 : Math.max(request.need, generous);
     const more = Math.min(available, wanted);
-    const { seq } = request;
+    const { seq, adopted } = request;
     const hold = request.hold + more;
-    this.#holdings.set(holder, { seq, hold });
+    this.#holdings.set(holder, { seq, hold, adopted });
     return { fence: this.fence, seq, hold };
   }
 
