Add at most one run for each idempotency key across instances

Each key has a home by hash that records its use before the first byte goes to a worker. The memory is passed to the next owner where the ownership map shows that nobody else can have been the home in between; otherwise the new home answers unknown, unless an entry instance knows the outcome.

--- /dev/null
+++ b/src/controllers/home_keys_test.ts
@@ -0,0 +1,253 @@
+import test from "ava";
+import { ManualClock } from "../clock.ts";
+import { MemoryNetwork } from "../fakes/memory_peers.ts";
+import type { Authority } from "../ports/authority.ts";
+import { KEY_LIMITS } from "../state/key_memory.ts";
+import type { Instance, Outcome } from "../types.ts";
+import { beginKey, finishKey } from "../wire/keys.ts";
+import { HomeKeys, type KeyVerdict } from "./home_keys.ts";
+
+const SETTLE_MS = 3000;
+const KEY = { team: "t", key: "receipt-7" };
+
+const done: Outcome = {
+  type: "done",
+  answer: { status: 200, headers: {}, body: "eA==", worker: "w" },
+};
+const notRun: Outcome = { type: "notRun", reason: { type: "isolated" } };
+
+/** An ownership map with one owner for every home. */
+class OneOwner {
+  owner = "a";
+  fence = 1;
+  epoch = 1;
+  readonly paused = new Set<string>();
+  readonly #listeners: (() => void)[] = [];
+
+  move(owner: string, epoch = this.epoch + 1): void {
+    this.owner = owner;
+    this.epoch = epoch;
+    this.fence = epoch;
+    for (const listener of this.#listeners) listener();
+  }
+
+  /** What an instance sees; one that is paused sees what it saw before. */
+  viewOf(self: string): Authority & { epoch(): number } {
+    let seen = { owner: this.owner, fence: this.fence, epoch: this.epoch };
+    const look = () => {
+      if (this.paused.has(self)) return seen;
+      const { owner, fence, epoch } = this;
+      return seen = { owner, fence, epoch };
+    };
+    return {
+      inContact: () => !this.paused.has(self),
+      mayDecide: () => !this.paused.has(self) && look().owner === self,
+      owned: () => [],
+      ownerOf: () => instance(look().owner),
+      fenceOf: () => look().fence,
+      epoch: () => look().epoch,
+      onChange: (listener) => {
+        this.#listeners.push(() => {
+          if (!this.paused.has(self)) listener();
+        });
+      },
+    };
+  }
+}
+
+function instance(id: string): Instance {
+  return { id, peerAddress: "", callerAddress: "", zone: "z" };
+}
+
+class Bench {
+  readonly clock = new ManualClock();
+  readonly network = new MemoryNetwork(this.clock);
+  readonly map = new OneOwner();
+  readonly #names: string[] = [];
+  #ids = 0;
+
+  join(self: string) {
+    this.#names.push(self);
+    const peers = this.network.join(self);
+    const authority = this.map.viewOf(self);
+    const keys = new HomeKeys({
+      self,
+      peers,
+      clock: this.clock,
+      limits: KEY_LIMITS,
+      callMs: 500,
+      authority,
+      epoch: () => authority.epoch(),
+      members: () => this.#names.filter((name) => name !== self),
+      newId: () => `r${this.#ids++}`,
+    });
+    return { keys, peers };
+  }
+
+  begin(keys: HomeKeys, key = KEY): Promise<KeyVerdict> {
+    const deadline = this.clock.now().getTime() + 30_000;
+    return this.settle(keys.begin(key, deadline));
+  }
+
+  async proceed(keys: HomeKeys, key = KEY) {
+    const verdict = await this.begin(keys, key);
+    if (verdict.type !== "proceed") throw new TypeError(verdict.type);
+    return verdict.use;
+  }
+
+  /** Lets the homes vouch for keys without a time. */
+  async vouch(): Promise<void> {
+    this.clock.advance(KEY_LIMITS.retentionMs);
+    await this.clock.run(10);
+  }
+
+  async settle<T>(pending: Promise<T>): Promise<T> {
+    await this.clock.run(SETTLE_MS, 50);
+    return await pending;
+  }
+}
+
+function outcomeType(verdict: KeyVerdict): string {
+  return verdict.type === "answer" ? verdict.outcome.type : verdict.type;
+}
+
+test("a repeat at another entry gets the answer", async (t) => {
+  const bench = new Bench();
+  const [a, b, c] = ["a", "b", "c"].map((name) => bench.join(name));
+  await bench.vouch();
+  const use = await bench.proceed(b!.keys);
+  t.is((await bench.begin(c!.keys)).type, "inProgress");
+  await bench.settle(b!.keys.finish(use, done));
+  t.deepEqual(await bench.begin(c!.keys), { type: "answer", outcome: done });
+  t.deepEqual(await bench.begin(a!.keys), { type: "answer", outcome: done });
+});
+
+test("a killed home leaves unknown", async (t) => {
+  const bench = new Bench();
+  const [, b, c] = ["a", "b", "c"].map((name) => bench.join(name));
+  await bench.vouch();
+  await bench.proceed(b!.keys);
+  bench.network.crash("a");
+  bench.map.move("c");
+  t.is(outcomeType(await bench.begin(b!.keys)), "unknown");
+  t.is(outcomeType(await bench.begin(c!.keys)), "unknown");
+});
+
+test("a new home learns the outcome from the entry", async (t) => {
+  const bench = new Bench();
+  const [, b, c] = ["a", "b", "c"].map((name) => bench.join(name));
+  await bench.vouch();
+  const use = await bench.proceed(b!.keys);
+  await bench.settle(b!.keys.finish(use, done));
+  bench.network.crash("a");
+  bench.map.move("c");
+  t.deepEqual(await bench.begin(c!.keys), { type: "answer", outcome: done });
+});
+
+test("an ending reaches the home that took over", async (t) => {
+  const bench = new Bench();
+  const [, b, c] = ["a", "b", "c"].map((name) => bench.join(name));
+  await bench.vouch();
+  const use = await bench.proceed(b!.keys);
+  bench.network.crash("a");
+  const finishing = b!.keys.finish(use, done);
+  await bench.clock.run(300);
+  bench.map.move("c");
+  await bench.settle(finishing);
+  bench.network.crash("b");
+  t.deepEqual(await bench.begin(c!.keys), { type: "answer", outcome: done });
+});
+
+test("a handover keeps the memory", async (t) => {
+  const bench = new Bench();
+  const [, b, c] = ["a", "b", "c"].map((name) => bench.join(name));
+  await bench.vouch();
+  await bench.proceed(b!.keys);
+  bench.map.move("c");
+  t.is((await bench.begin(b!.keys)).type, "inProgress");
+  const other = { team: "t", key: "receipt-8" };
+  t.is((await bench.begin(c!.keys, other)).type, "proceed");
+});
+
+test("a memory with a gap behind it is not taken up", async (t) => {
+  const bench = new Bench();
+  const [, b, c] = ["a", "b", "c"].map((name) => bench.join(name));
+  await bench.vouch();
+  bench.map.move("c", bench.map.epoch + 2);
+  t.is(outcomeType(await bench.begin(b!.keys)), "unknown");
+  t.is(outcomeType(await bench.begin(c!.keys)), "unknown");
+});
+
+test("a home that was paused lets nothing through", async (t) => {
+  const bench = new Bench();
+  const [a, b] = ["a", "b"].map((name) => bench.join(name));
+  await bench.vouch();
+  bench.map.paused.add("a");
+  bench.map.move("b");
+  const direct = await bench.settle(Promise.resolve(b!.peers.call(
+    "a",
+    beginKey,
+    {
+      params: { ...KEY, request: "x", entry: "b", deadline: 0 },
+      timeoutMs: 500,
+    },
+  )));
+  t.is(direct._unsafeUnwrap().type, "notHome");
+  t.is(outcomeType(await bench.begin(a!.keys)), "notRun");
+  bench.map.paused.delete("a");
+  t.is(outcomeType(await bench.begin(a!.keys)), "unknown");
+});
+
+test("a silent home is refused and the key stays free", async (t) => {
+  const bench = new Bench();
+  const [, b] = ["a", "b"].map((name) => bench.join(name));
+  await bench.vouch();
+  bench.network.cut("a", "b");
+  t.is(outcomeType(await bench.begin(b!.keys)), "notRun");
+  bench.network.heal("a", "b");
+  await bench.clock.run(20_000, 100);
+  t.is((await bench.begin(b!.keys)).type, "proceed");
+});
+
+test("a late begin does not hold the key", async (t) => {
+  const bench = new Bench();
+  const [, b] = ["a", "b"].map((name) => bench.join(name));
+  await bench.vouch();
+  bench.network.latencyMs = 2000;
+  t.is(outcomeType(await bench.begin(b!.keys)), "notRun");
+  bench.network.latencyMs = 0;
+  await bench.clock.run(20_000, 100);
+  t.is((await bench.begin(b!.keys)).type, "proceed");
+});
+
+test("messages doubled and crossed", async (t) => {
+  const bench = new Bench();
+  const [, b] = ["a", "b"].map((name) => bench.join(name));
+  await bench.vouch();
+  const use = await bench.proceed(b!.keys);
+  const send = (outcome: Outcome) =>
+    bench.settle(Promise.resolve(b!.peers.call("a", finishKey, {
+      params: { use, outcome },
+      timeoutMs: 500,
+    })));
+  const begin = () =>
+    bench.settle(Promise.resolve(b!.peers.call("a", beginKey, {
+      params: use,
+      timeoutMs: 500,
+    })));
+  t.is((await begin())._unsafeUnwrap().type, "fresh");
+  await send(done);
+  await send(done);
+  await send(notRun);
+  t.is((await begin())._unsafeUnwrap().type, "done");
+  t.is(outcomeType(await bench.begin(b!.keys)), "done");
+});
+
+test("a request that did not run frees its key", async (t) => {
+  const bench = new Bench();
+  const [, b] = ["a", "b"].map((name) => bench.join(name));
+  await bench.vouch();
+  const use = await bench.proceed(b!.keys);
+  await bench.settle(b!.keys.finish(use, notRun));
+  t.is((await bench.begin(b!.keys)).type, "proceed");
+});
--- /dev/null
+++ b/src/controllers/key_homes.ts
@@ -0,0 +1,165 @@
+/**
+ * The homes of idempotency keys that this instance owns: follows the
+ * ownership map and passes memories on to the next owners.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import type { Clock } from "../clock.ts";
+import type { Authority } from "../ports/authority.ts";
+import type { Peers } from "../ports/peers.ts";
+import {
+  type KeyLimits,
+  KeyMemory,
+  type TeamKey,
+} from "../state/key_memory.ts";
+import { handOverKeys } from "../wire/keys.ts";
+import { KeyHandovers, partsOf } from "./key_handovers.ts";
+
+/** Buckets that keys are spread over. */
+export const KEY_BUCKETS = 64;
+
+/** Prefix of the units of ownership that are homes of idempotency keys. */
+export const KEY_HOME_UNIT = "home:";
+
+/** What the homes work with. */
+export interface KeyHomesOptions {
+  readonly self: string;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly limits: KeyLimits;
+  /** Time that a message to another instance may take, milliseconds. */
+  readonly callMs: number;
+  readonly authority: Authority;
+  /** Number of the ownership map that the authority goes by. */
+  readonly epoch: () => number;
+}
+
+interface Home {
+  readonly memory: KeyMemory;
+  readonly fence: number;
+  /** Newest ownership map in which this instance was seen to own the home. */
+  epoch: number;
+}
+
+/** The homes at this instance. */
+export class KeyHomes {
+  readonly #options: KeyHomesOptions;
+  readonly #homes = new Map<number, Home>();
+  readonly #handovers = new KeyHandovers();
+
+  constructor(options: KeyHomesOptions) {
+    this.#options = options;
+    const { authority, peers } = options;
+    authority.onChange(() => this.follow());
+    peers.onLost((peer) => this.#abandon(peer));
+    peers.serve(handOverKeys, (part) => {
+      const taken = this.#handovers.take(part);
+      if (taken && part.last) this.#takeUp(part.bucket);
+      return { taken };
+    });
+    this.follow();
+  }
+
+  /** Keys remembered. */
+  get size(): number {
+    const sizes = [...this.#homes.values()].map(({ memory }) => memory.size);
+    return sizes.reduce((sum, size) => sum + size, 0);
+  }
+
+  /** The memory for a key, if this instance may decide for its home right now. */
+  memoryOf(key: TeamKey): KeyMemory | undefined {
+    const bucket = bucketOf(key);
+    const home = this.#homes.get(bucket);
+    const { authority } = this.#options;
+    const unit = unitOf(bucket);
+    if (home?.fence !== authority.fenceOf(unit)) return undefined;
+    return authority.mayDecide(unit) ? home?.memory : undefined;
+  }
+
+  /** The instance that is the home of a key. */
+  ownerOf(key: TeamKey): string | undefined {
+    return this.#options.authority.ownerOf(unitOf(bucketOf(key)))?.id;
+  }
+
+  /** Looks at the ownership map again. */
+  follow(): void {
+    for (let bucket = 0; bucket < KEY_BUCKETS; bucket++) this.#follow(bucket);
+  }
+
+  #follow(bucket: number): void {
+    const { authority, epoch, self } = this.#options;
+    const owner = authority.ownerOf(unitOf(bucket))?.id;
+    const fence = authority.fenceOf(unitOf(bucket));
+    if (owner === undefined || fence === undefined) return;
+    const home = this.#homes.get(bucket);
+    if (owner === self && home?.fence === fence) {
+      home.epoch = epoch();
+      return;
+    }
+    if (home !== undefined) this.#release(bucket, { home, owner, fence });
+    if (owner === self) this.#adopt(bucket, fence);
+  }
+
+  #adopt(bucket: number, fence: number): void {
+    const { clock, epoch, limits } = this.#options;
+    const completeSince = clock.now().getTime();
+    const memory = new KeyMemory(limits, { completeSince, rows: [] });
+    this.#homes.set(bucket, { memory, fence, epoch: epoch() });
+    this.#takeUp(bucket);
+  }
+
+  /** Passes the memory on, if no other instance can have been the home in between. */
+  #release(
+    bucket: number,
+    next: {
+      readonly home: Home;
+      readonly owner: string;
+      readonly fence: number;
+    },
+  ): void {
+    this.#homes.delete(bucket);
+    const { home, owner, fence } = next;
+    const isNext = fence === home.epoch + 1 && owner !== this.#options.self;
+    if (isNext) void this.#handOver(home.memory, { bucket, owner, fence });
+  }
+
+  async #handOver(
+    memory: KeyMemory,
+    to: {
+      readonly bucket: number;
+      readonly owner: string;
+      readonly fence: number;
+    },
+  ): Promise<void> {
+    const { callMs, peers } = this.#options;
+    const { bucket, fence, owner } = to;
+    for (const params of partsOf(memory.export(), { bucket, fence })) {
+      const options = { params, timeoutMs: callMs };
+      const result = await peers.call(owner, handOverKeys, options);
+      if (result.isErr() || !result.value.taken) return;
+    }
+  }
+
+  #takeUp(bucket: number): void {
+    const home = this.#homes.get(bucket);
+    if (home === undefined) return;
+    const memory = this.#handovers.collect(bucket, home.fence);
+    if (memory !== undefined) home.memory.merge(memory);
+  }
+
+  #abandon(peer: string): void {
+    const now = this.#options.clock.now().getTime();
+    for (const { memory } of this.#homes.values()) memory.abandon(peer, now);
+  }
+}
+
+/** The bucket whose owner is the home of a key. */
+export function bucketOf({ team, key }: TeamKey): number {
+  const digest = createHash("sha256").update(JSON.stringify([team, key]));
+  return digest.digest().readUInt32BE(0) % KEY_BUCKETS;
+}
+
+function unitOf(bucket: number): string {
+  return KEY_HOME_UNIT + bucket;
+}
--- a/src/state/key_memory.ts
+++ b/src/state/key_memory.ts
@@ -89,7 +89,7 @@
 /** Memory of one home. */
 export class KeyMemory {
   readonly #limits: KeyLimits;
-  readonly #completeSince: number;
+  #completeSince: number;
   readonly #rows = new Map<string, KeyRow>();
   #outcomeChars = 0;
 
@@ -150,6 +150,17 @@
     }
   }
 
+  /** Takes up the memory of the home before this one; what was learnt since goes before it. */
+  merge(from: KeyExport): void {
+    this.#completeSince = Math.min(this.#completeSince, from.completeSince);
+    for (const row of from.rows) {
+      const known = this.#rows.get(nameOf(row.use));
+      const isOlder = known?.type === "released" &&
+        known.use.request !== row.use.request;
+      if (known === undefined || isOlder) this.#put(row);
+    }
+  }
+
   /** Everything that a successor has to know. */
   export(): KeyExport {
     return {
