--- a/src/journal/segment_test.ts
+++ b/src/journal/segment_test.ts
@@ -265,6 +265,18 @@
   t.is(next.segment.takeSequence(), 100);
 });
 
+test("compaction moves more than one batch holds", async (t) => {
+  const bench = new Bench();
+  const limits = { batches: 2, deadBytes: 0, batchBytes: 2000 };
+  const { segment } = await bench.openOk("a", 1, { limits });
+  for (let work = 0; work < 40; work++) {
+    segment.append([submitted(segment.takeSequence(), "x".repeat(300))]);
+    if (work % 5 === 4) await bench.clock.run(50);
+  }
+  await bench.clock.run(SETTLE_MS);
+  t.is((await bench.openOk("b", 2, { limits })).table.size, 40);
+});
+
 test("compaction is cut off halfway", async (t) => {
   for (let fail = 1; fail < 30; fail++) {
     const bench = new Bench();
