--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
  */
 import { Command } from "commander";
 import { benchDecisions } from "./decisions.ts";
+import { benchGangs } from "./gangs.ts";
 import { benchPacking } from "./packing.ts";
 import { Results } from "./results.ts";
 import { benchShares } from "./shares.ts";
@@ -16,6 +17,7 @@
 
 const benches: Readonly<Record<string, Bench>> = {
   decisions: benchDecisions,
+  gangs: benchGangs,
   packing: benchPacking,
   shares: benchShares,
   waiting: benchWaiting,
