--- a/bench/gangs.ts
+++ b/bench/gangs.ts
@@ -9,6 +9,7 @@
 import type { Results } from "./results.ts";
 
 const UNTIL_MS = 300_000;
+const ARRIVALS_SEED_OFFSET = 1_000;
 
 const ways = [
   { giveUp: "expiry", lapseMs: 1_000 },
@@ -35,8 +36,9 @@
   for (const { name, late, lost } of links) {
     for (const { giveUp, lapseMs } of ways) {
       const random = new Random(seed);
-      const untilMs = UNTIL_MS;
-      const cell = run({ giveUp, lapseMs, late, lost, untilMs, random });
+      const arrivals = new Random(seed + ARRIVALS_SEED_OFFSET);
+      const way = { giveUp, lapseMs, late, lost, random, arrivals };
+      const cell = run({ ...way, untilMs: UNTIL_MS });
       print(results, `${name}_${giveUp}_${lapseMs}ms`, cell);
     }
   }
--- a/bench/model/gang_cell.ts
+++ b/bench/model/gang_cell.ts
@@ -28,7 +28,10 @@
   /** Part of the messages that never come. */
   readonly lost: number;
   readonly untilMs: number;
+  /** Draws the fate of messages and the pauses. */
   readonly random: Random;
+  /** Draws the gangs, the same ones for every way. */
+  readonly arrivals: Random;
 }
 
 /** What a run gave. */
@@ -179,11 +182,11 @@
   }
 
   #arrive(): void {
-    const { random, untilMs } = this.#options;
-    const gapMs = random.exponential(1000 / ARRIVALS_A_SECOND);
+    const { arrivals, untilMs } = this.#options;
+    const gapMs = arrivals.exponential(1000 / ARRIVALS_A_SECOND);
     this.#events.after(gapMs, () => {
       if (this.#events.nowMs > untilMs - LATEST_MS) return;
-      const size = SMALLEST_GANG + random.below(LARGEST_GANG - SMALLEST_GANG);
+      const size = SMALLEST_GANG + arrivals.below(LARGEST_GANG - SMALLEST_GANG);
       const arrivedMs = this.#events.nowMs;
       this.result.arrived++;
       this.#attempt({ size, arrivedMs, pauseMs: FIRST_PAUSE_MS });
