Forget the oldest keys that carry a time when a home is full

A full home refused every new key until the retention of the old ones was over. Keys that carry a time can be forgotten safely, as their time tells that they are older than what is remembered.

--- a/src/controllers/key_handovers.ts
+++ b/src/controllers/key_handovers.ts
@@ -11,6 +11,7 @@
 interface Arriving {
   readonly fence: number;
   readonly completeSince: number;
+  readonly forgottenUpTo: number;
   readonly rows: KeyRow[];
   isWhole: boolean;
 }
@@ -21,10 +22,10 @@
 
   /** Takes one part; `false` if an earlier one is missing. */
   take(part: KeyHandover): boolean {
-    const { bucket, fence, completeSince } = part;
+    const { bucket, fence, completeSince, forgottenUpTo } = part;
     if (!part.more) {
-      const arriving = { fence, completeSince, rows: [], isWhole: false };
-      this.#arriving.set(bucket, arriving);
+      const known = { fence, completeSince, forgottenUpTo };
+      this.#arriving.set(bucket, { ...known, rows: [], isWhole: false });
     }
     const arriving = this.#arriving.get(bucket);
     if (arriving?.fence !== fence || arriving.isWhole) return false;
@@ -49,11 +50,12 @@
   memory: KeyExport,
   to: { readonly bucket: number; readonly fence: number },
 ): KeyHandover[] {
-  const { completeSince, rows } = memory;
+  const { completeSince, forgottenUpTo, rows } = memory;
   const count = Math.max(1, Math.ceil(rows.length / PART_ROWS));
   return Array.from({ length: count }, (_, index) => ({
     ...to,
     completeSince,
+    forgottenUpTo,
     rows: rows.slice(index * PART_ROWS, (index + 1) * PART_ROWS),
     more: index > 0,
     last: index === count - 1,
--- a/src/controllers/key_homes.ts
+++ b/src/controllers/key_homes.ts
@@ -104,7 +104,8 @@
   #adopt(bucket: number, fence: number): void {
     const { clock, epoch, limits } = this.#options;
     const completeSince = clock.now().getTime();
-    const memory = new KeyMemory(limits, { completeSince, rows: [] });
+    const nothing = { completeSince, forgottenUpTo: 0, rows: [] };
+    const memory = new KeyMemory(limits, nothing);
     this.#homes.set(bucket, { memory, fence, epoch: epoch() });
     this.#takeUp(bucket);
   }
--- a/src/state/key_memory.ts
+++ b/src/state/key_memory.ts
@@ -72,8 +72,8 @@
 
 /** Bounds of one home's memory. */
 export const KEY_LIMITS: KeyLimits = {
-  keys: 20_000,
-  outcomeChars: 2_000_000,
+  keys: 10_000,
+  outcomeChars: 500_000,
   largestOutcomeChars: 64_000,
   retentionMs: 3_600_000,
   skewMs: 5_000,
@@ -83,6 +83,8 @@
 export interface KeyExport {
   /** All uses since then are remembered, wall-clock milliseconds. */
   readonly completeSince: number;
+  /** Keys that carry a time up to this one may have been forgotten. */
+  readonly forgottenUpTo: number;
   readonly rows: readonly KeyRow[];
 }
 
@@ -90,12 +92,14 @@
 export class KeyMemory {
   readonly #limits: KeyLimits;
   #completeSince: number;
+  #forgottenUpTo: number;
   readonly #rows = new Map<string, KeyRow>();
   #outcomeChars = 0;
 
   constructor(limits: KeyLimits, from: KeyExport) {
     this.#limits = limits;
     this.#completeSince = from.completeSince;
+    this.#forgottenUpTo = from.forgottenUpTo;
     for (const row of from.rows) this.#put(row);
   }
 
@@ -153,6 +157,7 @@
   /** Takes up the memory of the home before this one; what was learnt since goes before it. */
   merge(from: KeyExport): void {
     this.#completeSince = Math.min(this.#completeSince, from.completeSince);
+    this.#forgottenUpTo = Math.max(this.#forgottenUpTo, from.forgottenUpTo);
     for (const row of from.rows) {
       const known = this.#rows.get(nameOf(row.use));
       const isOlder = known?.type === "released" &&
@@ -165,6 +170,7 @@
   export(): KeyExport {
     return {
       completeSince: this.#completeSince,
+      forgottenUpTo: this.#forgottenUpTo,
       rows: [...this.#rows.values()],
     };
   }
@@ -185,6 +191,7 @@
     if (made !== undefined && made <= now + retentionMs) {
       if (made > now + skewMs) return { type: "clockAhead" };
       if (made < now - retentionMs) return { type: "unknown" };
+      if (made <= this.#forgottenUpTo) return { type: "unknown" };
       if (made > this.#completeSince + skewMs) return undefined;
     }
     const vouched = this.#completeSince + retentionMs <= now;
@@ -192,11 +199,25 @@
   }
 
   #take(use: KeyUse): KeyAnswer {
-    if (this.#rows.size >= this.#limits.keys) return { type: "full" };
+    if (this.#rows.size >= this.#limits.keys && !this.#forget()) {
+      return { type: "full" };
+    }
     this.#put({ type: "inProgress", use });
     return { type: "fresh" };
   }
 
+  /** Makes room: forgets the oldest ended key that carries a time, and remembers that time. */
+  #forget(): boolean {
+    for (const row of this.#rows.values()) {
+      const made = keyTimeMs(row.use.key);
+      if (row.type === "inProgress" || made === undefined) continue;
+      this.#forgottenUpTo = Math.max(this.#forgottenUpTo, made);
+      this.#drop(row);
+      return true;
+    }
+    return false;
+  }
+
   #kept(outcome: Outcome): { readonly outcome?: Outcome } {
     const isKept = charsOf(outcome) <= this.#limits.largestOutcomeChars;
     return isKept ? { outcome } : {};
--- a/src/state/key_memory_test.ts
+++ b/src/state/key_memory_test.ts
@@ -18,6 +18,7 @@
 function memory(completeSince = 0, limits = {}): KeyMemory {
   return new KeyMemory({ ...KEY_LIMITS, ...limits }, {
     completeSince,
+    forgottenUpTo: 0,
     rows: [],
   });
 }
@@ -160,6 +161,19 @@
   t.is(keys.begin(use("d", "d"), START + retentionMs + 1).type, "fresh");
 });
 
+test("keys with a time make room and are not fresh again", (t) => {
+  const keys = memory(0, { keys: 2 });
+  const names = [1, 2, 3].map((ms) => uuidAt(START + ms));
+  for (const key of names) {
+    t.is(keys.begin(use(key, key), START + 10).type, "fresh");
+    keys.finish(use(key, key), done, START + 10);
+  }
+  t.is(keys.begin(use("x", names[0]), START + 20).type, "unknown");
+  t.is(keys.begin(use("x", names[2]), START + 20).type, "done");
+  const next = new KeyMemory(KEY_LIMITS, keys.export());
+  t.is(next.begin(use("x", names[0]), START + 20).type, "unknown");
+});
+
 test("outcomes are bounded, keys stay", (t) => {
   const keys = memory(0, { outcomeChars: 500 });
   for (const key of ["a", "b", "c", "d"]) {
--- a/src/wire/keys.ts
+++ b/src/wire/keys.ts
@@ -80,6 +80,7 @@
   /** Fencing number of the next owner's grant. */
   readonly fence: number;
   readonly completeSince: number;
+  readonly forgottenUpTo: number;
   readonly rows: readonly KeyRow[];
   /** Whether parts of the same handover came before. */
   readonly more: boolean;
@@ -94,6 +95,7 @@
     bucket: t.number,
     fence: t.number,
     completeSince: t.number,
+    forgottenUpTo: t.number,
     rows: t.readonlyArray(RowCodec),
     more: t.boolean,
     last: t.boolean,
