Read a segment in parts when it is claimed

One read of a whole segment could give an answer of many megabytes. The parts are read after the head; the claim fails if the head has changed since. A batch that a compaction removed in between was taken for a missing one: the claim now reads again before it says so. Seen red without the second reading.

--- a/src/journal/replay.ts
+++ b/src/journal/replay.ts
@@ -14,7 +14,7 @@
 } from "neverthrow";
 import type { Entry, Store } from "../ports/store.ts";
 import { type OpenFailure, segmentLost } from "./failures.ts";
-import { batchKey, headKey, segmentPrefix } from "./layout.ts";
+import { batchKey, groupPrefixes, headKey } from "./layout.ts";
 import {
   decodeBatch,
   decodeHead,
@@ -56,8 +56,10 @@
 ): ResultAsync<Claimed, OpenFailure> {
   return safeTry(async function* () {
     for (let tries = 0; tries < CLAIM_TRIES; tries++) {
-      const { entries } = yield* store.list(segmentPrefix(claim.segment));
-      const read = yield* readSegment(claim, entries);
+      const result = await readSegment(store, claim);
+      const isLast = tries === CLAIM_TRIES - 1;
+      if (!isLast && isBatchMissing(result)) continue;
+      const read = yield* result;
       const claimed = yield* putClaim(store, claim, read);
       if (claimed !== undefined) return ok(claimed);
     }
@@ -67,28 +69,50 @@
 
 const CLAIM_TRIES = 5;
 
+/** A compaction may have removed the batch since the head was read. */
+function isBatchMissing(result: Result<Reading, OpenFailure>): boolean {
+  return result.isErr() && result.error.type === "batchMissing";
+}
+
 interface Reading {
   readonly head: Head;
   readonly revision: number;
   readonly batches: readonly ReplayedBatch[];
 }
 
+/** Reads the head, then the batches; a change in between makes the claim fail. */
 function readSegment(
+  store: Store,
   claim: Claim,
-  entries: readonly Entry[],
-): Result<Reading, OpenFailure> {
-  return safeTry(function* () {
-    const byKey = new Map(entries.map((entry) => [entry.key, entry]));
-    const entry = byKey.get(headKey(claim.segment));
+): ResultAsync<Reading, OpenFailure> {
+  return safeTry(async function* () {
+    const entry = yield* store.get(headKey(claim.segment));
     const head = entry === undefined
       ? newHead(claim)
       : yield* decodeHead(entry.value);
     if (isTaken(head, claim)) return err(segmentLost(claim.segment));
-    const batches = yield* readBatches(claim.segment, head, byKey);
+    const entries = yield* listBatches(store, claim.segment, head);
+    const batches = yield* readBatches(claim.segment, head, entries);
     return ok({ head, revision: entry?.revision ?? 0, batches });
   });
 }
 
+/** Reads the batches some at a time, to bound the size of one answer. */
+function listBatches(
+  store: Store,
+  segment: string,
+  head: Head,
+): ResultAsync<ReadonlyMap<string, Entry>, OpenFailure> {
+  return safeTry(async function* () {
+    const byKey = new Map<string, Entry>();
+    for (const prefix of groupPrefixes(segment, head)) {
+      const { entries } = yield* store.list(prefix);
+      for (const entry of entries) byKey.set(entry.key, entry);
+    }
+    return ok(byKey);
+  });
+}
+
 function isTaken(head: Head, claim: Claim): boolean {
   if (head.fence > claim.fence) return true;
   return head.fence === claim.fence && head.owner !== claim.owner;
--- a/src/journal/segment_test.ts
+++ b/src/journal/segment_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
-import { ManualClock } from "../clock.ts";
+import { ResultAsync } from "neverthrow";
+import { ManualClock, sleep } from "../clock.ts";
 import { MemoryService, MemoryStore } from "../fakes/memory_store.ts";
 import { headKey, segmentPrefix } from "./layout.ts";
 import type { JournalRecord } from "./records.ts";
@@ -18,9 +19,14 @@
   async open(
     owner: string,
     fence: number,
-    options: { limits?: Partial<SegmentLimits>; perSecond?: number } = {},
+    options: {
+      limits?: Partial<SegmentLimits>;
+      perSecond?: number;
+      meet?: (store: MemoryStore) => void;
+    } = {},
   ) {
     const store = new MemoryStore(this.service);
+    options.meet?.(store);
     const table = new WorkTable();
     const losses: string[] = [];
     const opened = await this.settle(Segment.open({
@@ -91,6 +97,29 @@
   t.is(next.segment.takeSequence(), 2);
 });
 
+test("a claim while the owner compacts", async (t) => {
+  const bench = new Bench();
+  const limits = { batches: 1, deadBytes: 0 };
+  const { segment } = await bench.openOk("a", 1, { limits });
+  await bench.settle(segment.append([submitted(0)]));
+  const next = await bench.open("b", 2, {
+    limits,
+    meet: (store) => {
+      const list = store.list.bind(store);
+      let met = false;
+      store.list = (prefix) =>
+        ResultAsync.fromSafePromise((async () => {
+          if (met) return;
+          met = true;
+          await Promise.all([segment.append([submitted(1)])]);
+          await sleep(bench.clock, 100);
+        })()).andThen(() => list(prefix));
+    },
+  });
+  t.true(next.opened.isOk());
+  t.is(next.table.size, 2);
+});
+
 test("a paused former owner cannot append", async (t) => {
   const bench = new Bench();
   const old = await bench.openOk("a", 1);
