--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,23 +7,25 @@
 import { Command } from "commander";
 import { benchDecisions } from "./decisions.ts";
 import { benchGangs } from "./gangs.ts";
+import { benchJournal } from "./journal.ts";
 import { benchPacking } from "./packing.ts";
 import { Results } from "./results.ts";
 import { benchShares } from "./shares.ts";
 import { benchWaiting } from "./waiting.ts";
 
 /** A bench fills in its results from a seed. */
-export type Bench = (results: Results, seed: number) => void;
+export type Bench = (results: Results, seed: number) => void | Promise<void>;
 
 const benches: Readonly<Record<string, Bench>> = {
   decisions: benchDecisions,
   gangs: benchGangs,
+  journal: benchJournal,
   packing: benchPacking,
   shares: benchShares,
   waiting: benchWaiting,
 };
 
-function main(): void {
+async function main(): Promise<void> {
   const command = new Command("bench")
     .argument("<name>", `one of ${Object.keys(benches).join(", ")}`)
     .option("--seed <number>", "seed of all random numbers", Number, 1)
@@ -37,8 +39,8 @@
   const results = new Results();
   results.line("bench", name!);
   results.line("seed", seed);
-  bench(results, seed);
+  await bench(results, seed);
   results.end();
 }
 
-main();
+await main();
--- a/src/controllers/deferred.ts
+++ b/src/controllers/deferred.ts
@@ -67,7 +67,7 @@
     const workload = workloadOf(submission.workload);
     const checked = checkSubmission(submission, { workload, limits });
     if (checked.isErr()) return errAsync(checked.error);
-    if (this.#holdings.bytes() > limits.heldBytes) {
+    if (!this.#holdings.hasRoom()) {
       return errAsync(journalFull(limits.sweepMs));
     }
     const held = this.#holdings.holderOf(checked.value);
--- a/src/controllers/deferred_options.ts
+++ b/src/controllers/deferred_options.ts
@@ -23,6 +23,8 @@
   readonly heldBytes: number;
   /** Time that a finished work can be shown, milliseconds. */
   readonly retentionMs: number;
+  /** Time that a finished work can be shown at least, also where memory is short, milliseconds. */
+  readonly shortRetentionMs: number;
   /** Interval of dropping what is past its retention, milliseconds. */
   readonly sweepMs: number;
   /** Longest wait for the acknowledgement of a submission, milliseconds. */
@@ -47,6 +49,7 @@
   tasks: 1_000,
   heldBytes: 64_000_000,
   retentionMs: 24 * 3_600_000,
+  shortRetentionMs: 600_000,
   sweepMs: 30_000,
   submitMs: 5_000,
   backoffMs: 1_000,
--- a/src/controllers/deferred_test.ts
+++ b/src/controllers/deferred_test.ts
@@ -592,3 +592,19 @@
   t.true(refused.every((result) => result.error.type === "journalFull"));
   t.is(member.deferred.counts().works, 10 - refused.length);
 });
+
+test("a full instance drops what finished long ago", async (t) => {
+  const bench = new Bench();
+  const limits = { heldBytes: 1000, shortRetentionMs: 100_000 };
+  const member = await bench.opened("a", limits);
+  const submission = { team: "t", workload: "billing", payload: "" };
+  for (let full = false; !full;) {
+    const result = await bench.settle(member.deferred.submit(submission));
+    full = result.isErr();
+  }
+  const wave = { type: "wave", team: "t", workload: "billing" } as const;
+  await bench.settle(member.deferred.cancel(wave));
+  t.true((await bench.settle(member.deferred.submit(submission))).isErr());
+  await bench.clock.run(100_000, 1000);
+  t.true((await bench.settle(member.deferred.submit(submission))).isOk());
+});
--- a/src/controllers/holdings.ts
+++ b/src/controllers/holdings.ts
@@ -17,6 +17,9 @@
 import { Settler } from "./settler.ts";
 import type { CheckedSubmission } from "./submission.ts";
 
+/** Least time between looks for works that can be dropped. */
+const ROOM_INTERVAL_MS = 1_000;
+
 interface Holding {
   readonly held: HeldSegment;
   readonly settler: Settler;
@@ -32,6 +35,7 @@
 export class Holdings {
   readonly #options: DeferredOptions;
   readonly #holdings = new Map<string, Holding>();
+  #lookAgainAt = 0;
 
   constructor(options: DeferredOptions) {
     this.#options = options;
@@ -94,6 +98,17 @@
     );
   }
 
+  /** Whether there is room for more work; drops what finished long ago if there is not. */
+  hasRoom(): boolean {
+    const { clock, limits } = this.#options;
+    if (this.bytes() <= limits.heldBytes) return true;
+    const now = clock.now().getTime();
+    if (now < this.#lookAgainAt) return false;
+    this.#lookAgainAt = now + ROOM_INTERVAL_MS;
+    this.expire(now - limits.shortRetentionMs);
+    return this.bytes() <= limits.heldBytes;
+  }
+
   /** Amounts for the status page. */
   counts(): DeferredCounts {
     const holdings = [...this.#holdings.values()];
