--- a/src/controllers/deferred_faults_test.ts
+++ b/src/controllers/deferred_faults_test.ts
@@ -100,7 +100,7 @@
   }
 }
 
-/** Starts whatever it is given, after a moment. */
+/** Starts whatever it is given, after a moment, and twice at once. */
 class EagerRunner implements Runner {
   deferred: Deferred | undefined;
   crashed = false;
@@ -115,7 +115,10 @@
 
   enqueue(tasks: readonly RunnableTask[]): void {
     for (const task of tasks) {
-      this.#clock.after(10, () => void this.#start(task));
+      this.#clock.after(10, () => {
+        void this.#start(task);
+        void this.#start(task);
+      });
     }
   }
 
