--- a/src/controllers/deferred.ts
+++ b/src/controllers/deferred.ts
@@ -15,6 +15,7 @@
 import { unreachable } from "../errors.ts";
 import type { AttemptOutcome } from "../journal/records.ts";
 import { Segment } from "../journal/segment.ts";
+import { statusOf } from "../journal/work_state.ts";
 import { WorkTable } from "../journal/work_table.ts";
 import { journalFull } from "../journal/failures.ts";
 import type { Resume } from "../operator_set.ts";
@@ -88,11 +89,12 @@
     const all = this.#holdings.all().flatMap((held) =>
       [...held.table.works()]
         .filter((work) => work.team === team)
-        .map((work) => summaryOf(held.idOf(work), work))
+        .map((work) => ({ held, work, isParked: statusOf(work) === "parked" }))
     );
-    const parked = all.filter((work) => work.status === "parked");
-    const rest = all.filter((work) => work.status !== "parked");
-    return [...parked, ...rest].slice(0, options.limit);
+    const parked = all.filter(({ isParked }) => isParked);
+    const rest = all.filter(({ isParked }) => !isParked);
+    return [...parked, ...rest].slice(0, options.limit)
+      .map(({ held, work }) => summaryOf(held.idOf(work), work));
   }
 
   /** Cancels one work or a wave of them; gives how many were open. */
--- a/src/controllers/deferred_options.ts
+++ b/src/controllers/deferred_options.ts
@@ -17,6 +17,8 @@
   readonly output: OutputLimits;
   /** Largest payload, bytes. */
   readonly payloadBytes: number;
+  /** Longest idempotency key, bytes. */
+  readonly keyBytes: number;
   /** Most tasks of one work. */
   readonly tasks: number;
   /** Most that all works of this instance take, bytes. */
@@ -46,6 +48,7 @@
   segment: SEGMENT_LIMITS,
   output: { taskBytes: 16_384, workBytes: 262_144 },
   payloadBytes: 262_144,
+  keyBytes: 256,
   tasks: 1_000,
   heldBytes: 64_000_000,
   retentionMs: 24 * 3_600_000,
--- a/src/controllers/submission.ts
+++ b/src/controllers/submission.ts
@@ -5,6 +5,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { recordsTooLarge } from "../journal/failures.ts";
+import { textBytes } from "../journal/records.ts";
 import type { Workload } from "../operator_set.ts";
 import type { SubmitFailure } from "./deferred_failures.ts";
 import type { DeferredLimits } from "./deferred_options.ts";
@@ -43,9 +44,12 @@
   if (workload === undefined || workload.kind === "service") {
     return err(unknownWorkload);
   }
-  if (submission.payload.length > limits.payloadBytes) {
+  if (textBytes(submission.payload) > limits.payloadBytes) {
     return err(recordsTooLarge(limits.payloadBytes));
   }
+  if (textBytes(submission.idempotencyKey ?? "") > limits.keyBytes) {
+    return err(recordsTooLarge(limits.keyBytes));
+  }
   const count = countOf(submission, workload);
   if (!Number.isInteger(count) || count < 1 || count > limits.tasks) {
     return err(badCount(limits.tasks));
--- a/src/journal/layout.ts
+++ b/src/journal/layout.ts
@@ -25,15 +25,23 @@
   return `${segmentPrefix(segment)}${padded}`;
 }
 
-/** Prefixes that cover the batches from the oldest to the newest, {@linkcode GROUP} each. */
-export function groupPrefixes(
+/** Batches that can be read together. */
+export interface BatchGroup {
+  readonly prefix: string;
+  readonly numbers: readonly number[];
+}
+
+/** The batches from the oldest to the newest, up to {@linkcode GROUP} together. */
+export function batchGroups(
   segment: string,
   range: { readonly first: number; readonly next: number },
-): string[] {
-  if (range.first === range.next) return [];
-  const from = Math.floor(range.first / GROUP);
-  const to = Math.floor((range.next - 1) / GROUP);
-  return Array.from({ length: to - from + 1 }, (_, index) => {
-    return batchKey(segment, (from + index) * GROUP).slice(0, -1);
-  });
+): BatchGroup[] {
+  const groups = new Map<string, number[]>();
+  for (let number = range.first; number < range.next; number++) {
+    const prefix = batchKey(segment, number - number % GROUP).slice(0, -1);
+    const numbers = groups.get(prefix) ?? [];
+    numbers.push(number);
+    groups.set(prefix, numbers);
+  }
+  return [...groups].map(([prefix, numbers]) => ({ prefix, numbers }));
 }
--- a/src/journal/records.ts
+++ b/src/journal/records.ts
@@ -237,6 +237,11 @@
   return Buffer.byteLength(JSON.stringify(record)) + 1;
 }
 
+/** Length of a text within a record, in bytes. */
+export function textBytes(text: string): number {
+  return Buffer.byteLength(JSON.stringify(text));
+}
+
 /** Reads the text of a batch. */
 export function decodeBatch(text: string): Result<Batch, DecodeFailure> {
   const [first = "", ...lines] = text.split("\n");
--- a/src/journal/replay.ts
+++ b/src/journal/replay.ts
@@ -14,7 +14,7 @@
 } from "neverthrow";
 import type { Entry, Store } from "../ports/store.ts";
 import { type OpenFailure, segmentLost } from "./failures.ts";
-import { batchKey, groupPrefixes, headKey } from "./layout.ts";
+import { batchGroups, batchKey, headKey } from "./layout.ts";
 import {
   decodeBatch,
   decodeHead,
@@ -91,49 +91,45 @@
       ? newHead(claim)
       : yield* decodeHead(entry.value);
     if (isTaken(head, claim)) return err(segmentLost(claim.segment));
-    const entries = yield* listBatches(store, claim.segment, head);
-    const batches = yield* readBatches(claim.segment, head, entries);
+    const batches = yield* readBatches(store, claim.segment, head);
     return ok({ head, revision: entry?.revision ?? 0, batches });
   });
 }
 
-/** Reads the batches some at a time, to bound the size of one answer. */
-function listBatches(
+/** Reads and decodes the batches some at a time, which bounds answers and pauses. */
+function readBatches(
   store: Store,
   segment: string,
   head: Head,
-): ResultAsync<ReadonlyMap<string, Entry>, OpenFailure> {
+): ResultAsync<readonly ReplayedBatch[], OpenFailure> {
   return safeTry(async function* () {
-    const byKey = new Map<string, Entry>();
-    for (const prefix of groupPrefixes(segment, head)) {
-      const { entries } = yield* store.list(prefix);
-      for (const entry of entries) byKey.set(entry.key, entry);
+    const batches: ReplayedBatch[] = [];
+    for (const group of batchGroups(segment, head)) {
+      const { entries } = yield* store.list(group.prefix);
+      batches.push(...yield* decodeGroup(segment, group.numbers, entries));
     }
-    return ok(byKey);
+    return ok(batches);
   });
 }
 
-function isTaken(head: Head, claim: Claim): boolean {
-  if (head.fence > claim.fence) return true;
-  return head.fence === claim.fence && head.owner !== claim.owner;
-}
-
-function readBatches(
+function decodeGroup(
   segment: string,
-  head: Head,
-  entries: ReadonlyMap<string, Entry>,
+  numbers: readonly number[],
+  entries: readonly Entry[],
 ): Result<readonly ReplayedBatch[], OpenFailure> {
-  const numbers = Array.from(
-    { length: head.next - head.first },
-    (_, index) => head.first + index,
-  );
+  const byKey = new Map(entries.map((entry) => [entry.key, entry]));
   return Result.combine(
     numbers.map((number) =>
-      readBatch(number, entries.get(batchKey(segment, number)))
+      readBatch(number, byKey.get(batchKey(segment, number)))
     ),
   );
 }
 
+function isTaken(head: Head, claim: Claim): boolean {
+  if (head.fence > claim.fence) return true;
+  return head.fence === claim.fence && head.owner !== claim.owner;
+}
+
 function readBatch(
   number: number,
   entry: Entry | undefined,
--- a/src/journal/segment.ts
+++ b/src/journal/segment.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setImmediate } from "node:timers/promises";
 import { err, errAsync, ok, type Result, type ResultAsync } from "neverthrow";
 import { type Clock, sleep } from "../clock.ts";
 import type { Store } from "../ports/store.ts";
@@ -17,10 +18,16 @@
   segmentLost,
   storeAway,
 } from "./failures.ts";
-import { FencedWriter, type SegmentChange } from "./fenced_writer.ts";
+import { FencedWriter } from "./fenced_writer.ts";
 import { batchKey } from "./layout.ts";
-import { encodeBatch, type JournalRecord, recordBytes } from "./records.ts";
-import { type Claim, type Claimed, claimSegment } from "./replay.ts";
+import { type JournalRecord, recordBytes } from "./records.ts";
+import {
+  type Claim,
+  type Claimed,
+  claimSegment,
+  type ReplayedBatch,
+} from "./replay.ts";
+import { composeChange, firstNeeded } from "./segment_change.ts";
 import { StoredBatches } from "./stored_batches.ts";
 import type { WorkTable } from "./work_table.ts";
 import type { WriteBudget } from "./write_budget.ts";
@@ -53,6 +60,8 @@
 
 /** Most batches that one compaction removes. */
 const COMPACTION_BATCHES = 64;
+/** Bytes that are replayed in one go. */
+const REPLAY_PAUSE_BYTES = 1_000_000;
 
 /** What a segment works with. */
 export interface SegmentOptions {
@@ -81,7 +90,11 @@
   /** Claims a segment and applies what it holds to the table. */
   static open(options: SegmentOptions): ResultAsync<Segment, OpenFailure> {
     return claimSegment(options.store, options.claim)
-      .map((claimed) => new Segment(options, claimed));
+      .map(async (claimed) => {
+        const segment = new Segment(options, claimed);
+        await segment.#replay(claimed.batches);
+        return segment;
+      });
   }
 
   private constructor(options: SegmentOptions, claimed: Claimed) {
@@ -94,8 +107,17 @@
       retryMs: options.limits.retryMs,
       inDoubt: () => this.#goAway(),
     }, claimed);
-    for (const batch of claimed.batches) {
+  }
+
+  /** Applies what was read, with pauses for other work of the process. */
+  async #replay(batches: readonly ReplayedBatch[]): Promise<void> {
+    let bytes = 0;
+    for (const batch of batches) {
       this.#applyBatch(batch.number, batch.records, batch.bytes);
+      bytes += batch.bytes;
+      if (bytes < REPLAY_PAUSE_BYTES) continue;
+      bytes = 0;
+      await setImmediate();
     }
   }
 
@@ -202,34 +224,17 @@
     records: readonly JournalRecord[],
     first: number,
   ): Promise<Result<void, AppendFailure>> {
-    const number = this.#writer.head.next;
-    const change = this.#changeOf(records, first);
-    const result = await this.#writer.write(change.change);
+    const { head } = this.#writer;
+    const sequence = this.#sequence;
+    const next = { records, first, sequence };
+    const composed = composeChange(this.#options.claim, head, next);
+    const result = await this.#writer.write(composed.change);
     if (result.isErr()) return err(result.error);
-    this.#applyBatch(number, records, change.bytes);
+    this.#applyBatch(head.next, records, composed.bytes);
     this.#stored.removeBefore(first);
     return ok(undefined);
   }
 
-  #changeOf(
-    records: readonly JournalRecord[],
-    first: number,
-  ): { readonly change: SegmentChange; readonly bytes: number } {
-    const { claim } = this.#options;
-    const old = this.#writer.head;
-    const write = claim.newWriteId();
-    const value = encodeBatch({ write, records });
-    const next = old.next + 1;
-    const head = { ...old, first, next, sequence: this.#sequence, write };
-    const key = batchKey(claim.segment, old.next);
-    const deletes = numbersBetween(old.first, first).map((number) => ({
-      type: "delete" as const,
-      key: batchKey(claim.segment, number),
-    }));
-    const writes = [{ type: "put" as const, key, value }, ...deletes];
-    return { change: { writes, head }, bytes: Buffer.byteLength(value) };
-  }
-
   #applyBatch(
     number: number,
     records: readonly JournalRecord[],
@@ -251,27 +256,10 @@
     await this.#waitForBudget();
     const oldest = this.#stored.oldest(COMPACTION_BATCHES);
     const records = table.snapshots(oldest, limits.batchBytes);
-    const first = this.#firstAfter(oldest, records);
+    const first = firstNeeded(table, oldest, records);
     this.#afterWrite(await this.#put(records, first));
   }
 
-  /** The oldest batch that is still needed once the snapshots are written. */
-  #firstAfter(
-    oldest: readonly number[],
-    snapshots: readonly JournalRecord[],
-  ): number {
-    const { table } = this.#options;
-    const moved = new Set(
-      snapshots.map((record) =>
-        record.type === "snapshot" ? record.state.sequence : undefined
-      ),
-    );
-    const needed = oldest.find((batch) =>
-      table.sequencesAt(batch).some((sequence) => !moved.has(sequence))
-    );
-    return needed ?? (oldest.at(-1) ?? 0) + 1;
-  }
-
   #afterWrite(result: Result<void, AppendFailure>): void {
     if (result.isErr() && result.error.type === "storeAway") this.#goAway();
     if (this.#writer.lost) this.#lose();
@@ -290,7 +278,3 @@
     this.#options.lost();
   }
 }
-
-function numbersBetween(from: number, to: number): number[] {
-  return Array.from({ length: to - from }, (_, index) => from + index);
-}
--- a/src/journal/work_state.ts
+++ b/src/journal/work_state.ts
@@ -6,12 +6,13 @@
  * @module
  */
 import { unreachable } from "../errors.ts";
-import type {
-  AttemptOutcome,
-  JournalRecord,
-  RunningTask,
-  Task,
-  Work,
+import {
+  type AttemptOutcome,
+  type JournalRecord,
+  type RunningTask,
+  type Task,
+  textBytes,
+  type Work,
 } from "./records.ts";
 
 /** Summary of a work. */
@@ -22,8 +23,13 @@
   | "cancelled"
   | "finished";
 
+/** A record that changes a work that exists. */
+export type WorkRecord = Exclude<
+  JournalRecord,
+  { type: "submitted" | "snapshot" }
+>;
+
 type SubmittedRecord = Extract<JournalRecord, { type: "submitted" }>;
-type WorkRecord = Exclude<JournalRecord, { type: "submitted" | "snapshot" }>;
 
 /** State of a work that has just been submitted. */
 export function newWork(record: SubmittedRecord): Work {
@@ -77,21 +83,22 @@
   );
 }
 
-/** Bytes of results and checkpoints that the work holds. */
+/** Bytes of results, checkpoints and failures that the work holds. */
 export function outputBytes(work: Work): number {
   return work.tasks.reduce((sum, task) => sum + taskOutputBytes(task), 0);
 }
 
 /** Estimated length of the work's snapshot. */
 export function snapshotBytes(work: Work): number {
-  return WORK_OVERHEAD_BYTES + work.payload.length + outputBytes(work) +
+  return WORK_OVERHEAD_BYTES + textBytes(work.payload) + outputBytes(work) +
     work.tasks.length * TASK_OVERHEAD_BYTES;
 }
 
 const WORK_OVERHEAD_BYTES = 200;
-const TASK_OVERHEAD_BYTES = 40;
+const TASK_OVERHEAD_BYTES = 100;
 
-function taskOutputBytes(task: Task): number {
+/** Bytes of the result, checkpoint or failure that a task holds. */
+export function taskOutputBytes(task: Task): number {
   switch (task.type) {
     case "succeeded":
       return task.result?.length ?? 0;
@@ -99,6 +106,7 @@
     case "running":
       return task.checkpoint?.length ?? 0;
     case "parked":
+      return textBytes(task.detail);
     case "cancelled":
       return 0;
     default:
--- a/src/journal/work_table.ts
+++ b/src/journal/work_table.ts
@@ -5,7 +5,13 @@
  * @module
  */
 import type { JournalRecord, Work } from "./records.ts";
-import { applyRecord, newWork, snapshotBytes } from "./work_state.ts";
+import {
+  applyRecord,
+  newWork,
+  snapshotBytes,
+  taskOutputBytes,
+  type WorkRecord,
+} from "./work_state.ts";
 
 interface Row {
   readonly work: Work;
@@ -53,7 +59,7 @@
       case "submitted":
         return this.#submit(batch, newWork(record));
       case "snapshot":
-        return this.#put(record.state, batch);
+        return this.#put(record.state, batch, snapshotBytes(record.state));
       case "cancelled":
         for (const sequence of record.works) this.#change(sequence, record);
         return;
@@ -103,22 +109,25 @@
     if (this.#rows.has(work.sequence)) return;
     const { team, key } = work;
     if (key !== undefined && this.withKey(team, key) !== undefined) return;
-    this.#put(work, batch);
+    this.#put(work, batch, snapshotBytes(work));
   }
 
   #change(
     sequence: number,
-    record: Parameters<typeof applyRecord>[1],
+    record: WorkRecord,
   ): void {
     const row = this.#rows.get(sequence);
     if (row === undefined) return;
     const work = applyRecord(row.work, record);
-    if (work !== row.work) this.#put(work, row.home);
+    if (work === row.work) return;
+    const bytes = "task" in record
+      ? row.bytes + growth(row.work, work, record.task)
+      : snapshotBytes(work);
+    this.#put(work, row.home, bytes);
   }
 
-  #put(work: Work, home: number): void {
+  #put(work: Work, home: number, bytes: number): void {
     const old = this.#rows.get(work.sequence);
-    const bytes = snapshotBytes(work);
     this.#rows.set(work.sequence, { work, home, bytes });
     this.#bytes += bytes - (old?.bytes ?? 0);
     if (work.key !== undefined) {
@@ -142,6 +151,15 @@
   }
 }
 
+/** Bytes that one changed task adds. */
+function growth(before: Work, after: Work, index: number): number {
+  const bytes = (work: Work) => {
+    const task = work.tasks[index];
+    return task === undefined ? 0 : taskOutputBytes(task);
+  };
+  return bytes(after) - bytes(before);
+}
+
 function keyName(team: string, key: string): string {
   return JSON.stringify([team, key]);
 }
--- a/src/state/attempt_policy.ts
+++ b/src/state/attempt_policy.ts
@@ -5,12 +5,13 @@
  * @module
  */
 import { unreachable } from "../errors.ts";
-import type {
-  AttemptOutcome,
-  JournalRecord,
-  ParkCause,
-  RunningTask,
-  Work,
+import {
+  type AttemptOutcome,
+  type JournalRecord,
+  type ParkCause,
+  type RunningTask,
+  textBytes,
+  type Work,
 } from "../journal/records.ts";
 import { outputBytes } from "../journal/work_state.ts";
 
@@ -101,7 +102,8 @@
     return { type: "stopped" };
   }
   if (outcome.type === "failed") {
-    return { type: "failed", detail: outcome.detail.slice(0, DETAIL_CHARS) };
+    const detail = outcome.detail.slice(0, DETAIL_CHARS);
+    return { type: "failed", detail: textBytes(detail) <= free ? detail : "" };
   }
   return outcome;
 }
--- /dev/null
+++ b/src/state/attempt_policy_test.ts
@@ -0,0 +1,61 @@
+import test from "ava";
+import { VALUE_LIMIT_BYTES } from "../fakes/memory_store.ts";
+import { DEFERRED_LIMITS } from "../controllers/deferred_options.ts";
+import {
+  type AttemptOutcome,
+  type JournalRecord,
+  recordBytes,
+} from "../journal/records.ts";
+import { snapshotBytes } from "../journal/work_state.ts";
+import { WorkTable } from "../journal/work_table.ts";
+import { endingRecords } from "./attempt_policy.ts";
+
+const { output, payloadBytes, tasks } = DEFERRED_LIMITS;
+
+const largest: AttemptOutcome[] = [
+  { type: "failed", detail: "\u0000".repeat(1000) },
+  { type: "succeeded", result: "x".repeat(output.taskBytes) },
+  { type: "stopped", checkpoint: "x".repeat(output.taskBytes) },
+];
+
+for (const outcome of largest) {
+  test(`the largest work whose tasks ${outcome.type} fits a value`, (t) => {
+    const table = new WorkTable();
+    const apply = (record: JournalRecord) => table.apply(0, record);
+    apply({
+      type: "submitted",
+      work: 0,
+      team: "t",
+      workload: "w",
+      payload: "x".repeat(payloadBytes - 2),
+      count: tasks,
+      gang: false,
+      at: 0,
+    });
+    for (let index = 0; index < tasks; index++) {
+      const attempt = "a".repeat(36);
+      const common = { work: 0, task: index, attempt, at: 1_700_000_000_000 };
+      apply({
+        type: "attempt",
+        ...common,
+        worker: "w".repeat(30),
+        fence: 9999,
+      });
+      const work = table.get(0);
+      const task = work?.tasks[index];
+      if (work === undefined || task?.type !== "running") return t.fail();
+      const ending = { work, index, task, outcome, at: common.at };
+      const options = {
+        policy: { idempotent: outcome.type === "stopped", attempts: 1 },
+        limits: output,
+      };
+      endingRecords(ending, options).forEach(apply);
+    }
+    const state = table.get(0);
+    if (state === undefined) return t.fail();
+    const bytes = recordBytes({ type: "snapshot", state });
+    t.true(bytes < VALUE_LIMIT_BYTES, `${bytes}`);
+    t.true(snapshotBytes(state) < VALUE_LIMIT_BYTES);
+    t.is(table.bytes, snapshotBytes(state));
+  });
+}
