--- a/src/controllers/deferred.ts
+++ b/src/controllers/deferred.ts
@@ -12,6 +12,7 @@
   type Result,
   ResultAsync,
 } from "neverthrow";
+import { withDeadline } from "../deadline.ts";
 import { unreachable } from "../errors.ts";
 import type { AttemptOutcome } from "../journal/records.ts";
 import { Segment } from "../journal/segment.ts";
@@ -64,7 +65,7 @@
     submission: Submission,
   ): ResultAsync<{ readonly id: string }, SubmitFailure> {
     if (this.#stopping) return errAsync(stoppingFailure);
-    const { workloadOf, limits } = this.#options;
+    const { clock, workloadOf, limits } = this.#options;
     const workload = workloadOf(submission.workload);
     const checked = checkSubmission(submission, { workload, limits });
     if (checked.isErr()) return errAsync(checked.error);
@@ -73,7 +74,11 @@
     }
     const held = this.#holdings.holderOf(checked.value);
     if (held === undefined) return errAsync(noSegment);
-    return this.#inTime(held.submit(checked.value));
+    return withDeadline(held.submit(checked.value), {
+      clock,
+      ms: limits.submitMs,
+      late: submitUnknown,
+    });
   }
 
   /** A work with its tasks. */
@@ -197,23 +202,6 @@
     return this.#holdings.counts();
   }
 
-  #inTime<T>(
-    pending: ResultAsync<T, SubmitFailure>,
-  ): ResultAsync<T, SubmitFailure> {
-    const { clock, limits } = this.#options;
-    const first = new Promise<Result<T, SubmitFailure>>((resolve) => {
-      const timer = clock.after(
-        limits.submitMs,
-        () => resolve(err(submitUnknown)),
-      );
-      pending.then((result) => {
-        timer.cancel();
-        resolve(result);
-      });
-    });
-    return new ResultAsync(first);
-  }
-
   #cancelWork(
     target: { readonly id: string; readonly team: string },
   ): ResultAsync<number, CancelFailure> {
