--- a/src/controllers/home_keys_test.ts
+++ b/src/controllers/home_keys_test.ts
@@ -5,6 +5,7 @@
 import { KEY_LIMITS } from "../state/key_memory.ts";
 import type { Instance, Outcome } from "../types.ts";
 import { beginKey, finishKey } from "../wire/keys.ts";
+import { HomeKeyGuard } from "./home_key_guard.ts";
 import { HomeKeys, type KeyVerdict } from "./home_keys.ts";
 
 const SETTLE_MS = 3000;
@@ -19,7 +20,7 @@
 /** An ownership map with one owner for every home. */
 class OneOwner {
   owner = "a";
-  fence = 1;
+  fence: number | undefined = 1;
   epoch = 1;
   readonly paused = new Set<string>();
   readonly #listeners: (() => void)[] = [];
@@ -43,7 +44,8 @@
       inContact: () => !this.paused.has(self),
       mayDecide: () => !this.paused.has(self) && look().owner === self,
       owned: () => [],
-      ownerOf: () => instance(look().owner),
+      ownerOf: () =>
+        look().fence === undefined ? undefined : instance(look().owner),
       fenceOf: () => look().fence,
       epoch: () => look().epoch,
       onChange: (listener) => {
@@ -122,6 +124,37 @@
   t.deepEqual(await bench.begin(a!.keys), { type: "answer", outcome: done });
 });
 
+const beginnings = [
+  { name: "next", steps: 1, outcome: "proceed" },
+  { name: "later", steps: 2, outcome: "unknown" },
+];
+
+for (const { name, steps, outcome } of beginnings) {
+  test(`a home without an owner, given one in the ${name} map`, async (t) => {
+    const bench = new Bench();
+    bench.map.fence = undefined;
+    const [a, b] = ["a", "b"].map((name) => bench.join(name));
+    t.is(outcomeType(await bench.begin(b!.keys)), "notRun");
+    bench.map.move("a", bench.map.epoch + steps);
+    t.is(outcomeType(await bench.begin(a!.keys)), outcome);
+  });
+}
+
+test("the guard keeps to one run and does not wait for the home", async (t) => {
+  const bench = new Bench();
+  const [, b] = ["a", "b"].map((name) => bench.join(name));
+  await bench.vouch();
+  const guard = new HomeKeyGuard(b!.keys, bench.clock);
+  const begin = () => bench.settle(guard.begin(KEY.team, KEY.key));
+  t.deepEqual(await begin(), { type: "fresh" });
+  t.deepEqual(await begin(), { type: "inProgress" });
+  bench.network.cut("a", "b");
+  await guard.finish(KEY.team, KEY.key, done);
+  bench.network.heal("a", "b");
+  await bench.clock.run(SETTLE_MS);
+  t.deepEqual(await begin(), { type: "ended", outcome: done });
+});
+
 test("a killed home leaves unknown", async (t) => {
   const bench = new Bench();
   const [, b, c] = ["a", "b", "c"].map((name) => bench.join(name));
--- a/src/controllers/key_homes.ts
+++ b/src/controllers/key_homes.ts
@@ -35,6 +35,8 @@
   readonly epoch: () => number;
 }
 
+const BEGINNING_OF_TIME = 0;
+
 interface Home {
   readonly memory: KeyMemory;
   readonly fence: number;
@@ -47,6 +49,8 @@
   readonly #options: KeyHomesOptions;
   readonly #homes = new Map<number, Home>();
   readonly #handovers = new KeyHandovers();
+  /** Newest ownership map in which a home had no owner yet. */
+  readonly #absentAt = new Map<number, number>();
 
   constructor(options: KeyHomesOptions) {
     this.#options = options;
@@ -91,6 +95,7 @@
     const { authority, epoch, self } = this.#options;
     const owner = authority.ownerOf(unitOf(bucket))?.id;
     const fence = authority.fenceOf(unitOf(bucket));
+    if (fence === undefined) this.#absentAt.set(bucket, epoch());
     if (owner === undefined || fence === undefined) return;
     const home = this.#homes.get(bucket);
     if (owner === self && home?.fence === fence) {
@@ -99,17 +104,26 @@
     }
     if (home !== undefined) this.#release(bucket, { home, owner, fence });
     if (owner === self) this.#adopt(bucket, fence);
+    this.#absentAt.delete(bucket);
   }
 
   #adopt(bucket: number, fence: number): void {
     const { clock, epoch, limits } = this.#options;
-    const completeSince = clock.now().getTime();
+    const completeSince = this.#isFirst(bucket, fence)
+      ? BEGINNING_OF_TIME
+      : clock.now().getTime();
     const nothing = { completeSince, forgottenUpTo: 0, rows: [] };
     const memory = new KeyMemory(limits, nothing);
     this.#homes.set(bucket, { memory, fence, epoch: epoch() });
     this.#takeUp(bucket);
   }
 
+  /** Whether the grant follows a map without the home, so that it had no owner before. */
+  #isFirst(bucket: number, fence: number): boolean {
+    const absentAt = this.#absentAt.get(bucket);
+    return absentAt !== undefined && fence === absentAt + 1;
+  }
+
   /** Passes the memory on, if no other instance can have been the home in between. */
   #release(
     bucket: number,
