--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -21,7 +21,6 @@
 import { workRoutes } from "../http/work_routes.ts";
 import { type Log, openLog } from "../logger.ts";
 import { TcpPeers } from "../peers/tcp_peers.ts";
-import type { KeyGuard } from "../ports/key_guard.ts";
 import { startTracing } from "../tracing.ts";
 import type { Outcome } from "../types.ts";
 import { Instance } from "./instance.ts";
@@ -164,7 +163,7 @@
       admit(admission),
       authenticate(() => instance.settings.set()),
       check({ couldEverFit }),
-      atMostOnce(forgetful),
+      atMostOnce(instance.keyGuard),
     ], (exchange) => dispatch(instance, exchange));
   }
 }
@@ -199,8 +198,3 @@
 function join(prefix: string, path: string): string {
   return prefix.replace(/\/$/, "") + path;
 }
-
-const forgetful: KeyGuard = {
-  begin: () => Promise.resolve({ type: "fresh" }),
-  finish: () => Promise.resolve(),
-};
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -12,6 +12,8 @@
 import { DEFERRED_LIMITS } from "../controllers/deferred_options.ts";
 import { Fleet } from "../controllers/fleet.ts";
 import { Gangs } from "../controllers/gangs.ts";
+import { HomeKeyGuard } from "../controllers/home_key_guard.ts";
+import { HomeKeys } from "../controllers/home_keys.ts";
 import { Limits } from "../controllers/limits.ts";
 import { Matching } from "../controllers/matching.ts";
 import { Membership } from "../controllers/membership.ts";
@@ -31,10 +33,12 @@
 import { Shares } from "../policy/shares.ts";
 import { WaitingQueue } from "../policy/waiting.ts";
 import type { Authority } from "../ports/authority.ts";
+import type { KeyGuard } from "../ports/key_guard.ts";
 import type { List } from "../ports/list.ts";
 import type { Store } from "../ports/store.ts";
 import type { Upstream } from "../ports/upstream.ts";
 import { RetryTokens } from "../retry_budget.ts";
+import { KEY_LIMITS } from "../state/key_memory.ts";
 import type { Instance as Identity, Resources } from "../types.ts";
 import { fits } from "../resources.ts";
 import { DrainRates } from "./drain_rates.ts";
@@ -45,6 +49,8 @@
 const JOURNAL_WRITES_PER_SECOND = 25;
 /** Writes that may be made in a burst. */
 const JOURNAL_BURST = 25;
+/** Longest wait for the home of an idempotency key, milliseconds. */
+const KEY_CALL_MS = 1_000;
 /** Time between looks at what is to be owned, milliseconds. */
 const UNITS_INTERVAL_MS = 2_000;
 
@@ -85,6 +91,8 @@
   readonly deferred: Deferred;
   readonly segments: Segments;
   readonly desk: WorkDesk;
+  readonly keys: HomeKeys;
+  readonly keyGuard: KeyGuard;
   readonly #options: InstanceOptions;
   #unitsTimer: Timer | undefined;
   #stopping = false;
@@ -226,6 +234,18 @@
       peers,
       members,
     });
+    this.keys = new HomeKeys({
+      self: self.id,
+      peers,
+      clock,
+      limits: KEY_LIMITS,
+      callMs: KEY_CALL_MS,
+      authority,
+      epoch: () => ownership.map().epoch,
+      members,
+      newId: randomUUID,
+    });
+    this.keyGuard = new HomeKeyGuard(this.keys, clock);
     this.#connect();
     this.#gauges();
   }
@@ -333,6 +353,7 @@
   #gauges(): void {
     const { metrics } = this;
     metrics.gauge("waiting", () => this.queue.size);
+    metrics.gauge("keys_remembered", () => this.keys.size);
     metrics.gauge("requests_in_flight", () => this.requests.inFlight);
     metrics.gauge("tasks_kept", () => this.keeper.size);
     metrics.gauge("gangs_waiting", () => this.gangs.size);
--- a/src/daemon/units.ts
+++ b/src/daemon/units.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { KEY_BUCKETS, KEY_HOME_UNIT } from "../controllers/key_homes.ts";
 import { WORKER_UNIT } from "../controllers/owned_workers.ts";
 import { SEGMENT_UNIT } from "../controllers/work_desk.ts";
 import type { OperatorSet } from "../operator_set.ts";
@@ -11,10 +12,6 @@
 
 /** Prefix of the units that are homes of teams' limits. */
 export const TEAM_UNIT = "team:";
-/** Prefix of the units that are homes of idempotency keys. */
-export const HOME_UNIT = "home:";
-/** Number of homes of idempotency keys. */
-export const HOME_COUNT = 64;
 /** A worker that the list has not named for so long is given up, milliseconds. */
 const WORKER_GONE_MS = 60_000;
 
@@ -35,8 +32,8 @@
   },
 ): Units {
   const homes = Array.from(
-    { length: HOME_COUNT },
-    (_, index) => HOME_UNIT + index,
+    { length: KEY_BUCKETS },
+    (_, index) => KEY_HOME_UNIT + index,
   );
   const wanted = [
     ...from.workers.map(({ id }) => WORKER_UNIT + id),
