--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,8 @@
 import { Command } from "commander";
 import { benchDecisions } from "./decisions.ts";
 import { benchFaults } from "./faults.ts";
+import { benchGangs } from "./gangs.ts";
+import { benchJournal } from "./journal.ts";
 import { benchPacking } from "./packing.ts";
 import { Results } from "./results.ts";
 import { benchShares } from "./shares.ts";
@@ -18,6 +20,8 @@
 const benches: Readonly<Record<string, Bench>> = {
   decisions: benchDecisions,
   faults: benchFaults,
+  gangs: benchGangs,
+  journal: benchJournal,
   packing: benchPacking,
   shares: benchShares,
   waiting: benchWaiting,
--- a/src/controllers/deferred.ts
+++ b/src/controllers/deferred.ts
@@ -12,9 +12,11 @@
   type Result,
   ResultAsync,
 } from "neverthrow";
+import { withDeadline } from "../deadline.ts";
 import { unreachable } from "../errors.ts";
 import type { AttemptOutcome } from "../journal/records.ts";
 import { Segment } from "../journal/segment.ts";
+import { statusOf } from "../journal/work_state.ts";
 import { WorkTable } from "../journal/work_table.ts";
 import { journalFull } from "../journal/failures.ts";
 import type { Resume } from "../operator_set.ts";
@@ -63,16 +65,20 @@
     submission: Submission,
   ): ResultAsync<{ readonly id: string }, SubmitFailure> {
     if (this.#stopping) return errAsync(stoppingFailure);
-    const { workloadOf, limits } = this.#options;
+    const { clock, workloadOf, limits } = this.#options;
     const workload = workloadOf(submission.workload);
     const checked = checkSubmission(submission, { workload, limits });
     if (checked.isErr()) return errAsync(checked.error);
-    if (this.#holdings.bytes() > limits.heldBytes) {
+    if (!this.#holdings.hasRoom()) {
       return errAsync(journalFull(limits.sweepMs));
     }
     const held = this.#holdings.holderOf(checked.value);
     if (held === undefined) return errAsync(noSegment);
-    return this.#inTime(held.submit(checked.value));
+    return withDeadline(held.submit(checked.value), {
+      clock,
+      ms: limits.submitMs,
+      late: submitUnknown,
+    });
   }
 
   /** A work with its tasks. */
@@ -88,11 +94,12 @@
     const all = this.#holdings.all().flatMap((held) =>
       [...held.table.works()]
         .filter((work) => work.team === team)
-        .map((work) => summaryOf(held.idOf(work), work))
+        .map((work) => ({ held, work, isParked: statusOf(work) === "parked" }))
     );
-    const parked = all.filter((work) => work.status === "parked");
-    const rest = all.filter((work) => work.status !== "parked");
-    return [...parked, ...rest].slice(0, options.limit);
+    const parked = all.filter(({ isParked }) => isParked);
+    const rest = all.filter(({ isParked }) => !isParked);
+    return [...parked, ...rest].slice(0, options.limit)
+      .map(({ held, work }) => summaryOf(held.idOf(work), work));
   }
 
   /** Cancels one work or a wave of them; gives how many were open. */
@@ -195,23 +202,6 @@
     return this.#holdings.counts();
   }
 
-  #inTime<T>(
-    pending: ResultAsync<T, SubmitFailure>,
-  ): ResultAsync<T, SubmitFailure> {
-    const { clock, limits } = this.#options;
-    const first = new Promise<Result<T, SubmitFailure>>((resolve) => {
-      const timer = clock.after(
-        limits.submitMs,
-        () => resolve(err(submitUnknown)),
-      );
-      pending.then((result) => {
-        timer.cancel();
-        resolve(result);
-      });
-    });
-    return new ResultAsync(first);
-  }
-
   #cancelWork(
     target: { readonly id: string; readonly team: string },
   ): ResultAsync<number, CancelFailure> {
--- a/src/controllers/deferred_options.ts
+++ b/src/controllers/deferred_options.ts
@@ -17,12 +17,16 @@
   readonly output: OutputLimits;
   /** Largest payload, bytes. */
   readonly payloadBytes: number;
+  /** Longest idempotency key, bytes. */
+  readonly keyBytes: number;
   /** Most tasks of one work. */
   readonly tasks: number;
   /** Most that all works of this instance take, bytes. */
   readonly heldBytes: number;
   /** Time that a finished work can be shown, milliseconds. */
   readonly retentionMs: number;
+  /** Time that a finished work can be shown at least, also where memory is short, milliseconds. */
+  readonly shortRetentionMs: number;
   /** Interval of dropping what is past its retention, milliseconds. */
   readonly sweepMs: number;
   /** Longest wait for the acknowledgement of a submission, milliseconds. */
@@ -44,9 +48,11 @@
   segment: SEGMENT_LIMITS,
   output: { taskBytes: 16_384, workBytes: 262_144 },
   payloadBytes: 262_144,
+  keyBytes: 256,
   tasks: 1_000,
   heldBytes: 64_000_000,
   retentionMs: 24 * 3_600_000,
+  shortRetentionMs: 600_000,
   sweepMs: 30_000,
   submitMs: 5_000,
   backoffMs: 1_000,
