--- a/src/policy/choice.ts
+++ b/src/policy/choice.ts
@@ -45,6 +45,8 @@
 export const SLACK_MS = 5_000;
 /** Deferred work that has waited longer than this counts as aged. */
 export const AGED_MS = 60_000;
+/** Urgent work that has waited less than this is ordered by age alone. */
+export const GRACE_MS = 25;
 /** How much older than its own work a peer's work has to be before an instance prefers it. */
 export const HANDOVER_MS: Readonly<Record<Urgency, number>> = {
   urgent: 5,
@@ -102,10 +104,19 @@
   return decide(bests, options.turns);
 }
 
+/** A candidate with what it is ordered by. */
+interface Ranked<T extends Candidate> {
+  readonly candidate: T;
+  readonly priorityDueMs: number;
+  readonly step: number;
+}
+
 /** The best candidate of each urgency. */
 class Bests<T extends Candidate> {
-  urgent: T | undefined;
-  deferred: T | undefined;
+  readonly #best: Record<Urgency, Ranked<T> | undefined> = {
+    urgent: undefined,
+    deferred: undefined,
+  };
   readonly #options: ChoiceOptions;
   readonly #fairRank: number;
 
@@ -114,6 +125,16 @@
     this.#fairRank = options.shares.fairRank();
   }
 
+  /** The best urgent candidate. */
+  get urgent(): T | undefined {
+    return this.#best.urgent?.candidate;
+  }
+
+  /** The best deferred candidate. */
+  get deferred(): T | undefined {
+    return this.#best.deferred?.candidate;
+  }
+
   /** Pressure of the best deferred candidate. */
   get pressure(): Pressure {
     return this.deferred === undefined
@@ -122,34 +143,42 @@
   }
 
   offer(candidate: T): void {
-    const best = this[candidate.urgency];
-    if (best !== undefined && !this.#precedes(candidate, best)) return;
+    const best = this.#best[candidate.urgency];
+    const step = this.#step(candidate);
+    const priorityDueMs = this.#priorityDueMs(candidate, step);
+    const ranked = { candidate, priorityDueMs, step };
+    if (best !== undefined && !precedes(ranked, best)) return;
     const { need, urgency } = candidate;
     if (!this.#options.hasRoom(need, urgency)) return;
-    this[candidate.urgency] = candidate;
-  }
-
-  #precedes(a: T, b: T): boolean {
-    const dueA = this.#priorityDue(a);
-    const dueB = this.#priorityDue(b);
-    if (dueA !== dueB) return dueA < dueB;
-    const stepA = this.#step(a);
-    const stepB = this.#step(b);
-    return stepA === stepB ? byDueThenArrival(a, b) < 0 : stepA < stepB;
+    this.#best[urgency] = ranked;
   }
 
   /** Due time of late deferred work of a team within its share; infinite for all else. */
-  #priorityDue(candidate: T): number {
-    if (candidate.urgency === "urgent") return Infinity;
-    if (pressureOf(candidate, this.#options.nowMs) !== "late") return Infinity;
-    return this.#step(candidate) === 0 ? candidate.dueAtMs! : Infinity;
+  #priorityDueMs(candidate: T, step: number): number {
+    if (candidate.urgency === "urgent" || step > 0) return Infinity;
+    const late = pressureOf(candidate, this.#options.nowMs) === "late";
+    return late ? candidate.dueAtMs! : Infinity;
   }
 
-  /** How far the team is above its share; 0 within it. */
+  /** How far the team is above its share; 0 within it and for urgent work that has hardly waited. */
   #step(candidate: T): number {
+    if (this.#isYoung(candidate)) return 0;
     const excess = this.#options.shares.rank(candidate.team) - this.#fairRank;
     return Math.max(0, Math.ceil(excess / RANK_STEP));
   }
+
+  #isYoung(candidate: T): boolean {
+    return candidate.urgency === "urgent" &&
+      this.#options.nowMs - candidate.arrivedAtMs < GRACE_MS;
+  }
+}
+
+function precedes<T extends Candidate>(a: Ranked<T>, b: Ranked<T>): boolean {
+  if (a.priorityDueMs !== b.priorityDueMs) {
+    return a.priorityDueMs < b.priorityDueMs;
+  }
+  if (a.step !== b.step) return a.step < b.step;
+  return byDueThenArrival(a.candidate, b.candidate) < 0;
 }
 
 function decide<T extends Candidate>(
