--- a/src/controllers/segments.ts
+++ b/src/controllers/segments.ts
@@ -54,6 +54,11 @@
     }));
   }
 
+  /** Whether a segment is open for new work. */
+  get ready(): boolean {
+    return this.#open.size > 0;
+  }
+
   /** Brings the ending of an attempt to the holder of its task; gives whether it was kept. */
   async tell(ended: EndedAttempt): Promise<boolean> {
     const { authority, peers, self } = this.#options;
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -270,7 +270,7 @@
   /** Whether callers may be sent here. */
   ready(): boolean {
     return !this.#stopping && this.settings.known &&
-      this.authority.inContact() && this.ownership.map().units.size > 0;
+      this.authority.inContact() && this.segments.ready;
   }
 
   /** Whether the instance has begun to shut down. */
--- a/testbed/load.ts
+++ b/testbed/load.ts
@@ -133,7 +133,8 @@
         timeoutMs: REQUEST_TIMEOUT_MS,
       });
       note = noteOf(reply, mark, key !== undefined);
-    } catch {
+    } catch (error) {
+      if (isRefused(error)) return await this.#send(workload, key);
       note = { outcome: "noAnswer" };
     }
     const tookMs = Date.now() - startedAt;
@@ -167,7 +168,8 @@
       if (reply.status === 202 && body.id !== undefined) {
         this.works.push({ id: body.id, team, workload });
       } else this.#refused(body.type ?? String(reply.status));
-    } catch {
+    } catch (error) {
+      if (isRefused(error)) return await this.#submit();
       this.#refused("noAnswer");
     }
   }
@@ -183,6 +185,11 @@
   }
 }
 
+/** Whether no connection could be made: a balancer would try another instance. */
+function isRefused(error: unknown): boolean {
+  return (error as { code?: unknown }).code === "ECONNREFUSED";
+}
+
 function pick(random: number): [string, number | undefined] {
   if (random < 0.6) return ["billing-run", 2];
   return random < 0.9 ? ["price-import", 1] : ["fleet-image", undefined];
