--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -170,6 +170,7 @@
     unfinished,
   });
   report(results, load, unfinished);
+  timeline(results, load);
   for (const [name, count] of Object.entries(violations)) {
     results.atMost(name, count, 0);
   }
@@ -194,6 +195,28 @@
   for (const id of unfinished.slice(0, 5)) results.line("unfinished", id);
 }
 
+/** Prints how callers fared in each slice of the run. */
+function timeline(results: Results, load: Load): void {
+  const startMs = Math.min(...load.requests.map(({ atMs }) => atMs));
+  for (let fromMs = 0; fromMs < DURATION_MS; fromMs += SLICE_MS) {
+    const slice = load.requests.filter(({ atMs }) =>
+      atMs - startMs >= fromMs && atMs - startMs < fromMs + SLICE_MS
+    );
+    const times = slice.map(({ tookMs }) => tookMs).sort((a, b) => a - b);
+    const done = slice.filter(({ outcome }) => outcome === "done").length;
+    const p99 = times[Math.floor(times.length * 0.99)] ?? 0;
+    const unknown = slice.filter(({ outcome }) => outcome === "unknown").length;
+    results.line(
+      `slice_${fromMs / 1_000}_s`,
+      `done:${done},unknown:${unknown},other:${
+        slice.length - done - unknown
+      },p99_ms:${p99}`,
+    );
+  }
+}
+
+const SLICE_MS = 3_000;
+
 /** Waits for the works to end; gives those that did not. */
 async function settle(
   bed: Testbed,
--- a/testbed/load.ts
+++ b/testbed/load.ts
@@ -55,6 +55,8 @@
 }
 
 const REQUEST_TIMEOUT_MS = 20_000;
+const HEALTH_INTERVAL_MS = 500;
+const HEALTH_TIMEOUT_MS = 500;
 
 /** What all callers were told. */
 export class Load {
@@ -63,6 +65,7 @@
   /** Submissions that were refused, by reason. */
   readonly refusedWorks = new Map<string, number>();
   readonly #options: LoadOptions;
+  readonly #healthy = new Set<Node>();
   readonly #open = new Set<Promise<void>>();
 
   constructor(options: LoadOptions) {
@@ -73,7 +76,9 @@
   async run(): Promise<void> {
     const { durationMs, requestsPerSecond, worksPerSecond } = this.#options;
     const until = Date.now() + durationMs;
+    const { nodes } = this.#options;
     await Promise.all([
+      ...nodes.map((node) => this.#balance(node, until)),
       this.#arrivals(requestsPerSecond, until, () => this.#request()),
       this.#arrivals(worksPerSecond, until, () => this.#submit()),
     ]);
@@ -181,7 +186,19 @@
 
   #anyNode(): Node {
     const { nodes, random } = this.#options;
-    return nodes[Math.floor(random() * nodes.length)]!;
+    const healthy = nodes.filter((node) => this.#healthy.has(node));
+    const choice = healthy.length > 0 ? healthy : nodes;
+    return choice[Math.floor(random() * choice.length)]!;
+  }
+
+  /** Asks each instance for its readiness now and then, as a balancer does. */
+  async #balance(node: Node, until: number): Promise<void> {
+    while (Date.now() < until) {
+      const ready = await isReady(node);
+      if (ready) this.#healthy.add(node);
+      else this.#healthy.delete(node);
+      await pause(HEALTH_INTERVAL_MS);
+    }
   }
 }
 
@@ -190,6 +207,16 @@
   return (error as { code?: unknown }).code === "ECONNREFUSED";
 }
 
+async function isReady(node: Node): Promise<boolean> {
+  try {
+    const timeoutMs = HEALTH_TIMEOUT_MS;
+    const reply = await call(node.callers, { path: "/readyz", timeoutMs });
+    return reply.status === 200;
+  } catch {
+    return false;
+  }
+}
+
 function pick(random: number): [string, number | undefined] {
   if (random < 0.6) return ["billing-run", 2];
   return random < 0.9 ? ["price-import", 1] : ["fleet-image", undefined];
