Measure recovery and the cost of control

recovery: 30 kills of one of eight instances, then an hour's outage. control: calls and bytes a node against instances, teams and workers.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,11 +5,13 @@
  * @module
  */
 import { Command } from "commander";
+import { benchControl } from "./control.ts";
 import { benchDecisions } from "./decisions.ts";
 import { benchFaults } from "./faults.ts";
 import { benchGangs } from "./gangs.ts";
 import { benchJournal } from "./journal.ts";
 import { benchPacking } from "./packing.ts";
+import { benchRecovery } from "./recovery.ts";
 import { Results } from "./results.ts";
 import { benchShares } from "./shares.ts";
 import { benchWaiting } from "./waiting.ts";
@@ -18,11 +20,13 @@
 export type Bench = (results: Results, seed: number) => void | Promise<void>;
 
 const benches: Readonly<Record<string, Bench>> = {
+  control: benchControl,
   decisions: benchDecisions,
   faults: benchFaults,
   gangs: benchGangs,
   journal: benchJournal,
   packing: benchPacking,
+  recovery: benchRecovery,
   shares: benchShares,
   waiting: benchWaiting,
 };
--- a/src/fakes/memory_peers.ts
+++ b/src/fakes/memory_peers.ts
@@ -17,6 +17,8 @@
   latencyMs = 0;
   /** Messages sent so far. */
   messages = 0;
+  /** Bytes of their contents. */
+  bytes = 0;
   readonly #nodes = new Map<string, MemoryPeers>();
   readonly #cuts = new Set<string>();
 
@@ -24,6 +26,12 @@
     this.clock = clock;
   }
 
+  /** Counts a message. */
+  count(method: string, content: unknown): void {
+    this.messages++;
+    this.bytes += method.length + (JSON.stringify(content)?.length ?? 0);
+  }
+
   /** Adds an instance and gives its view of the network. */
   join(id: string): MemoryPeers {
     const peers = new MemoryPeers(this, id);
@@ -141,7 +149,7 @@
     if (this.#network.route(peer, this.#id) === undefined) {
       return new Promise(() => {});
     }
-    this.#network.messages++;
+    this.#network.count(method, answer);
     return answer;
   }
 
@@ -150,7 +158,7 @@
     method: string,
     params: unknown,
   ): Promise<unknown> {
-    this.#network.messages++;
+    this.#network.count(method, params);
     if (this.#network.latencyMs > 0) {
       await sleep(this.#network.clock, this.#network.latencyMs);
     }
--- a/src/fakes/memory_store.ts
+++ b/src/fakes/memory_store.ts
@@ -51,6 +51,8 @@
   readonly clock: Clock;
   revision = 1;
   calls = 0;
+  /** Bytes of values read, written and told to watches. */
+  bytes = 0;
   readonly rows = new Map<string, Row>();
   readonly #leases = new Map<string, HeldLease>();
   readonly #listeners = new Set<Listener>();
@@ -201,7 +203,11 @@
   }
 
   get(key: string): ResultAsync<Entry | undefined, StoreFailure> {
-    return this.#call(() => this.#service.rows.get(key), "read");
+    return this.#call(() => {
+      const row = this.#service.rows.get(key);
+      this.#service.bytes += row?.value.length ?? 0;
+      return row;
+    }, "read");
   }
 
   list(prefix: string): ReturnType<Store["list"]> {
@@ -209,6 +215,7 @@
       const entries = [...this.#service.rows.values()]
         .filter((row) => row.key.startsWith(prefix))
         .sort((a, b) => (a.key < b.key ? -1 : 1));
+      for (const entry of entries) this.#service.bytes += entry.value.length;
       return { entries, revision: this.#service.revision };
     }, "read");
   }
@@ -227,7 +234,12 @@
         limitBytes: VALUE_LIMIT_BYTES,
       });
     }
-    return this.#call(() => this.#service.apply(conditions, writes), "write");
+    return this.#call(() => {
+      for (const write of writes) {
+        if (write.type === "put") this.#service.bytes += write.value.length;
+      }
+      return this.#service.apply(conditions, writes);
+    }, "write");
   }
 
   grant(ttlSeconds: number): ResultAsync<string, StoreFailure> {
@@ -251,6 +263,7 @@
     const guarded: Watcher = {
       changed: (changes) => {
         if (!this.#watches.has(guarded)) return;
+        this.#service.bytes += sizeOf(changes);
         if (this.#paused) this.#held.push(() => watcher.changed(changes));
         else watcher.changed(changes);
       },
@@ -303,6 +316,14 @@
   message: "the answer was lost",
 };
 
+function sizeOf(changes: readonly Change[]): number {
+  return changes.reduce(
+    (sum, change) =>
+      sum + (change.type === "put" ? change.entry.value.length : 0),
+    0,
+  );
+}
+
 function keyOf(change: Change): string {
   return change.type === "put" ? change.entry.key : change.key;
 }
