Keep orders, rooms and retries true under worker and peer faults

Causes and changes: - An owner forgot a started order 15 s after its start, also when the request's own timeout was longer. Asked then, it said "not started", and the caller was told notRun of a request that had run. Orders are now remembered beyond their own timeout. - A duplicate of a started order was answered "not started". It is answered "lost" now, since the first may have run. - A worker given up and regained while room was held on it got a fresh account, from which the old room was released once more: taken fell to -1 slot. A worker is now forgotten only when nothing is held on it. - The room of a request that was given up was counted as one average slot, whatever it took; it is counted with its own need until a report shows it gone. - A report older than the loss cleared a lost request. Only one measured after the loss does now; reports carry the span of time in which they may have been taken. - A request whose only room was on a worker that had failed it went through the queue without end (101 submissions in 100 turns). It pauses first, and then may use that worker again. - Tries that reached no worker used up the retries of a request. - A request that came back not started ran although its caller had gone. - Work whose deadline had passed during a pause was started before the deadline's timer fired.

Ruled out: workers unreached, refusing, leaving, fenced and silent, owners that lose contact or ownership between room and sending, and the settle barrier all gave true outcomes before, at the owner itself and by a peer.

--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -154,6 +154,7 @@
   #pump(): void {
     if (this.#pumping) return;
     this.#pumping = true;
+    this.#expire();
     this.#refreshShares();
     while (this.#giveRoom());
     while (this.#push());
@@ -355,11 +356,16 @@
     const next = queue.nextDeadlineMs();
     if (next === undefined) return;
     const delayMs = Math.max(0, next - clock.monotonic());
-    this.#deadlineTimer = clock.after(delayMs, () => this.#expire());
+    this.#deadlineTimer = clock.after(delayMs, () => {
+      this.#expire();
+      this.#armDeadline();
+    });
   }
 
   #expire(): void {
     const { clock, queue } = this.#options;
+    const nextMs = queue.nextDeadlineMs() ?? Infinity;
+    if (nextMs > clock.monotonic()) return;
     for (const waiting of queue.expire(clock.monotonic())) {
       const startable = this.#startables.get(waiting.id);
       this.#startables.delete(waiting.id);
--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -10,7 +10,7 @@
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Authority } from "../ports/authority.ts";
 import type { Report, TaskReport, Upstream } from "../ports/upstream.ts";
-import { add, noResources } from "../resources.ts";
+import { add, fits, noResources } from "../resources.ts";
 import type { Resources, Worker } from "../types.ts";
 import type { Fleet } from "./fleet.ts";
 
@@ -61,6 +61,8 @@
   reachable: boolean;
   leaving: boolean;
   foreignTasks: Resources;
+  /** What requests took that were given up since none was left over. */
+  lostNeeds: Resources[];
   timer?: Timer;
 }
 
@@ -125,10 +127,14 @@
   }
 
   /** A request was given up and may still run on its worker. */
-  requestLost(id: string, request: string): void {
+  requestLost(
+    id: string,
+    request: { readonly id: string; readonly need: Resources },
+  ): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
-    entry.leftover.lost(request);
+    entry.leftover.lost(request.id, this.#options.clock.monotonic());
+    entry.lostNeeds.push(request.need);
     this.#reserve(id, entry);
   }
 
@@ -182,11 +188,11 @@
     this.#sweep(id);
   }
 
-  /** Forgets a worker that is no longer owned once nothing of this instance runs on it. */
+  /** Forgets a worker that is no longer owned once this instance holds nothing on it. */
   #sweep(id: string): void {
     const entry = this.#entries.get(id);
     if (entry === undefined || entry.owned) return;
-    if (entry.leftover.active > 0) return;
+    if (entry.leftover.active > 0 || this.#holdsRoom(id)) return;
     const tracked = this.#listeners.some((listener) =>
       listener.trackedOn(id).size > 0
     );
@@ -196,6 +202,11 @@
     this.#options.pool.remove(id);
   }
 
+  #holdsRoom(id: string): boolean {
+    const taken = this.#options.pool.taken(id) ?? noResources;
+    return !fits(taken, noResources);
+  }
+
   #judge(id: string, entry: Owned): void {
     const { drained, fleet, pool } = this.#options;
     const usable = entry.owned && entry.reachable && entry.leftover.known &&
@@ -211,7 +222,10 @@
     const sentAtMs = clock.monotonic();
     void upstream.report(entry.worker.address).match(
       (report) => this.#reported(id, { report, sentAtMs }),
-      () => this.suspect(id, false),
+      () => {
+        this.suspect(id, false);
+        this.#sweep(id);
+      },
     ).then(() => this.#schedule(id));
   }
 
@@ -237,7 +251,11 @@
     const measuredAtMs = sentAtMs - report.ageMs;
     entry.reachable = true;
     entry.leaving = report.leaving;
-    entry.leftover.sighted({ measuredAtMs, requests: report.requests });
+    entry.leftover.sighted({
+      measuredAtMs,
+      measuredByMs: this.#options.clock.monotonic() - report.ageMs,
+      requests: report.requests,
+    });
     for (const listener of this.#listeners) {
       listener.tasksReported(entry.worker, {
         tasks: report.tasks,
@@ -267,8 +285,12 @@
   }
 
   #reserve(id: string, entry: Owned): void {
-    const each = oneSlot(entry.worker.capacity);
-    const requests = times(each, entry.leftover.count);
+    const { count } = entry.leftover;
+    if (count === 0) entry.lostNeeds = [];
+    const requests = mostOf(entry.lostNeeds, {
+      count,
+      each: oneSlot(entry.worker.capacity),
+    });
     this.#options.pool.reserveFor(id, add(requests, entry.foreignTasks));
   }
 }
@@ -282,6 +304,7 @@
     reachable: false,
     leaving: false,
     foreignTasks: noResources,
+    lostNeeds: [],
   };
 }
 
@@ -296,11 +319,21 @@
   };
 }
 
-function times(resources: Resources, count: number): Resources {
+/** Most that `count` requests take, of which some took `needs` and others `each`. */
+function mostOf(
+  needs: readonly Resources[],
+  { count, each }: { readonly count: number; readonly each: Resources },
+): Resources {
+  const most = (dimension: keyof Resources) =>
+    needs.map((need) => need[dimension])
+      .concat(Array<number>(count).fill(each[dimension]))
+      .sort((a, b) => b - a)
+      .slice(0, count)
+      .reduce((sum, amount) => sum + amount, 0);
   return {
-    cpuMillis: resources.cpuMillis * count,
-    memoryMib: resources.memoryMib * count,
-    accelerators: resources.accelerators * count,
-    slots: resources.slots * count,
+    cpuMillis: most("cpuMillis"),
+    memoryMib: most("memoryMib"),
+    accelerators: most("accelerators"),
+    slots: most("slots"),
   };
 }
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -22,7 +22,7 @@
 
 /** Longest wait for a team's home instance, milliseconds. */
 const ALLOWANCE_WAIT_MS = 200;
-/** Orders are remembered for so long, milliseconds. */
+/** Orders are remembered for so long beyond their timeouts, milliseconds. */
 const ORDER_MEMORY_MS = 15_000;
 
 /** Told how each run on a worker went. */
@@ -50,11 +50,14 @@
   readonly observer: RunObserver;
 }
 
-interface OrderMemory {
-  /** A barred order came too late: its holder has counted it as not started. */
-  readonly state: "started" | "barred";
-  readonly atMs: number;
-}
+/** What is remembered of an order. */
+type OrderMemory =
+  & { readonly untilMs: number }
+  & (
+    | { readonly state: "started"; readonly worker: string }
+    /** Came too late: its holder has counted it as not started. */
+    | { readonly state: "barred" }
+  );
 
 /** Room taken on a worker. */
 export interface Place {
@@ -117,18 +120,17 @@
 
   /** Sends a request to a worker, or says why not. */
   async run(order: RunOrder): Promise<RunResult> {
-    if (this.#orders.has(order.id)) {
-      return notStarted({ type: "duplicateKey" });
-    }
+    const earlier = this.#earlier(order.id);
+    if (earlier !== undefined) return earlier;
     const found = await this.#acquire(order);
     if (found.type === "none") {
       return { ...notStarted(found.reason), retryAfterMs: found.retryAfterMs };
     }
     const { place } = found;
-    const barrier = this.#barrier(order.id, place);
+    const barrier = this.#barrier(order, place);
     if (barrier !== undefined) {
       this.#vacate(order, place);
-      return notStarted(barrier);
+      return barrier;
     }
     return await this.#send(order, place);
   }
@@ -136,7 +138,8 @@
   /** Whether an order was started. One that was not is barred from then on. */
   settle(id: string): boolean {
     if (this.#orders.get(id)?.state === "started") return true;
-    this.#remember(id, "barred");
+    const untilMs = this.#options.clock.monotonic() + ORDER_MEMORY_MS;
+    this.#remember(id, { state: "barred", untilMs });
     return false;
   }
 
@@ -254,11 +257,31 @@
     return this.takeRoom(order.need, order.avoid);
   }
 
-  #barrier(id: string, place: Place): Reason | undefined {
-    if (this.#orders.has(id)) return { type: "cancelled" };
+  /** What to answer to an order that was started or barred before. */
+  #earlier(id: string): RunResult | undefined {
+    const order = this.#orders.get(id);
+    switch (order?.state) {
+      case undefined:
+        return undefined;
+      case "barred":
+        return notStarted({ type: "cancelled" });
+      case "started": {
+        const { worker } = order;
+        return { type: "lost", reason: { type: "duplicateKey" }, worker };
+      }
+    }
+  }
+
+  #barrier(order: RunOrder, place: Place): RunResult | undefined {
+    const earlier = this.#earlier(order.id);
+    if (earlier !== undefined) return earlier;
     const refusal = this.refusal(place);
-    if (refusal === undefined) this.#remember(id, "started");
-    return refusal;
+    if (refusal !== undefined) return notStarted(refusal);
+    const nowMs = this.#options.clock.monotonic();
+    const untilMs = nowMs + order.request.timeoutMs + ORDER_MEMORY_MS;
+    const { worker } = place;
+    this.#remember(order.id, { state: "started", worker, untilMs });
+    return undefined;
   }
 
   async #send(order: RunOrder, place: Place): Promise<RunResult> {
@@ -325,10 +348,10 @@
     }
   }
 
-  /** Frees room at once but keeps the allowance until the worker's reports show the request gone. */
+  /** Keeps room and allowance until the worker's reports show the request gone. */
   #lose(order: RunOrder, worker: string): void {
     const { pool, workers } = this.#options;
-    workers.requestLost(worker, order.id);
+    workers.requestLost(worker, order);
     pool.release(worker, order.need);
     this.charge(order.team, order.need, -1);
     const teams = this.#lost.get(worker) ?? [];
@@ -352,11 +375,11 @@
     this.giveBack({ ...order, worker: place.worker });
   }
 
-  #remember(id: string, state: OrderMemory["state"]): void {
+  #remember(id: string, memory: OrderMemory): void {
     const nowMs = this.#options.clock.monotonic();
-    this.#orders.set(id, { state, atMs: nowMs });
-    for (const [oldest, { atMs }] of this.#orders) {
-      if (nowMs - atMs < ORDER_MEMORY_MS) return;
+    this.#orders.set(id, memory);
+    for (const [oldest, { untilMs }] of this.#orders) {
+      if (nowMs < untilMs) return;
       this.#orders.delete(oldest);
     }
   }
--- a/src/controllers/requests.ts
+++ b/src/controllers/requests.ts
@@ -32,6 +32,8 @@
 const SETTLE_WAIT_MS = 1_000;
 /** Most workers that one request is tried on. */
 const MAX_TRIES = 5;
+/** Pause before a request is tried again on workers that have failed it, milliseconds. */
+const AVOID_MS = 50;
 
 /** One request of a caller. */
 export interface CallerRequest {
@@ -67,10 +69,15 @@
 /** A request on its way. */
 interface Flight extends CallerRequest {
   readonly finish: (outcome: Outcome) => void;
+  /** Orders made for it, each with an id of its own. */
+  orders: number;
+  /** Orders that failed at a worker or on their way to one. */
   tries: number;
+  /** The caller has gone. */
+  abandoned: boolean;
   /** A worker may have run an earlier try. */
   mayHaveRun: boolean;
-  readonly avoid: string[];
+  avoid: string[];
 }
 
 /** Takes requests in and gives each its outcome. */
@@ -96,7 +103,9 @@
     return new Promise((resolve) => {
       const flight: Flight = {
         ...request,
+        orders: 0,
         tries: 0,
+        abandoned: false,
         mayHaveRun: false,
         avoid: [],
         finish: (outcome) => {
@@ -109,14 +118,17 @@
     });
   }
 
-  /** The caller has gone: a request that still waits never runs. */
+  /** The caller has gone: a request that is not on a worker never runs. */
   abandon(id: string): void {
-    if (!this.#options.matching.withdraw(id)) return;
     const flight = this.#flights.get(id);
-    if (flight !== undefined) this.#refuse(flight, { type: "cancelled" });
+    if (flight === undefined) return;
+    flight.abandoned = true;
+    if (!this.#options.matching.withdraw(id)) return;
+    this.#refuse(flight, { type: "cancelled" });
   }
 
   #wait(flight: Flight): void {
+    if (flight.abandoned) return this.#refuse(flight, { type: "cancelled" });
     const { matching } = this.#options;
     const startable: Startable = {
       waiting: flight.waiting,
@@ -134,7 +146,7 @@
   }
 
   async #start(flight: Flight, target: Target): Promise<void> {
-    flight.tries++;
+    flight.orders++;
     const order = orderOf(flight, target);
     this.#options.departed(flight.waiting.queue);
     switch (target.type) {
@@ -228,14 +240,24 @@
         this.#options.matching.block(flight.waiting.team, LIMIT_PAUSE_MS);
         return this.#wait(flight);
       case "noRoom":
-        return this.#wait(flight);
+        return this.#noRoom(flight);
       default:
         return this.#again(flight, result.reason);
     }
   }
 
+  /** Room may be left on workers alone that have failed the request. */
+  #noRoom(flight: Flight): void {
+    if (flight.avoid.length === 0) return this.#wait(flight);
+    this.#options.clock.after(AVOID_MS, () => {
+      flight.avoid = [];
+      this.#wait(flight);
+    });
+  }
+
   /** Tries a request that has not been started once more. */
   #again(flight: Flight, reason: Reason): void {
+    flight.tries++;
     if (flight.tries >= MAX_TRIES) return this.#refuse(flight, reason);
     this.#wait(flight);
   }
@@ -243,6 +265,7 @@
   /** A worker may have run it: only an idempotent request is tried again. */
   #lost(flight: Flight, reason: Reason): void {
     flight.mayHaveRun = true;
+    flight.tries++;
     const again = flight.idempotent && flight.tries < MAX_TRIES &&
       this.#options.retries.withdraw();
     if (again) return this.#wait(flight);
@@ -260,7 +283,7 @@
 function orderOf(flight: Flight, target: Target): RunOrder {
   const { waiting, idempotent, request } = flight;
   return {
-    id: `${flight.id}.${flight.tries}`,
+    id: `${flight.id}.${flight.orders}`,
     team: waiting.team,
     workload: waiting.workload,
     need: waiting.need,
--- /dev/null
+++ b/src/fakes/dispatch_cell.ts
@@ -0,0 +1,221 @@
+/**
+ * Instances that dispatch to workers in memory, on one clock.
+ *
+ * @module
+ */
+import { ManualClock } from "../clock.ts";
+import { Fleet } from "../controllers/fleet.ts";
+import { Matching } from "../controllers/matching.ts";
+import { OwnedWorkers, WORKER_UNIT } from "../controllers/owned_workers.ts";
+import { Placement } from "../controllers/placement.ts";
+import { type CallerRequest, Requests } from "../controllers/requests.ts";
+import { TaskKeeper, type TellHolder } from "../controllers/task_keeper.ts";
+import { silentLog } from "../logger.ts";
+import { WorkerPool } from "../policy/pool.ts";
+import { Shares } from "../policy/shares.ts";
+import { type Waiting, WaitingQueue } from "../policy/waiting.ts";
+import { RetryTokens } from "../retry_budget.ts";
+import type { Resources, Worker } from "../types.ts";
+import {
+  MemoryAllowances,
+  MemoryAuthority,
+  MemoryMap,
+} from "./memory_authority.ts";
+import { MemoryList } from "./memory_list.ts";
+import { MemoryNetwork, type MemoryPeers } from "./memory_peers.ts";
+import { MemoryUpstream, type MemoryWorker } from "./memory_upstream.ts";
+
+const CAPACITY: Resources = {
+  cpuMillis: 8_000,
+  memoryMib: 8_000,
+  accelerators: 0,
+  slots: 8,
+};
+
+/** What one request takes unless said otherwise. */
+export const NEED: Resources = {
+  cpuMillis: 1_000,
+  memoryMib: 1_000,
+  accelerators: 0,
+  slots: 1,
+};
+
+type Ended = Parameters<TellHolder>[0];
+
+/** One instance with its dispatching controllers. */
+export class DispatchNode {
+  readonly pool = new WorkerPool();
+  readonly allowances = new MemoryAllowances();
+  readonly retries = new RetryTokens();
+  readonly queue = new WaitingQueue(() => ({
+    maxWaiting: 1_000,
+    maxWaitingPerTeam: 1_000,
+  }));
+  readonly shares = new Shares();
+  readonly authority: MemoryAuthority;
+  readonly peers: MemoryPeers;
+  readonly workers: OwnedWorkers;
+  readonly placement: Placement;
+  readonly matching: Matching;
+  readonly requests: Requests;
+  readonly keeper: TaskKeeper;
+  /** Ends that the holder was told. */
+  readonly told: Ended[] = [];
+  /** Whether the holder keeps what it is told. */
+  takes = true;
+
+  constructor(cell: DispatchCell, id: string) {
+    const { clock, upstream, fleet } = cell;
+    const { pool, allowances, queue, shares, retries } = this;
+    const log = silentLog;
+    const observer = { ran: () => {} };
+    this.authority = new MemoryAuthority(id, cell.map);
+    this.peers = cell.network.join(id);
+    const { authority, peers } = this;
+    this.workers = new OwnedWorkers({
+      authority,
+      fleet,
+      pool,
+      upstream,
+      clock,
+      log,
+      drained: () => false,
+    });
+    const { workers } = this;
+    const common = { pool, allowances, upstream, clock, log, observer };
+    this.placement = new Placement({ ...common, authority, workers });
+    const { placement } = this;
+    this.matching = new Matching({
+      placement,
+      pool,
+      queue,
+      shares,
+      peers,
+      clock,
+      members: () => [...cell.nodes.keys()].filter((other) => other !== id),
+    });
+    this.requests = new Requests({
+      matching: this.matching,
+      placement,
+      peers,
+      clock,
+      log,
+      retries,
+      retryAfterMs: () => 100,
+      departed: () => {},
+    });
+    this.keeper = new TaskKeeper({
+      ...common,
+      placement,
+      workers,
+      peers,
+      tell: (ended) => {
+        this.told.push(ended);
+        return Promise.resolve(this.takes);
+      },
+    });
+  }
+}
+
+/** The instances, their network and their workers. */
+export class DispatchCell {
+  readonly clock = new ManualClock();
+  readonly network = new MemoryNetwork(this.clock);
+  readonly upstream = new MemoryUpstream();
+  readonly list = new MemoryList();
+  readonly map = new MemoryMap();
+  readonly nodes = new Map<string, DispatchNode>();
+  readonly fleet: Fleet;
+
+  constructor() {
+    this.fleet = new Fleet({
+      list: this.list,
+      clock: this.clock,
+      log: silentLog,
+    });
+  }
+
+  /** Starts instances, and workers by their owners. */
+  async start(
+    nodes: readonly string[],
+    owners: Readonly<Record<string, string>>,
+  ): Promise<this> {
+    for (const id of nodes) this.nodes.set(id, new DispatchNode(this, id));
+    for (const id of Object.keys(owners)) {
+      this.list.workers.push({ worker: workerOf(id), presence: "live" });
+    }
+    await this.fleet.start();
+    for (const [id, owner] of Object.entries(owners)) this.own(id, owner);
+    await this.run(1_200);
+    return this;
+  }
+
+  /** Gives a worker to an instance. */
+  own(worker: string, owner: string | undefined): void {
+    this.map.assign(WORKER_UNIT + worker, owner);
+  }
+
+  /** An instance. */
+  node(id: string): DispatchNode {
+    return this.nodes.get(id)!;
+  }
+
+  /** A worker. */
+  worker(id: string): MemoryWorker {
+    return this.upstream.worker(id);
+  }
+
+  /** Lets time pass. */
+  async run(milliseconds: number): Promise<void> {
+    await this.clock.run(milliseconds);
+    await this.settle();
+  }
+
+  /** Lets promises settle without time passing. */
+  async settle(turns = 10): Promise<void> {
+    for (let turn = 0; turn < turns; turn++) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
+  /** A caller's request with defaults. */
+  request(
+    id: string,
+    options: {
+      readonly idempotent?: boolean;
+      readonly timeoutMs?: number;
+      readonly waiting?: Partial<Waiting>;
+    } = {},
+  ): CallerRequest {
+    const { idempotent = false, timeoutMs = 1_000 } = options;
+    const nowMs = this.clock.monotonic();
+    const path = `/${id}`;
+    return {
+      id,
+      idempotent,
+      request: { method: "POST", path, headers: {}, body: "", timeoutMs },
+      waiting: {
+        id,
+        team: "large",
+        queue: "counter",
+        workload: "receipts",
+        urgency: "urgent",
+        need: NEED,
+        arrivedAtMs: nowMs,
+        deadlineAtMs: nowMs + 5_000,
+        ...options.waiting,
+      },
+    };
+  }
+}
+
+function workerOf(id: string): Worker {
+  return {
+    id,
+    address: id,
+    zone: "z",
+    rack: "r",
+    capacity: CAPACITY,
+    connections: 60,
+  };
+}
--- /dev/null
+++ b/src/fakes/memory_authority.ts
@@ -0,0 +1,130 @@
+/**
+ * Ownership and allowances that say what a test has set.
+ *
+ * @module
+ */
+import { errAsync, okAsync, type ResultAsync } from "neverthrow";
+import type {
+  Allowances,
+  Authority,
+  LimitFailure,
+} from "../ports/authority.ts";
+import type { Instance } from "../types.ts";
+
+/** Ownership as all instances see it. */
+export class MemoryMap {
+  readonly #holdings = new Map<string, { owner: string; fence: number }>();
+  readonly #listeners: (() => void)[] = [];
+  #fence = 0;
+
+  /** Gives a unit to an instance, or to none, under a new fencing number. */
+  assign(unit: string, owner: string | undefined): void {
+    if (owner === undefined) this.#holdings.delete(unit);
+    else this.#holdings.set(unit, { owner, fence: ++this.#fence });
+    for (const listener of this.#listeners) listener();
+  }
+
+  holding(unit: string): { owner: string; fence: number } | undefined {
+    return this.#holdings.get(unit);
+  }
+
+  units(): IterableIterator<string> {
+    return this.#holdings.keys();
+  }
+
+  onChange(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+}
+
+/** What one instance may decide by a {@linkcode MemoryMap}. */
+export class MemoryAuthority implements Authority {
+  /** Whether the instance's lease holds. */
+  contact = true;
+  readonly #self: string;
+  readonly #map: MemoryMap;
+
+  constructor(self: string, map: MemoryMap) {
+    this.#self = self;
+    this.#map = map;
+  }
+
+  inContact(): boolean {
+    return this.contact;
+  }
+
+  mayDecide(unit: string): boolean {
+    return this.contact && this.#map.holding(unit)?.owner === this.#self;
+  }
+
+  owned(prefix: string): readonly string[] {
+    return [...this.#map.units()].filter((unit) =>
+      unit.startsWith(prefix) && this.#map.holding(unit)?.owner === this.#self
+    );
+  }
+
+  ownerOf(unit: string): Instance | undefined {
+    const id = this.#map.holding(unit)?.owner;
+    return id === undefined
+      ? undefined
+      : { id, peerAddress: id, callerAddress: id, zone: "z" };
+  }
+
+  fenceOf(unit: string): number | undefined {
+    return this.#map.holding(unit)?.fence;
+  }
+
+  onChange(listener: () => void): void {
+    this.#map.onChange(listener);
+  }
+}
+
+/** Allowances without a home instance. */
+export class MemoryAllowances implements Allowances {
+  /** Most of each team; a team that is not in it has no limit. */
+  readonly limits = new Map<string, number>();
+  readonly #running = new Map<string, number>();
+  /** Holds the answers of {@linkcode take} back. */
+  gate: Promise<void> = Promise.resolve();
+  /** Whether {@linkcode tryTake} never has any in hand. */
+  emptyHanded = false;
+  away = false;
+
+  running(team: string): number {
+    return this.#running.get(team) ?? 0;
+  }
+
+  tryTake(team: string): boolean {
+    return !this.emptyHanded && this.#take(team);
+  }
+
+  take(team: string): ResultAsync<void, LimitFailure> {
+    const message = "asked for by a test";
+    if (this.away) {
+      return errAsync({ type: "homeAway", message, team, retryAfterMs: 50 });
+    }
+    return okAsync<void, LimitFailure>(undefined)
+      .map(() => this.gate)
+      .andThen(() => {
+        if (this.#take(team)) return okAsync(undefined);
+        const limit = this.limits.get(team) ?? 0;
+        const type = "overLimit" as const;
+        return errAsync({ type, message, team, limit, retryAfterMs: 50 });
+      });
+  }
+
+  give(team: string): void {
+    this.#running.set(team, this.running(team) - 1);
+  }
+
+  adopt(team: string, count: number): void {
+    this.#running.set(team, this.running(team) + count);
+  }
+
+  #take(team: string): boolean {
+    const limit = this.limits.get(team) ?? Infinity;
+    if (this.running(team) >= limit) return false;
+    this.#running.set(team, this.running(team) + 1);
+    return true;
+  }
+}
--- a/src/policy/leftover.ts
+++ b/src/policy/leftover.ts
@@ -21,6 +21,8 @@
 export interface Sighting {
   /** Earliest time at which the figures may have been taken, monotonic milliseconds. */
   readonly measuredAtMs: number;
+  /** Latest time at which the figures may have been taken, monotonic milliseconds. */
+  readonly measuredByMs: number;
   readonly requests: number;
 }
 
@@ -28,6 +30,10 @@
 export class Leftover {
   readonly #active = new Map<string, Span>();
   #finished: Span[] = [];
+  /** When requests were given up that the last report cannot tell of. */
+  #lostAtMs: number[] = [];
+  /** The last report, and the count before it. */
+  #last: { readonly sighting: Sighting; readonly before: number } | undefined;
   #count = 0;
   #known = false;
   #sinceMs: number;
@@ -64,20 +70,25 @@
     span.endMs = nowMs;
     this.#active.delete(id);
     this.#finished.push(span);
+    if (this.#last === undefined) return;
+    this.#count = Math.max(this.#count, this.#mostAfter(this.#last));
   }
 
   /** A request was given up; it may go on at the worker. */
-  lost(id: string): void {
-    if (this.#active.delete(id)) this.#count++;
+  lost(id: string, nowMs: number): void {
+    if (!this.#active.delete(id)) return;
+    this.#count++;
+    this.#lostAtMs.push(nowMs);
+    this.#last = undefined;
   }
 
   /** Takes a report in. */
   sighted(sighting: Sighting): void {
-    const { measuredAtMs, requests } = sighting;
+    const { measuredAtMs } = sighting;
     if (measuredAtMs < this.#sinceMs) return;
-    const unaccounted = Math.max(0, requests - this.#runningAt(measuredAtMs));
-    const known = this.#known;
-    this.#count = known ? Math.min(this.#count, unaccounted) : unaccounted;
+    this.#lostAtMs = this.#lostAtMs.filter((atMs) => atMs >= measuredAtMs);
+    this.#last = { sighting, before: this.#known ? this.#count : Infinity };
+    this.#count = this.#mostAfter(this.#last);
     this.#known = true;
     this.#finished = this.#finished.filter((span) =>
       span.endMs > measuredAtMs - HISTORY_MS
@@ -87,14 +98,26 @@
   /** This instance has become the owner anew. */
   reset(nowMs: number): void {
     this.#known = false;
+    this.#last = undefined;
     this.#sinceMs = nowMs;
   }
 
-  #runningAt(timeMs: number): number {
+  #mostAfter(
+    { sighting, before }: {
+      readonly sighting: Sighting;
+      readonly before: number;
+    },
+  ): number {
+    const unaccounted = sighting.requests - this.#runningAll(sighting);
+    return Math.min(before, Math.max(0, unaccounted) + this.#lostAtMs.length);
+  }
+
+  /** Requests that ran during all the time in which a report may have been taken. */
+  #runningAll({ measuredAtMs, measuredByMs }: Sighting): number {
     const spans = [...this.#active.values(), ...this.#finished];
     return spans.filter((span) =>
-      span.startMs <= timeMs - REPORT_BLUR_MS &&
-      span.endMs >= timeMs + REPORT_BLUR_MS
+      span.startMs <= measuredAtMs - REPORT_BLUR_MS &&
+      span.endMs >= measuredByMs + REPORT_BLUR_MS
     ).length;
   }
 }
