Keep tasks from being told lost while they run

Causes and changes: - A former owner that got no more reports of a worker told the holder after 29 s that the tasks there were lost, though the new owner kept renewing them: the holder would have run them a second time. Only the owner of a worker tells now; a former owner lets go of the tasks silently. - A report taken while a start was under way ended the task as lost; the answer to the start then released its room and allowance again. Reports tell of a task only from the answer to its start onward. - A start that arrived after the task was told to be lost was adopted and went on beside its successor. It is stopped. - The second of two starts of one attempt was answered "not started" while the first ran. It is answered "lost", so the holder asks. - An offer made twice lost the room of the first.

Ruled out: offers that lapse, are claimed late or are cancelled before they come; ends told again until taken; renewals; the barrier of find.

--- a/src/controllers/offers.ts
+++ b/src/controllers/offers.ts
@@ -52,9 +52,13 @@
     return this.#held.size;
   }
 
-  /** Holds room that the caller has taken from the pool. `false` if the reservation was cancelled before. */
+  /**
+   * Holds room that the caller has taken from the pool. `false` if the
+   * reservation was cancelled before or the offer is there already.
+   */
   hold(room: HeldRoom, lapseMs: number): boolean {
     if (this.#cancelled.has(room.reservation)) return false;
+    if (this.#held.has(room.offer)) return false;
     const timer = this.#options.clock.after(lapseMs, () => {
       this.release(room.offer);
     });
--- a/src/controllers/task_keeper.ts
+++ b/src/controllers/task_keeper.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Clock, Timer } from "../clock.ts";
-import { unreachable } from "../errors.ts";
+import { unreachable, type WorkerFailure } from "../errors.ts";
 import type { Log } from "../logger.ts";
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Allowances } from "../ports/authority.ts";
@@ -30,12 +30,12 @@
 const RENEW_INTERVAL_MS = 4_000;
 /** Time between attempts to tell a holder of an end, milliseconds. */
 const TELL_INTERVAL_MS = 500;
-/** A start is in every report taken this much later, milliseconds. */
+/** A start is in every report taken this much after its answer, milliseconds. */
 const START_BLUR_MS = 2_000;
 /** Leases on a worker that has not reported for so long are not renewed, milliseconds. */
 const UNREACHABLE_MS = 10_000;
-/** Attempts that were never started are barred for so long, milliseconds. */
-const BARRED_MEMORY_MS = 600_000;
+/** Attempts that were barred or lost are remembered for so long, milliseconds. */
+const ATTEMPT_MEMORY_MS = 600_000;
 
 /** Tells the holder of a task how an attempt ended; resolves with whether it has kept that. */
 export type TellHolder = (ended: {
@@ -70,6 +70,8 @@
   readonly startedAtMs: number;
   /** Started by a former owner: its room is not taken from the pool. */
   readonly adopted: boolean;
+  /** When the start was answered or given up; infinite before. */
+  answeredAtMs: number;
   end?: AttemptEnd;
 }
 
@@ -82,6 +84,8 @@
   readonly #kept = new Map<string, Kept>();
   readonly #onWorker = new Map<string, Map<string, Kept>>();
   readonly #barred = new Map<string, number>();
+  /** Attempts that were told to be lost. */
+  readonly #lost = new Map<string, number>();
   /** When each worker last reported. */
   readonly #seen = new Map<string, number>();
   /** Earliest time at which the figures of its last report were taken. */
@@ -112,7 +116,8 @@
 
   /** Starts a task in the room that was offered for it. */
   async start(order: StartOrder): Promise<StartResult> {
-    const { clock, pool, upstream, workers } = this.#options;
+    const { clock, pool, upstream } = this.#options;
+    if (this.#kept.has(order.attempt)) return { type: "lost" };
     const room = this.#options.placement.offers.claim(order.offer);
     if (room === undefined) return notStarted("cancelled");
     const worker = pool.worker(room.worker);
@@ -128,6 +133,7 @@
       need: room.need,
       startedAtMs: clock.monotonic(),
       adopted: false,
+      answeredAtMs: Infinity,
     };
     this.#keep(kept);
     const result = await upstream.start(worker.address, {
@@ -140,26 +146,11 @@
       leaseMs: TASK_LEASE_MS,
       payload: order.payload,
     });
-    if (result.isOk()) return { type: "started" };
-    const { type } = result.error;
-    this.#options.log.warn("task.start_failed", { worker: room.worker, type });
-    switch (type) {
-      case "workerSilent":
-        return { type: "lost" };
-      case "workerUnreached":
-      case "workerLeaving":
-        workers.suspect(room.worker, type === "workerLeaving");
-        this.#forget(kept);
-        this.#free(kept);
-        return notStarted("noRoom");
-      case "workerRefused":
-      case "workerFenced":
-        this.#forget(kept);
-        this.#free(kept);
-        return notStarted("noOwner");
-      default:
-        return unreachable(type);
-    }
+    kept.answeredAtMs = clock.monotonic();
+    return result.match(
+      () => ({ type: "started" }),
+      ({ type }) => this.#startFailed(kept, type),
+    );
   }
 
   /** Stops attempts that run on owned workers. */
@@ -204,13 +195,38 @@
     return reason.type === "isolated" ? "isolated" : "noOwner";
   }
 
+  #startFailed(kept: Kept, type: WorkerFailure["type"]): StartResult {
+    const { log, workers } = this.#options;
+    const { worker } = kept;
+    log.warn("task.start_failed", { worker, type });
+    if (kept.end !== undefined) return { type: "lost" };
+    switch (type) {
+      case "workerSilent":
+        return { type: "lost" };
+      case "workerUnreached":
+      case "workerLeaving":
+        workers.suspect(worker, type === "workerLeaving");
+        this.#drop(kept);
+        return notStarted("noRoom");
+      case "workerRefused":
+      case "workerFenced":
+        this.#drop(kept);
+        return notStarted("noOwner");
+      default:
+        return unreachable(type);
+    }
+  }
+
   #bar(attempt: string): void {
     const nowMs = this.#options.clock.monotonic();
     if (!this.#barred.has(attempt)) this.#barred.set(attempt, nowMs);
-    for (const [oldest, atMs] of this.#barred) {
-      if (nowMs - atMs < BARRED_MEMORY_MS) return;
-      this.#barred.delete(oldest);
-    }
+    forgetOld(this.#barred, nowMs);
+  }
+
+  #noteLost(attempt: string): void {
+    const nowMs = this.#options.clock.monotonic();
+    this.#lost.set(attempt, nowMs);
+    forgetOld(this.#lost, nowMs);
   }
 
   /**
@@ -238,6 +254,12 @@
     if (others?.size === 0) this.#onWorker.delete(kept.worker);
   }
 
+  /** Forgets a task that does not run under this instance, whose holder needs no word of it. */
+  #drop(kept: Kept): void {
+    this.#forget(kept);
+    if (kept.end === undefined) this.#free(kept);
+  }
+
   #free(kept: Kept): void {
     this.#options.placement.charge(kept.team, kept.need, -1);
     this.#vacate(kept);
@@ -274,7 +296,7 @@
     for (const task of tasks) this.#take(worker, task);
     if (workers.fence(worker.id) === undefined) return;
     for (const kept of this.#onWorker.get(worker.id)?.values() ?? []) {
-      const settled = measuredAtMs - kept.startedAtMs > START_BLUR_MS;
+      const settled = measuredAtMs - kept.answeredAtMs > START_BLUR_MS;
       if (settled && !reported.has(kept.attempt)) {
         this.#end(kept, {
           type: "lost",
@@ -293,10 +315,16 @@
   }
 
   #adopt(worker: Worker, task: TaskReport): Kept | undefined {
-    const { allowances, clock, log, workers } = this.#options;
-    if (workers.fence(worker.id) === undefined) return undefined;
+    const { allowances, clock, log, upstream, workers } = this.#options;
+    const fence = workers.fence(worker.id);
+    if (fence === undefined) return undefined;
+    const { attempt } = task;
+    if (this.#lost.has(attempt)) {
+      void upstream.stop(worker.address, attempt, { fence, checkpoint: false });
+      return undefined;
+    }
     const kept: Kept = {
-      attempt: task.attempt,
+      attempt,
       task: task.task,
       team: task.team,
       workload: task.workload,
@@ -305,8 +333,9 @@
       need: task.declared,
       startedAtMs: clock.monotonic(),
       adopted: true,
+      answeredAtMs: clock.monotonic(),
     };
-    log.info("task.adopted", { attempt: task.attempt, worker: worker.id });
+    log.info("task.adopted", { attempt, worker: worker.id });
     allowances.adopt(task.team, 1);
     this.#keep(kept);
     return kept;
@@ -315,6 +344,7 @@
   #end(kept: Kept, end: AttemptEnd): void {
     if (kept.end !== undefined) return;
     kept.end = end;
+    if (end.type === "lost") this.#noteLost(kept.attempt);
     const { clock, log, observer } = this.#options;
     const tookMs = clock.monotonic() - kept.startedAtMs;
     const failed = end.type === "failed";
@@ -372,14 +402,32 @@
     return nowMs - seenAtMs;
   }
 
-  /** Counts the tasks of a worker as lost once their leases must have lapsed. */
+  /** Counts the tasks of a worker as lost once their leases must have lapsed; only its owner may. */
   #giveUp(worker: string): void {
+    const { placement, workers } = this.#options;
     const lapsedMs = UNREACHABLE_MS + RENEW_INTERVAL_MS + TASK_LEASE_MS;
     if (this.#silentMs(worker) <= lapsedMs) return;
+    const fence = workers.fence(worker);
+    if (fence === undefined) return this.#handOver(worker);
+    if (placement.refusal({ worker, fence }) !== undefined) return;
     for (const kept of this.#onWorker.get(worker)?.values() ?? []) {
       this.#end(kept, { type: "lost", detail: "the worker is gone" });
     }
   }
+
+  /** Leaves the tasks of a worker to its new owner. */
+  #handOver(worker: string): void {
+    for (const kept of this.#onWorker.get(worker)?.values() ?? []) {
+      if (kept.end === undefined) this.#drop(kept);
+    }
+  }
+}
+
+function forgetOld(attempts: Map<string, number>, nowMs: number): void {
+  for (const [oldest, atMs] of attempts) {
+    if (nowMs - atMs < ATTEMPT_MEMORY_MS) return;
+    attempts.delete(oldest);
+  }
 }
 
 function endOf(state: TaskState): AttemptEnd | undefined {
--- /dev/null
+++ b/src/controllers/task_keeper_test.ts
@@ -0,0 +1,279 @@
+import test from "ava";
+import type { WorkerFailure } from "../errors.ts";
+import { DispatchCell, NEED } from "../fakes/dispatch_cell.ts";
+import { startCall } from "../wire/dispatch.ts";
+
+const LEASE_MS = 15_000;
+const alone = () => new DispatchCell().start(["1"], { a: "1" });
+const apart = () => new DispatchCell().start(["1", "2"], { a: "1" });
+
+async function offerOf(cell: DispatchCell, offer: string): Promise<void> {
+  const { placement } = cell.node("1");
+  const task = { team: "large", workload: "billing", need: NEED };
+  const reserved = await placement.reserve(task, []);
+  if (reserved.type === "none") throw new TypeError(reserved.reason.type);
+  const room = { offer, reservation: offer, ...reserved.place, ...task };
+  placement.offers.hold({ ...room, allowed: true }, 5_000);
+}
+
+function orderOf(attempt: string) {
+  const task = "w.1/0";
+  const rest = { team: "large", workload: "billing", payload: "" };
+  return { offer: attempt, attempt, task, ...rest };
+}
+
+async function start(cell: DispatchCell, attempt = "t1") {
+  await offerOf(cell, attempt);
+  return await cell.node("1").keeper.start(orderOf(attempt));
+}
+
+function assertFree(
+  t: { is(a: unknown, b: unknown): void },
+  cell: DispatchCell,
+) {
+  const { allowances, pool } = cell.node("1");
+  t.is(allowances.running("large"), 0);
+  t.is(pool.taken("a")?.slots, 0);
+}
+
+const startFaults: readonly [WorkerFailure["type"], "notStarted"][] = [
+  ["workerUnreached", "notStarted"],
+  ["workerLeaving", "notStarted"],
+  ["workerRefused", "notStarted"],
+  ["workerFenced", "notStarted"],
+];
+
+for (const [fault, result] of startFaults) {
+  test(`start: ${fault}`, async (t) => {
+    const cell = await alone();
+    cell.worker("a").faults.set("start", fault);
+    t.is((await start(cell)).type, result);
+    assertFree(t, cell);
+  });
+
+  test(`start: ${fault}, answered after a report without it`, async (t) => {
+    const cell = await alone();
+    const worker = cell.worker("a");
+    worker.faults.set("start", fault);
+    worker.beforeStart = () =>
+      new Promise((resolve) => cell.clock.after(6_000, resolve));
+    const starting = start(cell);
+    await cell.run(7_000);
+    t.is((await starting).type, result);
+    t.deepEqual(cell.node("1").told, []);
+    assertFree(t, cell);
+  });
+}
+
+test("start: silent and started, ends as reported", async (t) => {
+  const cell = await alone();
+  const worker = cell.worker("a");
+  worker.faults.set("start", "workerSilent");
+  t.is((await start(cell)).type, "lost");
+  await cell.run(4_000);
+  worker.set("t1", { type: "succeeded", result: "" });
+  await cell.run(1_500);
+  t.is(cell.node("1").told[0]?.end.type, "succeeded");
+  assertFree(t, cell);
+});
+
+test("start: silent and never started, lost", async (t) => {
+  const cell = await alone();
+  const worker = cell.worker("a");
+  worker.faults.set("start", "workerSilent");
+  await start(cell);
+  worker.tasks.clear();
+  await cell.run(5_000);
+  t.deepEqual(cell.node("1").told.map(({ end }) => end.type), ["lost"]);
+  assertFree(t, cell);
+});
+
+test("start: silent, told lost, then seen: stopped", async (t) => {
+  const cell = await alone();
+  const worker = cell.worker("a");
+  worker.faults.set("start", "workerSilent");
+  await start(cell);
+  const running = worker.tasks.get("t1")!;
+  worker.tasks.clear();
+  await cell.run(5_000);
+  t.is(cell.node("1").told[0]?.end.type, "lost");
+  worker.tasks.set("t1", running);
+  await cell.run(1_500);
+  t.true(worker.stopped.includes("t1"));
+  t.is(cell.node("1").keeper.size, 0);
+});
+
+test("start: offer lapsed", async (t) => {
+  const cell = await alone();
+  await offerOf(cell, "t1");
+  await cell.run(6_000);
+  t.is((await cell.node("1").keeper.start(orderOf("t1"))).type, "notStarted");
+  t.is(cell.worker("a").starts.length, 0);
+  assertFree(t, cell);
+});
+
+for (const loss of ["contact", "ownership"] as const) {
+  test(`start: ${loss} lost after the offer`, async (t) => {
+    const cell = await alone();
+    await offerOf(cell, "t1");
+    if (loss === "contact") cell.node("1").authority.contact = false;
+    else cell.own("a", undefined);
+    t.is((await cell.node("1").keeper.start(orderOf("t1"))).type, "notStarted");
+    t.is(cell.worker("a").starts.length, 0);
+  });
+}
+
+test("start: twice from the same holder", async (t) => {
+  const cell = await apart();
+  await offerOf(cell, "t1");
+  const ask = () =>
+    cell.node("2").peers.call("1", startCall, {
+      params: orderOf("t1"),
+      timeoutMs: 1_000,
+    });
+  const [first, second] = await Promise.all([ask(), ask()]);
+  t.is(first._unsafeUnwrap().type, "started");
+  t.not(second._unsafeUnwrap().type, "notStarted");
+  t.is(cell.worker("a").starts.length, 1);
+});
+
+test("reports: lag behind a start", async (t) => {
+  const cell = await alone();
+  const worker = cell.worker("a");
+  await start(cell);
+  const running = worker.tasks.get("t1")!;
+  worker.tasks.clear();
+  worker.ageMs = 2_500;
+  await cell.run(3_500);
+  t.deepEqual(cell.node("1").told, []);
+  worker.tasks.set("t1", running);
+  await cell.run(5_000);
+  t.deepEqual(cell.node("1").told, []);
+});
+
+test("end: told again until taken", async (t) => {
+  const cell = await alone();
+  const node = cell.node("1");
+  const worker = cell.worker("a");
+  node.takes = false;
+  await start(cell);
+  worker.set("t1", { type: "failed", detail: "" });
+  await cell.run(3_000);
+  t.true(node.told.length > 2);
+  t.deepEqual(worker.forgotten, []);
+  node.takes = true;
+  await cell.run(600);
+  t.deepEqual(worker.forgotten, ["t1"]);
+  t.is(node.keeper.size, 0);
+  assertFree(t, cell);
+});
+
+test("leases: renewed while the worker reports", async (t) => {
+  const cell = await alone();
+  await start(cell);
+  await cell.run(12_500);
+  t.true(cell.worker("a").renewed.length >= 3);
+});
+
+test("leases: a silent worker's tasks are lost only after they lapsed", async (t) => {
+  const cell = await alone();
+  await start(cell);
+  await cell.run(2_000);
+  const worker = cell.worker("a");
+  worker.faults.set("report", "workerSilent");
+  await cell.run(9_000);
+  const last = worker.renewed.length;
+  await cell.run(4_000 + LEASE_MS - 1_000);
+  t.true(worker.renewed.length <= last + 1);
+  t.deepEqual(cell.node("1").told, []);
+  await cell.run(12_000);
+  t.deepEqual(cell.node("1").told.map(({ end }) => end.type), ["lost"]);
+  assertFree(t, cell);
+});
+
+test("adopted task: kept, counted, ended once", async (t) => {
+  const cell = await new DispatchCell().start(["1", "2"], { a: "2" });
+  const worker = cell.worker("a");
+  const rest = { task: "w.1/0", team: "large", workload: "billing" };
+  worker.put({ attempt: "t1", ...rest, resources: NEED });
+  cell.own("a", "1");
+  await cell.run(1_500);
+  const { allowances, pool, told } = cell.node("1");
+  t.is(allowances.running("large"), 1);
+  t.is(pool.free("a")?.slots, 7);
+  worker.set("t1", { type: "succeeded", result: "" });
+  await cell.run(2_500);
+  t.is(allowances.running("large"), 0);
+  t.is(pool.free("a")?.slots, 8);
+  t.is(told.length, 1);
+});
+
+for (const origin of ["started", "adopted"] as const) {
+  test(`${origin} task: its former owner never tells that it is lost`, async (t) => {
+    const cell = await apart();
+    const worker = cell.worker("a");
+    if (origin === "started") await start(cell);
+    else {
+      const rest = { task: "w.1/0", team: "large", workload: "billing" };
+      worker.put({ attempt: "t1", ...rest, resources: NEED });
+      await cell.run(1_500);
+    }
+    cell.own("a", "2");
+    await cell.run(2_000);
+    cell.node("1").workers.stop();
+    await cell.run(60_000);
+    t.deepEqual(cell.node("1").told, []);
+    t.is(cell.node("1").allowances.running("large"), 0);
+    t.is(cell.node("2").allowances.running("large"), 1);
+  });
+}
+
+test("find: pending, then never started, and a late start is barred", async (t) => {
+  const cell = await alone();
+  const { keeper } = cell.node("1");
+  t.is(await keeper.find("a", "t1"), "pending");
+  await cell.run(3_000);
+  t.is(await keeper.find("a", "t1"), "neverStarted");
+  t.is((await start(cell)).type, "notStarted");
+  t.is(cell.worker("a").starts.length, 0);
+  assertFree(t, cell);
+});
+
+test("find: a start of the former owner is refused by the worker", async (t) => {
+  const cell = await apart();
+  await offerOf(cell, "t1");
+  const worker = cell.worker("a");
+  const fence = worker.fence;
+  cell.own("a", "2");
+  await cell.run(1_500);
+  await cell.node("2").keeper.find("a", "t1");
+  t.true(worker.fence > fence);
+  const late = {
+    attempt: "t1",
+    task: "w.1/0",
+    team: "large",
+    workload: "billing",
+    resources: NEED,
+    fence: worker.fence - 1,
+    leaseMs: LEASE_MS,
+    payload: "",
+  };
+  const result = await cell.upstream.start("a", late);
+  t.is(result._unsafeUnwrapErr().type, "workerFenced");
+});
+
+test("find: running, and pending where the worker is not owned", async (t) => {
+  const cell = await apart();
+  await start(cell);
+  t.is(await cell.node("1").keeper.find("a", "t1"), "running");
+  t.is(await cell.node("2").keeper.find("a", "t1"), "pending");
+});
+
+test("find: a worker that cannot be asked says nothing", async (t) => {
+  const cell = await alone();
+  cell.worker("a").faults.set("renew", "workerSilent");
+  const { keeper } = cell.node("1");
+  await keeper.find("a", "t1");
+  await cell.run(3_000);
+  t.is(await keeper.find("a", "t1"), "pending");
+});
--- a/src/policy/leftover_test.ts
+++ b/src/policy/leftover_test.ts
@@ -112,3 +112,12 @@
   leftover.sighted({ measuredAtMs: 200, measuredByMs: 210, requests: 0 });
   t.is(leftover.count, 0);
 });
+
+test("leftover: an answer on its way while a report was taken", (t) => {
+  const leftover = new Leftover(0);
+  leftover.started("a", 10);
+  leftover.sighted({ measuredAtMs: 200, measuredByMs: 205, requests: 1 });
+  t.is(leftover.count + leftover.active, 1);
+  leftover.ended("a", 210);
+  t.is(leftover.count + leftover.active, 1);
+});
