Place a request in offered room only if it takes what was offered

- A request of 6,000 millicores was placed in an offer of 1,000: the worker was overfilled, and its account fell below nothing at the end.
The offer is given back now and room taken anew.
- A shorter block of a team at its limit cut a longer one short.
- A peer whose backlog was gone was offered room once for each item that it had told of (101 messages for a backlog of 50).
A decline now names its lane, which counts as empty until the next news.

Ruled out: older news after newer, stale news, needs that fit nowhere, and a team at its limit that holds up others.

--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -91,7 +91,8 @@
     options.peers.listen(offerNotice, (offer, from) => {
       this.#offered(from, offer);
     });
-    options.peers.listen(declineNotice, ({ offer }) => {
+    options.peers.listen(declineNotice, ({ offer, ...lane }, from) => {
+      this.neighbours.declined(from, lane);
       options.placement.offers.release(offer);
     });
     options.peers.onLost((peer) => this.neighbours.forget(peer));
@@ -124,8 +125,9 @@
 
   /** Starts no work of a team for a while, because its limit is reached. */
   block(team: string, forMs: number): void {
-    const until = this.#options.clock.monotonic() + forMs;
-    this.#blocked.set(team, until);
+    const untilMs = this.#options.clock.monotonic() + forMs;
+    const knownMs = this.#blocked.get(team) ?? -Infinity;
+    this.#blocked.set(team, Math.max(untilMs, knownMs));
     this.#options.clock.after(forMs, () => this.schedule());
   }
 
@@ -276,7 +278,9 @@
     const { peers, queue } = this.#options;
     const waiting = queue.headOf(offer);
     if (waiting === undefined) {
-      peers.notify(peer, declineNotice, { offer: offer.offer });
+      const { team, workload, urgency } = offer;
+      const lane = { team, workload, urgency };
+      peers.notify(peer, declineNotice, { offer: offer.offer, ...lane });
       return;
     }
     this.#startOwn(waiting, { type: "peer", peer, offer });
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -15,6 +15,7 @@
   LimitFailure,
 } from "../ports/authority.ts";
 import type { Upstream } from "../ports/upstream.ts";
+import { equal } from "../resources.ts";
 import type { Reason, Resources } from "../types.ts";
 import type { RunOrder, RunResult } from "../wire/dispatch.ts";
 import { type HeldRoom, Offers } from "./offers.ts";
@@ -251,7 +252,7 @@
     const { pool, workers } = this.#options;
     const fence = workers.fence(held.worker);
     const suits = fence !== undefined && workers.usable(held.worker) &&
-      !order.avoid.includes(held.worker);
+      equal(held.need, order.need) && !order.avoid.includes(held.worker);
     if (suits) return { worker: held.worker, fence };
     pool.release(held.worker, held.need);
     return this.takeRoom(order.need, order.avoid);
--- a/src/resources.ts
+++ b/src/resources.ts
@@ -33,6 +33,11 @@
   };
 }
 
+/** Whether two amounts are the same in every dimension. */
+export function equal(a: Resources, b: Resources): boolean {
+  return fits(a, b) && fits(b, a);
+}
+
 /** Whether `need` fits into `free` in every dimension. */
 export function fits(need: Resources, free: Resources): boolean {
   return need.cpuMillis <= free.cpuMillis &&
--- a/src/wire/dispatch.ts
+++ b/src/wire/dispatch.ts
@@ -121,10 +121,18 @@
   params: Offer,
 };
 
+/** Offered room with the lane in which nothing waits for it. */
+const Decline = t.type({
+  offer: t.string,
+  team: t.string,
+  workload: t.string,
+  urgency: UrgencyCodec,
+});
+
 /** Gives back offered room. */
-export const declineNotice: Notice<{ offer: string }> = {
+export const declineNotice: Notice<t.TypeOf<typeof Decline>> = {
   method: "dispatch.decline",
-  params: t.type({ offer: t.string }),
+  params: Decline,
 };
 
 /** Asks for room for so many tasks; the answer holds what could be held. */
