Let go of tasks once they are started or withdrawn

- The runner kept the id of every task that it had started until its work was cancelled or handed over: memory grew with each start.
- A withdrawn task of an unknown workload was looked at every 100 ms for ever, and was started once the workload came back.

Ruled out for tasks and gangs: journals that refuse or are slower than the reservation, peers cut between room and start or while they answer, owners that do not answer, workers gone for longer than a lease, two gangs that want the same rooms, and a gang over its team's limit. Two gangs whose pauses are drawn from the same numbers block each other without end; pauses are drawn anew by each instance, and then both run.

--- a/src/controllers/gangs.ts
+++ b/src/controllers/gangs.ts
@@ -21,7 +21,7 @@
 /** What the controller needs. */
 export interface GangsOptions {
   readonly tasks: Tasks;
-  readonly deferred: Deferred;
+  readonly deferred: Pick<Deferred, "mayStartTogether">;
   readonly clock: Clock;
   /** Uniform in [0, 1). */
   readonly random: () => number;
--- a/src/controllers/tasks.ts
+++ b/src/controllers/tasks.ts
@@ -67,6 +67,9 @@
   readonly queueOf: (name: string) => Queue | undefined;
 }
 
+/** The journal of attempts. */
+export type Attempts = Pick<Deferred, "mayStart" | "ended">;
+
 /** Room for one task at one instance. */
 export interface TaskOffer {
   readonly offer: string;
@@ -79,8 +82,9 @@
 /** Runs the tasks of the segments that this instance holds. */
 export class Tasks implements Runner {
   readonly #options: TasksOptions;
-  readonly #waitingOf = new Map<string, Set<string>>();
-  #deferred: Deferred | undefined;
+  /** Tasks to be started, by work and by id. */
+  readonly #pending = new Map<string, Map<string, RunnableTask>>();
+  #deferred: Attempts | undefined;
   #gangs: Gangs | undefined;
 
   constructor(options: TasksOptions) {
@@ -95,23 +99,29 @@
   }
 
   /** Joins the journal's controller and the gangs, which need this one. */
-  connect(deferred: Deferred, gangs: Gangs): void {
+  connect(deferred: Attempts, gangs: Gangs): void {
     this.#deferred = deferred;
     this.#gangs = gangs;
   }
 
+  /** Number of single tasks that wait to be started. */
+  get pending(): number {
+    return [...this.#pending.values()]
+      .reduce((sum, tasks) => sum + tasks.size, 0);
+  }
+
   enqueue(tasks: readonly RunnableTask[]): void {
     if (tasks[0]?.gangSize !== undefined) this.#gangs?.enqueue(tasks);
-    else for (const task of tasks) this.#wait(task);
+    else for (const task of tasks) this.#add(task);
   }
 
   withdraw(works: readonly string[]): void {
     for (const work of works) {
       this.#gangs?.withdraw(work);
-      for (const id of this.#waitingOf.get(work) ?? []) {
+      for (const id of this.#pending.get(work)?.keys() ?? []) {
         this.#options.matching.withdraw(id);
       }
-      this.#waitingOf.delete(work);
+      this.#pending.delete(work);
     }
   }
 
@@ -235,7 +245,21 @@
     }
   }
 
+  #add(task: RunnableTask): void {
+    const tasks = this.#pending.get(task.work) ?? new Map();
+    this.#pending.set(task.work, tasks.set(idOf(task), task));
+    this.#wait(task);
+  }
+
+  #remove(task: RunnableTask): void {
+    const tasks = this.#pending.get(task.work);
+    if (tasks?.get(idOf(task)) !== task) return;
+    tasks.delete(idOf(task));
+    if (tasks.size === 0) this.#pending.delete(task.work);
+  }
+
   #wait(task: RunnableTask): void {
+    if (this.#pending.get(task.work)?.get(idOf(task)) !== task) return;
     const { log, matching } = this.#options;
     const startable = this.#startable(task);
     if (startable === undefined) {
@@ -243,9 +267,6 @@
       this.#waitAgain(task);
       return;
     }
-    const { id } = startable.waiting;
-    const ids = this.#waitingOf.get(task.work) ?? new Set();
-    this.#waitingOf.set(task.work, ids.add(id));
     if (matching.submit(startable).isErr()) this.#waitAgain(task);
   }
 
@@ -263,7 +284,7 @@
     const dueMs = workload.kind === "service" ? 0 : workload.dueMs;
     return {
       waiting: {
-        id: `${task.work}/${task.task}/${task.attempts}`,
+        id: idOf(task),
         team: task.team,
         queue: queue.name,
         workload: workload.name,
@@ -292,11 +313,13 @@
       ?.mayStart({ work, task: index, worker, fence });
     if (attempt === undefined) return;
     if (attempt.isOk()) {
+      this.#remove(task);
       return await this.startAt(task, { attempt: attempt.value, offer });
     }
     this.cancelAt(offer.owner, offer.offer);
     const { type } = attempt.error;
-    if (type !== "notWaiting" && type !== "notHeld") this.#waitAgain(task);
+    if (type === "notWaiting" || type === "notHeld") this.#remove(task);
+    else this.#waitAgain(task);
   }
 
   async #roomAt(
@@ -394,6 +417,10 @@
   }
 }
 
+function idOf(task: RunnableTask): string {
+  return `${task.work}/${task.task}/${task.attempts}`;
+}
+
 const pending: FindFailure = {
   type: "findPending",
   message: "the worker's owner cannot say yet",
--- a/src/fakes/dispatch_cell.ts
+++ b/src/fakes/dispatch_cell.ts
@@ -3,14 +3,19 @@
  *
  * @module
  */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { ManualClock } from "../clock.ts";
 import { Fleet } from "../controllers/fleet.ts";
+import { Gangs } from "../controllers/gangs.ts";
 import { Matching } from "../controllers/matching.ts";
 import { OwnedWorkers, WORKER_UNIT } from "../controllers/owned_workers.ts";
 import { Placement } from "../controllers/placement.ts";
 import { type CallerRequest, Requests } from "../controllers/requests.ts";
 import { TaskKeeper, type TellHolder } from "../controllers/task_keeper.ts";
+import { Tasks } from "../controllers/tasks.ts";
 import { silentLog } from "../logger.ts";
+import type { Queue, Workload } from "../operator_set.ts";
 import { WorkerPool } from "../policy/pool.ts";
 import { Shares } from "../policy/shares.ts";
 import { type Waiting, WaitingQueue } from "../policy/waiting.ts";
@@ -21,6 +26,7 @@
   MemoryAuthority,
   MemoryMap,
 } from "./memory_authority.ts";
+import { MemoryAttempts } from "./memory_attempts.ts";
 import { MemoryList } from "./memory_list.ts";
 import { MemoryNetwork, type MemoryPeers } from "./memory_peers.ts";
 import { MemoryUpstream, type MemoryWorker } from "./memory_upstream.ts";
@@ -40,6 +46,19 @@
   slots: 1,
 };
 
+const BILLING: Workload = {
+  kind: "batch",
+  name: "billing",
+  queue: "month-end",
+  resources: NEED,
+  idempotent: true,
+  timeoutMs: 1_000,
+  attempts: 3,
+  dueMs: 60_000,
+};
+
+const MONTH_END = { name: "month-end", urgency: "deferred" } as Queue;
+
 type Ended = Parameters<TellHolder>[0];
 
 /** One instance with its dispatching controllers. */
@@ -59,6 +78,9 @@
   readonly matching: Matching;
   readonly requests: Requests;
   readonly keeper: TaskKeeper;
+  readonly tasks: Tasks;
+  readonly gangs: Gangs;
+  readonly attempts = new MemoryAttempts();
   /** Ends that the holder was told. */
   readonly told: Ended[] = [];
   /** Whether the holder keeps what it is told. */
@@ -114,6 +136,32 @@
         return Promise.resolve(this.takes);
       },
     });
+    const { matching, keeper, attempts } = this;
+    const generator = xoroshiro128plus(cell.nodes.size);
+    const workloadOf = (name: string) => cell.workloads.get(name);
+    this.tasks = new Tasks({
+      self: id,
+      authority,
+      matching,
+      placement,
+      keeper,
+      fleet,
+      peers,
+      clock,
+      log,
+      workloadOf,
+      queueOf: () => MONTH_END,
+    });
+    this.gangs = new Gangs({
+      tasks: this.tasks,
+      deferred: attempts,
+      clock,
+      random: () => uniformFloat64(generator),
+      log,
+      workloadOf,
+      owners: () => [...cell.nodes.keys()].sort(),
+    });
+    this.tasks.connect(attempts, this.gangs);
   }
 }
 
@@ -124,6 +172,7 @@
   readonly upstream = new MemoryUpstream();
   readonly list = new MemoryList();
   readonly map = new MemoryMap();
+  readonly workloads = new Map([[BILLING.name, BILLING]]);
   readonly nodes = new Map<string, DispatchNode>();
   readonly fleet: Fleet;
 
