Fence a worker and wait out late sends before its report is trusted

A worker that had just changed hands was used after its first report, though a start that the former owner had sent before it gave the worker up could still arrive. Ruled out: the records' clocks (one process), the room held for tasks until their end is reported. Change: the new owner first tells the worker its fencing number, so that tasks under older ones are refused, then trusts reports taken 300 ms after adoption.

--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -16,6 +16,8 @@
 
 /** Time between reports asked of a worker, milliseconds. */
 export const REPORT_INTERVAL_MS = 1_000;
+/** A request that the former owner sent just before it lost a worker arrives within this, milliseconds. */
+const LATE_SEND_MS = 300;
 /** Time between attempts to reach a worker that has not reported yet, milliseconds. */
 const FIRST_REPORT_INTERVAL_MS = 200;
 
@@ -57,6 +59,8 @@
   readonly worker: Worker;
   readonly leftover: Leftover;
   fence: number;
+  /** The worker refuses starts of tasks under older fencing numbers. */
+  fenced: boolean;
   owned: boolean;
   reachable: boolean;
   leaving: boolean;
@@ -159,15 +163,17 @@
     if (worker === undefined || fence === undefined) return;
     const known = this.#entries.get(id);
     if (known?.owned && known.fence === fence) return;
+    const trustedFromMs = clock.monotonic() + LATE_SEND_MS;
     if (known !== undefined) {
       known.owned = true;
       known.fence = fence;
+      known.fenced = false;
       known.reachable = false;
-      known.leftover.reset(clock.monotonic());
+      known.leftover.reset(trustedFromMs);
     } else {
       pool.upsert(worker);
       pool.setUsable(id, false);
-      this.#entries.set(id, newEntry(worker, fence, clock.monotonic()));
+      this.#entries.set(id, newEntry(worker, fence, trustedFromMs));
     }
     log.info("worker.adopted", { worker: id, fence });
     this.#poll(id);
@@ -198,7 +204,8 @@
 
   #judge(id: string, entry: Owned): void {
     const { drained, fleet, pool } = this.#options;
-    const usable = entry.owned && entry.reachable && entry.leftover.known &&
+    const usable = entry.owned && entry.fenced && entry.reachable &&
+      entry.leftover.known &&
       !entry.leaving && fleet.live(id) && !drained(id);
     pool.setUsable(id, usable);
   }
@@ -207,12 +214,23 @@
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
     entry.timer?.cancel();
+    void this.#ask(id, entry).then(() => this.#schedule(id));
+  }
+
+  /** Asks for a report, after the worker has heard of this instance's fencing number. */
+  async #ask(id: string, entry: Owned): Promise<void> {
     const { clock, upstream } = this.#options;
+    const { fence, worker } = entry;
+    if (entry.owned && !entry.fenced) {
+      const renewed = await upstream.renew(worker.address, fence, []);
+      if (renewed.isErr()) return this.suspect(id, false);
+      entry.fenced = entry.fence === fence;
+    }
     const sentAtMs = clock.monotonic();
-    void upstream.report(entry.worker.address).match(
+    await upstream.report(worker.address).match(
       (report) => this.#reported(id, { report, sentAtMs }),
       () => this.suspect(id, false),
-    ).then(() => this.#schedule(id));
+    );
   }
 
   #schedule(id: string): void {
@@ -273,11 +291,16 @@
   }
 }
 
-function newEntry(worker: Worker, fence: number, nowMs: number): Owned {
+function newEntry(
+  worker: Worker,
+  fence: number,
+  trustedFromMs: number,
+): Owned {
   return {
     worker,
     fence,
-    leftover: new Leftover(nowMs),
+    fenced: false,
+    leftover: new Leftover(trustedFromMs),
     owned: true,
     reachable: false,
     leaving: false,
--- a/testbed/checker.ts
+++ b/testbed/checker.ts
@@ -53,13 +53,23 @@
   lostAnswers: number;
 }
 
+/** What the checker knows of a service. */
+export interface ServiceFacts {
+  readonly prefix: string;
+  readonly need: Amounts;
+  readonly idempotent: boolean;
+}
+
 /** What the checker compares. */
 export interface CheckOptions {
-  readonly load: Load;
+  /** What callers were told. */
+  readonly load: Pick<Load, "requests">;
   readonly records: readonly WorkerRecord[];
   readonly capacity: Amounts;
-  /** What one request takes, by workload. */
-  readonly requestNeeds: Readonly<Record<string, Amounts>>;
+  /** The services by the prefix of their path on the workers. */
+  readonly services: readonly ServiceFacts[];
+  /** Workloads whose tasks run at most once. */
+  readonly onceTasks: readonly string[];
   /** Upper limits by team. */
   readonly limits: Readonly<Record<string, number>>;
   /** Team of requests. */
@@ -82,8 +92,8 @@
   return {
     overfilledWorkers: records.filter((record) => overfilled(record, options))
       .length,
-    doubledTasks: doubledTasks(records),
-    doubledRequests: doubledRequests(records),
+    doubledTasks: doubledTasks(options),
+    doubledRequests: doubledRequests(options),
     limitsPassed: limitsPassed(options),
     lostWorks: options.unfinished.length,
     falseNotRun:
@@ -116,10 +126,10 @@
 }
 
 function overfilled(record: WorkerRecord, options: CheckOptions): boolean {
-  const { capacity, requestNeeds } = options;
+  const { capacity } = options;
   const requests = record.requests
     .filter(({ end }) => end !== "refused")
-    .map((ran) => spanOf(ran, requestNeeds[workloadOf(ran.path)] ?? oneSlot));
+    .map((ran) => spanOf(ran, serviceOf(ran, options)?.need ?? oneSlot));
   const attempts = record.attempts.map((ran) => spanOf(ran, ran.resources));
   const all = [...requests, ...attempts];
   return dimensions.some((dimension) =>
@@ -127,7 +137,7 @@
   );
 }
 
-function doubledTasks(records: readonly WorkerRecord[]): number {
+function doubledTasks({ records, onceTasks }: CheckOptions): number {
   const byTask = new Map<string, RanAttempt[]>();
   for (const attempt of records.flatMap(({ attempts }) => attempts)) {
     const others = byTask.get(attempt.task) ?? [];
@@ -136,17 +146,17 @@
   return [...byTask.values()].filter((attempts) => {
     const spans = attempts.map((ran) => spanOf(ran, oneSlot));
     const successes = attempts.filter(({ end }) => end === "succeeded").length;
-    const once = attempts[0]?.workload === "price-import";
+    const once = onceTasks.includes(attempts[0]?.workload ?? "");
     return peakOf(spans, ({ slots }) => slots) > 1 ||
       (once && attempts.length > 1) || successes > 1;
   }).length;
 }
 
-function doubledRequests(records: readonly WorkerRecord[]): number {
+function doubledRequests(options: CheckOptions): number {
   const seen = new Map<string, number>();
-  const ran = records.flatMap(({ requests }) => requests)
+  const ran = options.records.flatMap(({ requests }) => requests)
     .filter(({ end }) => end !== "refused")
-    .filter(({ path }) => workloadOf(path) === "receipt-print");
+    .filter((request) => serviceOf(request, options)?.idempotent === false);
   for (const request of ran) {
     const name = request.idempotencyKey ?? markOf(request);
     seen.set(name, (seen.get(name) ?? 0) + 1);
@@ -214,6 +224,9 @@
   return path.slice(path.lastIndexOf("/") + 1);
 }
 
-function workloadOf(path: string): string {
-  return path.startsWith("/print") ? "receipt-print" : "recipe-check";
+function serviceOf(
+  { path }: RanRequest,
+  { services }: CheckOptions,
+): ServiceFacts | undefined {
+  return services.find(({ prefix }) => path.startsWith(prefix));
 }
