Recall only from holders, and lower allowances with the limit

Cause: a home with one waiter recalled from every member at each refusal, and the waiter itself gave way to nobody: 16 instances in contention sent 6.7 KB a node and second. Recalls now go to holders of something, five times a second at most, and not to a sole waiter.

Without the constant recalls 'limit lowered, then raised' went red: a holder told of a lower limit still spent its allowance until the home asked. It now lowers it in proportion at once. Ruled out: the home's books, which were right.

--- a/bench/control.ts
+++ b/bench/control.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { MemoryCluster } from "../src/fakes/memory_cluster.ts";
+import { MemoryCluster, type Node } from "../src/fakes/memory_cluster.ts";
 import { decodeMap, encodeMap } from "../src/state/ownership_codec.ts";
 import {
   assign,
@@ -23,6 +23,8 @@
 /** Starts of work a second and instance. */
 const STARTS_A_SECOND = 50;
 const WORK_MS = 200;
+/** Of the one team whose limit is in use all the time. */
+const LIMIT = 100;
 /** Part of the starts that are of one team at one instance. */
 const BUSY_PART = 0.5;
 const NODE_BYTES_TARGET = 5_000;
@@ -47,6 +49,8 @@
     const shape = { instances: 8, workers: 30, teams };
     await steady(results, { label: `teams_${teams}`, shape, seed });
   }
+  await limitUse(results, { label: "one", askers: 1, seed });
+  await limitUse(results, { label: "all", askers: 8, seed });
   for (const workers of [30, 300, 3_000, 19_000]) mapCost(results, workers);
 }
 
@@ -132,6 +136,62 @@
   }
 }
 
+/** Use of one limit while `askers` of eight instances always want more than it. */
+async function limitUse(
+  results: Results,
+  of: {
+    readonly label: string;
+    readonly askers: number;
+    readonly seed: number;
+  },
+): Promise<void> {
+  const cluster = new MemoryCluster({
+    units: ["team:t"],
+    limits: new Map([["t", LIMIT]]),
+    seed: of.seed,
+  });
+  cluster.network.latencyMs = 1.5;
+  cluster.start(...names("", 8));
+  await cluster.run(15_000, STEP_MS);
+  let running = 0;
+  let starts = 0;
+  const work = (node: Node): void => {
+    node.limits.take("t", MEASURED_MS).map(() => {
+      running++;
+      starts++;
+      cluster.clock.after(WORK_MS, () => {
+        running--;
+        node.limits.give("t");
+        work(node);
+      });
+    });
+  };
+  for (const node of [...cluster.nodes.values()].slice(-of.askers)) {
+    for (let at = 0; at < 2 * LIMIT / of.askers; at++) work(node);
+  }
+  await cluster.run(2_000, 1);
+  const messages = cluster.network.messages;
+  starts = 0;
+  let used = 0;
+  let most = 0;
+  const samples = 10_000;
+  for (let at = 0; at < samples; at++) {
+    await cluster.run(1, 1);
+    used += running;
+    most = Math.max(most, running);
+  }
+  results.atLeast(
+    `limit_use_asked_by_${of.label}`,
+    used / samples / LIMIT,
+    0.97,
+  );
+  results.atMost(`limit_use_asked_by_${of.label}_most`, most, LIMIT);
+  results.line(
+    `limit_use_asked_by_${of.label}_messages_a_start`,
+    (cluster.network.messages - messages) / starts,
+  );
+}
+
 /** Size of the map and the time of its functions, by worker and by rack. */
 function mapCost(results: Results, workers: number): void {
   const byWorker = names("worker:w", workers);
--- a/src/controllers/limit_homes.ts
+++ b/src/controllers/limit_homes.ts
@@ -17,6 +17,9 @@
 /** Wait before a survey is repeated that some member has not answered, milliseconds. */
 const SURVEY_RETRY_MS = 200;
 
+/** Least time between two recalls of one team, milliseconds. */
+const RECALL_EVERY_MS = 200;
+
 /** What {@linkcode LimitHomes} works with. */
 export interface LimitHomesOptions {
   readonly membership: Membership;
@@ -42,6 +45,7 @@
   complete: boolean;
   /** Holders that were refused, in order. */
   readonly waiting: Set<string>;
+  recalledAtMs: number;
 }
 
 /** Keeps the books of each team at home here. */
@@ -73,6 +77,7 @@
     this.#limits = limits;
     this.#changed();
     for (const [team, home] of this.#homes) {
+      home.recalledAtMs = -Infinity;
       if (home.allowance.available < 0) this.#recall(team, home);
       else this.#tellWaiting(team, home);
     }
@@ -130,7 +135,12 @@
       return;
     }
     const allowance = new AllowanceHome(to.fence, to.limit);
-    this.#homes.set(team, { allowance, complete: false, waiting: new Set() });
+    this.#homes.set(team, {
+      allowance,
+      complete: false,
+      waiting: new Set(),
+      recalledAtMs: -Infinity,
+    });
   }
 
   #surveyDue(): boolean {
@@ -216,14 +226,18 @@
 
   /** Asks holders for what they do not use, down to an even part for each that wants some. */
   #recall(team: string, home: Home): void {
-    const { peers, ownership } = this.#options;
-    const { fence, limit, holders } = home.allowance;
-    const contenders = Math.max(
-      1,
-      new Set([...holders.map(idOf), ...home.waiting]).size,
-    );
-    const keep = Math.floor(limit / contenders);
-    for (const id of owners(ownership.map())) {
+    const { peers, clock } = this.#options;
+    const nowMs = clock.monotonic();
+    if (nowMs - home.recalledAtMs < RECALL_EVERY_MS) return;
+    home.recalledAtMs = nowMs;
+    const { fence, limit, holding } = home.allowance;
+    const ids = new Set(holding.map(idOf));
+    const contenders = new Set([...ids, ...home.waiting]);
+    const keep = Math.floor(limit / Math.max(1, contenders.size));
+    const over = home.allowance.available < 0;
+    for (const id of ids) {
+      const alone = home.waiting.has(id) && home.waiting.size === 1;
+      if (alone && !over) continue;
       peers.notify(id, recallNotice, { team, fence, keep });
     }
   }
--- a/src/controllers/limits.ts
+++ b/src/controllers/limits.ts
@@ -51,7 +51,7 @@
 }
 
 /** Time after which allowance that was not used is returned, milliseconds. */
-const IDLE_RETURN_MS = 2_000;
+const IDLE_RETURN_MS = 10_000;
 /** Between two looks for idle allowance, milliseconds. */
 const IDLE_CHECK_MS = 1_000;
 /** How long after a recall allowance is returned at once, milliseconds. */
@@ -76,6 +76,8 @@
   asking: boolean;
   /** Most to keep while others wait. */
   keep: number;
+  /** Most to keep after a limit was lowered. */
+  ceiling: number;
   scarceUntilMs: number;
   usedAtMs: number;
   homeAnswered: boolean;
@@ -116,9 +118,12 @@
 
   /** Puts limits in force; teams that are not named have none. */
   setLimits(limits: ReadonlyMap<string, number>): void {
+    const before = this.#limits;
     this.#limits = limits;
     for (const account of this.#accounts.values()) {
-      account.limited = limits.has(account.team);
+      const { team } = account;
+      account.limited = limits.has(team);
+      this.#lower(account, { from: before.get(team), to: limits.get(team) });
       if (!account.limited) this.#serveWaiters(account);
     }
     this.#homes.setLimits(limits);
@@ -143,6 +148,7 @@
     const account = this.#account(team);
     account.holder.give();
     account.usedAtMs = this.#now();
+    if (account.ceiling < Infinity) this.#trimToCeiling(account);
     if (this.#scarce(account)) this.#trim(account, account.keep);
     this.#serveWaiters(account);
   }
@@ -222,6 +228,23 @@
     for (const account of this.#accounts.values()) account.holder.reset();
   }
 
+  /** A lowered limit lowers every allowance in proportion, before the home says so. */
+  #lower(
+    account: Account,
+    change: { readonly from?: number; readonly to?: number },
+  ): void {
+    const { from, to } = change;
+    if (from === undefined || to === undefined || to >= from) return;
+    const part = Math.floor(account.holder.granted * to / from);
+    account.ceiling = Math.min(account.ceiling, part);
+    this.#trimToCeiling(account);
+  }
+
+  #trimToCeiling(account: Account): void {
+    this.#trim(account, account.ceiling);
+    if (account.holder.granted <= account.ceiling) account.ceiling = Infinity;
+  }
+
   #takeInHand(account: Account): boolean {
     const { holder } = account;
     account.usedAtMs = this.#now();
@@ -349,6 +372,7 @@
       limited: this.#limits.has(team),
       asking: false,
       keep: Infinity,
+      ceiling: Infinity,
       scarceUntilMs: -Infinity,
       usedAtMs: this.#now(),
       homeAnswered: false,
--- a/src/state/allowance.ts
+++ b/src/state/allowance.ts
@@ -177,11 +177,18 @@
     return this.#limit - this.held;
   }
 
-  /** Holders that hold something. */
+  /** Holders in the books. */
   get holders(): readonly string[] {
     return [...this.#holdings.keys()];
   }
 
+  /** Holders that hold something. */
+  get holding(): readonly string[] {
+    return [...this.#holdings]
+      .filter(([, { hold, adopted }]) => hold + adopted > 0)
+      .map(([holder]) => holder);
+  }
+
   /** Takes note of what a holder holds; older messages change nothing. */
   report(holder: string, holdings: Holdings): void {
     const known = this.#holdings.get(holder);
