--- a/src/controllers/limit_account.ts
+++ b/src/controllers/limit_account.ts
@@ -35,15 +35,18 @@
   readonly timer: Timer;
 }
 
+/** A holder that needs so much more; 0 if it only tells what it holds. */
+export interface HolderRequest {
+  readonly holder: AllowanceHolder;
+  readonly need: number;
+}
+
 /** What a {@linkcode LimitAccount} works with. */
 export interface LimitAccountOptions {
   readonly team: string;
   readonly clock: Clock;
   /** Sends one request of the holder to the home; gives whether it was answered in full. */
-  readonly exchange: (
-    holder: AllowanceHolder,
-    need: number,
-  ) => Promise<boolean>;
+  readonly exchange: (request: HolderRequest) => Promise<boolean>;
 }
 
 /** Spends one team's allowance at one instance. */
@@ -151,7 +154,10 @@
   }
 
   async #exchange(need: number): Promise<boolean> {
-    const answered = await this.#options.exchange(this.holder, need);
+    const answered = await this.#options.exchange({
+      holder: this.holder,
+      need,
+    });
     if (answered) this.#homeAnswered = true;
     return answered;
   }
--- a/src/controllers/limit_homes.ts
+++ b/src/controllers/limit_homes.ts
@@ -48,6 +48,11 @@
   recalledAtMs: number;
 }
 
+interface Survey {
+  readonly surveyed: readonly (readonly [string, Home])[];
+  readonly epoch: number;
+}
+
 /** Keeps the books of each team at home here. */
 export class LimitHomes {
   readonly #options: LimitHomesOptions;
@@ -187,7 +192,7 @@
       surveyed.map(([team, home]) => [team, this.#strays(home)]),
     );
     const answers = await Promise.all(
-      owners(map).map((id) => this.#ask(id, surveyed, map.epoch)),
+      owners(map).map((id) => this.#ask(id, { surveyed, epoch: map.epoch })),
     );
     const unchanged = this.#options.ownership.map() === map;
     if (!unchanged || !answers.every((settled) => settled)) return;
@@ -199,11 +204,8 @@
   }
 
   /** Asks one member; gives whether its answer is complete. */
-  async #ask(
-    id: string,
-    surveyed: readonly (readonly [string, Home])[],
-    epoch: number,
-  ): Promise<boolean> {
+  async #ask(id: string, survey: Survey): Promise<boolean> {
+    const { surveyed, epoch } = survey;
     const { peers, membership } = this.#options;
     const teams = surveyed.map(([team, home]) => ({
       team,
--- a/src/controllers/limits.ts
+++ b/src/controllers/limits.ts
@@ -7,8 +7,11 @@
 import { okAsync, type ResultAsync } from "neverthrow";
 import type { Clock, Timer } from "../clock.ts";
 import type { Peers } from "../ports/peers.ts";
-import type { AllowanceHolder } from "../state/allowance.ts";
-import { LimitAccount, type LimitFailure } from "./limit_account.ts";
+import {
+  type HolderRequest,
+  LimitAccount,
+  type LimitFailure,
+} from "./limit_account.ts";
 import { Leftovers } from "./leftovers.ts";
 import { LimitHomes, TEAM_PREFIX } from "./limit_homes.ts";
 import {
@@ -180,20 +183,17 @@
   }
 
   /** One request to the home; gives whether it was answered in full. */
-  async #exchange(
-    team: string,
-    holder: AllowanceHolder,
-    need: number,
-  ): Promise<boolean> {
+  async #exchange(team: string, request: HolderRequest): Promise<boolean> {
+    const { holder, need } = request;
     const { ownership, membership } = this.#options;
     const unit = TEAM_PREFIX + team;
     const home = ownership.ownerOf(unit);
     const fence = ownership.fenceOf(unit);
     if (home === undefined || fence === undefined) return false;
     if (!holder.obey(fence)) return false;
-    const request = holder.request(need);
+    const allowance = holder.request(need);
     const answer = await this.#peers.call(home.id, allowanceCall, {
-      params: { team, since: this.#since, ...request },
+      params: { team, since: this.#since, ...allowance },
       timeoutMs: membership.timing.peerTimeoutMs,
     });
     if (answer.isErr() || answer.value.type !== "granted") return false;
@@ -213,7 +213,7 @@
     const account = new LimitAccount({
       team,
       clock: this.#options.clock,
-      exchange: (holder, need) => this.#exchange(team, holder, need),
+      exchange: (request) => this.#exchange(team, request),
     });
     account.limited = this.#limits.has(team);
     this.#accounts.set(team, account);
--- a/src/controllers/ownership.ts
+++ b/src/controllers/ownership.ts
@@ -5,8 +5,7 @@
  */
 import type { Clock, Timer } from "../clock.ts";
 import type { Peers } from "../ports/peers.ts";
-import type { Condition, Store, Write } from "../ports/store.ts";
-import { encodeMap } from "../state/ownership_codec.ts";
+import type { Store } from "../ports/store.ts";
 import {
   assign,
   excess,
@@ -15,13 +14,9 @@
   type OwnershipMap,
 } from "../state/ownership_map.ts";
 import type { Instance } from "../types.ts";
-import {
-  epochCall,
-  mapChangedNotice,
-  OWNERSHIP_KEY,
-  REGISTRATIONS_PREFIX,
-} from "./cluster_protocol.ts";
+import { epochCall } from "./cluster_protocol.ts";
 import type { Membership } from "./membership.ts";
+import { MapWriter } from "./map_writer.ts";
 import { Takeover } from "./takeover.ts";
 
 /** What an {@linkcode Ownership} works with. */
@@ -39,6 +34,7 @@
   readonly #options: OwnershipOptions;
   readonly #membership: Membership;
   readonly #takeover: Takeover;
+  readonly #writer: MapWriter;
   readonly #listeners: (() => void)[] = [];
   /** Units that this instance has stopped deciding for, to give them away. */
   readonly #released = new Set<string>();
@@ -57,6 +53,7 @@
     this.#options = options;
     this.#membership = options.membership;
     this.#takeover = new Takeover(options);
+    this.#writer = new MapWriter(options);
     this.#membership.onChange(() => this.#viewChanged());
     options.peers.serve(epochCall, ({ epoch }) => this.#answerEpoch(epoch));
   }
@@ -142,7 +139,7 @@
         retired: [...this.#retired],
       });
       if (next === this.map()) return;
-      await this.#commit(next, []);
+      await this.#writer.write(next);
       if (!this.map().members.has(id)) return;
     }
   }
@@ -229,7 +226,10 @@
       units: this.#units.filter((unit) => !this.#retired.has(unit)),
     });
     if (next === before) return;
-    await this.#commit(next, claims.flatMap((claim) => claim.conditions));
+    await this.#writer.write(
+      next,
+      claims.flatMap((claim) => claim.conditions),
+    );
   }
 
   /** Stops deciding for the units first, then gives them away. */
@@ -244,7 +244,7 @@
     }
     this.#releasedAtRevision = this.#membership.view.mapRevision;
     this.#changed();
-    const commit = await this.#commit(next, []);
+    const commit = await this.#writer.write(next);
     if (commit === "notSent") this.#keepReleased();
   }
 
@@ -253,49 +253,6 @@
     this.#changed();
   }
 
-  /**
-   * Writes a map and reads back what became of it unless that is certain. A
-   * write whose answer was lost may take effect until the map has moved on.
-   */
-  async #commit(
-    next: OwnershipMap,
-    conditions: readonly Condition[],
-  ): Promise<"sent" | "notSent"> {
-    const { store } = this.#options;
-    const { view } = this.#membership;
-    const value = encodeMap(next);
-    const commit = await store.commit(
-      [{ key: OWNERSHIP_KEY, revision: view.mapRevision }, ...conditions],
-      [{ type: "put", key: OWNERSHIP_KEY, value }, ...this.#forget(next)],
-    );
-    if (commit.isErr() && commit.error.type === "storeUnreachable") {
-      return "notSent";
-    }
-    if (commit.isOk() && commit.value.type === "committed") {
-      const { revision } = commit.value;
-      view.readMap({ key: OWNERSHIP_KEY, value, revision });
-      this.#tellOthers(next.epoch);
-      return "sent";
-    }
-    await this.#membership.readMap();
-    return "sent";
-  }
-
-  /** Deletes the registration counts of members that the map no longer has. */
-  #forget(next: OwnershipMap): readonly Write[] {
-    return [...this.map().members.keys()]
-      .filter((id) => !next.members.has(id))
-      .map((id) => ({ type: "delete", key: REGISTRATIONS_PREFIX + id }));
-  }
-
-  #tellOthers(epoch: number): void {
-    const { peers } = this.#options;
-    for (const { id } of this.#membership.members()) {
-      if (id === this.#membership.self.id) continue;
-      peers.notify(id, mapChangedNotice, { epoch });
-    }
-  }
-
   async #answerEpoch(epoch: number): Promise<{ readonly epoch: number }> {
     if (this.map().epoch < epoch) await this.#membership.readMap();
     return { epoch: this.map().epoch };
--- a/src/fakes/memory_store.ts
+++ b/src/fakes/memory_store.ts
@@ -6,6 +6,7 @@
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import { type Clock, sleep } from "../clock.ts";
 import type { StoreFailure } from "../errors.ts";
+import { keyOf, revisionOf, sizeOf } from "./changes.ts";
 import type {
   Change,
   Commit,
@@ -315,19 +316,3 @@
   type: "storeAnswerLost",
   message: "the answer was lost",
 };
-
-function sizeOf(changes: readonly Change[]): number {
-  return changes.reduce(
-    (sum, change) =>
-      sum + (change.type === "put" ? change.entry.value.length : 0),
-    0,
-  );
-}
-
-function keyOf(change: Change): string {
-  return change.type === "put" ? change.entry.key : change.key;
-}
-
-function revisionOf(change: Change): number {
-  return change.type === "put" ? change.entry.revision : change.revision;
-}
