Doubt keys for two seconds after a takeover, not five

One bound of 5 s stood for the differences of all clocks, so that every takeover made 5 s of new keys with a time unknown. The lead of a caller's clock is bounded apart from that of instances, and a key that is ahead is refused with the time after which it is taken, so that a smaller bound costs a caller whose clock is ahead a delay only.

--- a/src/controllers/home_keys.ts
+++ b/src/controllers/home_keys.ts
@@ -99,7 +99,7 @@
       case "unknown":
         return unknownVerdict;
       case "clockAhead":
-        return clockVerdict;
+        return clockVerdict(answer.waitMs);
       case "full":
       case "withdrawn":
       case "notHome":
@@ -191,13 +191,8 @@
   outcome: { type: "unknown", reason: { type: "keyMemoryLost" } },
 };
 
-const clockVerdict: KeyVerdict = {
-  type: "answer",
-  outcome: {
-    type: "notRun",
-    reason: {
-      type: "badRequest",
-      detail: "the time in the key is ahead of the clocks",
-    },
-  },
-};
+function clockVerdict(retryAfterMs: number): KeyVerdict {
+  const detail = "the time in the key is ahead of the clocks";
+  const reason = { type: "badRequest", detail } as const;
+  return { type: "answer", outcome: { type: "notRun", reason, retryAfterMs } };
+}
--- a/src/state/key_memory.ts
+++ b/src/state/key_memory.ts
@@ -34,8 +34,12 @@
   | { readonly type: "done"; readonly outcome: Outcome }
   /** Whether the key was used before is not known. */
   | { readonly type: "unknown" }
-  /** The key carries a time that lies ahead of all clocks. */
-  | { readonly type: "clockAhead" }
+  /** The key carries a time that lies ahead; not recorded. */
+  | {
+    readonly type: "clockAhead";
+    /** Milliseconds until the key is taken. */
+    readonly waitMs: number;
+  }
   /** This very request was given up before. */
   | { readonly type: "withdrawn" }
   /** No room for a further key. */
@@ -66,8 +70,10 @@
   readonly largestOutcomeChars: number;
   /** Time that an ended key is remembered; callers do not repeat a request after it. */
   readonly retentionMs: number;
-  /** Largest difference between any two clocks of callers and instances. */
+  /** Largest difference between the clocks of two instances. */
   readonly skewMs: number;
+  /** Largest lead of the time in a key over the home's clock. */
+  readonly aheadMs: number;
 }
 
 /** Bounds of one home's memory. */
@@ -76,7 +82,8 @@
   outcomeChars: 500_000,
   largestOutcomeChars: 64_000,
   retentionMs: 3_600_000,
-  skewMs: 5_000,
+  skewMs: 1_000,
+  aheadMs: 1_000,
 };
 
 /** A memory as it is handed over. */
@@ -186,13 +193,14 @@
 
   /** Why an unremembered key is not fresh, if it is not. */
   #doubt(use: KeyUse, now: number): KeyAnswer | undefined {
-    const { retentionMs, skewMs } = this.#limits;
+    const { aheadMs, retentionMs, skewMs } = this.#limits;
     const made = keyTimeMs(use.key);
     if (made !== undefined && made <= now + retentionMs) {
-      if (made > now + skewMs) return { type: "clockAhead" };
+      const waitMs = made - now - aheadMs;
+      if (waitMs > 0) return { type: "clockAhead", waitMs };
       if (made < now - retentionMs) return { type: "unknown" };
       if (made <= this.#forgottenUpTo) return { type: "unknown" };
-      if (made > this.#completeSince + skewMs) return undefined;
+      if (made > this.#completeSince + skewMs + aheadMs) return undefined;
     }
     const vouched = this.#completeSince + retentionMs <= now;
     return vouched ? undefined : { type: "unknown" };
--- a/src/wire/keys.ts
+++ b/src/wire/keys.ts
@@ -31,7 +31,7 @@
   t.type({ type: t.literal("inProgress") }),
   t.type({ type: t.literal("done"), outcome: OutcomeCodec }),
   t.type({ type: t.literal("unknown") }),
-  t.type({ type: t.literal("clockAhead") }),
+  t.type({ type: t.literal("clockAhead"), waitMs: t.number }),
   t.type({ type: t.literal("withdrawn") }),
   t.type({ type: t.literal("full") }),
 ]);
