--- a/src/controllers/limit_account.ts
+++ b/src/controllers/limit_account.ts
@@ -27,6 +27,8 @@
 const HOME_RETRY_MS = 50;
 /** Wait before a home that had nothing left is asked again, milliseconds. */
 const REFUSED_RETRY_MS = 250;
+/** Least time between two requests for work that waits elsewhere, milliseconds. */
+const WANT_SPACING_MS = 20;
 /** Allowance in hand at which more is asked for ahead of need. */
 const LOW_WATER = 2;
 
@@ -47,6 +49,8 @@
   readonly clock: Clock;
   /** Sends one request of the holder to the home; gives whether it was answered in full. */
   readonly exchange: (request: HolderRequest) => Promise<boolean>;
+  /** Told when there is allowance in hand after an answer of the home. */
+  readonly granted: () => void;
 }
 
 /** Spends one team's allowance at one instance. */
@@ -64,6 +68,7 @@
   /** Most to keep after the limit was lowered. */
   #ceiling = Infinity;
   #usedAtMs: number;
+  #wantedAtMs = -Infinity;
   #homeAnswered = false;
   #retry: Timer | undefined;
 
@@ -82,6 +87,19 @@
     this.#retry?.cancel();
   }
 
+  /** How much more may start without asking; infinite without a limit. */
+  get available(): number {
+    return this.limited ? this.holder.spare - this.#waiters.length : Infinity;
+  }
+
+  /** Asks for more because work waits that could start here; not too often. */
+  want(): void {
+    const nowMs = this.#now();
+    if (nowMs - this.#wantedAtMs < WANT_SPACING_MS) return;
+    this.#wantedAtMs = nowMs;
+    void this.ask();
+  }
+
   /** Takes one from the allowance in hand, unless others have waited longer. */
   tryTake(): boolean {
     return this.#waiters.length === 0 && this.#takeInHand();
@@ -143,6 +161,7 @@
     const answered = await this.#exchange(this.#need());
     this.#asking = false;
     this.serveWaiters();
+    if (this.available > 0) this.#options.granted();
     if (this.#waiters.length === 0) return;
     const delayMs = answered ? REFUSED_RETRY_MS : HOME_RETRY_MS;
     this.#retry?.cancel();
--- a/src/controllers/neighbours.ts
+++ b/src/controllers/neighbours.ts
@@ -21,8 +21,12 @@
   capacity: Resources;
   backlog: Map<string, Backlog & { count: number }>;
   usage: ReadonlyMap<string, Resources>;
+  spare: Map<string, number>;
 }
 
+/** Work as far as it decides where it may go. */
+type Errand = Pick<Candidate, "team" | "need">;
+
 /** Work of one team and workload that waits at a peer. */
 export interface RemoteCandidate extends Candidate {
   readonly holder: string;
@@ -31,6 +35,12 @@
 /** The peers by instance id. */
 export class Neighbours {
   readonly #known = new Map<string, Neighbour>();
+  readonly #isLimited: (team: string) => boolean;
+
+  /** `isLimited`: whether a team has an upper limit. */
+  constructor(isLimited: (team: string) => boolean) {
+    this.#isLimited = isLimited;
+  }
 
   /** Takes news in; `false` if newer news was there already. */
   heard(peer: string, news: News, nowMs: number): boolean {
@@ -44,6 +54,7 @@
       capacity: news.capacity,
       backlog: new Map(news.backlog.map((lane) => [laneOf(lane), { ...lane }])),
       usage: new Map(Object.entries(news.usage)),
+      spare: new Map(Object.entries(news.spare)),
     });
     return true;
   }
@@ -53,17 +64,14 @@
     this.#known.delete(peer);
   }
 
-  /** The peer with the most room for a need; `undefined` if none is known to have any. */
-  withRoom(
-    need: Resources,
-    nowMs: number,
-    avoid: ReadonlySet<string> = new Set(),
-  ): string | undefined {
+  /** The peer with the most room for some work; `undefined` if none is known to have any. */
+  withRoom({ team, need }: Errand, nowMs: number): string | undefined {
     let best: string | undefined;
     let most = 0;
     for (const [peer, known] of this.#fresh(nowMs)) {
       const room = fits(need, known.free) && fits(need, known.largest);
-      if (!room || avoid.has(peer) || known.free.slots <= most) continue;
+      if (!room || known.free.slots <= most) continue;
+      if (this.#isLimited(team) && (known.spare.get(team) ?? 0) <= 0) continue;
       best = peer;
       most = known.free.slots;
     }
@@ -71,9 +79,16 @@
   }
 
   /** Notes that room was asked of a peer. */
-  spend(peer: string, need: Resources): void {
+  spend(peer: string, { team, need }: Errand): void {
     const known = this.#known.get(peer);
-    if (known !== undefined) known.free = subtract(known.free, need);
+    if (known === undefined) return;
+    known.free = subtract(known.free, need);
+    known.spare.set(team, (known.spare.get(team) ?? 0) - 1);
+  }
+
+  /** Notes that a peer may start no more work of a team. */
+  atLimit(peer: string, team: string): void {
+    this.#known.get(peer)?.spare.delete(team);
   }
 
   /** Notes that a peer has no room after all. */
