--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -9,11 +9,7 @@
 import { unreachable, type WorkerFailure } from "../errors.ts";
 import type { Log } from "../logger.ts";
 import type { WorkerPool } from "../policy/pool.ts";
-import type {
-  Allowances,
-  Authority,
-  LimitFailure,
-} from "../ports/authority.ts";
+import type { Allowances, Authority } from "../ports/authority.ts";
 import type { Upstream } from "../ports/upstream.ts";
 import { equal } from "../resources.ts";
 import type { Reason, Resources } from "../types.ts";
@@ -21,8 +17,8 @@
 import { type HeldRoom, Offers } from "./offers.ts";
 import { type OwnedWorkers, WORKER_UNIT } from "./owned_workers.ts";
 
-/** Longest wait for a team's home instance, milliseconds. */
-const ALLOWANCE_WAIT_MS = 200;
+/** Time to come back after while a team is at its limit, milliseconds. */
+const LIMIT_RETRY_MS = 250;
 /** Orders are remembered for so long beyond their timeouts, milliseconds. */
 const ORDER_MEMORY_MS = 15_000;
 
@@ -90,7 +86,7 @@
       pool: options.pool,
       clock: options.clock,
       released: (room) => {
-        if (room.allowed) options.allowances.give(room.team);
+        options.allowances.give(room.team);
         this.roomChanged();
       },
     });
@@ -123,7 +119,7 @@
   async run(order: RunOrder): Promise<RunResult> {
     const earlier = this.#earlier(order.id);
     if (earlier !== undefined) return earlier;
-    const found = await this.#acquire(order);
+    const found = this.#acquire(order);
     if (found.type === "none") {
       return { ...notStarted(found.reason), retryAfterMs: found.retryAfterMs };
     }
@@ -197,24 +193,38 @@
     else this.#usage.set(team, after);
   }
 
-  async #acquire(order: RunOrder): Promise<PlaceResult> {
-    const place = this.#room(order);
-    if (place === undefined) return this.#noRoom(order.workload);
-    return await this.#allow(order, place);
+  #acquire(order: RunOrder): PlaceResult {
+    const { offer, need, team, avoid } = order;
+    const held = offer === undefined ? undefined : this.offers.claim(offer);
+    if (held === undefined) return this.reserve(order, avoid);
+    const place = this.#placeOf(held, order);
+    if (place !== undefined) return { type: "place", place };
+    this.#options.allowances.give(held.team);
+    return this.reserve({ team, need, workload: order.workload }, avoid);
   }
 
-  /** Takes room and allowance for a task; whoever gets them gives them back. */
-  async reserve(
+  /** Takes room and allowance; whoever gets them gives them back. */
+  reserve(
     task: {
       readonly team: string;
       readonly workload: string;
       readonly need: Resources;
     },
     avoid: readonly string[],
-  ): Promise<PlaceResult> {
+  ): PlaceResult {
+    const { allowances, pool } = this.#options;
     const place = this.takeRoom(task.need, avoid);
     if (place === undefined) return this.#noRoom(task.workload);
-    return await this.#allow(task, place);
+    if (allowances.tryTake(task.team)) return { type: "place", place };
+    pool.release(place.worker, task.need);
+    allowances.want(task.team);
+    return this.#atLimit(task.team);
+  }
+
+  #atLimit(team: string): PlaceResult {
+    const limit = this.#options.allowances.limitOf(team) ?? 0;
+    const reason: Reason = { type: "overLimit", team, limit };
+    return { type: "none", reason, retryAfterMs: LIMIT_RETRY_MS };
   }
 
   #noRoom(workload: string): PlaceResult {
@@ -224,30 +234,6 @@
       : none({ type: "isolated" });
   }
 
-  /** Adds the team's allowance to room that was taken, or frees the room. */
-  async #allow(
-    { team, need }: { readonly team: string; readonly need: Resources },
-    place: Place,
-  ): Promise<PlaceResult> {
-    const { allowances, pool } = this.#options;
-    if (allowances.tryTake(team)) return { type: "place", place };
-    const taken = await allowances.take(team, ALLOWANCE_WAIT_MS);
-    if (taken.isOk()) return { type: "place", place };
-    pool.release(place.worker, need);
-    this.roomChanged();
-    const reason = reasonOfLimit(taken.error);
-    return { type: "none", reason, retryAfterMs: taken.error.retryAfterMs };
-  }
-
-  #room(order: RunOrder): Place | undefined {
-    if (order.offer === undefined) {
-      return this.takeRoom(order.need, order.avoid);
-    }
-    const held = this.offers.claim(order.offer);
-    if (held === undefined) return this.takeRoom(order.need, order.avoid);
-    return this.#placeOf(held, order);
-  }
-
   #placeOf(held: HeldRoom, order: RunOrder): Place | undefined {
     const { pool, workers } = this.#options;
     const fence = workers.fence(held.worker);
@@ -255,7 +241,7 @@
       equal(held.need, order.need) && !order.avoid.includes(held.worker);
     if (suits) return { worker: held.worker, fence };
     pool.release(held.worker, held.need);
-    return this.takeRoom(order.need, order.avoid);
+    return undefined;
   }
 
   /** What to answer to an order that was started or barred before. */
@@ -400,19 +386,3 @@
 function none(reason: Reason): PlaceResult {
   return { type: "none", reason };
 }
-
-/** The reason that a caller is told for a {@linkcode LimitFailure}. */
-export function reasonOfLimit(failure: LimitFailure): Reason {
-  switch (failure.type) {
-    case "overLimit":
-      return {
-        type: "overLimit",
-        team: failure.team,
-        limit: failure.limit,
-      };
-    case "homeAway":
-      return { type: "noOwner" };
-    default:
-      return unreachable(failure);
-  }
-}
--- a/src/controllers/requests.ts
+++ b/src/controllers/requests.ts
@@ -173,12 +173,19 @@
         failure: result.error,
       });
     }
-    const noRoom = result.value.type === "notStarted" &&
-      result.value.reason.type === "noRoom";
-    if (noRoom) this.#options.matching.neighbours.exhausted(peer);
+    if (result.value.type === "notStarted") {
+      this.#learn(peer, flight, result.value.reason);
+    }
     this.#settled(flight, result.value);
   }
 
+  /** Remembers what a refusal says of a peer. */
+  #learn(peer: string, { waiting }: Flight, reason: Reason): void {
+    const { neighbours } = this.#options.matching;
+    if (reason.type === "noRoom") neighbours.exhausted(peer);
+    if (reason.type === "overLimit") neighbours.atLimit(peer, waiting.team);
+  }
+
   async #peerFailed(
     flight: Flight,
     { peer, order, failure }: {
@@ -235,7 +242,6 @@
   ): void {
     if (result.worker !== undefined) flight.avoid.push(result.worker);
     switch (result.reason.type) {
-      case "overLimit":
       case "noOwner":
         this.#options.matching.block(flight.waiting.team, LIMIT_PAUSE_MS);
         return this.#wait(flight);
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -111,10 +111,10 @@
     const authority = authorityOf(membership, ownership);
     this.authority = authority;
     this.limits = new Limits({ membership, ownership, peers, clock });
-    const allowances = new TeamAllowances(this.limits, {
-      limitOf: (team) => settings.limits().get(team),
-      given: (team) => this.matching.unblock(team),
-    });
+    const allowances = new TeamAllowances(
+      this.limits,
+      (team) => this.matching.gained(team),
+    );
     this.configuration = new ConfigurationController({
       ...options,
       self: self.id,
@@ -146,6 +146,8 @@
     const { placement } = this;
     this.matching = new Matching({
       placement,
+      allowances,
+      limitedTeams: () => settings.limits().keys(),
       pool,
       queue,
       shares,
--- a/src/fakes/dispatch_cell.ts
+++ b/src/fakes/dispatch_cell.ts
@@ -109,6 +109,8 @@
     const { placement } = this;
     this.matching = new Matching({
       placement,
+      allowances,
+      limitedTeams: () => allowances.limits.keys(),
       pool,
       queue,
       shares,
