Take workers out of use that fail what others carry out

Cause: the quarantine of the policy folder was not joined to the controllers, so a worker that failed everything at once drew all requests.

The standing of each owned worker now decides with ownership, reports and the list whether it gets new work. Runs that failed or were refused count against it, silence counts neither way. A probing worker gets one run, also in room that was offered to a peer. The metric runs_total has the label `ending` in place of `failed`.

--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -13,6 +13,7 @@
 import { add, fits, noResources } from "../resources.ts";
 import type { Resources, Worker } from "../types.ts";
 import type { Fleet } from "./fleet.ts";
+import type { Run, WorkerStandings } from "./worker_standings.ts";
 
 /** Time between reports asked of a worker, milliseconds. */
 export const REPORT_INTERVAL_MS = 1_000;
@@ -32,6 +33,7 @@
   readonly upstream: Upstream;
   readonly clock: Clock;
   readonly log: Log;
+  readonly standings: WorkerStandings;
   /** Whether the operators have taken a worker out of use. */
   readonly drained: (worker: string) => boolean;
 }
@@ -107,9 +109,24 @@
     return entry?.owned && entry.fence === fence ? fence : undefined;
   }
 
-  /** Whether a worker may get new work right now. */
+  /** Whether work may start on a worker right now, in room that is held for it. */
   usable(id: string): boolean {
-    return this.#options.pool.usable(id);
+    const entry = this.#entries.get(id);
+    return entry !== undefined && this.#isFit(id, entry);
+  }
+
+  /** Room was taken on a worker. */
+  roomTaken(id: string): void {
+    this.#options.standings.roomTaken(id);
+    const entry = this.#entries.get(id);
+    if (entry !== undefined) this.#judge(id, entry);
+  }
+
+  /** A run on a worker has ended. */
+  ran(id: string, run: Run): void {
+    this.#options.standings.ran(id, run);
+    const entry = this.#entries.get(id);
+    if (entry !== undefined) this.#judge(id, entry);
   }
 
   /** Most requests that may run on a worker without this instance waiting for them. */
@@ -163,7 +180,7 @@
   }
 
   #adopt(id: string): void {
-    const { authority, clock, fleet, log, pool } = this.#options;
+    const { authority, clock, fleet, log, pool, standings } = this.#options;
     const worker = fleet.worker(id);
     const fence = authority.fenceOf(WORKER_UNIT + id);
     if (worker === undefined || fence === undefined) return;
@@ -178,6 +195,7 @@
       known.leftover.reset(trustedFromMs);
     } else {
       pool.upsert(worker);
+      standings.add(id);
       pool.setUsable(id, false);
       this.#entries.set(id, newEntry(worker, fence, trustedFromMs));
     }
@@ -206,6 +224,7 @@
     entry.timer?.cancel();
     this.#entries.delete(id);
     this.#options.pool.remove(id);
+    this.#options.standings.remove(id);
   }
 
   #holdsRoom(id: string): boolean {
@@ -214,10 +233,15 @@
   }
 
   #judge(id: string, entry: Owned): void {
-    const { drained, fleet, pool } = this.#options;
-    const usable = entry.owned && entry.fenced && entry.reachable &&
+    const { pool, standings } = this.#options;
+    pool.setUsable(id, this.#isFit(id, entry) && standings.allows(id));
+  }
+
+  /** Whether a worker may run work, whatever its standing. */
+  #isFit(id: string, entry: Owned): boolean {
+    const { drained, fleet } = this.#options;
+    return entry.owned && entry.fenced && entry.reachable &&
       entry.leftover.known && !entry.leaving && fleet.live(id) && !drained(id);
-    pool.setUsable(id, usable);
   }
 
   #poll(id: string): void {
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -16,6 +16,7 @@
 import type { RunOrder, RunResult } from "../wire/dispatch.ts";
 import { type HeldRoom, Offers } from "./offers.ts";
 import { type OwnedWorkers, WORKER_UNIT } from "./owned_workers.ts";
+import type { Run } from "./worker_standings.ts";
 
 /** Time to come back after while a team is at its limit, milliseconds. */
 const LIMIT_RETRY_MS = 250;
@@ -24,15 +25,7 @@
 
 /** Told how each run on a worker went. */
 export interface RunObserver {
-  /** `failed`: the worker failed what it started. */
-  ran(
-    worker: string,
-    run: {
-      readonly workload: string;
-      readonly failed: boolean;
-      readonly tookMs: number;
-    },
-  ): void;
+  ran(worker: string, run: Run): void;
 }
 
 /** What the controller needs. */
@@ -212,10 +205,13 @@
     },
     avoid: readonly string[],
   ): PlaceResult {
-    const { allowances, pool } = this.#options;
+    const { allowances, pool, workers } = this.#options;
     const place = this.takeRoom(task.need, avoid);
     if (place === undefined) return this.#noRoom(task.workload);
-    if (allowances.tryTake(task.team)) return { type: "place", place };
+    if (allowances.tryTake(task.team)) {
+      workers.roomTaken(place.worker);
+      return { type: "place", place };
+    }
     pool.release(place.worker, task.need);
     allowances.want(task.team);
     return this.#atLimit(task.team);
@@ -287,8 +283,8 @@
     const tookMs = clock.monotonic() - sentAtMs;
     return result.match(
       (answer) => {
-        const failed = answer.status >= 500;
-        observer.ran(worker, { workload: order.workload, failed, tookMs });
+        const ending = answer.status >= 500 ? "failed" : "succeeded";
+        observer.ran(worker, { workload: order.workload, ending, tookMs });
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { type: "done", answer: { ...answer, worker } };
@@ -307,6 +303,7 @@
   ): RunResult {
     const { log, observer, workers } = this.#options;
     const { worker } = place;
+    const { workload } = order;
     log.warn("worker.failed", { worker, failure: failure.type, id: order.id });
     switch (failure.type) {
       case "workerUnreached":
@@ -317,17 +314,18 @@
         this.#vacate(order, place, true);
         return { ...notStarted({ type: "workerLost", worker }), worker };
       case "workerRefused":
+        observer.ran(worker, { workload, ending: "refused", tookMs });
+        this.#orders.delete(order.id);
+        workers.requestEnded(worker, order.id);
+        this.#vacate(order, place, true);
+        return { ...notStarted({ type: "workerFailed", worker }), worker };
       case "workerFenced":
         this.#orders.delete(order.id);
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { ...notStarted({ type: "workerFailed", worker }), worker };
       case "workerSilent":
-        observer.ran(worker, {
-          workload: order.workload,
-          failed: false,
-          tookMs,
-        });
+        observer.ran(worker, { workload, ending: "unknown", tookMs });
         this.#lose(order, worker);
         return { type: "lost", reason: { type: "workerLost", worker }, worker };
       default:
--- a/src/controllers/task_keeper.ts
+++ b/src/controllers/task_keeper.ts
@@ -23,6 +23,7 @@
 import type { HeldRoom } from "./offers.ts";
 import type { OwnedWorkers, TaskSight } from "./owned_workers.ts";
 import type { Placement, RunObserver } from "./placement.ts";
+import type { Ending } from "./worker_standings.ts";
 
 /** A worker stops a task whose lease was not renewed for so long, milliseconds. */
 export const TASK_LEASE_MS = 15_000;
@@ -347,8 +348,8 @@
     if (end.type === "lost") this.#noteLost(kept.attempt);
     const { clock, log, observer } = this.#options;
     const tookMs = clock.monotonic() - kept.startedAtMs;
-    const failed = end.type === "failed";
-    observer.ran(kept.worker, { workload: kept.workload, failed, tookMs });
+    const ending = endingOf(end);
+    observer.ran(kept.worker, { workload: kept.workload, ending, tookMs });
     log.info("task.ended", {
       attempt: kept.attempt,
       task: kept.task,
@@ -430,6 +431,20 @@
   }
 }
 
+/** What the end of a task says of its worker. */
+function endingOf(end: AttemptEnd): Ending {
+  switch (end.type) {
+    case "succeeded":
+    case "failed":
+      return end.type;
+    case "stopped":
+    case "lost":
+      return "unknown";
+    default:
+      return unreachable(end);
+  }
+}
+
 function endOf(state: TaskState): AttemptEnd | undefined {
   switch (state.type) {
     case "running":
--- a/src/controllers/task_keeper_test.ts
+++ b/src/controllers/task_keeper_test.ts
@@ -7,7 +7,7 @@
 const alone = () => new DispatchCell().start(["1"], { a: "1" });
 const apart = () => new DispatchCell().start(["1", "2"], { a: "1" });
 
-async function offerOf(cell: DispatchCell, offer: string): Promise<void> {
+function offerOf(cell: DispatchCell, offer: string): void {
   const { placement } = cell.node("1");
   const task = { team: "large", workload: "billing", need: NEED };
   const reserved = placement.reserve(task, []);
@@ -23,7 +23,7 @@
 }
 
 async function start(cell: DispatchCell, attempt = "t1") {
-  await offerOf(cell, attempt);
+  offerOf(cell, attempt);
   return await cell.node("1").keeper.start(orderOf(attempt));
 }
 
@@ -105,7 +105,7 @@
 
 test("start: offer lapsed", async (t) => {
   const cell = await alone();
-  await offerOf(cell, "t1");
+  offerOf(cell, "t1");
   await cell.run(6_000);
   t.is((await cell.node("1").keeper.start(orderOf("t1"))).type, "notStarted");
   t.is(cell.worker("a").starts.length, 0);
@@ -115,7 +115,7 @@
 for (const loss of ["contact", "ownership"] as const) {
   test(`start: ${loss} lost after the offer`, async (t) => {
     const cell = await alone();
-    await offerOf(cell, "t1");
+    offerOf(cell, "t1");
     if (loss === "contact") cell.node("1").authority.contact = false;
     else cell.own("a", undefined);
     t.is((await cell.node("1").keeper.start(orderOf("t1"))).type, "notStarted");
@@ -125,7 +125,7 @@
 
 test("start: twice from the same holder", async (t) => {
   const cell = await apart();
-  await offerOf(cell, "t1");
+  offerOf(cell, "t1");
   const ask = () =>
     cell.node("2").peers.call("1", startCall, {
       params: orderOf("t1"),
@@ -241,7 +241,7 @@
 
 test("find: a start of the former owner is refused by the worker", async (t) => {
   const cell = await apart();
-  await offerOf(cell, "t1");
+  offerOf(cell, "t1");
   const worker = cell.worker("a");
   const fence = worker.fence;
   cell.own("a", "2");
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -25,6 +25,7 @@
 import { TaskKeeper } from "../controllers/task_keeper.ts";
 import { reservationOrder, Tasks } from "../controllers/tasks.ts";
 import { WorkDesk } from "../controllers/work_desk.ts";
+import { type Run, WorkerStandings } from "../controllers/worker_standings.ts";
 import { WriteBudget } from "../journal/write_budget.ts";
 import type { Log } from "../logger.ts";
 import { Metrics } from "../metrics.ts";
@@ -81,6 +82,7 @@
   readonly authority: Authority;
   readonly limits: Limits;
   readonly configuration: ConfigurationController;
+  readonly standings: WorkerStandings;
   readonly workers: OwnedWorkers;
   readonly placement: Placement;
   readonly matching: Matching;
@@ -120,7 +122,9 @@
       self: self.id,
       members,
     });
+    this.standings = new WorkerStandings({ peers, members, clock, log });
     this.workers = new OwnedWorkers({
+      standings: this.standings,
       authority,
       fleet,
       pool,
@@ -305,6 +309,7 @@
     this.keeper.close();
     this.limits.stop();
     this.workers.stop();
+    this.standings.stop();
     this.configuration.stop();
     this.fleet.stop();
   }
@@ -345,10 +350,12 @@
     this.#unitsTimer = clock.after(UNITS_INTERVAL_MS, () => this.#units());
   }
 
-  #ran(worker: string, run: Parameters<RunObserver["ran"]>[1]): void {
-    const { workload, failed, tookMs } = run;
-    this.metrics.count("runs_total", { workload, failed: String(failed) });
+  #ran(worker: string, run: Run): void {
+    const { workload, ending, tookMs } = run;
+    this.workers.ran(worker, run);
+    this.metrics.count("runs_total", { workload, ending });
     this.metrics.observe("run_milliseconds", tookMs, { workload });
+    const failed = ending === "failed" || ending === "refused";
     if (failed) this.metrics.count("worker_failures_total", { worker });
   }
 
--- a/src/fakes/dispatch_cell.ts
+++ b/src/fakes/dispatch_cell.ts
@@ -10,10 +10,11 @@
 import { Gangs } from "../controllers/gangs.ts";
 import { Matching } from "../controllers/matching.ts";
 import { OwnedWorkers, WORKER_UNIT } from "../controllers/owned_workers.ts";
-import { Placement } from "../controllers/placement.ts";
+import { Placement, type RunObserver } from "../controllers/placement.ts";
 import { type CallerRequest, Requests } from "../controllers/requests.ts";
 import { TaskKeeper, type TellHolder } from "../controllers/task_keeper.ts";
 import { Tasks } from "../controllers/tasks.ts";
+import { WorkerStandings } from "../controllers/worker_standings.ts";
 import { silentLog } from "../logger.ts";
 import type { Queue, Workload } from "../operator_set.ts";
 import { WorkerPool } from "../policy/pool.ts";
@@ -90,11 +91,17 @@
     const { clock, upstream, fleet } = cell;
     const { pool, allowances, queue, shares, retries } = this;
     const log = silentLog;
-    const observer = { ran: () => {} };
+    const observer: RunObserver = {
+      ran: (worker, run) => this.workers.ran(worker, run),
+    };
+    const members = () =>
+      [...cell.nodes.keys()].filter((other) => other !== id);
     this.authority = new MemoryAuthority(id, cell.map);
     this.peers = cell.network.join(id);
     const { authority, peers } = this;
+    const standings = new WorkerStandings({ peers, members, clock, log });
     this.workers = new OwnedWorkers({
+      standings,
       authority,
       fleet,
       pool,
@@ -116,7 +123,7 @@
       shares,
       peers,
       clock,
-      members: () => [...cell.nodes.keys()].filter((other) => other !== id),
+      members,
     });
     this.requests = new Requests({
       matching: this.matching,
--- a/src/wire/dispatch.ts
+++ b/src/wire/dispatch.ts
@@ -104,6 +104,21 @@
   params: News,
 };
 
+/** Decayed counts of attempts and failures on the sender's workers. */
+const Failures = t.type({
+  counts: t.array(t.type({
+    workload: t.string,
+    attempts: t.number,
+    failures: t.number,
+  })),
+});
+
+/** Tells peers how often each workload fails, so that they judge their workers by it. */
+export const failuresNotice: Notice<t.TypeOf<typeof Failures>> = {
+  method: "dispatch.failures",
+  params: Failures,
+};
+
 /** Room held for the next work of a team and workload at the receiver. */
 export const Offer = t.type({
   offer: t.string,
