Place tasks by what their like were seen to use

Cause: the sizes learned from usage and the advice on overused workers were not joined to the controllers; a task that took four times what it declared was placed by the declared size, and nothing was done about its worker.

A task now reserves the larger of its declared size and the estimate of its team and workload, at most the largest worker; the same amount goes to the worker, into the pool and back. Tasks that use more than they reserved are throttled, or stopped with a checkpoint, while their worker uses more than it holds; tasks within their size never are, nor is one stopped that cannot be started again.

Ruled out: several times the declared size for work never seen before. Each instance learns from its own workers only, so work that runs elsewhere would stay unproven for good.

--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -259,9 +259,10 @@
     this.#charged.add(team);
   }
 
-  #offerRoom(candidate: RemoteCandidate): boolean {
+  #offerRoom(remote: RemoteCandidate): boolean {
     const { placement } = this.#options;
-    this.neighbours.offered(candidate);
+    this.neighbours.offered(remote);
+    const candidate = { ...remote, need: placement.sizeOf(remote) };
     const reserved = placement.reserve(candidate, []);
     if (reserved.type === "none") return false;
     this.#charge(candidate);
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -16,6 +16,7 @@
 import type { RunOrder, RunResult } from "../wire/dispatch.ts";
 import { type HeldRoom, Offers } from "./offers.ts";
 import { type OwnedWorkers, WORKER_UNIT } from "./owned_workers.ts";
+import type { SizedTask } from "./task_sizes.ts";
 import type { Run } from "./worker_standings.ts";
 
 /** Time to come back after while a team is at its limit, milliseconds. */
@@ -72,6 +73,7 @@
   readonly #orders = new Map<string, OrderMemory>();
   readonly #lost = new Map<string, string[]>();
   readonly #usage = new Map<string, Resources>();
+  #sizeOf: (task: SizedTask) => Resources = ({ need }) => need;
 
   constructor(options: PlacementOptions) {
     this.#options = options;
@@ -93,6 +95,16 @@
     });
   }
 
+  /** Sets how much is to be reserved for a task. */
+  sizeBy(sizeOf: (task: SizedTask) => Resources): void {
+    this.#sizeOf = sizeOf;
+  }
+
+  /** What is to be reserved for a task. */
+  sizeOf(task: SizedTask): Resources {
+    return this.#sizeOf(task);
+  }
+
   /** Calls `listener` whenever there may be more room. */
   onRoom(listener: () => void): void {
     this.#roomListeners.push(listener);
--- a/src/controllers/tasks.ts
+++ b/src/controllers/tasks.ts
@@ -270,7 +270,7 @@
   }
 
   #startable(task: RunnableTask): Startable | undefined {
-    const { clock, queueOf, workloadOf } = this.#options;
+    const { clock, placement, queueOf, workloadOf } = this.#options;
     const workload = workloadOf(task.workload);
     const queue = workload && queueOf(workload.queue);
     if (workload === undefined || queue === undefined) return undefined;
@@ -284,7 +284,11 @@
         queue: queue.name,
         workload: workload.name,
         urgency: queue.urgency,
-        need: workload.resources,
+        need: placement.sizeOf({
+          team: task.team,
+          workload: workload.name,
+          need: workload.resources,
+        }),
         arrivedAtMs,
         dueAtMs: dueMs > 0 ? arrivedAtMs + dueMs : undefined,
       },
@@ -352,10 +356,11 @@
     },
   ): Omit<TaskOffer, "owner">[] {
     const { placement } = this.#options;
-    const { team, need } = wanted;
+    const { team } = wanted;
+    const need = placement.sizeOf(wanted);
     const offers: Omit<TaskOffer, "owner">[] = [];
     while (offers.length < wanted.count) {
-      const reserved = placement.reserve(wanted, wanted.avoid);
+      const reserved = placement.reserve({ ...wanted, need }, wanted.avoid);
       if (reserved.type === "none") break;
       const offer = offers.length === 0 ? reservation : randomUUID();
       const { place } = reserved;
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -24,6 +24,7 @@
 import { Segments } from "../controllers/segments.ts";
 import { TaskKeeper } from "../controllers/task_keeper.ts";
 import { reservationOrder, Tasks } from "../controllers/tasks.ts";
+import { TaskSizes } from "../controllers/task_sizes.ts";
 import { WorkDesk } from "../controllers/work_desk.ts";
 import { type Run, WorkerStandings } from "../controllers/worker_standings.ts";
 import { WriteBudget } from "../journal/write_budget.ts";
@@ -148,6 +149,16 @@
       observer,
     });
     const { placement } = this;
+    const sizes = new TaskSizes({
+      workers,
+      fleet,
+      upstream,
+      log,
+      workloadOf: (name) => settings.workload(name),
+      queueOf: (name) => settings.queue(name),
+      rankOf: (team) => shares.rank(team),
+    });
+    placement.sizeBy((task) => sizes.sizeOf(task));
     this.matching = new Matching({
       placement,
       allowances,
--- a/src/fakes/dispatch_cell.ts
+++ b/src/fakes/dispatch_cell.ts
@@ -14,6 +14,7 @@
 import { type CallerRequest, Requests } from "../controllers/requests.ts";
 import { TaskKeeper, type TellHolder } from "../controllers/task_keeper.ts";
 import { Tasks } from "../controllers/tasks.ts";
+import { TaskSizes } from "../controllers/task_sizes.ts";
 import { WorkerStandings } from "../controllers/worker_standings.ts";
 import { silentLog } from "../logger.ts";
 import type { Queue, Workload } from "../operator_set.ts";
@@ -114,6 +115,17 @@
     const common = { pool, allowances, upstream, clock, log, observer };
     this.placement = new Placement({ ...common, authority, workers });
     const { placement } = this;
+    const workloadOf = (name: string) => cell.workloads.get(name);
+    const sizes = new TaskSizes({
+      workers,
+      fleet,
+      upstream,
+      log,
+      workloadOf,
+      queueOf: () => MONTH_END,
+      rankOf: (team) => shares.rank(team),
+    });
+    placement.sizeBy((task) => sizes.sizeOf(task));
     this.matching = new Matching({
       placement,
       allowances,
@@ -147,7 +159,6 @@
     });
     const { matching, keeper, attempts } = this;
     const generator = xoroshiro128plus(cell.nodes.size);
-    const workloadOf = (name: string) => cell.workloads.get(name);
     this.tasks = new Tasks({
       self: id,
       authority,
--- a/src/fakes/memory_upstream.ts
+++ b/src/fakes/memory_upstream.ts
@@ -20,7 +20,7 @@
   Upstream,
   UpstreamRequest,
 } from "../ports/upstream.ts";
-import type { Answer } from "../types.ts";
+import type { Answer, Resources } from "../types.ts";
 
 type WholeAnswer = Omit<Answer, "worker">;
 type Operation = "request" | "start" | "renew" | "stop" | "report";
@@ -53,6 +53,8 @@
   readonly held: HeldRequest[] = [];
   readonly starts: TaskStart[] = [];
   readonly stopped: string[] = [];
+  /** Attempts with the processors that were left to them. */
+  readonly throttled: [string, number][] = [];
   readonly renewed: string[] = [];
   readonly forgotten: string[] = [];
   readonly tasks = new Map<string, TaskReport>();
@@ -76,6 +78,12 @@
     this.tasks.set(start.attempt, { ...rest, state, declared: used, used });
   }
 
+  /** Changes what a task is seen to take. */
+  use(attempt: string, used: Partial<Resources>): void {
+    const task = this.tasks.get(attempt)!;
+    this.tasks.set(attempt, { ...task, used: { ...task.used, ...used } });
+  }
+
   /** Changes the state of a task. */
   set(attempt: string, state: TaskState): void {
     this.tasks.set(attempt, { ...this.tasks.get(attempt)!, state });
@@ -146,7 +154,12 @@
     return okAsync(undefined);
   }
 
-  throttle(): ResultAsync<void, WorkerFailure> {
+  throttle(
+    address: string,
+    attempt: string,
+    { cpuMillis }: { readonly cpuMillis: number },
+  ): ResultAsync<void, WorkerFailure> {
+    this.worker(address).throttled.push([attempt, cpuMillis]);
     return okAsync(undefined);
   }
 
--- a/src/policy/estimates.ts
+++ b/src/policy/estimates.ts
@@ -64,6 +64,11 @@
     return this.#histories.size;
   }
 
+  /** Whether anything was seen of a team and workload. */
+  knows(key: EstimateKey): boolean {
+    return this.#histories.has(keyOf(key));
+  }
+
   /** Notes the usage of a running attempt. */
   observe(sample: UsageSample): void {
     const { attempt, team, workload, used } = sample;
--- a/src/resources.ts
+++ b/src/resources.ts
@@ -33,6 +33,16 @@
   };
 }
 
+/** The larger of two amounts in each dimension. */
+export function largest(a: Resources, b: Resources): Resources {
+  return eachOf(Math.max, { a, b });
+}
+
+/** The smaller of two amounts in each dimension. */
+export function smallest(a: Resources, b: Resources): Resources {
+  return eachOf(Math.min, { a, b });
+}
+
 /** Whether two amounts are the same in every dimension. */
 export function equal(a: Resources, b: Resources): boolean {
   return fits(a, b) && fits(b, a);
@@ -56,6 +66,18 @@
   );
 }
 
+function eachOf(
+  choose: (a: number, b: number) => number,
+  { a, b }: { readonly a: Resources; readonly b: Resources },
+): Resources {
+  return {
+    cpuMillis: choose(a.cpuMillis, b.cpuMillis),
+    memoryMib: choose(a.memoryMib, b.memoryMib),
+    accelerators: choose(a.accelerators, b.accelerators),
+    slots: choose(a.slots, b.slots),
+  };
+}
+
 function part(need: number, whole: number): number {
   if (need === 0) return 0;
   return whole === 0 ? Infinity : need / whole;
