Test that an owner stops before its handover is written

Taking the stop out of the code left all tests green; the new test holds back what an owner hears of its own write, and was seen red without the stop.

--- a/src/controllers/chaos_test.ts
+++ b/src/controllers/chaos_test.ts
@@ -123,7 +123,8 @@
   switch (fault) {
     case "crash":
     case "kill":
-      if (ids.length > 2) cluster[fault](id);
+      if (ids.length <= 2) return;
+      cluster[fault](id);
       asleep.delete(id);
       return;
     case "pause":
--- a/src/controllers/ownership_test.ts
+++ b/src/controllers/ownership_test.ts
@@ -38,6 +38,23 @@
   t.is(cluster.mostDeciders, 1);
 });
 
+test("join: an owner that hears late of its own write has stopped before it", async (t) => {
+  const cluster = await started("1", "2");
+  for (const { store } of cluster.nodes.values()) {
+    store.pause();
+    store.faults.latencyMs = 400;
+  }
+  cluster.start("3");
+  for (let second = 0; second < 20; second++) {
+    await cluster.run(1_000);
+    const { store } = cluster.node(String(1 + second % 2));
+    store.resume();
+    store.pause();
+  }
+  t.deepEqual(counts(cluster), [10, 10, 10]);
+  t.is(cluster.mostDeciders, 1);
+});
+
 test("kill: survivors take over", async (t) => {
   const cluster = await started("1", "2", "3", "4");
   cluster.crash("2");
