Take over through a store that answers after two seconds

Cause: readings of members and map stood in the loop of the renewals, so at 2 s a call keys lapsed in turns, and the time for which the store had been up began anew at each answer (test: slow store, seen red at 2 s, green at 1 s). Renewals are now timed from their sending, readings run in a loop of their own, and a taker calls the store up as long as no call fails and none is a lease late. Ruled out: the promises, which the dead holder did not hold. After: green at 2 s; a store that hangs stops nobody.

--- a/src/controllers/cluster_watch.ts
+++ b/src/controllers/cluster_watch.ts
@@ -33,6 +33,11 @@
     this.#options = options;
   }
 
+  /** Whether the watches run, as far as is known. */
+  get watching(): boolean {
+    return this.#watching;
+  }
+
   /** Reads what is due and starts watches that have ended. */
   async refresh(): Promise<Result<void, StoreFailure>> {
     if (this.#busy) return ok(undefined);
--- a/src/controllers/membership.ts
+++ b/src/controllers/membership.ts
@@ -47,7 +47,10 @@
   readonly #options: MembershipOptions;
   readonly #registration: Registration;
   readonly #watch: ClusterWatch;
+  /** Quick to say away: to ask for confirmations and to give them. */
   readonly #reach: StoreReach;
+  /** Slow to say away: to take over through a store that is slow. */
+  readonly #steadyReach: StoreReach;
   readonly #absence: Absence;
   readonly #confirmations: ConfirmationsInHand;
   readonly #promises: PromisesGiven;
@@ -68,6 +71,7 @@
     });
     this.#watch = new ClusterWatch({ ...options, timing, view });
     this.#reach = new StoreReach(timing.renewEveryMs + timing.confirmEveryMs);
+    this.#steadyReach = new StoreReach(timing.leaseTtlMs);
     this.#absence = new Absence(timing);
     this.#confirmations = new ConfirmationsInHand(timing);
     this.#promises = new PromisesGiven(timing);
@@ -79,6 +83,7 @@
     this.#running = true;
     this.#leaving = false;
     this.#repeat("renew", () => this.#renew());
+    this.#repeat("refresh", () => this.#refresh());
     this.#repeat("confirm", () => this.#askConfirmations());
     this.#repeat("list", () => this.#readList());
   }
@@ -125,8 +130,7 @@
 
   /** Whether the store has answered for a whole lease, so that keys that are gone mean something. */
   reachIsSettled(): boolean {
-    const upForMs = this.#reach.upForMs(this.#options.clock.monotonic());
-    return upForMs >= this.timing.leaseTtlMs;
+    return this.#upForLease(this.#steadyReach);
   }
 
   /** Members that the platform's list says are gone. */
@@ -182,10 +186,16 @@
   /** Refused by whoever has reached the store for a whole lease: the holder is cut off, not the store away. */
   #confirm(holder: Registered, nowMs: number): number {
     const lost = this.view.map.members.get(holder.id)?.standing === "lost";
-    if (lost || this.#leaving || this.reachIsSettled()) return 0;
+    const reached = this.#upForLease(this.#reach);
+    if (lost || this.#leaving || reached) return 0;
     return this.#promises.confirm(holder, nowMs);
   }
 
+  #upForLease(reach: StoreReach): boolean {
+    const nowMs = this.#options.clock.monotonic();
+    return reach.upForMs(nowMs) >= this.timing.leaseTtlMs;
+  }
+
   #mapChanged(epoch: number): void {
     if (epoch <= this.view.map.epoch) return;
     this.#schedule("map", this.timing.claimDelayMs, () => {
@@ -194,24 +204,38 @@
   }
 
   async #renew(): Promise<number> {
+    const { clock } = this.#options;
+    const sentAtMs = clock.monotonic();
     const round = await this.#registration.round();
     this.#noteOutcome(round.isOk());
     if (round.isErr()) return this.timing.retryMs;
-    const refreshed = await this.#watch.refresh();
-    this.#noteOutcome(refreshed.isOk());
     switch (round.value.type) {
-      case "held":
-        return this.timing.renewEveryMs;
+      case "held": {
+        const tookMs = clock.monotonic() - sentAtMs;
+        return Math.max(0, this.timing.renewEveryMs - tookMs);
+      }
       case "again":
-        await this.#watch.readMap();
+        await this.readMap();
         return this.timing.claimDelayMs;
     }
   }
 
+  /** Reads what is due, apart from the renewals, which a slow store must not hold up. */
+  async #refresh(): Promise<number> {
+    if (this.reach().type === "away") return this.timing.claimDelayMs;
+    const refreshed = await this.#watch.refresh();
+    if (refreshed.isErr()) this.#noteOutcome(false);
+    return this.#watch.watching
+      ? this.timing.renewEveryMs
+      : this.timing.claimDelayMs;
+  }
+
   #noteOutcome(answered: boolean): void {
     const nowMs = this.#options.clock.monotonic();
-    if (answered) this.#reach.answered(nowMs);
-    else this.#reach.failed(nowMs);
+    for (const reach of [this.#reach, this.#steadyReach]) {
+      if (answered) reach.answered(nowMs);
+      else reach.failed(nowMs);
+    }
   }
 
   async #askConfirmations(): Promise<number> {
--- a/src/controllers/ownership_test.ts
+++ b/src/controllers/ownership_test.ts
@@ -178,6 +178,28 @@
   t.deepEqual(cluster.idle(), []);
 });
 
+test("slow store: survivors take over all the same", async (t) => {
+  const cluster = await started("1", "2", "3", "4");
+  for (const { store } of cluster.nodes.values()) {
+    store.faults.latencyMs = 2_000;
+  }
+  await cluster.run(10_000);
+  t.deepEqual(cluster.idle(), []);
+  cluster.crash("2");
+  await cluster.run(30_000);
+  t.deepEqual(cluster.idle(), []);
+  t.is(cluster.mostDeciders, 1);
+});
+
+test("store hangs: nobody stops", async (t) => {
+  const cluster = await started("1", "2", "3", "4");
+  for (const { store } of cluster.nodes.values()) store.faults.latencyMs = 1e9;
+  for (let step = 0; step < 100; step++) {
+    await cluster.run(200);
+    t.deepEqual(cluster.idle(), []);
+  }
+});
+
 test("lost answers: the map converges", async (t) => {
   const cluster = await started("1", "2", "3");
   cluster.start("4");
