Place requests evenly and batch tasks tightly by the policy of their kind

Owners placed everything tightly, whatever its kind; the policies of the kinds were used by tests alone. Requests of a service go to the worker with the most room now, batch tasks and single tasks of a gang fill workers up.

--- a/src/controllers/matching_test.ts
+++ b/src/controllers/matching_test.ts
@@ -12,7 +12,9 @@
   type Offer,
   offerNotice,
 } from "../wire/dispatch.ts";
+import type { Resources } from "../types.ts";
 import type { Startable, Target } from "./matching.ts";
+import type { Place } from "./placement.ts";
 
 interface Recorded extends Startable {
   readonly targets: Target[];
@@ -35,15 +37,22 @@
 function countPlacements(node: DispatchNode): () => number {
   let looks = 0;
   const findRoom = node.placement.findRoom.bind(node.placement);
-  node.placement.findRoom = (need, avoid) => {
+  node.placement.findRoom = (need, options) => {
     looks++;
-    return findRoom(need, avoid);
+    return findRoom(need, options);
   };
   return () => looks;
 }
 
 const errand = { team: "large", need: NEED };
 
+function reservedRoom(node: DispatchNode, need: Resources): Place {
+  const task = { team: "large", workload: "receipts", need };
+  const reserved = node.placement.reserve(task, []);
+  if (reserved.type === "none") throw new TypeError(reserved.reason.type);
+  return reserved.place;
+}
+
 const news: News = {
   sequence: 100,
   free: noResources,
@@ -211,7 +220,7 @@
 test("offer: declined when nothing waits any more", async (t) => {
   const cell = await new DispatchCell().start(["1", "2"], { a: "1" });
   const { peers, placement, pool } = cell.node("1");
-  const place = placement.takeRoom(NEED, [])!;
+  const place = reservedRoom(cell.node("1"), NEED);
   const lane = { team: "large", workload: "receipts", urgency: "urgent" };
   const offer = { offer: "o", ...lane, ...place, need: NEED } as Offer;
   const room = { ...offer, reservation: "o" };
@@ -226,7 +235,7 @@
   const cell = await new DispatchCell().start(["1", "2"], { a: "1" });
   const { placement, pool, peers } = cell.node("1");
   const small = { ...NEED, cpuMillis: 1_000 };
-  const place = placement.takeRoom(small, [])!;
+  const place = reservedRoom(cell.node("1"), small);
   const lane = { team: "large", workload: "receipts", urgency: "urgent" };
   const offer = { offer: "o", ...lane, ...place, need: small } as Offer;
   placement.offers
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -7,7 +7,9 @@
  */
 import type { Clock } from "../clock.ts";
 import { unreachable, type WorkerFailure } from "../errors.ts";
+import { place } from "../kinds/registry.ts";
 import type { Log } from "../logger.ts";
+import type { Workload } from "../operator_set.ts";
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Allowances, Authority } from "../ports/authority.ts";
 import type { Upstream } from "../ports/upstream.ts";
@@ -39,6 +41,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly observer: RunObserver;
+  readonly workloadOf: (name: string) => Workload | undefined;
 }
 
 /** What is remembered of an order. */
@@ -50,6 +53,14 @@
     | { readonly state: "barred" }
   );
 
+/** Narrows a search for room. */
+export interface RoomOptions {
+  /** Whose kind decides where it goes. */
+  readonly workload?: string;
+  /** Workers that must not be used. */
+  readonly avoid?: readonly string[];
+}
+
 /** Room taken on a worker. */
 export interface Place {
   readonly worker: string;
@@ -146,26 +157,32 @@
   }
 
   /** Where a task or request could be placed now; nothing is taken. */
-  findRoom(
-    need: Resources,
-    avoid: readonly string[] = [],
-  ): Place | undefined {
-    const { authority, pool, workers } = this.#options;
+  findRoom(need: Resources, options: RoomOptions = {}): Place | undefined {
+    const { authority, workers } = this.#options;
     if (!authority.inContact()) return undefined;
-    const worker = pool.place(need, { avoid: new Set(avoid) });
+    const worker = this.#workerFor(need, options);
     if (worker === undefined) return undefined;
     const fence = workers.fence(worker);
     return fence === undefined ? undefined : { worker, fence };
   }
 
-  /** Takes room for one task or request; the caller holds it from then on. */
-  takeRoom(
-    need: Resources,
-    avoid: readonly string[],
-  ): Place | undefined {
-    const place = this.findRoom(need, avoid);
-    if (place === undefined) return undefined;
-    return this.#options.pool.take(place.worker, need) ? place : undefined;
+  /** The worker that the policy of the workload's kind picks. */
+  #workerFor(need: Resources, options: RoomOptions): string | undefined {
+    const { pool, workloadOf } = this.#options;
+    const workload = workloadOf(options.workload ?? "");
+    const context = { pool, need, avoid: new Set(options.avoid) };
+    switch (workload?.kind) {
+      case undefined:
+      case "gang":
+        return pool.place(need, context);
+      case "service":
+      case "batch": {
+        const placed = place(workload, context);
+        return placed.type === "placed" ? placed.workers[0] : undefined;
+      }
+      default:
+        return unreachable(workload);
+    }
   }
 
   /** Gives back room and allowance that were reserved and not used. */
@@ -218,8 +235,10 @@
     avoid: readonly string[],
   ): PlaceResult {
     const { allowances, pool, workers } = this.#options;
-    const place = this.takeRoom(task.need, avoid);
-    if (place === undefined) return this.#noRoom(task.workload);
+    const { need, workload } = task;
+    const place = this.findRoom(need, { avoid, workload });
+    const taken = place !== undefined && pool.take(place.worker, need);
+    if (!taken) return this.#noRoom(workload);
     if (allowances.tryTake(task.team)) {
       workers.roomTaken(place.worker);
       return { type: "place", place };
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -139,6 +139,7 @@
       ran: (worker, run) => this.#ran(worker, run),
     };
     this.placement = new Placement({
+      workloadOf: (name) => settings.workload(name),
       authority,
       allowances,
       workers,
--- a/src/fakes/dispatch_cell.ts
+++ b/src/fakes/dispatch_cell.ts
@@ -59,6 +59,18 @@
   dueMs: 60_000,
 };
 
+const RECEIPTS: Workload = {
+  kind: "service",
+  name: "receipts",
+  queue: "counter",
+  resources: NEED,
+  idempotent: false,
+  timeoutMs: 1_000,
+  attempts: 3,
+  path: "/",
+  replicas: 0,
+};
+
 const MONTH_END = { name: "month-end", urgency: "deferred" } as Queue;
 
 type Ended = Parameters<TellHolder>[0];
@@ -113,9 +125,14 @@
     });
     const { workers } = this;
     const common = { pool, allowances, upstream, clock, log, observer };
-    this.placement = new Placement({ ...common, authority, workers });
-    const { placement } = this;
     const workloadOf = (name: string) => cell.workloads.get(name);
+    this.placement = new Placement({
+      ...common,
+      authority,
+      workers,
+      workloadOf,
+    });
+    const { placement } = this;
     const sizes = new TaskSizes({
       workers,
       fleet,
@@ -192,7 +209,10 @@
   readonly upstream = new MemoryUpstream();
   readonly list = new MemoryList();
   readonly map = new MemoryMap();
-  readonly workloads = new Map([[BILLING.name, BILLING]]);
+  readonly workloads = new Map<string, Workload>([
+    [BILLING.name, BILLING],
+    [RECEIPTS.name, RECEIPTS],
+  ]);
   readonly nodes = new Map<string, DispatchNode>();
   readonly fleet: Fleet;
 
