--- a/src/controllers/gangs.ts
+++ b/src/controllers/gangs.ts
@@ -11,7 +11,8 @@
 import type { Workload } from "../operator_set.ts";
 import type { RunnableTask } from "../ports/runner.ts";
 import type { Deferred } from "./deferred.ts";
-import type { TaskOffer, Tasks } from "./tasks.ts";
+import type { TaskOffer } from "./reservations.ts";
+import type { Tasks } from "./tasks.ts";
 
 /** First pause of a gang that did not find room, milliseconds. */
 const FIRST_PAUSE_MS = 100;
@@ -95,7 +96,9 @@
       if (count === 0) break;
       reservation.asked.push(owner);
       const wanted = { reservation: id, team, workload, count };
-      reservation.offers.push(...await tasks.reserveAt(owner, wanted));
+      reservation.offers.push(
+        ...await tasks.reservations.reserveAt(owner, wanted),
+      );
     }
     if (reservation.offers.length === gang.tasks.length) return reservation;
     this.#giveUp(reservation);
@@ -103,7 +106,9 @@
   }
 
   #giveUp({ id, asked }: Reservation): void {
-    for (const owner of asked) this.#options.tasks.cancelAt(owner, id);
+    for (const owner of asked) {
+      this.#options.tasks.reservations.cancelAt(owner, id);
+    }
   }
 
   #later(gang: Gang): void {
--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -7,13 +7,11 @@
  * @module
  */
 import { randomUUID } from "node:crypto";
-import type { Clock, Timer } from "../clock.ts";
+import type { Result } from "neverthrow";
+import type { Timer } from "../clock.ts";
 import { type Candidate, chooseNext, DeferredTurns } from "../policy/choice.ts";
-import type { WorkerPool } from "../policy/pool.ts";
 import type { Shares } from "../policy/shares.ts";
-import type { QueueFull, Waiting, WaitingQueue } from "../policy/waiting.ts";
-import type { Allowances } from "../ports/authority.ts";
-import type { Peers } from "../ports/peers.ts";
+import type { QueueFull, Waiting } from "../policy/waiting.ts";
 import { add, noResources } from "../resources.ts";
 import type { Resources } from "../types.ts";
 import {
@@ -23,18 +21,14 @@
   type Offer,
   offerNotice,
 } from "../wire/dispatch.ts";
-import type { Result } from "neverthrow";
+import { type NewsOptions, NewsTeller } from "./news_teller.ts";
 import { Neighbours, type RemoteCandidate } from "./neighbours.ts";
-import type { Place, Placement } from "./placement.ts";
+import type { Place } from "./placement.ts";
 
 /** Offered room that nobody takes is free again after so long, milliseconds. */
 const OFFER_LAPSE_MS = 1_000;
 /** Pause of a team that is at its limit, milliseconds. */
 export const LIMIT_PAUSE_MS = 50;
-/** Least time between two pieces of news, milliseconds. */
-const NEWS_SPACING_MS = 5;
-/** Time between pieces of news when nothing changes, milliseconds. */
-const NEWS_HEARTBEAT_MS = 1_000;
 
 /** Where waiting work should start. */
 export type Target =
@@ -56,18 +50,8 @@
 }
 
 /** What the controller needs. */
-export interface MatchingOptions {
-  readonly placement: Placement;
-  readonly allowances: Allowances;
-  /** Teams that have an upper limit. */
-  readonly limitedTeams: () => Iterable<string>;
-  readonly pool: WorkerPool;
-  readonly queue: WaitingQueue;
+export interface MatchingOptions extends NewsOptions {
   readonly shares: Shares;
-  readonly peers: Peers;
-  readonly clock: Clock;
-  /** Ids of the other instances. */
-  readonly members: () => readonly string[];
 }
 
 /** Both roles of an instance. */
@@ -79,10 +63,7 @@
   /** Teams that are charged for something. */
   #charged = new Set<string>();
   readonly #turns = new DeferredTurns();
-  #sequence = 0;
-  #lastNews = "";
-  #newsTimer: Timer | undefined;
-  #newsAtMs = -Infinity;
+  readonly #news: NewsTeller;
   #deadlineTimer: Timer | undefined;
   #againTimer: Timer | undefined;
   #pumping = false;
@@ -104,7 +85,7 @@
       options.placement.offers.release(offer);
     });
     options.peers.onLost((peer) => this.neighbours.forget(peer));
-    this.#heartbeat();
+    this.#news = new NewsTeller(options);
   }
 
   /** Number of items that wait here. */
@@ -127,7 +108,7 @@
   withdraw(id: string): boolean {
     this.#startables.delete(id);
     const removed = this.#options.queue.remove(id);
-    if (removed !== undefined) this.#tell();
+    if (removed !== undefined) this.#news.tell();
     return removed !== undefined;
   }
 
@@ -168,7 +149,7 @@
   stop(): void {
     this.#stopped = true;
     this.#againTimer?.cancel();
-    this.#newsTimer?.cancel();
+    this.#news.stop();
     this.#deadlineTimer?.cancel();
   }
 
@@ -180,7 +161,7 @@
     while (this.#giveRoom());
     while (this.#push());
     this.#pumping = false;
-    this.#tell();
+    this.#news.tell();
   }
 
   /** Gives one free room of this instance away; `false` if there is none or nobody for it. */
@@ -297,7 +278,7 @@
       return;
     }
     this.#startOwn(waiting, { type: "peer", peer, offer });
-    this.#tell();
+    this.#news.tell();
   }
 
   #heard(peer: string, news: News): void {
@@ -320,69 +301,6 @@
     shares.setCapacity(add(pool.totals().capacity, this.neighbours.capacity()));
   }
 
-  /** Sends news if it differs from the last, urgent backlog at once. */
-  #tell(): void {
-    if (this.#newsTimer !== undefined || this.#stopped) return;
-    const sinceMs = this.#options.clock.monotonic() - this.#newsAtMs;
-    if (sinceMs >= NEWS_SPACING_MS) return this.#sendNews(false);
-    this.#newsTimer = this.#options.clock.after(
-      NEWS_SPACING_MS - sinceMs,
-      () => {
-        this.#newsTimer = undefined;
-        this.#sendNews(false);
-      },
-    );
-  }
-
-  #heartbeat(): void {
-    if (this.#stopped) return;
-    this.#sendNews(true);
-    this.#options.clock.after(NEWS_HEARTBEAT_MS, () => this.#heartbeat());
-  }
-
-  #sendNews(evenIfSame: boolean): void {
-    const news = this.#news();
-    const fingerprint = JSON.stringify([
-      news.free,
-      news.spare,
-      laneCounts(news),
-    ]);
-    if (!evenIfSame && fingerprint === this.#lastNews) return;
-    this.#lastNews = fingerprint;
-    this.#newsAtMs = this.#options.clock.monotonic();
-    const numbered = { ...news, sequence: ++this.#sequence };
-    for (const peer of this.#options.members()) {
-      this.#options.peers.notify(peer, newsNotice, numbered);
-    }
-  }
-
-  #news(): News {
-    const { clock, placement, pool, queue } = this.#options;
-    const { free, capacity } = pool.totals();
-    const spare = this.#options.queue.size > 0 ? noResources : free;
-    return {
-      sequence: this.#sequence,
-      free: spare,
-      spare: this.#spare(),
-      largest: largestRoom(pool),
-      capacity,
-      backlog: queue.summary(clock.monotonic())
-        .map((lane) => ({ ...lane, dueInMs: lane.dueInMs })),
-      usage: Object.fromEntries(placement.usage()),
-    };
-  }
-
-  /** Allowance in hand of the teams that have a limit. */
-  #spare(): Record<string, number> {
-    const { allowances, limitedTeams } = this.#options;
-    const spare: Record<string, number> = {};
-    for (const team of limitedTeams()) {
-      const available = allowances.available(team);
-      if (available > 0) spare[team] = available;
-    }
-    return spare;
-  }
-
   #armDeadline(): void {
     const { clock, queue } = this.#options;
     this.#deadlineTimer?.cancel();
@@ -405,28 +323,6 @@
       startable?.expired();
     }
     this.#armDeadline();
-    this.#tell();
-  }
-}
-
-function laneCounts(news: News): string[] {
-  return news.backlog.map((lane) =>
-    `${lane.urgency} ${lane.team} ${lane.workload} ${lane.count}`
-  );
-}
-
-/** The most that one worker has free in each dimension. */
-function largestRoom(pool: WorkerPool): Resources {
-  let largest = noResources;
-  for (const id of pool.ids()) {
-    const free = pool.usable(id) ? pool.free(id) : undefined;
-    if (free === undefined) continue;
-    largest = {
-      cpuMillis: Math.max(largest.cpuMillis, free.cpuMillis),
-      memoryMib: Math.max(largest.memoryMib, free.memoryMib),
-      accelerators: Math.max(largest.accelerators, free.accelerators),
-      slots: Math.max(largest.slots, free.slots),
-    };
+    this.#news.tell();
   }
-  return largest;
 }
--- /dev/null
+++ b/src/controllers/news_teller.ts
@@ -0,0 +1,131 @@
+/**
+ * Tells the peers what waits here and what is free on the owned workers.
+ *
+ * @module
+ */
+import type { Clock, Timer } from "../clock.ts";
+import type { WorkerPool } from "../policy/pool.ts";
+import type { WaitingQueue } from "../policy/waiting.ts";
+import type { Allowances } from "../ports/authority.ts";
+import type { Peers } from "../ports/peers.ts";
+import { largest, noResources } from "../resources.ts";
+import type { Resources } from "../types.ts";
+import { type News, newsNotice } from "../wire/dispatch.ts";
+import type { Placement } from "./placement.ts";
+
+/** Least time between two pieces of news, milliseconds. */
+const NEWS_SPACING_MS = 5;
+/** Time between pieces of news when nothing changes, milliseconds. */
+const NEWS_HEARTBEAT_MS = 1_000;
+
+/** What news is made of and whom it goes to. */
+export interface NewsOptions {
+  readonly placement: Placement;
+  readonly allowances: Allowances;
+  /** Teams that have an upper limit. */
+  readonly limitedTeams: () => Iterable<string>;
+  readonly pool: WorkerPool;
+  readonly queue: WaitingQueue;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  /** Ids of the other instances. */
+  readonly members: () => readonly string[];
+}
+
+/** Sends news when something has changed, and now and then. */
+export class NewsTeller {
+  readonly #options: NewsOptions;
+  #sequence = 0;
+  #lastNews = "";
+  #newsTimer: Timer | undefined;
+  #newsAtMs = -Infinity;
+  #stopped = false;
+
+  constructor(options: NewsOptions) {
+    this.#options = options;
+    this.#heartbeat();
+  }
+
+  /** Ends the timers. */
+  stop(): void {
+    this.#stopped = true;
+    this.#newsTimer?.cancel();
+  }
+
+  /** Sends news if it differs from the last, urgent backlog at once. */
+  tell(): void {
+    if (this.#newsTimer !== undefined || this.#stopped) return;
+    const sinceMs = this.#options.clock.monotonic() - this.#newsAtMs;
+    if (sinceMs >= NEWS_SPACING_MS) return this.#sendNews(false);
+    this.#newsTimer = this.#options.clock.after(
+      NEWS_SPACING_MS - sinceMs,
+      () => {
+        this.#newsTimer = undefined;
+        this.#sendNews(false);
+      },
+    );
+  }
+
+  #heartbeat(): void {
+    if (this.#stopped) return;
+    this.#sendNews(true);
+    this.#options.clock.after(NEWS_HEARTBEAT_MS, () => this.#heartbeat());
+  }
+
+  #sendNews(evenIfSame: boolean): void {
+    const news = this.#news();
+    const fingerprint = JSON.stringify([
+      news.free,
+      news.spare,
+      laneCounts(news),
+    ]);
+    if (!evenIfSame && fingerprint === this.#lastNews) return;
+    this.#lastNews = fingerprint;
+    this.#newsAtMs = this.#options.clock.monotonic();
+    const numbered = { ...news, sequence: ++this.#sequence };
+    for (const peer of this.#options.members()) {
+      this.#options.peers.notify(peer, newsNotice, numbered);
+    }
+  }
+
+  #news(): News {
+    const { clock, placement, pool, queue } = this.#options;
+    const { free, capacity } = pool.totals();
+    const spare = this.#options.queue.size > 0 ? noResources : free;
+    return {
+      sequence: this.#sequence,
+      free: spare,
+      spare: this.#spare(),
+      largest: largestRoom(pool),
+      capacity,
+      backlog: queue.summary(clock.monotonic())
+        .map((lane) => ({ ...lane, dueInMs: lane.dueInMs })),
+      usage: Object.fromEntries(placement.usage()),
+    };
+  }
+
+  /** Allowance in hand of the teams that have a limit. */
+  #spare(): Record<string, number> {
+    const { allowances, limitedTeams } = this.#options;
+    const spare: Record<string, number> = {};
+    for (const team of limitedTeams()) {
+      const available = allowances.available(team);
+      if (available > 0) spare[team] = available;
+    }
+    return spare;
+  }
+}
+
+function laneCounts(news: News): string[] {
+  return news.backlog.map((lane) =>
+    `${lane.urgency} ${lane.team} ${lane.workload} ${lane.count}`
+  );
+}
+
+/** The most that one worker has free in each dimension. */
+function largestRoom(pool: WorkerPool): Resources {
+  return [...pool.ids()]
+    .filter((id) => pool.usable(id))
+    .map((id) => pool.free(id) ?? noResources)
+    .reduce(largest, noResources);
+}
--- a/src/controllers/tasks.ts
+++ b/src/controllers/tasks.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { randomUUID } from "node:crypto";
-import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import type { ResultAsync } from "neverthrow";
 import type { Clock } from "../clock.ts";
 import { unreachable } from "../errors.ts";
 import type { AttemptOutcome } from "../journal/records.ts";
@@ -22,24 +22,21 @@
 } from "../ports/runner.ts";
 import type { Instance } from "../types.ts";
 import {
-  cancelNotice,
-  findCall,
-  reserveCall,
   startCall,
   type StartOrder,
   type StartResult,
   stopNotice,
 } from "../wire/dispatch.ts";
+import { AttemptFinder } from "./attempt_finder.ts";
 import type { Deferred } from "./deferred.ts";
 import type { Fleet } from "./fleet.ts";
 import type { Gangs } from "./gangs.ts";
 import type { Matching, Startable, Target } from "./matching.ts";
 import { WORKER_UNIT } from "./owned_workers.ts";
 import type { Placement } from "./placement.ts";
-import { TASK_LEASE_MS, type TaskKeeper } from "./task_keeper.ts";
+import { Reservations, type TaskOffer } from "./reservations.ts";
+import type { TaskKeeper } from "./task_keeper.ts";
 
-/** Room that was reserved for a task is free again after so long, milliseconds. */
-export const RESERVE_LAPSE_MS = 5_000;
 /** Longest wait for another instance, milliseconds. */
 const PEER_WAIT_MS = 3_000;
 /** Time between questions after an attempt whose start was not answered, milliseconds. */
@@ -65,18 +62,11 @@
 /** The journal of attempts. */
 export type Attempts = Pick<Deferred, "mayStart" | "ended">;
 
-/** Room for one task at one instance. */
-export interface TaskOffer {
-  readonly offer: string;
-  readonly worker: string;
-  readonly fence: number;
-  /** The worker's owner. */
-  readonly owner: string;
-}
-
 /** Runs the tasks of the segments that this instance holds. */
 export class Tasks implements Runner {
+  readonly reservations: Reservations;
   readonly #options: TasksOptions;
+  readonly #finder: AttemptFinder;
   /** Tasks to be started, by work and by id. */
   readonly #pending = new Map<string, Map<string, RunnableTask>>();
   #deferred: Attempts | undefined;
@@ -84,13 +74,8 @@
 
   constructor(options: TasksOptions) {
     this.#options = options;
-    const { peers, placement } = options;
-    peers.serve(reserveCall, ({ reservation, count, ...task }) => ({
-      offers: this.#reserveHere(reservation, { ...task, count }),
-    }));
-    peers.listen(cancelNotice, ({ reservation }) => {
-      placement.offers.cancel(reservation);
-    });
+    this.reservations = new Reservations(options);
+    this.#finder = new AttemptFinder(options);
   }
 
   /** Joins the journal's controller and the gangs, which need this one. */
@@ -132,60 +117,7 @@
   }
 
   find(attempt: StartedAttempt): ResultAsync<Finding, FindFailure> {
-    const { authority, fleet, peers, self, keeper } = this.#options;
-    const { worker } = attempt;
-    if (fleet.absentMs(worker) > TASK_LEASE_MS) {
-      return okAsync({ type: "unknown" });
-    }
-    const owner = authority.ownerOf(WORKER_UNIT + worker);
-    if (owner === undefined) return errAsync(pending);
-    const params = { worker, attempt: attempt.attempt };
-    const state = owner.id === self
-      ? ResultAsync.fromSafePromise(keeper.find(worker, attempt.attempt))
-      : peers
-        .call(owner.id, findCall, { params, timeoutMs: PEER_WAIT_MS })
-        .map((answer) => answer.state);
-    return state.mapErr(() => pending).andThen((found) => {
-      return found === "pending"
-        ? errAsync(pending)
-        : okAsync<Finding>({ type: found });
-    });
-  }
-
-  /** Asks an instance for room for several tasks. */
-  async reserveAt(
-    owner: string,
-    wanted: {
-      readonly reservation: string;
-      readonly team: string;
-      readonly workload: Workload;
-      readonly count: number;
-    },
-  ): Promise<TaskOffer[]> {
-    const { peers, self } = this.#options;
-    const { reservation, team, workload, count } = wanted;
-    const task = { team, workload: workload.name, need: workload.resources };
-    if (owner === self) {
-      const rooms = this.#reserveHere(reservation, {
-        ...task,
-        count,
-        avoid: [],
-      });
-      return rooms.map((room) => ({ ...room, owner }));
-    }
-    const answer = await peers.call(owner, reserveCall, {
-      params: { reservation, ...task, count, avoid: [] },
-      timeoutMs: PEER_WAIT_MS,
-    });
-    const offers = answer.map((given) => given.offers).unwrapOr([]);
-    return offers.map((offer) => ({ ...offer, owner }));
-  }
-
-  /** Gives up a reservation, also one whose answer was not heard. */
-  cancelAt(owner: string, reservation: string): void {
-    const { peers, placement, self } = this.#options;
-    if (owner === self) placement.offers.cancel(reservation);
-    else peers.notify(owner, cancelNotice, { reservation });
+    return this.#finder.find(attempt);
   }
 
   /** Starts an attempt that was written ahead, and writes down if it was not started. */
@@ -315,7 +247,7 @@
       this.#remove(task);
       return await this.startAt(task, { attempt: attempt.value, offer });
     }
-    this.cancelAt(offer.owner, offer.offer);
+    this.reservations.cancelAt(offer.owner, offer.offer);
     const { type } = attempt.error;
     if (type === "notWaiting" || type === "notHeld") this.#remove(task);
     else this.#waitAgain(task);
@@ -332,7 +264,7 @@
       return { ...target.offer, owner: target.peer };
     }
     const owner = target.type === "self" ? this.#options.self : target.peer;
-    const offers = await this.reserveAt(owner, {
+    const offers = await this.reservations.reserveAt(owner, {
       reservation: randomUUID(),
       team: task.team,
       workload,
@@ -345,35 +277,6 @@
     return offers[0];
   }
 
-  #reserveHere(
-    reservation: string,
-    wanted: {
-      readonly team: string;
-      readonly workload: string;
-      readonly need: Workload["resources"];
-      readonly count: number;
-      readonly avoid: readonly string[];
-    },
-  ): Omit<TaskOffer, "owner">[] {
-    const { placement } = this.#options;
-    const { team } = wanted;
-    const need = placement.sizeOf(wanted);
-    const offers: Omit<TaskOffer, "owner">[] = [];
-    while (offers.length < wanted.count) {
-      const reserved = placement.reserve({ ...wanted, need }, wanted.avoid);
-      if (reserved.type === "none") break;
-      const offer = offers.length === 0 ? reservation : randomUUID();
-      const { place } = reserved;
-      const room = { offer, ...place, team, need, reservation };
-      if (!placement.offers.hold(room, RESERVE_LAPSE_MS)) {
-        placement.giveBack(room);
-        return [];
-      }
-      offers.push({ offer, ...place });
-    }
-    return offers;
-  }
-
   async #order(owner: string, order: StartOrder): Promise<StartResult> {
     const { keeper, peers, self } = this.#options;
     if (owner === self) return await keeper.start(order);
@@ -417,11 +320,6 @@
   return `${task.work}/${task.task}/${task.attempts}`;
 }
 
-const pending: FindFailure = {
-  type: "findPending",
-  message: "the worker's owner cannot say yet",
-};
-
 /** Members in the fixed order in which rooms are reserved. */
 export function reservationOrder(members: readonly Instance[]): string[] {
   return members.map(({ id }) => id).sort();
