--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -7,6 +7,7 @@
 import type { Clock, Timer } from "../clock.ts";
 import type { Log } from "../logger.ts";
 import { Leftover } from "../policy/leftover.ts";
+import { leftoverRoom } from "../policy/leftover_room.ts";
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Authority } from "../ports/authority.ts";
 import type { Report, TaskReport, Upstream } from "../ports/upstream.ts";
@@ -328,9 +329,9 @@
   #reserve(id: string, entry: Owned): void {
     const { count } = entry.leftover;
     if (count === 0) entry.lostNeeds = [];
-    const requests = mostOf(entry.lostNeeds, {
-      count,
-      each: oneSlot(entry.worker.capacity),
+    const requests = leftoverRoom(count, {
+      needs: entry.lostNeeds,
+      capacity: entry.worker.capacity,
     });
     this.#options.pool.reserveFor(id, add(requests, entry.foreignTasks));
   }
@@ -353,33 +354,3 @@
     lostNeeds: [],
   };
 }
-
-/** What a request of unknown workload is taken to use. */
-function oneSlot(capacity: Resources): Resources {
-  const slots = Math.max(1, capacity.slots);
-  return {
-    cpuMillis: Math.floor(capacity.cpuMillis / slots),
-    memoryMib: Math.floor(capacity.memoryMib / slots),
-    accelerators: 0,
-    slots: 1,
-  };
-}
-
-/** Most that `count` requests take, of which some took `needs` and others `each`. */
-function mostOf(
-  needs: readonly Resources[],
-  { count, each }: { readonly count: number; readonly each: Resources },
-): Resources {
-  const most = (dimension: keyof Resources) =>
-    needs.map((need) => need[dimension])
-      .concat(Array<number>(count).fill(each[dimension]))
-      .sort((a, b) => b - a)
-      .slice(0, count)
-      .reduce((sum, amount) => sum + amount, 0);
-  return {
-    cpuMillis: most("cpuMillis"),
-    memoryMib: most("memoryMib"),
-    accelerators: most("accelerators"),
-    slots: most("slots"),
-  };
-}
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -17,14 +17,13 @@
 import type { Reason, Resources } from "../types.ts";
 import type { RunOrder, RunResult } from "../wire/dispatch.ts";
 import { type HeldRoom, Offers } from "./offers.ts";
+import { OrderMemory } from "./order_memory.ts";
 import { type OwnedWorkers, WORKER_UNIT } from "./owned_workers.ts";
 import type { SizedTask } from "./task_sizes.ts";
 import type { Run } from "./worker_standings.ts";
 
 /** Time to come back after while a team is at its limit, milliseconds. */
 const LIMIT_RETRY_MS = 250;
-/** Orders are remembered for so long beyond their timeouts, milliseconds. */
-const ORDER_MEMORY_MS = 15_000;
 
 /** Told how each run on a worker went. */
 export interface RunObserver {
@@ -44,15 +43,6 @@
   readonly workloadOf: (name: string) => Workload | undefined;
 }
 
-/** What is remembered of an order. */
-type OrderMemory =
-  & { readonly untilMs: number }
-  & (
-    | { readonly state: "started"; readonly worker: string }
-    /** Came too late: its holder has counted it as not started. */
-    | { readonly state: "barred" }
-  );
-
 /** Narrows a search for room. */
 export interface RoomOptions {
   /** Whose kind decides where it goes. */
@@ -81,13 +71,14 @@
   readonly offers: Offers;
   readonly #options: PlacementOptions;
   readonly #roomListeners: (() => void)[] = [];
-  readonly #orders = new Map<string, OrderMemory>();
+  readonly #orders: OrderMemory;
   readonly #lost = new Map<string, string[]>();
   readonly #usage = new Map<string, Resources>();
   #sizeOf: (task: SizedTask) => Resources = ({ need }) => need;
 
   constructor(options: PlacementOptions) {
     this.#options = options;
+    this.#orders = new OrderMemory(options.clock);
     this.offers = new Offers({
       pool: options.pool,
       clock: options.clock,
@@ -150,10 +141,7 @@
 
   /** Whether an order was started. One that was not is barred from then on. */
   settle(id: string): boolean {
-    if (this.#orders.get(id)?.state === "started") return true;
-    const untilMs = this.#options.clock.monotonic() + ORDER_MEMORY_MS;
-    this.#remember(id, { state: "barred", untilMs });
-    return false;
+    return !this.#orders.bar(id);
   }
 
   /** Where a task or request could be placed now; nothing is taken. */
@@ -273,8 +261,8 @@
 
   /** What to answer to an order that was started or barred before. */
   #earlier(id: string): RunResult | undefined {
-    const order = this.#orders.get(id);
-    switch (order?.state) {
+    const order = this.#orders.state(id);
+    switch (order?.type) {
       case undefined:
         return undefined;
       case "barred":
@@ -291,10 +279,8 @@
     if (earlier !== undefined) return earlier;
     const refusal = this.refusal(place);
     if (refusal !== undefined) return notStarted(refusal);
-    const nowMs = this.#options.clock.monotonic();
-    const untilMs = nowMs + order.request.timeoutMs + ORDER_MEMORY_MS;
-    const { worker } = place;
-    this.#remember(order.id, { state: "started", worker, untilMs });
+    const { timeoutMs } = order.request;
+    this.#orders.started(order.id, { worker: place.worker, timeoutMs });
     return undefined;
   }
 
@@ -339,19 +325,19 @@
     switch (failure.type) {
       case "workerUnreached":
       case "workerLeaving":
-        this.#orders.delete(order.id);
+        this.#orders.forget(order.id);
         workers.suspect(worker, failure.type === "workerLeaving");
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { ...notStarted({ type: "workerLost", worker }), worker };
       case "workerRefused":
         observer.ran(worker, { workload, ending: "refused", tookMs });
-        this.#orders.delete(order.id);
+        this.#orders.forget(order.id);
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { ...notStarted({ type: "workerFailed", worker }), worker };
       case "workerFenced":
-        this.#orders.delete(order.id);
+        this.#orders.forget(order.id);
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { ...notStarted({ type: "workerFailed", worker }), worker };
@@ -390,15 +376,6 @@
     if (charged) this.charge(order.team, order.need, -1);
     this.giveBack({ ...order, worker: place.worker });
   }
-
-  #remember(id: string, memory: OrderMemory): void {
-    const nowMs = this.#options.clock.monotonic();
-    this.#orders.set(id, memory);
-    for (const [oldest, { untilMs }] of this.#orders) {
-      if (nowMs < untilMs) return;
-      this.#orders.delete(oldest);
-    }
-  }
 }
 
 function notStarted(
--- a/src/controllers/task_keeper.ts
+++ b/src/controllers/task_keeper.ts
@@ -20,6 +20,7 @@
   type StartResult,
   stopNotice,
 } from "../wire/dispatch.ts";
+import { AttemptMemory } from "./attempt_memory.ts";
 import type { HeldRoom } from "./offers.ts";
 import type { OwnedWorkers, TaskSight } from "./owned_workers.ts";
 import type { Placement, RunObserver } from "./placement.ts";
@@ -35,9 +36,6 @@
 const START_BLUR_MS = 2_000;
 /** Leases on a worker that has not reported for so long are not renewed, milliseconds. */
 const UNREACHABLE_MS = 10_000;
-/** Attempts that were barred or lost are remembered for so long, milliseconds. */
-const ATTEMPT_MEMORY_MS = 600_000;
-
 /** Tells the holder of a task how an attempt ended; resolves with whether it has kept that. */
 export type TellHolder = (ended: {
   readonly task: string;
@@ -84,9 +82,10 @@
   readonly #options: TaskKeeperOptions;
   readonly #kept = new Map<string, Kept>();
   readonly #onWorker = new Map<string, Map<string, Kept>>();
-  readonly #barred = new Map<string, number>();
+  /** Attempts that must not be started. */
+  readonly #barred: AttemptMemory;
   /** Attempts that were told to be lost. */
-  readonly #lost = new Map<string, number>();
+  readonly #lost: AttemptMemory;
   /** When each worker last reported. */
   readonly #seen = new Map<string, number>();
   /** Earliest time at which the figures of its last report were taken. */
@@ -96,6 +95,8 @@
 
   constructor(options: TaskKeeperOptions) {
     this.#options = options;
+    this.#barred = new AttemptMemory(options.clock);
+    this.#lost = new AttemptMemory(options.clock);
     const { peers, workers } = options;
     workers.listen({
       roomChanged: () => {},
@@ -174,7 +175,7 @@
     if (fence === undefined || address === undefined) return "pending";
     if (this.#unseenSinceBarred(attempt, worker)) return "neverStarted";
     const fenced = await upstream.renew(address, fence, []);
-    if (fenced.isOk()) this.#bar(attempt);
+    if (fenced.isOk()) this.#barred.note(attempt);
     return "pending";
   }
 
@@ -218,26 +219,13 @@
     }
   }
 
-  #bar(attempt: string): void {
-    const nowMs = this.#options.clock.monotonic();
-    if (!this.#barred.has(attempt)) this.#barred.set(attempt, nowMs);
-    forgetOld(this.#barred, nowMs);
-  }
-
-  #noteLost(attempt: string): void {
-    const nowMs = this.#options.clock.monotonic();
-    this.#lost.set(attempt, nowMs);
-    forgetOld(this.#lost, nowMs);
-  }
-
   /**
    * Whether the worker has reported without the attempt after it refused
    * older fencing numbers and starts of the attempt were barred here.
    */
   #unseenSinceBarred(attempt: string, worker: string): boolean {
-    const barredAtMs = this.#barred.get(attempt) ?? Infinity;
     const measuredAtMs = this.#measured.get(worker) ?? -Infinity;
-    return measuredAtMs > barredAtMs;
+    return measuredAtMs > this.#barred.notedAtMs(attempt);
   }
 
   #keep(kept: Kept): void {
@@ -345,7 +333,7 @@
   #end(kept: Kept, end: AttemptEnd): void {
     if (kept.end !== undefined) return;
     kept.end = end;
-    if (end.type === "lost") this.#noteLost(kept.attempt);
+    if (end.type === "lost") this.#lost.note(kept.attempt);
     const { clock, log, observer } = this.#options;
     const tookMs = clock.monotonic() - kept.startedAtMs;
     const ending = endingOf(end);
@@ -424,13 +412,6 @@
   }
 }
 
-function forgetOld(attempts: Map<string, number>, nowMs: number): void {
-  for (const [oldest, atMs] of attempts) {
-    if (nowMs - atMs < ATTEMPT_MEMORY_MS) return;
-    attempts.delete(oldest);
-  }
-}
-
 /** What the end of a task says of its worker. */
 function endingOf(end: AttemptEnd): Ending {
   switch (end.type) {
