--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -23,6 +23,9 @@
 /** Time between attempts to reach a worker that has not reported yet, milliseconds. */
 const FIRST_REPORT_INTERVAL_MS = 200;
 
+/** Requests given up on a worker that is no longer owned count for so long at most, milliseconds. */
+const LOST_MEMORY_MS = 60_000;
+
 /** Prefix of the units of ownership that are workers. */
 export const WORKER_UNIT = "worker:";
 
@@ -70,6 +73,8 @@
   foreignTasks: Resources;
   /** What requests took that were given up since none was left over. */
   lostNeeds: Resources[];
+  /** When those count as gone on a worker that is no longer owned. */
+  lostUntilMs: number;
   timer?: Timer;
 }
 
@@ -157,6 +162,7 @@
     if (entry === undefined) return;
     entry.leftover.lost(request.id, this.#options.clock.monotonic());
     entry.lostNeeds.push(request.need);
+    entry.lostUntilMs = this.#options.clock.monotonic() + LOST_MEMORY_MS;
     this.#reserve(id, entry);
   }
 
@@ -218,6 +224,7 @@
     const entry = this.#entries.get(id);
     if (entry === undefined || entry.owned) return;
     if (entry.leftover.active > 0 || this.#holdsRoom(id)) return;
+    if (this.#awaitsLost(entry)) return;
     const tracked = this.#listeners.some((listener) =>
       listener.trackedOn(id).size > 0
     );
@@ -226,6 +233,13 @@
     this.#entries.delete(id);
     this.#options.pool.remove(id);
     this.#options.standings.remove(id);
+    for (const listener of this.#listeners) listener.roomChanged();
+  }
+
+  /** Whether requests that were given up may still run there. */
+  #awaitsLost(entry: Owned): boolean {
+    return entry.lostNeeds.length > 0 &&
+      this.#options.clock.monotonic() < entry.lostUntilMs;
   }
 
   #holdsRoom(id: string): boolean {
@@ -352,5 +366,6 @@
     leaving: false,
     foreignTasks: noResources,
     lostNeeds: [],
+    lostUntilMs: -Infinity,
   };
 }
--- a/src/fakes/memory_upstream.ts
+++ b/src/fakes/memory_upstream.ts
@@ -60,11 +60,12 @@
   readonly tasks = new Map<string, TaskReport>();
   /** Whether requests wait for {@linkcode HeldRequest.finish}. */
   holds = false;
-  /** Requests being answered as reports tell it. */
   requests = 0;
   ageMs = 0;
   leaving = false;
   fence = 0;
+  /** Requests being answered as reports tell it. */
+  countRequests: () => number = () => this.requests;
   /** Runs before a report is answered. */
   beforeReport: () => Promise<void> = () => Promise.resolve();
   /** Runs before a start is answered. */
@@ -177,7 +178,8 @@
     const worker = this.worker(address);
     const fault = worker.faults.get("report");
     if (fault !== undefined) return errAsync(workerFailure(fault));
-    const { ageMs, leaving, requests } = worker;
+    const { ageMs, leaving } = worker;
+    const requests = worker.countRequests();
     const tasks = [...worker.tasks.values()];
     const report = { ageMs, leaving, requests, tasks };
     return new ResultAsync(worker.beforeReport().then(() => ok(report)));
