--- a/src/controllers/allowances.ts
+++ b/src/controllers/allowances.ts
@@ -26,8 +26,8 @@
     return this.#limits.available(team);
   }
 
-  want(team: string): void {
-    this.#limits.want(team);
+  want(team: string, count: number): void {
+    this.#limits.want(team, count);
   }
 
   limitOf(team: string): number | undefined {
--- a/src/controllers/limit_account.ts
+++ b/src/controllers/limit_account.ts
@@ -21,6 +21,8 @@
 
 /** Time after which allowance that was not used is returned, milliseconds. */
 const IDLE_RETURN_MS = 10_000;
+/** An account that was used so recently keeps its part when others wait, milliseconds. */
+const IN_USE_MS = 200;
 /** How long after a recall allowance is returned at once, milliseconds. */
 const SCARCE_MS = 1_000;
 /** Wait before a home that is not ready is asked again, milliseconds. */
@@ -68,6 +70,8 @@
   /** Most to keep after the limit was lowered. */
   #ceiling = Infinity;
   #usedAtMs: number;
+  /** Work that could start here, as last told. */
+  #wanted = 0;
   #wantedAtMs = -Infinity;
   #homeAnswered = false;
   #retry: Timer | undefined;
@@ -92,9 +96,10 @@
     return this.limited ? this.holder.spare - this.#waiters.length : Infinity;
   }
 
-  /** Asks for more because work waits that could start here; not too often. */
-  want(): void {
+  /** Asks for so much because work waits that could start here; not too often. */
+  want(count: number): void {
     const nowMs = this.#now();
+    this.#wanted = count;
     if (nowMs - this.#wantedAtMs < WANT_SPACING_MS) return;
     this.#wantedAtMs = nowMs;
     void this.ask();
@@ -169,7 +174,9 @@
   }
 
   #need(): number {
-    return Math.max(1, this.#waiters.length - this.holder.spare);
+    const needed = Math.max(this.#wanted, this.#waiters.length);
+    this.#wanted = 0;
+    return Math.max(1, needed - this.holder.spare);
   }
 
   async #exchange(need: number): Promise<boolean> {
@@ -223,15 +230,22 @@
     if (this.holder.granted <= this.#ceiling) this.#ceiling = Infinity;
   }
 
-  /** Returns what is neither running nor waited for, and what is beyond `keep`. */
+  /** Returns what is beyond `keep`, and of an idle account what is neither running nor waited for. */
   #trim(keep: number): void {
     const { holder } = this;
-    const useful = holder.granted - holder.spare + this.#waiters.length;
+    const useful = this.#inUse()
+      ? holder.granted
+      : holder.granted - holder.spare + this.#waiters.length;
     const lowered = holder.lowerTo(Math.min(useful, keep));
     const overstated = holder.overstated && !this.#asking;
     if (lowered || overstated) this.#exchange(0);
   }
 
+  /** Whether work of the team started or ended here a moment ago. */
+  #inUse(): boolean {
+    return this.#now() - this.#usedAtMs < IN_USE_MS;
+  }
+
   #scarce(): boolean {
     return this.#now() < this.#scarceUntilMs;
   }
--- a/src/controllers/limits.ts
+++ b/src/controllers/limits.ts
@@ -111,9 +111,9 @@
     return this.#account(team).available;
   }
 
-  /** Asks the home for more, without waiting for it. */
-  want(team: string): void {
-    this.#account(team).want();
+  /** Asks the home for allowance for so much work, without waiting for it. */
+  want(team: string, count: number): void {
+    this.#account(team).want(count);
   }
 
   /** A team's upper limit; `undefined` if it has none. */
--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -220,18 +220,28 @@
   /** The work that allowance in hand lets start here; asks for more where there is none. */
   *#allowed(): Generator<Candidate> {
     const { allowances } = this.#options;
+    const short = new Map<string, number>();
     for (const candidate of this.#allCandidates()) {
-      if (allowances.available(candidate.team) > 0) {
-        yield candidate;
-      } else {
-        allowances.want(candidate.team);
-        this.#lookAgain();
-      }
+      const { team } = candidate;
+      if (allowances.available(team) > 0) yield candidate;
+      else short.set(team, (short.get(team) ?? 0) + candidate.count);
     }
+    for (const [team, count] of short) this.#want(team, count);
   }
 
-  *#allCandidates(): Generator<Candidate> {
-    yield* this.#options.queue.heads();
+  /** Asks for as much allowance as could be used here. */
+  #want(team: string, count: number): void {
+    const { allowances, pool } = this.#options;
+    const { free } = pool.totals();
+    allowances.want(team, Math.max(1, Math.min(count, free.slots)));
+    this.#lookAgain();
+  }
+
+  *#allCandidates(): Generator<Candidate & { readonly count: number }> {
+    const { queue } = this.#options;
+    for (const head of queue.heads()) {
+      yield { ...head, count: queue.countOf(head) };
+    }
     yield* this.neighbours.waiting(this.#options.clock.monotonic());
   }
 
--- a/src/controllers/neighbours.ts
+++ b/src/controllers/neighbours.ts
@@ -30,6 +30,7 @@
 /** Work of one team and workload that waits at a peer. */
 export interface RemoteCandidate extends Candidate {
   readonly holder: string;
+  readonly count: number;
 }
 
 /** The peers by instance id. */
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -216,7 +216,7 @@
     if (place === undefined) return this.#noRoom(task.workload);
     if (allowances.tryTake(task.team)) return { type: "place", place };
     pool.release(place.worker, task.need);
-    allowances.want(task.team);
+    allowances.want(task.team, 1);
     return this.#atLimit(task.team);
   }
 
--- a/src/fakes/memory_authority.ts
+++ b/src/fakes/memory_authority.ts
@@ -97,7 +97,7 @@
     return (this.limits.get(team) ?? Infinity) - this.running(team);
   }
 
-  want(team: string): void {
+  want(team: string, _count: number): void {
     this.wanted.push(team);
   }
 
--- a/src/policy/waiting.ts
+++ b/src/policy/waiting.ts
@@ -146,6 +146,11 @@
     return this.#lanes.get(laneKey(lane))?.items.head();
   }
 
+  /** Number of items of one team and workload. */
+  countOf(lane: Pick<Waiting, "urgency" | "team" | "workload">): number {
+    return this.#lanes.get(laneKey(lane))?.items.size ?? 0;
+  }
+
   /** Takes the item that `choose` picks out of the first ones of each team and workload. */
   next(
     choose: (heads: Iterable<Waiting>) => Waiting | undefined,
--- a/src/ports/authority.ts
+++ b/src/ports/authority.ts
@@ -27,8 +27,8 @@
   tryTake(team: string): boolean;
   /** How much may be taken without waiting; infinite for a team without a limit. */
   available(team: string): number;
-  /** Asks the team's home instance for more, without waiting for it. */
-  want(team: string): void;
+  /** Asks the team's home instance for allowance for so much work, without waiting for it. */
+  want(team: string, count: number): void;
   /** A team's upper limit; `undefined` if it has none. */
   limitOf(team: string): number | undefined;
   /** Gives one back after its work has ended. */
