Keep process tests apart from the load of the machine

In full runs under a load average of 20 to 54, a test of the testbed met a daemon that did not listen (ECONNREFUSED, two runs), and tests of the tool met the store's timeout of 2 s, which the tool reported as such (two runs). Daemons get ports that the system does not hand out unasked; that this was the cause of the refusals was not shown, so a daemon that ends by itself now fails the testbed with its last log lines in place of counting as ready.

--- a/src/cli/system_host.ts
+++ b/src/cli/system_host.ts
@@ -46,6 +46,7 @@
             new EtcdStore({
               address,
               clock: systemClock,
+              connectTimeoutMs: timing.storeTimeoutMs,
               timeoutMs: timing.storeTimeoutMs,
             }),
           )
--- a/testbed/processes.ts
+++ b/testbed/processes.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type ChildProcess, spawn } from "node:child_process";
+import { randomInt } from "node:crypto";
 import { createServer } from "node:net";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
@@ -17,6 +18,9 @@
 
 const MAX_LOG_LINES = 100_000;
 const READY_TIMEOUT_MS = 15_000;
+/** Bounds of the ports of daemons, below those that the system hands out. */
+const FIRST_PORT = 20_000;
+const LAST_PORT = 32_000;
 
 /** Folder of the built files. */
 const built = new URL("../", import.meta.url);
@@ -73,18 +77,14 @@
   });
 }
 
-/** Ports of this machine that are free now. */
+/** Ports of this machine that are free now, and that no socket is given unasked. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, () => openServer()),
-  );
-  const ports = servers.map(({ port }) => port);
-  await Promise.all(
-    servers.map(({ server }) =>
-      new Promise((resolve) => server.close(resolve))
-    ),
-  );
-  return ports;
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    const port = randomInt(FIRST_PORT, LAST_PORT);
+    if (await isFree(port)) ports.add(port);
+  }
+  return [...ports];
 }
 
 /** A process of the testbed did not start. */
@@ -96,14 +96,11 @@
   }
 }
 
-function openServer() {
+function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  return new Promise<{ server: typeof server; port: number }>((resolve) => {
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      const port = typeof address === "object" ? address?.port ?? 0 : 0;
-      resolve({ server, port });
-    });
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
 }
 
--- a/testbed/testbed.ts
+++ b/testbed/testbed.ts
@@ -267,7 +267,11 @@
 
 async function isReady(node: Node): Promise<boolean> {
   const { exitCode, signalCode } = node.process.child;
-  if (exitCode !== null || signalCode !== null) return true;
+  if (signalCode !== null) return true;
+  if (exitCode !== null) {
+    const last = node.process.log.slice(-8).join("\n");
+    throw new TestbedFailure(`${node.name} ended by itself:\n${last}`);
+  }
   try {
     const reply = await call(node.callers, { path: "/readyz" });
     return reply.status === 200;
