--- a/testbed/load.ts
+++ b/testbed/load.ts
@@ -55,6 +55,8 @@
 }
 
 const REQUEST_TIMEOUT_MS = 20_000;
+const HEALTH_INTERVAL_MS = 500;
+const HEALTH_TIMEOUT_MS = 500;
 
 /** What all callers were told. */
 export class Load {
@@ -63,6 +65,7 @@
   /** Submissions that were refused, by reason. */
   readonly refusedWorks = new Map<string, number>();
   readonly #options: LoadOptions;
+  readonly #healthy = new Set<Node>();
   readonly #open = new Set<Promise<void>>();
 
   constructor(options: LoadOptions) {
@@ -73,7 +76,9 @@
   async run(): Promise<void> {
     const { durationMs, requestsPerSecond, worksPerSecond } = this.#options;
     const until = Date.now() + durationMs;
+    const { nodes } = this.#options;
     await Promise.all([
+      ...nodes.map((node) => this.#balance(node, until)),
       this.#arrivals(requestsPerSecond, until, () => this.#request()),
       this.#arrivals(worksPerSecond, until, () => this.#submit()),
     ]);
@@ -133,7 +138,8 @@
         timeoutMs: REQUEST_TIMEOUT_MS,
       });
       note = noteOf(reply, mark, key !== undefined);
-    } catch {
+    } catch (error) {
+      if (isRefused(error)) return await this.#send(workload, key);
       note = { outcome: "noAnswer" };
     }
     const tookMs = Date.now() - startedAt;
@@ -167,7 +173,8 @@
       if (reply.status === 202 && body.id !== undefined) {
         this.works.push({ id: body.id, team, workload });
       } else this.#refused(body.type ?? String(reply.status));
-    } catch {
+    } catch (error) {
+      if (isRefused(error)) return await this.#submit();
       this.#refused("noAnswer");
     }
   }
@@ -179,7 +186,34 @@
 
   #anyNode(): Node {
     const { nodes, random } = this.#options;
-    return nodes[Math.floor(random() * nodes.length)]!;
+    const healthy = nodes.filter((node) => this.#healthy.has(node));
+    const choice = healthy.length > 0 ? healthy : nodes;
+    return choice[Math.floor(random() * choice.length)]!;
+  }
+
+  /** Asks each instance for its readiness now and then, as a balancer does. */
+  async #balance(node: Node, until: number): Promise<void> {
+    while (Date.now() < until) {
+      const ready = await isReady(node);
+      if (ready) this.#healthy.add(node);
+      else this.#healthy.delete(node);
+      await pause(HEALTH_INTERVAL_MS);
+    }
+  }
+}
+
+/** Whether no connection could be made: a balancer would try another instance. */
+function isRefused(error: unknown): boolean {
+  return (error as { code?: unknown }).code === "ECONNREFUSED";
+}
+
+async function isReady(node: Node): Promise<boolean> {
+  try {
+    const timeoutMs = HEALTH_TIMEOUT_MS;
+    const reply = await call(node.callers, { path: "/readyz", timeoutMs });
+    return reply.status === 200;
+  } catch {
+    return false;
   }
 }
 
