--- a/src/controllers/tasks.ts
+++ b/src/controllers/tasks.ts
@@ -33,12 +33,7 @@
 import type { Deferred } from "./deferred.ts";
 import type { Fleet } from "./fleet.ts";
 import type { Gangs } from "./gangs.ts";
-import {
-  LIMIT_PAUSE_MS,
-  type Matching,
-  type Startable,
-  type Target,
-} from "./matching.ts";
+import type { Matching, Startable, Target } from "./matching.ts";
 import { WORKER_UNIT } from "./owned_workers.ts";
 import type { Placement } from "./placement.ts";
 import { TASK_LEASE_MS, type TaskKeeper } from "./task_keeper.ts";
@@ -86,8 +81,8 @@
   constructor(options: TasksOptions) {
     this.#options = options;
     const { peers, placement } = options;
-    peers.serve(reserveCall, async ({ reservation, count, ...task }) => ({
-      offers: await this.#reserveHere(reservation, { ...task, count }),
+    peers.serve(reserveCall, ({ reservation, count, ...task }) => ({
+      offers: this.#reserveHere(reservation, { ...task, count }),
     }));
     peers.listen(cancelNotice, ({ reservation }) => {
       placement.offers.cancel(reservation);
@@ -161,7 +156,7 @@
     const { reservation, team, workload, count } = wanted;
     const task = { team, workload: workload.name, need: workload.resources };
     if (owner === self) {
-      const rooms = await this.#reserveHere(reservation, {
+      const rooms = this.#reserveHere(reservation, {
         ...task,
         count,
         avoid: [],
@@ -323,7 +318,7 @@
     return offers[0];
   }
 
-  async #reserveHere(
+  #reserveHere(
     reservation: string,
     wanted: {
       readonly team: string;
@@ -332,20 +327,16 @@
       readonly count: number;
       readonly avoid: readonly string[];
     },
-  ): Promise<Omit<TaskOffer, "owner">[]> {
-    const { matching, placement } = this.#options;
+  ): Omit<TaskOffer, "owner">[] {
+    const { placement } = this.#options;
     const { team, need } = wanted;
     const offers: Omit<TaskOffer, "owner">[] = [];
     while (offers.length < wanted.count) {
-      const reserved = await placement.reserve(wanted, wanted.avoid);
-      if (reserved.type === "none") {
-        const limited = reserved.reason.type === "overLimit";
-        if (limited) matching.block(team, LIMIT_PAUSE_MS);
-        break;
-      }
+      const reserved = placement.reserve(wanted, wanted.avoid);
+      if (reserved.type === "none") break;
       const offer = offers.length === 0 ? reservation : randomUUID();
       const { place } = reserved;
-      const room = { offer, ...place, team, need, reservation, allowed: true };
+      const room = { offer, ...place, team, need, reservation };
       if (!placement.offers.hold(room, RESERVE_LAPSE_MS)) {
         placement.giveBack(room);
         return [];
--- a/src/wire/dispatch.ts
+++ b/src/wire/dispatch.ts
@@ -86,6 +86,8 @@
   sequence: t.number,
   /** Room on the workers that the sender owns. */
   free: ResourcesCodec,
+  /** How much more teams with a limit may start there; those not named nothing. */
+  spare: t.record(t.string, t.number),
   /** The largest room on one worker. */
   largest: ResourcesCodec,
   capacity: ResourcesCodec,
--- a/testbed/checker.ts
+++ b/testbed/checker.ts
@@ -119,6 +119,31 @@
   ).length;
 }
 
+/** What stands behind the overfilled workers, for whoever looks for the cause. */
+export function evidenceOf(options: CheckOptions): string[] {
+  return options.records
+    .filter((record) => overfilled(record, options))
+    .flatMap((record) => [`worker ${record.worker}`, ...stepsOf(record)]);
+}
+
+/** Starts and ends on a worker in order of time, with the number running. */
+function stepsOf(record: WorkerRecord): string[] {
+  const all = [
+    ...record.requests.map((ran) => ({ ran, name: markOf(ran) })),
+    ...record.attempts.map((ran) => ({ ran, name: ran.task })),
+  ];
+  const steps = all.flatMap(({ ran, name }) => [
+    { atMs: ran.startedAtMs, change: 1, name },
+    { atMs: ran.endedAtMs ?? Infinity, change: -1, name },
+  ]).sort((a, b) => a.atMs - b.atMs);
+  let running = 0;
+  return steps.map(({ atMs, change, name }) => {
+    running += change;
+    return `${atMs.toFixed(1)} ${change > 0 ? "start" : "end"} ${name} ` +
+      `running=${running}`;
+  });
+}
+
 interface Span {
   readonly startMs: number;
   readonly endMs: number;
