Withdraw a released segment's tasks before its last write

A release withdrew the tasks from the runner only after what was queued had been written. If the segment came back to the same instance meanwhile, the tasks that the new opening had handed to the runner were withdrawn, too, and waited until the next adoption.

--- a/src/controllers/deferred_test.ts
+++ b/src/controllers/deferred_test.ts
@@ -479,6 +479,23 @@
   t.is(next.runner.queued.size, 1);
 });
 
+test("a segment that comes back before its release has ended", async (t) => {
+  const bench = new Bench();
+  const member = await bench.opened("a");
+  await submit(bench, member);
+  member.store.faults.latencyMs = 500;
+  const submission = { team: "t", workload: "billing", payload: "" };
+  const pending = member.deferred.submit(submission);
+  await bench.clock.run(50);
+  member.store.faults.latencyMs = 0;
+  const released = member.deferred.release("a");
+  const adopted = await member.deferred.adopt("a", 2);
+  t.true(adopted.isOk());
+  await bench.settle(released);
+  t.true((await pending).isOk());
+  t.is(member.runner.queued.size, 2);
+});
+
 test("a gang starts together and again together", async (t) => {
   const bench = new Bench();
   const member = await bench.opened("a");
--- a/src/controllers/held_segment.ts
+++ b/src/controllers/held_segment.ts
@@ -139,8 +139,8 @@
 
   /** Writes what is queued and lets go of the segment. */
   async close(): Promise<void> {
-    await this.#segment.close();
     this.drop();
+    await this.#segment.close();
   }
 
   /** Lets go of a segment that has another owner. */
