--- a/src/controllers/offers.ts
+++ b/src/controllers/offers.ts
@@ -12,7 +12,7 @@
 /** Cancellations are remembered for so long, milliseconds. */
 const CANCELLED_MEMORY_MS = 30_000;
 
-/** Room held on a worker. */
+/** Room held on a worker, with one of the team's allowance. */
 export interface HeldRoom {
   readonly offer: string;
   readonly worker: string;
@@ -21,8 +21,6 @@
   readonly fence: number;
   /** Groups the offers of one reservation. */
   readonly reservation: string;
-  /** The team's allowance is held with it. */
-  readonly allowed: boolean;
 }
 
 interface HeldOffer extends HeldRoom {
--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -10,12 +10,14 @@
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Authority } from "../ports/authority.ts";
 import type { Report, TaskReport, Upstream } from "../ports/upstream.ts";
-import { add, noResources } from "../resources.ts";
+import { add, fits, noResources } from "../resources.ts";
 import type { Resources, Worker } from "../types.ts";
 import type { Fleet } from "./fleet.ts";
 
 /** Time between reports asked of a worker, milliseconds. */
 export const REPORT_INTERVAL_MS = 1_000;
+/** A request that the former owner sent just before it lost a worker arrives within this, milliseconds. */
+const LATE_SEND_MS = 300;
 /** Time between attempts to reach a worker that has not reported yet, milliseconds. */
 const FIRST_REPORT_INTERVAL_MS = 200;
 
@@ -57,10 +59,14 @@
   readonly worker: Worker;
   readonly leftover: Leftover;
   fence: number;
+  /** The worker refuses starts of tasks under older fencing numbers. */
+  fenced: boolean;
   owned: boolean;
   reachable: boolean;
   leaving: boolean;
   foreignTasks: Resources;
+  /** What requests took that were given up since none was left over. */
+  lostNeeds: Resources[];
   timer?: Timer;
 }
 
@@ -125,10 +131,14 @@
   }
 
   /** A request was given up and may still run on its worker. */
-  requestLost(id: string, request: string): void {
+  requestLost(
+    id: string,
+    request: { readonly id: string; readonly need: Resources },
+  ): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
-    entry.leftover.lost(request);
+    entry.leftover.lost(request.id, this.#options.clock.monotonic());
+    entry.lostNeeds.push(request.need);
     this.#reserve(id, entry);
   }
 
@@ -159,15 +169,17 @@
     if (worker === undefined || fence === undefined) return;
     const known = this.#entries.get(id);
     if (known?.owned && known.fence === fence) return;
+    const trustedFromMs = clock.monotonic() + LATE_SEND_MS;
     if (known !== undefined) {
       known.owned = true;
       known.fence = fence;
+      known.fenced = false;
       known.reachable = false;
-      known.leftover.reset(clock.monotonic());
+      known.leftover.reset(trustedFromMs);
     } else {
       pool.upsert(worker);
       pool.setUsable(id, false);
-      this.#entries.set(id, newEntry(worker, fence, clock.monotonic()));
+      this.#entries.set(id, newEntry(worker, fence, trustedFromMs));
     }
     log.info("worker.adopted", { worker: id, fence });
     this.#poll(id);
@@ -182,11 +194,11 @@
     this.#sweep(id);
   }
 
-  /** Forgets a worker that is no longer owned once nothing of this instance runs on it. */
+  /** Forgets a worker that is no longer owned once this instance holds nothing on it. */
   #sweep(id: string): void {
     const entry = this.#entries.get(id);
     if (entry === undefined || entry.owned) return;
-    if (entry.leftover.active > 0) return;
+    if (entry.leftover.active > 0 || this.#holdsRoom(id)) return;
     const tracked = this.#listeners.some((listener) =>
       listener.trackedOn(id).size > 0
     );
@@ -196,10 +208,15 @@
     this.#options.pool.remove(id);
   }
 
+  #holdsRoom(id: string): boolean {
+    const taken = this.#options.pool.taken(id) ?? noResources;
+    return !fits(taken, noResources);
+  }
+
   #judge(id: string, entry: Owned): void {
     const { drained, fleet, pool } = this.#options;
-    const usable = entry.owned && entry.reachable && entry.leftover.known &&
-      !entry.leaving && fleet.live(id) && !drained(id);
+    const usable = entry.owned && entry.fenced && entry.reachable &&
+      entry.leftover.known && !entry.leaving && fleet.live(id) && !drained(id);
     pool.setUsable(id, usable);
   }
 
@@ -207,12 +224,26 @@
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
     entry.timer?.cancel();
+    void this.#ask(id, entry).then(() => this.#schedule(id));
+  }
+
+  /** Asks for a report, after the worker has heard of this instance's fencing number. */
+  async #ask(id: string, entry: Owned): Promise<void> {
     const { clock, upstream } = this.#options;
+    const { fence, worker } = entry;
+    if (entry.owned && !entry.fenced) {
+      const renewed = await upstream.renew(worker.address, fence, []);
+      if (renewed.isErr()) return this.suspect(id, false);
+      entry.fenced = entry.fence === fence;
+    }
     const sentAtMs = clock.monotonic();
-    void upstream.report(entry.worker.address).match(
+    await upstream.report(worker.address).match(
       (report) => this.#reported(id, { report, sentAtMs }),
-      () => this.suspect(id, false),
-    ).then(() => this.#schedule(id));
+      () => {
+        this.suspect(id, false);
+        this.#sweep(id);
+      },
+    );
   }
 
   #schedule(id: string): void {
@@ -237,7 +268,11 @@
     const measuredAtMs = sentAtMs - report.ageMs;
     entry.reachable = true;
     entry.leaving = report.leaving;
-    entry.leftover.sighted({ measuredAtMs, requests: report.requests });
+    entry.leftover.sighted({
+      measuredAtMs,
+      measuredByMs: this.#options.clock.monotonic() - report.ageMs,
+      requests: report.requests,
+    });
     for (const listener of this.#listeners) {
       listener.tasksReported(entry.worker, {
         tasks: report.tasks,
@@ -267,21 +302,31 @@
   }
 
   #reserve(id: string, entry: Owned): void {
-    const each = oneSlot(entry.worker.capacity);
-    const requests = times(each, entry.leftover.count);
+    const { count } = entry.leftover;
+    if (count === 0) entry.lostNeeds = [];
+    const requests = mostOf(entry.lostNeeds, {
+      count,
+      each: oneSlot(entry.worker.capacity),
+    });
     this.#options.pool.reserveFor(id, add(requests, entry.foreignTasks));
   }
 }
 
-function newEntry(worker: Worker, fence: number, nowMs: number): Owned {
+function newEntry(
+  worker: Worker,
+  fence: number,
+  trustedFromMs: number,
+): Owned {
   return {
     worker,
     fence,
-    leftover: new Leftover(nowMs),
+    fenced: false,
+    leftover: new Leftover(trustedFromMs),
     owned: true,
     reachable: false,
     leaving: false,
     foreignTasks: noResources,
+    lostNeeds: [],
   };
 }
 
@@ -296,11 +341,21 @@
   };
 }
 
-function times(resources: Resources, count: number): Resources {
+/** Most that `count` requests take, of which some took `needs` and others `each`. */
+function mostOf(
+  needs: readonly Resources[],
+  { count, each }: { readonly count: number; readonly each: Resources },
+): Resources {
+  const most = (dimension: keyof Resources) =>
+    needs.map((need) => need[dimension])
+      .concat(Array<number>(count).fill(each[dimension]))
+      .sort((a, b) => b - a)
+      .slice(0, count)
+      .reduce((sum, amount) => sum + amount, 0);
   return {
-    cpuMillis: resources.cpuMillis * count,
-    memoryMib: resources.memoryMib * count,
-    accelerators: resources.accelerators * count,
-    slots: resources.slots * count,
+    cpuMillis: most("cpuMillis"),
+    memoryMib: most("memoryMib"),
+    accelerators: most("accelerators"),
+    slots: most("slots"),
   };
 }
