--- a/src/fakes/dispatch_cell.ts
+++ b/src/fakes/dispatch_cell.ts
@@ -3,14 +3,21 @@
  *
  * @module
  */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { ManualClock } from "../clock.ts";
 import { Fleet } from "../controllers/fleet.ts";
+import { Gangs } from "../controllers/gangs.ts";
 import { Matching } from "../controllers/matching.ts";
 import { OwnedWorkers, WORKER_UNIT } from "../controllers/owned_workers.ts";
-import { Placement } from "../controllers/placement.ts";
+import { Placement, type RunObserver } from "../controllers/placement.ts";
 import { type CallerRequest, Requests } from "../controllers/requests.ts";
 import { TaskKeeper, type TellHolder } from "../controllers/task_keeper.ts";
+import { Tasks } from "../controllers/tasks.ts";
+import { TaskSizes } from "../controllers/task_sizes.ts";
+import { WorkerStandings } from "../controllers/worker_standings.ts";
 import { silentLog } from "../logger.ts";
+import type { Queue, Workload } from "../operator_set.ts";
 import { WorkerPool } from "../policy/pool.ts";
 import { Shares } from "../policy/shares.ts";
 import { type Waiting, WaitingQueue } from "../policy/waiting.ts";
@@ -21,6 +28,7 @@
   MemoryAuthority,
   MemoryMap,
 } from "./memory_authority.ts";
+import { MemoryAttempts } from "./memory_attempts.ts";
 import { MemoryList } from "./memory_list.ts";
 import { MemoryNetwork, type MemoryPeers } from "./memory_peers.ts";
 import { MemoryUpstream, type MemoryWorker } from "./memory_upstream.ts";
@@ -40,6 +48,31 @@
   slots: 1,
 };
 
+const BILLING: Workload = {
+  kind: "batch",
+  name: "billing",
+  queue: "month-end",
+  resources: NEED,
+  idempotent: true,
+  timeoutMs: 1_000,
+  attempts: 3,
+  dueMs: 60_000,
+};
+
+const RECEIPTS: Workload = {
+  kind: "service",
+  name: "receipts",
+  queue: "counter",
+  resources: NEED,
+  idempotent: false,
+  timeoutMs: 1_000,
+  attempts: 3,
+  path: "/",
+  replicas: 0,
+};
+
+const MONTH_END = { name: "month-end", urgency: "deferred" } as Queue;
+
 type Ended = Parameters<TellHolder>[0];
 
 /** One instance with its dispatching controllers. */
@@ -59,6 +92,9 @@
   readonly matching: Matching;
   readonly requests: Requests;
   readonly keeper: TaskKeeper;
+  readonly tasks: Tasks;
+  readonly gangs: Gangs;
+  readonly attempts = new MemoryAttempts();
   /** Ends that the holder was told. */
   readonly told: Ended[] = [];
   /** Whether the holder keeps what it is told. */
@@ -68,11 +104,17 @@
     const { clock, upstream, fleet } = cell;
     const { pool, allowances, queue, shares, retries } = this;
     const log = silentLog;
-    const observer = { ran: () => {} };
+    const observer: RunObserver = {
+      ran: (worker, run) => this.workers.ran(worker, run),
+    };
+    const members = () =>
+      [...cell.nodes.keys()].filter((other) => other !== id);
     this.authority = new MemoryAuthority(id, cell.map);
     this.peers = cell.network.join(id);
     const { authority, peers } = this;
+    const standings = new WorkerStandings({ peers, members, clock, log });
     this.workers = new OwnedWorkers({
+      standings,
       authority,
       fleet,
       pool,
@@ -83,8 +125,24 @@
     });
     const { workers } = this;
     const common = { pool, allowances, upstream, clock, log, observer };
-    this.placement = new Placement({ ...common, authority, workers });
+    const workloadOf = (name: string) => cell.workloads.get(name);
+    this.placement = new Placement({
+      ...common,
+      authority,
+      workers,
+      workloadOf,
+    });
     const { placement } = this;
+    const sizes = new TaskSizes({
+      workers,
+      fleet,
+      upstream,
+      log,
+      workloadOf,
+      queueOf: () => MONTH_END,
+      rankOf: (team) => shares.rank(team),
+    });
+    placement.sizeBy((task) => sizes.sizeOf(task));
     this.matching = new Matching({
       placement,
       allowances,
@@ -94,7 +152,7 @@
       shares,
       peers,
       clock,
-      members: () => [...cell.nodes.keys()].filter((other) => other !== id),
+      members,
     });
     this.requests = new Requests({
       matching: this.matching,
@@ -116,6 +174,31 @@
         return Promise.resolve(this.takes);
       },
     });
+    const { matching, keeper, attempts } = this;
+    const generator = xoroshiro128plus(cell.nodes.size);
+    this.tasks = new Tasks({
+      self: id,
+      authority,
+      matching,
+      placement,
+      keeper,
+      fleet,
+      peers,
+      clock,
+      log,
+      workloadOf,
+      queueOf: () => MONTH_END,
+    });
+    this.gangs = new Gangs({
+      tasks: this.tasks,
+      deferred: attempts,
+      clock,
+      random: () => uniformFloat64(generator),
+      log,
+      workloadOf,
+      owners: () => [...cell.nodes.keys()].sort(),
+    });
+    this.tasks.connect(attempts, this.gangs);
   }
 }
 
@@ -126,6 +209,10 @@
   readonly upstream = new MemoryUpstream();
   readonly list = new MemoryList();
   readonly map = new MemoryMap();
+  readonly workloads = new Map<string, Workload>([
+    [BILLING.name, BILLING],
+    [RECEIPTS.name, RECEIPTS],
+  ]);
   readonly nodes = new Map<string, DispatchNode>();
   readonly fleet: Fleet;
 
