Bound strangers on the peers' listener and test links under faults

Cause: the time for the greeting was an idle timeout, so a stranger that sent a byte now and then stayed for good and could make the instance hold a line of 24 Mi characters. A call waited for a link to open without regard to its own timeout. A check of silence that came late after a pause of the process itself blamed the peer. Answers to a peer that had stopped reading were kept without bound.

Ruled out: answers that come late or crossed reach their own callers, a lost link fails its calls as peerSilent, and a call that was never sent fails as peerUnreached; the tests for these passed before the change.

Conclusion: the greeting has a deadline of the clock and a limit of its own, the opening counts against the call's timeout, a late check starts the silence anew, and a link with too long a backlog of answers is ended.

--- /dev/null
+++ b/src/peers/_fixtures_test.ts
@@ -0,0 +1,200 @@
+/**
+ * Ends of links for tests: whole ones, and listeners that break the protocol.
+ *
+ * @module
+ */
+import type { ExecutionContext } from "ava";
+import {
+  type AddressInfo,
+  connect,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import * as t from "io-ts";
+import { type Clock, systemClock } from "../clock.ts";
+import type { Fields, Log } from "../logger.ts";
+import type { Call } from "../ports/peers.ts";
+import type { Instance } from "../types.ts";
+import { type Hello, PROTOCOL_VERSION, prove } from "./handshake.ts";
+import { parseLine, readLines } from "./lines.ts";
+import { TcpPeers } from "./tcp_peers.ts";
+
+/** Secret of the peers in these tests. */
+export const KEY = "peers-key-of-the-tests-0123456789";
+
+/** Gives back its parameter. */
+export const echoCall: Call<{ text: string }, { text: string }> = {
+  method: "echo",
+  params: t.type({ text: t.string }),
+  result: t.type({ text: t.string }),
+};
+
+/** Time that a call may take where the test does not wait for its end. */
+export const LONG_MS = 60_000;
+
+/** Events that a log has taken. */
+export class EventLog implements Log {
+  readonly events: { readonly event: string; readonly fields: Fields }[] = [];
+
+  debug(event: string, fields: Fields = {}): void {
+    this.events.push({ event, fields });
+  }
+
+  info(event: string, fields: Fields = {}): void {
+    this.events.push({ event, fields });
+  }
+
+  warn(event: string, fields: Fields = {}): void {
+    this.events.push({ event, fields });
+  }
+
+  error(event: string, fields: Fields = {}): void {
+    this.events.push({ event, fields });
+  }
+
+  /** Whether an event came with a field of a value. */
+  has(event: string, fields: Fields): boolean {
+    const wanted = Object.entries(fields);
+    return this.events.some((entry) =>
+      entry.event === event &&
+      wanted.every(([name, value]) => entry.fields[name] === value)
+    );
+  }
+}
+
+/** One end of links. */
+export interface End {
+  readonly instance: Instance;
+  readonly peers: TcpPeers;
+  readonly log: EventLog;
+}
+
+/** Starts an end that listens on a port of its own, or on a given one. */
+export async function openEnd(
+  t: ExecutionContext,
+  options: {
+    readonly id: string;
+    readonly key?: string;
+    readonly clock?: Clock;
+    readonly port?: number;
+  },
+): Promise<End> {
+  const port = options.port ?? await freePort();
+  const address = `127.0.0.1:${port}`;
+  const instance = instanceAt(options.id, address);
+  const log = new EventLog();
+  const peers = new TcpPeers({
+    self: instance,
+    listen: address,
+    key: options.key ?? KEY,
+    clock: options.clock ?? systemClock,
+    log,
+  });
+  await peers.listening();
+  t.teardown(() => peers.close());
+  return { instance, peers, log };
+}
+
+/** An instance that is reached at an address. */
+export function instanceAt(id: string, peerAddress: string): Instance {
+  return { id, peerAddress, callerAddress: "127.0.0.1:1", zone: "zone-1" };
+}
+
+/** A listener of which the test says what it does with each connection. */
+export interface RawEnd {
+  readonly address: string;
+  readonly sockets: readonly Socket[];
+  readonly server: Server;
+}
+
+/** Starts a listener. */
+export async function openRaw(
+  t: ExecutionContext,
+  onSocket: (socket: Socket) => void,
+  options: { readonly allowHalfOpen?: boolean } = {},
+): Promise<RawEnd> {
+  const sockets: Socket[] = [];
+  const server = createServer(options, (socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    onSocket(socket);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => {
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  });
+  const { port } = server.address() as AddressInfo;
+  return { address: `127.0.0.1:${port}`, sockets, server };
+}
+
+/** Shakes hands as the peer `id`, then hands each further message to the test. */
+export function greet(
+  socket: Socket,
+  id: string,
+  onMessage: (message: Record<string, unknown>) => void,
+): void {
+  let greeted = false;
+  const first = { version: PROTOCOL_VERSION, challenge: "00" };
+  socket.write(JSON.stringify(first) + "\n");
+  eachLine(socket, (line) => {
+    const message = parseLine(line) ?? {};
+    if (greeted) return onMessage(message);
+    greeted = true;
+    const { challenge } = message as typeof Hello._A;
+    const proof = prove(KEY, [challenge, id]);
+    socket.write(JSON.stringify({ id, proof }) + "\n");
+  });
+}
+
+/** Connects to an address and notes what comes back. */
+export function dialRaw(
+  t: ExecutionContext,
+  address: string,
+): {
+  readonly socket: Socket;
+  readonly lines: string[];
+  readonly closed: () => boolean;
+} {
+  const port = Number(address.split(":")[1]);
+  const socket = connect({ host: "127.0.0.1", port });
+  const lines: string[] = [];
+  let closed = false;
+  socket.on("error", () => {});
+  socket.on("close", () => closed = true);
+  eachLine(socket, (line) => lines.push(line));
+  t.teardown(() => socket.destroy());
+  return { socket, lines, closed: () => closed };
+}
+
+/** The line with which `from` proves itself to `to`. */
+export function helloLine(
+  firstLine: string,
+  hello: {
+    readonly from: string;
+    readonly to: string;
+    readonly key?: string;
+    readonly version?: number;
+  },
+): string {
+  const { challenge } = JSON.parse(firstLine) as { challenge: string };
+  const { from, to, key = KEY, version = PROTOCOL_VERSION } = hello;
+  const proof = prove(key, [challenge, from, to]);
+  const own = "11";
+  return JSON.stringify({ version, id: from, to, proof, challenge: own }) +
+    "\n";
+}
+
+/** A port of this machine that is free now. */
+export async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+function eachLine(socket: Socket, onLine: (line: string) => void): void {
+  readLines(socket, { onLine, limitChars: () => Infinity });
+}
--- a/src/peers/lines.ts
+++ b/src/peers/lines.ts
@@ -8,10 +8,20 @@
 /** Longest line that a link takes, characters. */
 export const LINE_LIMIT_CHARS = 24 * 1024 * 1024;
 
-/** Calls `onLine` for each whole line that a socket receives. */
+/** Longest line before the other end has proved itself, characters. */
+export const GREETING_LIMIT_CHARS = 4 * 1024;
+
+/** What becomes of the lines of a socket. */
+export interface LineReader {
+  readonly onLine: (line: string) => void;
+  /** Longest line that is taken now; a longer one ends the socket. */
+  readonly limitChars: () => number;
+}
+
+/** Reads a socket by lines. */
 export function readLines(
   socket: Socket,
-  onLine: (line: string) => void,
+  { onLine, limitChars }: LineReader,
 ): void {
   let pieces: string[] = [];
   let length = 0;
@@ -21,7 +31,7 @@
     for (const [index, part] of parts.entries()) {
       pieces.push(part);
       length += part.length;
-      if (length > LINE_LIMIT_CHARS) {
+      if (length > limitChars()) {
         socket.destroy();
         return;
       }
--- a/src/peers/outbound.ts
+++ b/src/peers/outbound.ts
@@ -18,7 +18,12 @@
   sameProof,
   Welcome,
 } from "./handshake.ts";
-import { parseLine, readLines } from "./lines.ts";
+import {
+  GREETING_LIMIT_CHARS,
+  LINE_LIMIT_CHARS,
+  parseLine,
+  readLines,
+} from "./lines.ts";
 
 /** Time between signs of life on a link, milliseconds. */
 export const PING_MS = 500;
@@ -26,8 +31,10 @@
 export const SILENCE_MS = 2_000;
 /** Time before a broken link is dialled again, milliseconds. */
 const REDIAL_MS = 200;
+/** A check that comes so late tells of a pause of this process, milliseconds. */
+const LATE_CHECK_MS = 2 * PING_MS;
 /** Bytes that may wait to be sent on a link. */
-const BACKLOG_LIMIT_BYTES = 64 * 1024 * 1024;
+export const BACKLOG_LIMIT_BYTES = 64 * 1024 * 1024;
 
 /** What a link needs to know. */
 export interface OutboundOptions {
@@ -53,6 +60,7 @@
   #closed = false;
   #retiring = false;
   #heardAtMs = 0;
+  #checkedAtMs = 0;
   #timer: Timer | undefined;
   #opening: Promise<void> = Promise.resolve();
 
@@ -72,11 +80,16 @@
   /** Calls a method. Rejects with a {@linkcode PeerFailure}. */
   async call(
     method: string,
-    params: unknown,
-    timeoutMs: number,
+    { params, timeoutMs }: {
+      readonly params: unknown;
+      readonly timeoutMs: number;
+    },
   ): Promise<unknown> {
-    if (!this.#ready) await this.#opening;
+    const { clock } = this.#options;
+    const startedAtMs = clock.monotonic();
+    if (!this.#ready) await this.#opened(timeoutMs);
     if (!this.#usable()) throw unreached("no link to the peer");
+    const leftMs = timeoutMs - (clock.monotonic() - startedAtMs);
     return await new Promise((resolve, reject) => {
       const waiter: Waiter = (failure) => settle(() => reject(failure));
       const settle = (action: () => void) => {
@@ -85,8 +98,8 @@
         action();
         if (this.#retiring && this.#waiters.size === 0) this.close();
       };
-      const timer = this.#options.clock.after(
-        timeoutMs,
+      const timer = clock.after(
+        leftMs,
         () => waiter(silent("no answer in time")),
       );
       this.#waiters.add(waiter);
@@ -115,6 +128,16 @@
     this.#socket?.destroy();
   }
 
+  /** Waits for the link to open or to fail, `timeoutMs` at most. */
+  async #opened(timeoutMs: number): Promise<void> {
+    let timer: Timer | undefined;
+    const late = new Promise<void>((resolve) => {
+      timer = this.#options.clock.after(timeoutMs, resolve);
+    });
+    await Promise.race([this.#opening, late]);
+    timer?.cancel();
+  }
+
   #usable(): boolean {
     const waiting = this.#socket?.writableLength ?? 0;
     return this.#ready && waiting < BACKLOG_LIMIT_BYTES;
@@ -128,13 +151,16 @@
     this.#socket = socket;
     this.#heardAtMs = this.#options.clock.monotonic();
     const challenge = newChallenge();
-    readLines(socket, (line) => {
-      this.#heardAtMs = this.#options.clock.monotonic();
-      const message = parseLine(line);
-      if (message === undefined) return socket.destroy();
-      if (this.#ready) return this.#receive(message);
-      this.#shake(socket, { message, challenge });
-      if (this.#ready) opened();
+    readLines(socket, {
+      limitChars: () => this.#ready ? LINE_LIMIT_CHARS : GREETING_LIMIT_CHARS,
+      onLine: (line) => {
+        this.#heardAtMs = this.#options.clock.monotonic();
+        const message = parseLine(line);
+        if (message === undefined) return socket.destroy();
+        if (this.#ready) return this.#receive(message);
+        this.#shake(socket, { message, challenge });
+        if (this.#ready) opened();
+      },
     });
     socket.on("error", () => {});
     socket.on("close", () => {
@@ -186,9 +212,13 @@
   }
 
   #watch(): void {
+    const { clock } = this.#options;
     this.#timer?.cancel();
-    this.#timer = this.#options.clock.after(PING_MS, () => {
-      const now = this.#options.clock.monotonic();
+    this.#checkedAtMs = clock.monotonic();
+    this.#timer = clock.after(PING_MS, () => {
+      const now = clock.monotonic();
+      const late = now - this.#checkedAtMs > LATE_CHECK_MS;
+      if (late) this.#heardAtMs = now;
       if (now - this.#heardAtMs > SILENCE_MS) {
         this.#socket?.destroy();
         return;
--- a/src/peers/tcp_peers.ts
+++ b/src/peers/tcp_peers.ts
@@ -26,8 +26,13 @@
   prove,
   sameProof,
 } from "./handshake.ts";
-import { parseLine, readLines } from "./lines.ts";
-import { Outbound, splitAddress } from "./outbound.ts";
+import {
+  GREETING_LIMIT_CHARS,
+  LINE_LIMIT_CHARS,
+  parseLine,
+  readLines,
+} from "./lines.ts";
+import { BACKLOG_LIMIT_BYTES, Outbound, splitAddress } from "./outbound.ts";
 
 /** A caller that has not proved itself for so long is cut off, milliseconds. */
 const HANDSHAKE_MS = 2_000;
@@ -99,7 +104,10 @@
       return errAsync({ type: "peerUnreached", message: "unknown peer" });
     }
     const answer = link
-      .call(call.method, call.params.encode(options.params), options.timeoutMs)
+      .call(call.method, {
+        params: call.params.encode(options.params),
+        timeoutMs: options.timeoutMs,
+      })
       .then((value) => checked(call, value));
     return ResultAsync.fromPromise(answer, (error) => error as PeerFailure);
   }
@@ -157,14 +165,25 @@
     const challenge = newChallenge();
     let from: string | undefined;
     this.#inbound.add(socket);
+    const greeting = this.#options.clock.after(
+      HANDSHAKE_MS,
+      () => socket.destroy(),
+    );
     socket.on("error", () => {});
-    socket.on("close", () => this.#inbound.delete(socket));
-    socket.setTimeout(HANDSHAKE_MS, () => socket.destroy());
-    readLines(socket, (line) => {
-      const message = parseLine(line);
-      if (message === undefined) return socket.destroy();
-      if (from !== undefined) return this.#receive(socket, { message, from });
-      from = this.#greet(socket, { message, challenge });
+    socket.on("close", () => {
+      greeting.cancel();
+      this.#inbound.delete(socket);
+    });
+    readLines(socket, {
+      limitChars: () =>
+        from === undefined ? GREETING_LIMIT_CHARS : LINE_LIMIT_CHARS,
+      onLine: (line) => {
+        const message = parseLine(line);
+        if (message === undefined) return socket.destroy();
+        if (from !== undefined) return this.#receive(socket, { message, from });
+        from = this.#greet(socket, { message, challenge });
+        if (from !== undefined) greeting.cancel();
+      },
     });
     const first = { version: PROTOCOL_VERSION, challenge };
     socket.write(JSON.stringify(first) + "\n");
@@ -210,12 +229,18 @@
     }
     const request = message as unknown as JSONRPCRequest;
     this.#rpc.receive(request, from).then((answer) => {
-      const open = answer !== null && !socket.destroyed;
-      if (open) socket.write(JSON.stringify(answer) + "\n");
+      if (answer !== null) send(socket, answer);
     });
   }
 }
 
+/** Sends an answer; a caller that does not read its answers is cut off. */
+function send(socket: Socket, answer: unknown): void {
+  if (socket.destroyed) return;
+  if (socket.writableLength > BACKLOG_LIMIT_BYTES) return void socket.destroy();
+  socket.write(JSON.stringify(answer) + "\n");
+}
+
 function refusalOf(
   hello: typeof Hello._A | undefined,
   expected: {
