Answer every HTTP call truthfully and wholly, also during shutdown

A refusal of an oversize body closed the connection while the body was still coming in, so that the caller could lose the answer to a reset. A shutdown waited for connections on which nothing had been said, and for kept connections after their last answer. Headers that Connection names were passed on. Names of workloads that nobody configured became series of the metrics. The scheme of a key was compared by case.

Ruled out: malformed heads, chunks and lengths are refused by the parser before a route sees them; bytes pass unchanged both ways.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -83,6 +83,7 @@
     this.#server = new HttpServer({
       listen: instance.listen,
       routes: this.#routes(operator.key),
+      clock,
       log,
     });
   }
@@ -103,6 +104,7 @@
   async stop(): Promise<void> {
     this.#log.info("stopping");
     this.#instance.beginStop();
+    this.#server.drain();
     await sleep(systemClock, BALANCER_MS);
     await this.#server.close();
     await this.#instance.leave();
@@ -138,6 +140,7 @@
       ...callerRoutes({
         handle: this.#chain(admission),
         abandon: (id) => instance.requests.abandon(id),
+        knows: (name) => instance.settings.workload(name) !== undefined,
         bodies,
         clock: systemClock,
         metrics: instance.metrics,
@@ -169,6 +172,9 @@
 }
 
 function dispatch(instance: Instance, exchange: Exchange): Promise<Outcome> {
+  if (exchange.abandoned()) {
+    return Promise.resolve({ type: "notRun", reason: { type: "cancelled" } });
+  }
   const { id, arrivedAtMs, method, path, headers, body } = exchange;
   const service = exchange.service!;
   const queue = exchange.queue!;
--- a/src/filters/chain.ts
+++ b/src/filters/chain.ts
@@ -24,6 +24,8 @@
   /** The team's key; absent if none came with it. */
   readonly key?: string;
   readonly arrivedAtMs: number;
+  /** Whether the caller has gone away. */
+  readonly abandoned: () => boolean;
   /** Resolved by the filters on the way. */
   readonly team?: string;
   readonly service?: Service;
--- a/src/http/answers.ts
+++ b/src/http/answers.ts
@@ -57,6 +57,9 @@
   }
 }
 
+/** Statuses whose answers have no body. */
+const BODYLESS: ReadonlySet<number> = new Set([204, 304]);
+
 /** Sends JSON. */
 export function sendJson(
   response: ServerResponse,
@@ -68,7 +71,22 @@
     "content-type": "application/json",
     "content-length": Buffer.byteLength(text),
   });
-  response.end(text);
+  endWhole(response, text);
+}
+
+/**
+ * Ends an answer once the caller has sent its whole body: to close earlier
+ * would reset the connection and could cost the caller the answer.
+ */
+function endWhole(response: ServerResponse, text: string): void {
+  const { req } = response;
+  if (req.complete) {
+    response.end(text);
+    return;
+  }
+  response.write(text);
+  req.once("end", () => response.end());
+  req.resume();
 }
 
 /** Sends a refusal or a report of an unknown outcome. */
@@ -97,11 +115,13 @@
   if (outcome.type !== "done") return sendFailure(response, outcome);
   const { answer } = outcome;
   const body = Buffer.from(answer.body, "base64");
+  const bodyless = BODYLESS.has(answer.status) ||
+    response.req.method === "HEAD";
   response.writeHead(answer.status, {
     ...answer.headers,
     [OUTCOME_HEADER]: "done",
     "zinniapoint-worker": answer.worker,
-    "content-length": body.length,
+    ...(bodyless ? {} : { "content-length": body.length }),
   });
   response.end(body);
 }
--- a/src/http/caller_routes.ts
+++ b/src/http/caller_routes.ts
@@ -6,6 +6,7 @@
 import type { Buffer } from "node:buffer";
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { endToEndHeaders } from "../adapters/headers.ts";
 import type { Clock } from "../clock.ts";
 import type { Exchange, Next } from "../filters/chain.ts";
 import type { Log } from "../logger.ts";
@@ -16,27 +17,14 @@
 import { type BodyFailure, type BodyMemory } from "./bodies.ts";
 import type { Route, RouteCall } from "./routes.ts";
 
-/** Headers that belong to one connection and are not passed on. */
-const CONNECTION_HEADERS = new Set([
-  "authorization",
-  "connection",
-  "content-length",
-  "expect",
-  "host",
-  "keep-alive",
-  "proxy-authorization",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
 /** What the routes need. */
 export interface CallerRoutesOptions {
   /** The filter chain. */
   readonly handle: Next;
   /** Told when a caller goes away before its answer. */
   readonly abandon: (id: string) => void;
+  /** Whether the operators have named a workload. */
+  readonly knows: (workload: string) => boolean;
   readonly bodies: BodyMemory;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -59,7 +47,7 @@
 /** The key that a caller presents; `undefined` if there is none. */
 export function presentedKey(message: IncomingMessage): string | undefined {
   const header = message.headers.authorization ?? "";
-  const found = /^Bearer (\S+)$/.exec(header);
+  const found = /^Bearer (\S+)$/i.exec(header);
   return found?.[1];
 }
 
@@ -88,14 +76,29 @@
   const arrivedAtMs = clock.monotonic();
   const body = await bodies.read(call.message);
   if (body.isErr()) return refuseBody(call.response, body.error);
-  const exchange = exchangeOf(call, { body: body.value, arrivedAtMs });
+  try {
+    const exchange = exchangeOf(call, { body: body.value, arrivedAtMs });
+    await serveExchange(options, { call, exchange });
+  } finally {
+    bodies.free(body.value.length);
+  }
+}
+
+async function serveExchange(
+  options: CallerRoutesOptions,
+  { call, exchange }: {
+    readonly call: RouteCall;
+    readonly exchange: Exchange;
+  },
+): Promise<void> {
+  const { response } = call;
+  if (response.closed) return;
   const watch = () => options.abandon(exchange.id);
-  call.response.once("close", watch);
+  response.once("close", watch);
   const outcome = await answer(options, exchange);
-  bodies.free(body.value.length);
-  call.response.off("close", watch);
+  response.off("close", watch);
   record(options, exchange, outcome);
-  sendOutcome(call.response, outcome);
+  sendOutcome(response, outcome);
 }
 
 function answer(
@@ -111,14 +114,15 @@
 }
 
 function record(
-  { clock, log, metrics }: CallerRoutesOptions,
+  { clock, knows, log, metrics }: CallerRoutesOptions,
   exchange: Exchange,
   outcome: Outcome,
 ): void {
   const { workload, id, arrivedAtMs } = exchange;
   const tookMs = clock.monotonic() - arrivedAtMs;
-  metrics.count("requests_total", { workload, outcome: outcome.type });
-  metrics.observe("request_milliseconds", tookMs, { workload });
+  const labels = { workload: knows(workload) ? workload : "" };
+  metrics.count("requests_total", { ...labels, outcome: outcome.type });
+  metrics.observe("request_milliseconds", tookMs, labels);
   log.info("request", {
     id,
     workload,
@@ -130,7 +134,7 @@
 }
 
 function exchangeOf(
-  { message, url, parts }: RouteCall,
+  { message, response, url, parts }: RouteCall,
   { body, arrivedAtMs }: {
     readonly body: Buffer;
     readonly arrivedAtMs: number;
@@ -145,14 +149,16 @@
     body: body.toString("base64"),
     key: presentedKey(message),
     arrivedAtMs,
+    abandoned: () => response.closed,
   };
 }
 
+/** Headers that go on to the worker; the key stays here. */
 function passedOn(message: IncomingMessage): Record<string, string> {
   const headers: Record<string, string> = {};
   for (const [name, value] of Object.entries(message.headers)) {
-    if (value === undefined || CONNECTION_HEADERS.has(name)) continue;
+    if (value === undefined || name === "authorization") continue;
     headers[name] = Array.isArray(value) ? value.join(", ") : value;
   }
-  return headers;
+  return endToEndHeaders(headers);
 }
--- a/src/http/routes.ts
+++ b/src/http/routes.ts
@@ -30,7 +30,7 @@
     readonly route: Route;
     readonly parts: Readonly<Record<string, string>>;
   }
-  | { readonly type: "wrongMethod" }
+  | { readonly type: "wrongMethod"; readonly methods: readonly string[] }
   | { readonly type: "none" };
 
 /** Finds the route of a path. */
@@ -38,16 +38,18 @@
   routes: readonly Route[],
   asked: { readonly method: string; readonly path: string },
 ): RouteMatch {
-  let wrongMethod = false;
+  const methods: string[] = [];
   for (const route of routes) {
     const parts = matchPath(route.pattern, asked.path);
     if (parts === undefined) continue;
     if (route.method === "*" || route.method === asked.method) {
       return { type: "found", route, parts };
     }
-    wrongMethod = true;
+    methods.push(route.method);
   }
-  return wrongMethod ? { type: "wrongMethod" } : { type: "none" };
+  return methods.length > 0
+    ? { type: "wrongMethod", methods }
+    : { type: "none" };
 }
 
 function matchPath(
--- a/src/peers/tcp_peers_test.ts
+++ b/src/peers/tcp_peers_test.ts
@@ -18,6 +18,8 @@
 } from "./_fixtures_test.ts";
 import { SILENCE_MS } from "./outbound.ts";
 
+const DRIP_MS = 100;
+
 function serveEcho({ peers }: End): void {
   peers.serve(echoCall, (params) => params);
 }
@@ -200,9 +202,10 @@
 });
 
 test("a stranger cannot make an instance hold a long line", async (t) => {
-  const b = await openEnd(t, { id: "b" });
+  const clock = new ManualClock();
+  const b = await openEnd(t, { id: "b", clock });
   const stranger = dialRaw(t, b.instance.peerAddress);
-  stranger.socket.write("x".repeat(256 * 1024));
+  drip(t, stranger.socket, "x".repeat(32 * 1024));
   await eventually(stranger.closed);
   t.pass();
 });
@@ -212,12 +215,20 @@
   const b = await openEnd(t, { id: "b", clock });
   const stranger = dialRaw(t, b.instance.peerAddress);
   await eventually(() => stranger.lines.length === 1);
-  stranger.socket.write("x");
+  drip(t, stranger.socket, "x");
   clock.advance(2_001);
   await eventually(stranger.closed);
   t.pass();
 });
 
+/** Writes a piece now and then. */
+function drip(t: ExecutionContext, socket: Socket, piece: string): void {
+  const timer = setInterval(() => {
+    if (!socket.destroyed) socket.write(piece);
+  }, DRIP_MS);
+  t.teardown(() => clearInterval(timer));
+}
+
 const impostors = [
   { name: "wrong key", proof: "00", id: "b" },
   { name: "another identity", proof: undefined, id: "c" },
