--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,6 +5,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { EtcdStore } from "../adapters/etcd_store.ts";
+import { StoreEndpoints } from "../adapters/store_endpoints.ts";
 import { HttpList } from "../adapters/http_list.ts";
 import { HttpUpstream } from "../adapters/http_upstream.ts";
 import { sleep, systemClock } from "../clock.ts";
@@ -38,7 +39,7 @@
   readonly #log: Log;
   readonly #instance: Instance;
   readonly #peers: TcpPeers;
-  readonly #store: EtcdStore;
+  readonly #stores: readonly EtcdStore[];
   readonly #upstream: HttpUpstream;
   readonly #server: HttpServer;
   readonly #stopTracing: () => Promise<void>;
@@ -57,11 +58,10 @@
     this.#settings = settings;
     this.#log = log;
     this.#stopTracing = startTracing({ ...settings.trace, instance: self.id });
-    this.#store = new EtcdStore({
-      address: platform.store[0]!,
-      clock,
-      timeoutMs: settings.timing.storeTimeoutMs,
-    });
+    const { storeTimeoutMs: timeoutMs } = settings.timing;
+    this.#stores = platform.store.map((address) =>
+      new EtcdStore({ address, clock, timeoutMs })
+    );
     this.#upstream = new HttpUpstream({ clock });
     this.#peers = new TcpPeers({
       self,
@@ -72,7 +72,7 @@
     });
     this.#instance = new Instance({
       self,
-      store: this.#store,
+      store: new StoreEndpoints(this.#stores),
       list: new HttpList({ address: platform.list, clock }),
       peers: this.#peers,
       upstream: this.#upstream,
@@ -112,6 +112,7 @@
     this.#instance.stop();
     this.#peers.close();
     await this.#upstream.close();
+    await Promise.all(this.#stores.map((store) => store.close()));
     await this.#stopTracing();
     this.#log.info("stopped");
   }
--- a/src/filters/at_most_once.ts
+++ b/src/filters/at_most_once.ts
@@ -15,6 +15,9 @@
 /** Time to come back after while the same request runs, milliseconds. */
 const IN_PROGRESS_RETRY_MS = 500;
 
+/** What is remembered of a request that failed inside this instance. */
+const lost: Outcome = { type: "unknown", reason: { type: "keyMemoryLost" } };
+
 /** Makes the filter. */
 export function atMostOnce(guard: KeyGuard): Filter {
   return async (exchange, next) => {
@@ -41,7 +44,10 @@
   const state = await guard.begin(team, key);
   switch (state.type) {
     case "fresh": {
-      const outcome = await next(exchange);
+      const outcome = await next(exchange).catch(async (error) => {
+        await guard.finish(team, key, lost);
+        throw error;
+      });
       await guard.finish(team, key, outcome);
       return outcome;
     }
--- a/src/logger.ts
+++ b/src/logger.ts
@@ -71,6 +71,14 @@
   };
 }
 
+/** Characters that end a line or steer a terminal, and that JSON leaves as they are. */
+const UNPRINTABLE = /[\u007f-\u009f\u2028\u2029]/g;
+
 function quote(value: string): string {
-  return /^[\w./:@+-]+$/.test(value) ? value : JSON.stringify(value);
+  if (/^[\w./:@+-]+$/.test(value)) return value;
+  return JSON.stringify(value).replace(UNPRINTABLE, escapeOf);
+}
+
+function escapeOf(character: string): string {
+  return "\\u" + character.charCodeAt(0).toString(16).padStart(4, "0");
 }
--- a/src/tracing.ts
+++ b/src/tracing.ts
@@ -19,6 +19,7 @@
 import {
   BasicTracerProvider,
   BatchSpanProcessor,
+  type SpanProcessor,
 } from "@opentelemetry/sdk-trace-base";
 import { W3CTraceContextPropagator } from "@opentelemetry/core";
 
@@ -36,12 +37,20 @@
 export function startTracing(options: TracingOptions): () => Promise<void> {
   if (options.exporter === "none") return () => Promise.resolve();
   const exporter = new OTLPTraceExporter({ url: options.endpoint });
+  return useProcessor(new BatchSpanProcessor(exporter), options.instance);
+}
+
+/** Sends the spans of an instance to a processor; gives a function that flushes what is left. */
+export function useProcessor(
+  processor: SpanProcessor,
+  instance: string,
+): () => Promise<void> {
   const provider = new BasicTracerProvider({
     resource: resourceFromAttributes({
       "service.name": "zinniapoint",
-      "service.instance.id": options.instance,
+      "service.instance.id": instance,
     }),
-    spanProcessors: [new BatchSpanProcessor(exporter)],
+    spanProcessors: [processor],
   });
   trace.setGlobalTracerProvider(provider);
   propagation.setGlobalPropagator(new W3CTraceContextPropagator());
