Test faults with real processes and carry traces over every hop

Cause: a request had one span, at the instance where it arrived; the hops to another instance and to the worker had none, and the span did not say why it ended as it did.

Ruled out, each with daemons and stand-ins as processes under load and a check of the stand-ins' own records: doubled tasks or requests, overfilled workers, passed limits, lost works, false refusals and crossed answers after a killed instance, one paused beyond its lease, silent connections, a worker that fails everything, a rolling replacement and a replacement of all at once. The rolling replacement cut no request.

--- a/src/controllers/requests.ts
+++ b/src/controllers/requests.ts
@@ -5,12 +5,15 @@
  *
  * @module
  */
+import { SpanKind } from "@opentelemetry/api";
+import type { Result } from "neverthrow";
 import type { Clock } from "../clock.ts";
 import { type PeerFailure, unreachable } from "../errors.ts";
 import type { Log } from "../logger.ts";
 import type { Waiting } from "../policy/waiting.ts";
 import type { Peers } from "../ports/peers.ts";
 import type { UpstreamRequest } from "../ports/upstream.ts";
+import { traced } from "../tracing.ts";
 import type { Outcome, Reason } from "../types.ts";
 import {
   runCall,
@@ -151,9 +154,7 @@
     flight: Flight,
     { peer, order }: { readonly peer: string; readonly order: RunOrder },
   ): Promise<void> {
-    const timeoutMs = flight.request.timeoutMs + ANSWER_GRACE_MS;
-    const result = await this.#options.peers
-      .call(peer, runCall, { params: order, timeoutMs });
+    const result = await this.#forward(peer, order);
     if (result.isErr()) {
       return await this.#peerFailed(flight, {
         peer,
@@ -167,6 +168,25 @@
     this.#settled(flight, result.value);
   }
 
+  /** Sends an order to a peer as a hop of the request's trace. */
+  async #forward(
+    peer: string,
+    order: RunOrder,
+  ): Promise<Result<RunResult, PeerFailure>> {
+    const { request } = order;
+    const timeoutMs = request.timeoutMs + ANSWER_GRACE_MS;
+    const attributes = { peer, order: order.id };
+    const hop = { carrier: request.headers, attributes, kind: SpanKind.CLIENT };
+    return await traced("forward", hop, async (outgoing) => {
+      const headers = { ...request.headers, ...outgoing };
+      const params = { ...order, request: { ...request, headers } };
+      return await this.#options.peers.call(peer, runCall, {
+        params,
+        timeoutMs,
+      });
+    });
+  }
+
   async #peerFailed(
     flight: Flight,
     { peer, order, failure }: {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,6 +8,7 @@
 import { StoreEndpoints } from "../adapters/store_endpoints.ts";
 import { HttpList } from "../adapters/http_list.ts";
 import { HttpUpstream } from "../adapters/http_upstream.ts";
+import { TracedUpstream } from "../adapters/traced_upstream.ts";
 import { sleep, systemClock } from "../clock.ts";
 import type { Settings } from "../config.ts";
 import { type Admission, admit } from "../filters/admit.ts";
@@ -40,7 +41,7 @@
   readonly #instance: Instance;
   readonly #peers: TcpPeers;
   readonly #stores: readonly EtcdStore[];
-  readonly #upstream: HttpUpstream;
+  readonly #upstream: TracedUpstream;
   readonly #server: HttpServer;
   readonly #stopTracing: () => Promise<void>;
 
@@ -62,7 +63,7 @@
     this.#stores = platform.store.map((address) =>
       new EtcdStore({ address, clock, timeoutMs })
     );
-    this.#upstream = new HttpUpstream({ clock });
+    this.#upstream = new TracedUpstream(new HttpUpstream({ clock }));
     this.#peers = new TcpPeers({
       self,
       listen: instance.peerListen,
--- a/src/http/caller_routes.ts
+++ b/src/http/caller_routes.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { SpanKind } from "@opentelemetry/api";
 import type { Buffer } from "node:buffer";
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -12,7 +13,7 @@
 import type { Log } from "../logger.ts";
 import type { Metrics } from "../metrics.ts";
 import { traced } from "../tracing.ts";
-import type { Outcome } from "../types.ts";
+import type { Outcome, Reason } from "../types.ts";
 import { sendFailure, sendOutcome } from "./answers.ts";
 import { type BodyFailure, type BodyMemory } from "./bodies.ts";
 import type { Route, RouteCall } from "./routes.ts";
@@ -107,12 +108,19 @@
 ): Promise<Outcome> {
   const { workload, headers, id } = exchange;
   const attributes = { workload, id };
-  return traced("request", { carrier: headers, attributes }, (outgoing) => {
+  const hop = { carrier: headers, attributes, kind: SpanKind.SERVER };
+  return traced("request", hop, async (outgoing, span) => {
     const carried = { ...headers, ...outgoing, "zinniapoint-request": id };
-    return options.handle({ ...exchange, headers: carried });
+    const outcome = await options.handle({ ...exchange, headers: carried });
+    span.setAttributes({ outcome: outcome.type, reason: reasonOf(outcome) });
+    return outcome;
   });
 }
 
+function reasonOf(outcome: Outcome): Reason["type"] {
+  return outcome.type === "done" ? "placed" : outcome.reason.type;
+}
+
 function record(
   { clock, knows, log, metrics }: CallerRoutesOptions,
   exchange: Exchange,
@@ -127,7 +135,7 @@
     id,
     workload,
     outcome: outcome.type,
-    reason: outcome.type === "done" ? "placed" : outcome.reason.type,
+    reason: reasonOf(outcome),
     worker: outcome.type === "done" ? outcome.answer.worker : undefined,
     took_ms: tookMs.toFixed(1),
   });
--- a/testbed/testbed.ts
+++ b/testbed/testbed.ts
@@ -11,6 +11,7 @@
 import { EtcdStore } from "../src/adapters/etcd_store.ts";
 import { systemClock } from "../src/clock.ts";
 import { publish } from "../src/configuration/publication.ts";
+import { parseOperatorSet } from "../src/operator_set/parse.ts";
 import { readHead } from "../src/configuration/read.ts";
 import { call, type Reply } from "./http.ts";
 import {
@@ -30,6 +31,8 @@
   readonly workerArguments?: readonly string[];
   readonly listLagMs?: number;
   readonly logLevel?: "debug" | "info" | "warn" | "error";
+  /** URL that spans are sent to; none are sent without it. */
+  readonly traceEndpoint?: string;
   /** Text of the operators' set. */
   readonly set: string;
 }
@@ -81,6 +84,8 @@
 
   /** Publishes a set. */
   async publish(text: string): Promise<void> {
+    const checked = parseOperatorSet(text, { file: "set.ini" });
+    if (checked.isErr()) throw new TestbedFailure(checked.error[0]!.message);
     const store = new EtcdStore({
       address: this.storeAddress,
       clock: systemClock,
@@ -217,6 +222,10 @@
   ): string {
     const path = join(this.folder, `${node.name}.ini`);
     const level = this.#options.logLevel ?? "info";
+    const endpoint = this.#options.traceEndpoint;
+    const trace = endpoint === undefined
+      ? ""
+      : `[trace]\nexporter = otlp\nendpoint = ${endpoint}\n`;
     writeFileSync(
       path,
       `[instance]
@@ -239,7 +248,8 @@
 
 [log]
 level = ${level}
-`,
+
+${trace}`,
     );
     return path;
   }
