--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -12,6 +12,7 @@
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Shares } from "../policy/shares.ts";
 import type { QueueFull, Waiting, WaitingQueue } from "../policy/waiting.ts";
+import type { Allowances } from "../ports/authority.ts";
 import type { Peers } from "../ports/peers.ts";
 import { add, noResources } from "../resources.ts";
 import type { Resources } from "../types.ts";
@@ -57,6 +58,9 @@
 /** What the controller needs. */
 export interface MatchingOptions {
   readonly placement: Placement;
+  readonly allowances: Allowances;
+  /** Teams that have an upper limit. */
+  readonly limitedTeams: () => Iterable<string>;
   readonly pool: WorkerPool;
   readonly queue: WaitingQueue;
   readonly shares: Shares;
@@ -68,7 +72,7 @@
 
 /** Both roles of an instance. */
 export class Matching {
-  readonly neighbours = new Neighbours();
+  readonly neighbours: Neighbours;
   readonly #options: MatchingOptions;
   readonly #startables = new Map<string, Startable>();
   readonly #blocked = new Map<string, number>();
@@ -80,12 +84,16 @@
   #newsTimer: Timer | undefined;
   #newsAtMs = -Infinity;
   #deadlineTimer: Timer | undefined;
+  #againTimer: Timer | undefined;
   #pumping = false;
   #scheduled = false;
   #stopped = false;
 
   constructor(options: MatchingOptions) {
     this.#options = options;
+    this.neighbours = new Neighbours((team) =>
+      options.allowances.limitOf(team) !== undefined
+    );
     options.placement.onRoom(() => this.schedule());
     options.peers.listen(newsNotice, (news, from) => this.#heard(from, news));
     options.peers.listen(offerNotice, (offer, from) => {
@@ -129,9 +137,10 @@
     this.#options.clock.after(forMs, () => this.schedule());
   }
 
-  /** A team has allowance again. */
-  unblock(team: string): void {
-    if (this.#blocked.delete(team)) this.schedule();
+  /** A team may have more running than before. */
+  gained(team: string): void {
+    this.#blocked.delete(team);
+    this.schedule();
   }
 
   /** Matches as soon as the present event is done with. */
@@ -144,9 +153,19 @@
     });
   }
 
+  /** Matches again shortly, since no event may tell that allowance can be had. */
+  #lookAgain(): void {
+    if (this.#againTimer !== undefined) return;
+    this.#againTimer = this.#options.clock.after(LIMIT_PAUSE_MS, () => {
+      this.#againTimer = undefined;
+      this.schedule();
+    });
+  }
+
   /** Ends the timers. */
   stop(): void {
     this.#stopped = true;
+    this.#againTimer?.cancel();
     this.#newsTimer?.cancel();
     this.#deadlineTimer?.cancel();
   }
@@ -154,6 +173,7 @@
   #pump(): void {
     if (this.#pumping) return;
     this.#pumping = true;
+    this.#expire();
     this.#refreshShares();
     while (this.#giveRoom());
     while (this.#push());
@@ -166,7 +186,7 @@
     const { placement, pool } = this.#options;
     if (pool.totals().free.slots <= 0) return false;
     const hasRoom = (need: Resources) => placement.findRoom(need) !== undefined;
-    const chosen = this.#choose(this.#allCandidates(), hasRoom);
+    const chosen = this.#choose(this.#allowed(), hasRoom);
     if (chosen === undefined) return false;
     if ("holder" in chosen) return this.#offerRoom(chosen as RemoteCandidate);
     return this.#startOwn(chosen as Waiting, { type: "self" });
@@ -175,14 +195,13 @@
   /** Pushes one item to a peer; `false` if none can be. */
   #push(): boolean {
     const nowMs = this.#options.clock.monotonic();
-    const roomAt = (need: Resources) => this.neighbours.withRoom(need, nowMs);
-    const chosen = this.#choose(
-      this.#options.queue.heads(),
-      (need) => roomAt(need) !== undefined,
-    );
-    const peer = chosen && roomAt(chosen.need);
+    const roomFor = (work: Candidate) => this.neighbours.withRoom(work, nowMs);
+    const pushable = [...this.#options.queue.heads()]
+      .filter((head) => roomFor(head) !== undefined);
+    const chosen = this.#choose(pushable, () => true);
+    const peer = chosen && roomFor(chosen);
     if (chosen === undefined || peer === undefined) return false;
-    this.neighbours.spend(peer, chosen.need);
+    this.neighbours.spend(peer, chosen);
     return this.#startOwn(chosen as Waiting, { type: "peer", peer });
   }
 
@@ -198,6 +217,19 @@
     });
   }
 
+  /** The work that allowance in hand lets start here; asks for more where there is none. */
+  *#allowed(): Generator<Candidate> {
+    const { allowances } = this.#options;
+    for (const candidate of this.#allCandidates()) {
+      if (allowances.available(candidate.team) > 0) {
+        yield candidate;
+      } else {
+        allowances.want(candidate.team);
+        this.#lookAgain();
+      }
+    }
+  }
+
   *#allCandidates(): Generator<Candidate> {
     yield* this.#options.queue.heads();
     yield* this.neighbours.waiting(this.#options.clock.monotonic());
@@ -227,38 +259,19 @@
 
   #offerRoom(candidate: RemoteCandidate): boolean {
     const { placement } = this.#options;
-    const { need } = candidate;
     this.neighbours.offered(candidate);
+    const reserved = placement.reserve(candidate, []);
+    if (reserved.type === "none") return false;
     this.#charge(candidate);
-    if (candidate.urgency === "deferred") {
-      void this.#offerReserved(candidate);
-      return true;
-    }
-    const place = placement.takeRoom(need, []);
-    if (place === undefined) return false;
-    this.#sendOffer(candidate, { place, allowed: false });
+    this.#sendOffer(candidate, reserved.place);
     return true;
   }
 
-  /** Offers room together with the team's allowance, since attempts of tasks are written ahead. */
-  async #offerReserved(candidate: RemoteCandidate): Promise<void> {
-    const { placement } = this.#options;
-    const reserved = await placement.reserve(candidate, []);
-    if (reserved.type === "place") {
-      this.#sendOffer(candidate, { place: reserved.place, allowed: true });
-    } else if (reserved.reason.type === "overLimit") {
-      this.block(candidate.team, reserved.retryAfterMs ?? LIMIT_PAUSE_MS);
-    }
-  }
-
-  #sendOffer(
-    candidate: RemoteCandidate,
-    { place, allowed }: { readonly place: Place; readonly allowed: boolean },
-  ): void {
+  #sendOffer(candidate: RemoteCandidate, place: Place): void {
     const { peers, placement } = this.#options;
     const { team, workload, urgency, need, holder } = candidate;
     const offer = randomUUID();
-    const room = { offer, ...place, team, need, reservation: offer, allowed };
+    const room = { offer, ...place, team, need, reservation: offer };
     placement.offers.hold(room, OFFER_LAPSE_MS);
     peers.notify(holder, offerNotice, {
       offer,
@@ -324,7 +337,11 @@
 
   #sendNews(evenIfSame: boolean): void {
     const news = this.#news();
-    const fingerprint = JSON.stringify([news.free, laneCounts(news)]);
+    const fingerprint = JSON.stringify([
+      news.free,
+      news.spare,
+      laneCounts(news),
+    ]);
     if (!evenIfSame && fingerprint === this.#lastNews) return;
     this.#lastNews = fingerprint;
     this.#newsAtMs = this.#options.clock.monotonic();
@@ -341,6 +358,7 @@
     return {
       sequence: this.#sequence,
       free: spare,
+      spare: this.#spare(),
       largest: largestRoom(pool),
       capacity,
       backlog: queue.summary(clock.monotonic())
@@ -349,17 +367,33 @@
     };
   }
 
+  /** Allowance in hand of the teams that have a limit. */
+  #spare(): Record<string, number> {
+    const { allowances, limitedTeams } = this.#options;
+    const spare: Record<string, number> = {};
+    for (const team of limitedTeams()) {
+      const available = allowances.available(team);
+      if (available > 0) spare[team] = available;
+    }
+    return spare;
+  }
+
   #armDeadline(): void {
     const { clock, queue } = this.#options;
     this.#deadlineTimer?.cancel();
     const next = queue.nextDeadlineMs();
     if (next === undefined) return;
     const delayMs = Math.max(0, next - clock.monotonic());
-    this.#deadlineTimer = clock.after(delayMs, () => this.#expire());
+    this.#deadlineTimer = clock.after(delayMs, () => {
+      this.#expire();
+      this.#armDeadline();
+    });
   }
 
   #expire(): void {
     const { clock, queue } = this.#options;
+    const nextMs = queue.nextDeadlineMs() ?? Infinity;
+    if (nextMs > clock.monotonic()) return;
     for (const waiting of queue.expire(clock.monotonic())) {
       const startable = this.#startables.get(waiting.id);
       this.#startables.delete(waiting.id);
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -9,20 +9,16 @@
 import { unreachable, type WorkerFailure } from "../errors.ts";
 import type { Log } from "../logger.ts";
 import type { WorkerPool } from "../policy/pool.ts";
-import type {
-  Allowances,
-  Authority,
-  LimitFailure,
-} from "../ports/authority.ts";
+import type { Allowances, Authority } from "../ports/authority.ts";
 import type { Upstream } from "../ports/upstream.ts";
 import type { Reason, Resources } from "../types.ts";
 import type { RunOrder, RunResult } from "../wire/dispatch.ts";
 import { type HeldRoom, Offers } from "./offers.ts";
 import { type OwnedWorkers, WORKER_UNIT } from "./owned_workers.ts";
 
-/** Longest wait for a team's home instance, milliseconds. */
-const ALLOWANCE_WAIT_MS = 200;
-/** Orders are remembered for so long, milliseconds. */
+/** Time to come back after while a team is at its limit, milliseconds. */
+const LIMIT_RETRY_MS = 250;
+/** Orders are remembered for so long beyond their timeouts, milliseconds. */
 const ORDER_MEMORY_MS = 15_000;
 
 /** Told how each run on a worker went. */
@@ -50,11 +46,14 @@
   readonly observer: RunObserver;
 }
 
-interface OrderMemory {
-  /** A barred order came too late: its holder has counted it as not started. */
-  readonly state: "started" | "barred";
-  readonly atMs: number;
-}
+/** What is remembered of an order. */
+type OrderMemory =
+  & { readonly untilMs: number }
+  & (
+    | { readonly state: "started"; readonly worker: string }
+    /** Came too late: its holder has counted it as not started. */
+    | { readonly state: "barred" }
+  );
 
 /** Room taken on a worker. */
 export interface Place {
@@ -86,7 +85,7 @@
       pool: options.pool,
       clock: options.clock,
       released: (room) => {
-        if (room.allowed) options.allowances.give(room.team);
+        options.allowances.give(room.team);
         this.roomChanged();
       },
     });
@@ -117,18 +116,17 @@
 
   /** Sends a request to a worker, or says why not. */
   async run(order: RunOrder): Promise<RunResult> {
-    if (this.#orders.has(order.id)) {
-      return notStarted({ type: "duplicateKey" });
-    }
-    const found = await this.#acquire(order);
+    const earlier = this.#earlier(order.id);
+    if (earlier !== undefined) return earlier;
+    const found = this.#acquire(order);
     if (found.type === "none") {
       return { ...notStarted(found.reason), retryAfterMs: found.retryAfterMs };
     }
     const { place } = found;
-    const barrier = this.#barrier(order.id, place);
+    const barrier = this.#barrier(order, place);
     if (barrier !== undefined) {
       this.#vacate(order, place);
-      return notStarted(barrier);
+      return barrier;
     }
     return await this.#send(order, place);
   }
@@ -136,7 +134,8 @@
   /** Whether an order was started. One that was not is barred from then on. */
   settle(id: string): boolean {
     if (this.#orders.get(id)?.state === "started") return true;
-    this.#remember(id, "barred");
+    const untilMs = this.#options.clock.monotonic() + ORDER_MEMORY_MS;
+    this.#remember(id, { state: "barred", untilMs });
     return false;
   }
 
@@ -193,24 +192,38 @@
     else this.#usage.set(team, after);
   }
 
-  async #acquire(order: RunOrder): Promise<PlaceResult> {
-    const place = this.#room(order);
-    if (place === undefined) return this.#noRoom(order.workload);
-    return await this.#allow(order, place);
+  #acquire(order: RunOrder): PlaceResult {
+    const { offer, need, team, avoid } = order;
+    const held = offer === undefined ? undefined : this.offers.claim(offer);
+    if (held === undefined) return this.reserve(order, avoid);
+    const place = this.#placeOf(held, order);
+    if (place !== undefined) return { type: "place", place };
+    this.#options.allowances.give(held.team);
+    return this.reserve({ team, need, workload: order.workload }, avoid);
   }
 
-  /** Takes room and allowance for a task; whoever gets them gives them back. */
-  async reserve(
+  /** Takes room and allowance; whoever gets them gives them back. */
+  reserve(
     task: {
       readonly team: string;
       readonly workload: string;
       readonly need: Resources;
     },
     avoid: readonly string[],
-  ): Promise<PlaceResult> {
+  ): PlaceResult {
+    const { allowances, pool } = this.#options;
     const place = this.takeRoom(task.need, avoid);
     if (place === undefined) return this.#noRoom(task.workload);
-    return await this.#allow(task, place);
+    if (allowances.tryTake(task.team)) return { type: "place", place };
+    pool.release(place.worker, task.need);
+    allowances.want(task.team);
+    return this.#atLimit(task.team);
+  }
+
+  #atLimit(team: string): PlaceResult {
+    const limit = this.#options.allowances.limitOf(team) ?? 0;
+    const reason: Reason = { type: "overLimit", team, limit };
+    return { type: "none", reason, retryAfterMs: LIMIT_RETRY_MS };
   }
 
   #noRoom(workload: string): PlaceResult {
@@ -220,30 +233,6 @@
       : none({ type: "isolated" });
   }
 
-  /** Adds the team's allowance to room that was taken, or frees the room. */
-  async #allow(
-    { team, need }: { readonly team: string; readonly need: Resources },
-    place: Place,
-  ): Promise<PlaceResult> {
-    const { allowances, pool } = this.#options;
-    if (allowances.tryTake(team)) return { type: "place", place };
-    const taken = await allowances.take(team, ALLOWANCE_WAIT_MS);
-    if (taken.isOk()) return { type: "place", place };
-    pool.release(place.worker, need);
-    this.roomChanged();
-    const reason = reasonOfLimit(taken.error);
-    return { type: "none", reason, retryAfterMs: taken.error.retryAfterMs };
-  }
-
-  #room(order: RunOrder): Place | undefined {
-    if (order.offer === undefined) {
-      return this.takeRoom(order.need, order.avoid);
-    }
-    const held = this.offers.claim(order.offer);
-    if (held === undefined) return this.takeRoom(order.need, order.avoid);
-    return this.#placeOf(held, order);
-  }
-
   #placeOf(held: HeldRoom, order: RunOrder): Place | undefined {
     const { pool, workers } = this.#options;
     const fence = workers.fence(held.worker);
@@ -251,14 +240,34 @@
       !order.avoid.includes(held.worker);
     if (suits) return { worker: held.worker, fence };
     pool.release(held.worker, held.need);
-    return this.takeRoom(order.need, order.avoid);
+    return undefined;
+  }
+
+  /** What to answer to an order that was started or barred before. */
+  #earlier(id: string): RunResult | undefined {
+    const order = this.#orders.get(id);
+    switch (order?.state) {
+      case undefined:
+        return undefined;
+      case "barred":
+        return notStarted({ type: "cancelled" });
+      case "started": {
+        const { worker } = order;
+        return { type: "lost", reason: { type: "duplicateKey" }, worker };
+      }
+    }
   }
 
-  #barrier(id: string, place: Place): Reason | undefined {
-    if (this.#orders.has(id)) return { type: "cancelled" };
+  #barrier(order: RunOrder, place: Place): RunResult | undefined {
+    const earlier = this.#earlier(order.id);
+    if (earlier !== undefined) return earlier;
     const refusal = this.refusal(place);
-    if (refusal === undefined) this.#remember(id, "started");
-    return refusal;
+    if (refusal !== undefined) return notStarted(refusal);
+    const nowMs = this.#options.clock.monotonic();
+    const untilMs = nowMs + order.request.timeoutMs + ORDER_MEMORY_MS;
+    const { worker } = place;
+    this.#remember(order.id, { state: "started", worker, untilMs });
+    return undefined;
   }
 
   async #send(order: RunOrder, place: Place): Promise<RunResult> {
@@ -325,10 +334,10 @@
     }
   }
 
-  /** Frees room at once but keeps the allowance until the worker's reports show the request gone. */
+  /** Keeps room and allowance until the worker's reports show the request gone. */
   #lose(order: RunOrder, worker: string): void {
     const { pool, workers } = this.#options;
-    workers.requestLost(worker, order.id);
+    workers.requestLost(worker, order);
     pool.release(worker, order.need);
     this.charge(order.team, order.need, -1);
     const teams = this.#lost.get(worker) ?? [];
@@ -352,11 +361,11 @@
     this.giveBack({ ...order, worker: place.worker });
   }
 
-  #remember(id: string, state: OrderMemory["state"]): void {
+  #remember(id: string, memory: OrderMemory): void {
     const nowMs = this.#options.clock.monotonic();
-    this.#orders.set(id, { state, atMs: nowMs });
-    for (const [oldest, { atMs }] of this.#orders) {
-      if (nowMs - atMs < ORDER_MEMORY_MS) return;
+    this.#orders.set(id, memory);
+    for (const [oldest, { untilMs }] of this.#orders) {
+      if (nowMs < untilMs) return;
       this.#orders.delete(oldest);
     }
   }
@@ -376,19 +385,3 @@
 function none(reason: Reason): PlaceResult {
   return { type: "none", reason };
 }
-
-/** The reason that a caller is told for a {@linkcode LimitFailure}. */
-export function reasonOfLimit(failure: LimitFailure): Reason {
-  switch (failure.type) {
-    case "overLimit":
-      return {
-        type: "overLimit",
-        team: failure.team,
-        limit: failure.limit,
-      };
-    case "homeAway":
-      return { type: "noOwner" };
-    default:
-      return unreachable(failure);
-  }
-}
--- a/src/ports/authority.ts
+++ b/src/ports/authority.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type { ResultAsync } from "neverthrow";
 import type { Instance } from "../types.ts";
 
 /** Ownership of units: `worker:<id>`, `team:<name>`, `home:<n>`, `segment:<member>`. */
@@ -22,28 +21,16 @@
   onChange(listener: () => void): void;
 }
 
-/** Why a team may not start more now. */
-export type LimitFailure =
-  | {
-    readonly type: "overLimit";
-    readonly message: string;
-    readonly team: string;
-    readonly limit: number;
-    readonly retryAfterMs: number;
-  }
-  | {
-    readonly type: "homeAway";
-    readonly message: string;
-    readonly team: string;
-    readonly retryAfterMs: number;
-  };
-
 /** Permission to have one more running, within the teams' upper limits. */
 export interface Allowances {
   /** Takes from what is in hand, without waiting. */
   tryTake(team: string): boolean;
-  /** Takes, asking the team's home instance if nothing is in hand. */
-  take(team: string, timeoutMs: number): ResultAsync<void, LimitFailure>;
+  /** How much may be taken without waiting; infinite for a team without a limit. */
+  available(team: string): number;
+  /** Asks the team's home instance for more, without waiting for it. */
+  want(team: string): void;
+  /** A team's upper limit; `undefined` if it has none. */
+  limitOf(team: string): number | undefined;
   /** Gives one back after its work has ended. */
   give(team: string): void;
   /** Accounts for running work that was found on an adopted worker. */
