Give every state of work and team a reason in explain

Cause: explain named a reason only for work that waits; work that runs, is parked or was cancelled had none, and a team below its share was told only of its upper limit. An instance without contact was not named as the cause.

Ruled out: log lines and spans of requests carry the reason of every outcome.

Before: no reason for four of five states of a task. After: the tables of states and of what work waits for pass, and the compiler asks for a sentence and a status of each reason.

Conclusion: the decision is a pure function of what the instance knows.

--- a/src/http/explain.ts
+++ b/src/http/explain.ts
@@ -7,7 +7,9 @@
 import type { Instance } from "../daemon/instance.ts";
 import { dominantShare } from "../resources.ts";
 import type { Reason } from "../types.ts";
+import type { WorkView } from "../controllers/work_view.ts";
 import { describe } from "./answers.ts";
+import { waitReason, workReason } from "./reasons.ts";
 
 /** An explanation: the facts, and one sentence for a person. */
 export type Explanation =
@@ -44,40 +46,38 @@
     const summary = `the instance that holds ${id} is being replaced`;
     return { type: "work", summary, reason, facts: {} };
   }
-  const facts = answer.work as {
-    readonly status: string;
-    readonly workload: string;
-    readonly team: string;
-  };
-  const waits = facts.status === "waiting";
-  const reason = waits ? waitReason(instance, facts) : undefined;
+  const facts = answer.work as Pick<
+    WorkView,
+    "status" | "workload" | "team" | "tasks"
+  >;
+  const reason = workReason(facts.tasks, () => waitReasonOf(instance, facts));
   const why = reason === undefined ? "" : `: ${describe(reason)}`;
   const summary = `work ${id} of team ${facts.team} is ${facts.status}${why}`;
   return { type: "work", summary, reason, facts };
 }
 
-function waitReason(
+function waitReasonOf(
   instance: Instance,
-  work: { readonly workload: string; readonly team: string },
+  { workload: name, team }: {
+    readonly workload: string;
+    readonly team: string;
+  },
 ): Reason {
-  const workload = instance.settings.workload(work.workload);
-  if (workload === undefined) {
-    return { type: "unknownWorkload", workload: work.workload };
-  }
-  if (!instance.couldEverFit(workload.resources)) {
-    return { type: "neverFits", workload: work.workload };
-  }
-  const limit = instance.settings.limits().get(work.team);
-  const running = instance.shares.usage(work.team).slots;
-  if (limit !== undefined && running >= limit) {
-    return { type: "overLimit", team: work.team, limit };
-  }
-  if (instance.membership.reach().type !== "up") return { type: "storeAway" };
-  const fair = instance.shares.fairRank();
-  if (instance.shares.rank(work.team) > fair) {
-    return { type: "overShare", team: work.team };
-  }
-  return { type: "noRoom", workload: work.workload };
+  const { authority, membership, settings, shares } = instance;
+  const workload = settings.workload(name);
+  return waitReason({
+    team,
+    workload: name,
+    known: workload !== undefined,
+    couldEverFit: workload === undefined ||
+      instance.couldEverFit(workload.resources),
+    inContact: authority.inContact(),
+    storeReached: membership.reach().type === "up",
+    limit: settings.limits().get(team),
+    running: shares.usage(team).slots,
+    rank: shares.rank(team),
+    fairRank: shares.fairRank(),
+  });
 }
 
 function explainTeam(instance: Instance, team: string): Explanation {
@@ -94,9 +94,13 @@
     ? "waits for room"
     : "has nothing waiting here";
   const summary = `team ${team} has ${usage.slots} running and ${state}`;
-  const reason: Reason | undefined = atLimit
+  const [head] = instance.queue.heads({ team });
+  const overLimit: Reason | undefined = atLimit
     ? { type: "overLimit", team, limit }
     : undefined;
+  const reason = head === undefined
+    ? overLimit
+    : waitReasonOf(instance, { team, workload: head.workload });
   const facts = {
     usage,
     share,
--- a/testbed/_faulted_load_test.ts
+++ b/testbed/_faulted_load_test.ts
@@ -85,7 +85,11 @@
     load,
     records: workers,
     capacity: CAPACITY,
-    requestNeeds: { "receipt-print": NEED, "recipe-check": NEED },
+    services: [
+      { prefix: "/print", need: NEED, idempotent: false },
+      { prefix: "/check", need: NEED, idempotent: true },
+    ],
+    onceTasks: ["price-import"],
     limits: LIMITS,
     requestTeam: "counter",
     unfinished,
