--- /dev/null
+++ b/tools/check_docs.ts
@@ -0,0 +1,15 @@
+/**
+ * `node dist/tools/check_docs.js [DIRECTORY]`: checks that links, anchors,
+ * npm scripts, benches and files that the pages name exist.
+ *
+ * @module
+ */
+import process from "node:process";
+import { checkPages } from "./references.ts";
+
+const { passed, problems } = checkPages(process.argv[2] ?? ".");
+for (const { page, line, message } of problems) {
+  console.log(`${page}:${line}: ${message}`);
+}
+console.log(`${passed} passed, ${problems.length} failed`);
+process.exitCode = problems.length > 0 ? 1 : 0;
