--- a/bench/main.ts
+++ b/bench/main.ts
@@ -13,6 +13,7 @@
 import { benchPacking } from "./packing.ts";
 import { benchRecovery } from "./recovery.ts";
 import { Results } from "./results.ts";
+import { benchRoles } from "./roles.ts";
 import { benchShares } from "./shares.ts";
 import { benchWaiting } from "./waiting.ts";
 
@@ -27,6 +28,7 @@
   journal: benchJournal,
   packing: benchPacking,
   recovery: benchRecovery,
+  roles: benchRoles,
   shares: benchShares,
   waiting: benchWaiting,
 };
--- /dev/null
+++ b/bench/roles.ts
@@ -0,0 +1,301 @@
+/**
+ * What each role of an instance costs in memory, processor time and bytes,
+ * by the number of what it keeps: the slopes of docs/CAPACITY.md.
+ *
+ * @module
+ */
+import { performance } from "node:perf_hooks";
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import * as t from "io-ts";
+import { decodeJson } from "../src/adapters/decoding.ts";
+import { ReportAnswer } from "../src/adapters/agent_messages.ts";
+import { systemClock } from "../src/clock.ts";
+import { newWork } from "../src/journal/work_state.ts";
+import { WorkTable } from "../src/journal/work_table.ts";
+import { silentLog } from "../src/logger.ts";
+import { parseOperatorSet } from "../src/operator_set/parse.ts";
+import { TcpPeers } from "../src/peers/tcp_peers.ts";
+import { WaitingQueue } from "../src/policy/waiting.ts";
+import type { Call } from "../src/ports/peers.ts";
+import { KEY_LIMITS, KeyMemory } from "../src/state/key_memory.ts";
+import type { Instance, Resources } from "../src/types.ts";
+import { News, newsNotice } from "../src/wire/dispatch.ts";
+import { drawNeed, drawPool } from "./cluster.ts";
+import { Random } from "./random.ts";
+import type { Results } from "./results.ts";
+
+const MICROS_A_MS = 1_000;
+const BODY_BYTES = 400;
+const PEERS_KEY = "bench-peers-key-0123456789";
+const CALLS_AT_ONCE = 64;
+const WARM_UP_CALLS = 20_000;
+
+/** Fills in the figures. */
+export async function benchRoles(
+  results: Results,
+  seed: number,
+): Promise<void> {
+  setFlagsFromString("--expose-gc");
+  const random = new Random(seed);
+  for (const workers of [1_000, 5_000, 19_000]) {
+    const bytes = retained(() => drawPool(random, { workers, slots: 64 }));
+    results.line(`owner_workers${workers}_bytes_a_worker`, bytes / workers);
+  }
+  for (const tasks of [8, 16, 32, 64]) report(results, tasks);
+  for (const waiting of [1_000, 10_000, 50_000]) {
+    const bytes = retained(() => queueOf(random, { waiting, teams: 170 }));
+    results.line(`holder_waiting${waiting}_bytes_an_item`, bytes / waiting);
+  }
+  for (const teams of [12, 60, 170]) news(results, { random, teams });
+  for (const keys of [1_000, 5_000, 10_000]) homeOfKeys(results, keys);
+  for (const works of [1_000, 10_000, 50_000]) {
+    const bytes = retained(() => tableOf(works));
+    results.line(`journal_works${works}_bytes_a_work`, bytes / works);
+  }
+  for (const teams of [12, 60, 170, 1_000]) set(results, teams);
+  await callMicros(WARM_UP_CALLS);
+  for (const calls of [10_000, 20_000, 40_000]) {
+    results.line(`links_calls${calls}_us_a_call`, await callMicros(calls));
+  }
+}
+
+/** Bytes of heap that the result of `make` holds. */
+function retained(make: () => unknown): number {
+  const collect = runInNewContext("gc") as () => void;
+  make();
+  collect();
+  const before = process.memoryUsage().heapUsed;
+  const kept = [make()];
+  collect();
+  const bytes = process.memoryUsage().heapUsed - before;
+  return kept.length > 0 ? bytes : 0;
+}
+
+/** Microseconds of one run of an action, over runs of 300 ms in all. */
+function microsOf(action: () => unknown): number {
+  const began = performance.now();
+  let runs = 0;
+  for (; performance.now() - began < 300; runs++) action();
+  return (performance.now() - began) * MICROS_A_MS / runs;
+}
+
+function report(results: Results, tasks: number): void {
+  const used = needOf(1_000);
+  const text = JSON.stringify({
+    ageMs: 200,
+    leaving: false,
+    requests: 4,
+    tasks: Array.from({ length: tasks }, (_, index) => ({
+      attempt: `3f0c2b8e-0c0e-4d55-9a35-${String(index).padStart(12, "0")}`,
+      task: `instance-1-0a1b2c3d.${index}/0`,
+      team: "team-17",
+      workload: "page-count-billing",
+      state: { type: "running" },
+      declared: used,
+      used,
+    })),
+  });
+  const name = `owner_report_tasks${tasks}`;
+  results.line(`${name}_bytes`, text.length);
+  results.line(`${name}_us`, microsOf(() => decodeJson(ReportAnswer, text)));
+}
+
+function news(
+  results: Results,
+  { random, teams }: { readonly random: Random; readonly teams: number },
+): void {
+  const queue = queueOf(random, { waiting: teams * 10, teams });
+  const usage = Object.fromEntries(
+    Array.from({ length: teams }, (_, at) => [`team-${at}`, needOf(4_000)]),
+  );
+  const make = () => ({
+    sequence: 1,
+    free: needOf(0),
+    largest: needOf(0),
+    capacity: needOf(64_000),
+    backlog: queue.summary(0).map((lane) => ({
+      ...lane,
+      dueInMs: lane.dueInMs,
+    })),
+    usage,
+  });
+  const encode = () =>
+    JSON.stringify({
+      jsonrpc: "2.0",
+      method: newsNotice.method,
+      params: News.encode(make()),
+    });
+  const text = encode();
+  const name = `holder_news_teams${teams}`;
+  results.line(`${name}_bytes`, text.length);
+  results.line(`${name}_send_us`, microsOf(encode));
+  results.line(`${name}_receive_us`, microsOf(() => decodeNews(text)));
+}
+
+function decodeNews(text: string): unknown {
+  return decodeJson(t.type({ params: News }), text);
+}
+
+function queueOf(
+  random: Random,
+  size: { readonly waiting: number; readonly teams: number },
+): WaitingQueue {
+  const queue = new WaitingQueue(() => ({
+    maxWaiting: Infinity,
+    maxWaitingPerTeam: Infinity,
+  }));
+  for (let at = 0; at < size.waiting; at++) {
+    queue.push({
+      id: `instance-1-0a1b2c3d.${at}/0/0`,
+      team: `team-${at % size.teams}`,
+      queue: "queue",
+      workload: "page-count-billing",
+      urgency: "deferred",
+      need: drawNeed(random),
+      arrivedAtMs: at,
+      dueAtMs: at + 60_000,
+    });
+  }
+  return queue;
+}
+
+function homeOfKeys(results: Results, keys: number): void {
+  const origin = { completeSince: 0, forgottenUpTo: 0, rows: [] };
+  const use = (at: number) => ({
+    team: "team-17",
+    key: `0192f0c1-7a3b-7c00-8000-${String(at).padStart(12, "0")}`,
+    request: `3f0c2b8e-0c0e-4d55-9a35-${String(at).padStart(12, "0")}`,
+    entry: "instance-1-0a1b2c3d",
+    deadline: 10_000,
+  });
+  let micros = 0;
+  const bytes = retained(() => {
+    const memory = new KeyMemory(KEY_LIMITS, origin);
+    const began = performance.now();
+    for (let at = 0; at < keys; at++) {
+      memory.begin(use(at), 10_000_000);
+      memory.finish(use(at), done, 10_000_000);
+    }
+    micros = (performance.now() - began) * MICROS_A_MS;
+    return memory;
+  });
+  results.line(`key_home_keys${keys}_bytes_a_key`, bytes / keys);
+  results.line(`key_home_keys${keys}_us_a_key`, micros / keys);
+}
+
+const done = {
+  type: "done",
+  answer: { status: 200, headers: {}, body: "b2s=", worker: "worker-1" },
+} as const;
+
+function tableOf(works: number): WorkTable {
+  const table = new WorkTable();
+  for (let sequence = 1; sequence <= works; sequence++) {
+    const record = {
+      type: "submitted",
+      work: sequence,
+      team: "team-17",
+      workload: "page-count-billing",
+      payload: `${sequence}`.padEnd(BODY_BYTES, "x"),
+      at: 1_000,
+      count: 1,
+    } as const;
+    table.apply(1, record as Parameters<typeof newWork>[0]);
+  }
+  return table;
+}
+
+/** A set with a queue and two workloads for each team. */
+function set(results: Results, teams: number): void {
+  const text = Array.from({ length: teams }, (_, at) => teamText(at)).join("");
+  const file = "set.ini";
+  const parse = () => parseOperatorSet(text, { file })._unsafeUnwrap();
+  const name = `configuration_teams${teams}`;
+  results.line(`${name}_bytes`, text.length);
+  results.line(`${name}_parse_ms`, microsOf(parse) / MICROS_A_MS);
+  results.line(`${name}_heap_bytes`, retained(parse));
+}
+
+function teamText(at: number): string {
+  const name = `team-${at}`;
+  return `[team ${name}]
+account = ${name}
+
+[share ${name}]
+team = ${name}
+weight = 1
+
+[limit ${name}]
+team = ${name}
+running = 1000
+
+[queue ${name}]
+urgency = deferred
+teams = ${name}
+
+[workload ${name}-a]
+kind = batch
+queue = ${name}
+cpu = 1
+memory = 1GiB
+timeout = 10m
+
+[workload ${name}-b]
+kind = batch
+queue = ${name}
+cpu = 2
+memory = 2GiB
+timeout = 10m
+
+`;
+}
+
+const echo: Call<{ body: string }, { body: string }> = {
+  method: "bench.echo",
+  params: t.type({ body: t.string }),
+  result: t.type({ body: t.string }),
+};
+
+/** Processor time of a call between two instances over loopback, both ends together. */
+async function callMicros(calls: number): Promise<number> {
+  const [a, b] = [instanceOf("a", 7_461), instanceOf("b", 7_462)];
+  const from = peersOf(a);
+  const to = peersOf(b);
+  to.serve(echo, (params) => params);
+  await Promise.all([from.listening(), to.listening()]);
+  from.setMembers([a, b]);
+  while (!from.linked("b")) await new Promise((done) => setTimeout(done, 5));
+  const body = "x".repeat(BODY_BYTES);
+  const began = process.cpuUsage();
+  const lane = async () => {
+    for (let at = 0; at < calls / CALLS_AT_ONCE; at++) {
+      await from.call("b", echo, { params: { body }, timeoutMs: 5_000 });
+    }
+  };
+  await Promise.all(Array.from({ length: CALLS_AT_ONCE }, lane));
+  const { user, system } = process.cpuUsage(began);
+  from.close();
+  to.close();
+  return (user + system) / calls;
+}
+
+function instanceOf(id: string, port: number): Instance {
+  const address = `127.0.0.1:${port}`;
+  return { id, peerAddress: address, callerAddress: address, zone: "zone-1" };
+}
+
+function peersOf(self: Instance): TcpPeers {
+  return new TcpPeers({
+    self,
+    listen: self.peerAddress,
+    key: PEERS_KEY,
+    clock: systemClock,
+    log: silentLog,
+  });
+}
+
+function needOf(cpuMillis: number): Resources {
+  return { cpuMillis, memoryMib: 1_024, accelerators: 0, slots: 1 };
+}
