--- /dev/null
+++ b/bench/idle.ts
@@ -0,0 +1,83 @@
+/**
+ * Memory and processor time of daemons as processes that have nothing to do,
+ * by the number of instances and of workers.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { smallSet } from "../testbed/small_set.ts";
+import { pause, Testbed } from "../testbed/testbed.ts";
+import type { Results } from "./results.ts";
+
+const SETTLE_MS = 5_000;
+const MEASURED_MS = 10_000;
+/** Ticks of processor time a second, as the kernel counts them. */
+const TICKS_PER_SECOND = 100;
+const NODE_CORE_PERCENT_TARGET = 2.8;
+const NODE_MEMORY_MIB_TARGET = 256;
+const LIMITS = { counter: 60, billing: 80 };
+
+interface Shape {
+  readonly instances: number;
+  readonly workers: number;
+}
+
+const shapes: readonly Shape[] = [
+  { instances: 2, workers: 30 },
+  { instances: 4, workers: 30 },
+  { instances: 8, workers: 30 },
+  { instances: 2, workers: 120 },
+  { instances: 2, workers: 240 },
+];
+
+/** Fills in the figures. */
+export async function benchIdle(results: Results): Promise<void> {
+  for (const shape of shapes) await measure(results, shape);
+}
+
+async function measure(results: Results, shape: Shape): Promise<void> {
+  const bed = await Testbed.start({
+    ...shape,
+    zones: ["zone-1", "zone-2", "zone-3"],
+    set: smallSet({ limits: LIMITS }).text,
+  });
+  try {
+    await pause(SETTLE_MS);
+    const pids = bed.nodes.map(({ process }) => process.child.pid!);
+    const before = pids.map(ticksOf);
+    await pause(MEASURED_MS);
+    const ticks = pids.map((pid, at) => ticksOf(pid) - before[at]!);
+    const seconds = MEASURED_MS / 1_000;
+    const percent = mean(ticks) / TICKS_PER_SECOND / seconds * 100;
+    const name = `instances${shape.instances}_workers${shape.workers}`;
+    results.atMost(
+      `${name}_core_percent`,
+      percent,
+      NODE_CORE_PERCENT_TARGET,
+    );
+    results.atMost(
+      `${name}_memory_mib`,
+      mean(pids.map(memoryMibOf)),
+      NODE_MEMORY_MIB_TARGET,
+    );
+  } finally {
+    await bed.stop();
+  }
+}
+
+/** Processor time of a process in user and system, in ticks. */
+function ticksOf(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  return Number(fields[11]) + Number(fields[12]);
+}
+
+/** Resident memory of a process. */
+function memoryMibOf(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  return Number(/^VmRSS:\s+(\d+)/m.exec(status)?.[1] ?? 0) / 1_024;
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 import { benchDecisions } from "./decisions.ts";
 import { benchFaults } from "./faults.ts";
 import { benchGangs } from "./gangs.ts";
+import { benchIdle } from "./idle.ts";
 import { benchJournal } from "./journal.ts";
 import { benchPacking } from "./packing.ts";
 import { benchRecovery } from "./recovery.ts";
@@ -25,6 +26,7 @@
   decisions: benchDecisions,
   faults: benchFaults,
   gangs: benchGangs,
+  idle: benchIdle,
   journal: benchJournal,
   packing: benchPacking,
   recovery: benchRecovery,
