--- a/demo/main.ts
+++ b/demo/main.ts
@@ -8,7 +8,12 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { issueKey } from "../src/operator_set/keys.ts";
-import { checkRecords, type WorkerRecord } from "../testbed/checker.ts";
+import {
+  type CheckOptions,
+  checkRecords,
+  evidenceOf,
+  type WorkerRecord,
+} from "../testbed/checker.ts";
 import type { RequestNote } from "../testbed/load.ts";
 import { pause, Testbed } from "../testbed/testbed.ts";
 import { Counter } from "./counter.ts";
@@ -141,7 +146,7 @@
   const { workers } = await bed.workerRecords() as {
     workers: readonly WorkerRecord[];
   };
-  const violations = checkRecords({
+  const options: CheckOptions = {
     load: { requests: [...told.notes] },
     records: workers,
     capacity: CAPACITY,
@@ -154,10 +159,13 @@
     limits: { "ulaanbaatar-central": 120, darkhan: 90 },
     requestTeam: "ulaanbaatar-central",
     unfinished: told.unfinished,
-  });
+  };
+  const violations = checkRecords(options);
   table("the stand-ins' own records", Object.entries(violations));
   const good = Object.values(violations).every((count) => count === 0);
   say(good ? "all promises held" : "a promise was broken");
+  const evidence = evidenceOf(options);
+  if (evidence.length > 0) process.stderr.write(evidence.join("\n") + "\n");
   return good;
 }
 
--- a/src/controllers/limits.ts
+++ b/src/controllers/limits.ts
@@ -54,6 +54,7 @@
   readonly #homes: LimitHomes;
   readonly #leftovers: Leftovers;
   readonly #accounts = new Map<string, LimitAccount>();
+  readonly #grantedListeners: ((team: string) => void)[] = [];
   #limits: ReadonlyMap<string, number> = new Map();
   #since = 0;
   #timer: Timer | undefined;
@@ -105,6 +106,26 @@
     return account.tryTake() ? okAsync(undefined) : account.take(timeoutMs);
   }
 
+  /** How much may be taken without waiting; infinite for a team without a limit. */
+  available(team: string): number {
+    return this.#account(team).available;
+  }
+
+  /** Asks the home for more, without waiting for it. */
+  want(team: string): void {
+    this.#account(team).want();
+  }
+
+  /** A team's upper limit; `undefined` if it has none. */
+  limitOf(team: string): number | undefined {
+    return this.#limits.get(team);
+  }
+
+  /** Calls `listener` with a team that has allowance in hand again. */
+  onGranted(listener: (team: string) => void): void {
+    this.#grantedListeners.push(listener);
+  }
+
   /** Work of a team has ended. */
   give(team: string): void {
     this.#account(team).give();
@@ -214,6 +235,9 @@
       team,
       clock: this.#options.clock,
       exchange: (request) => this.#exchange(team, request),
+      granted: () => {
+        for (const listener of this.#grantedListeners) listener(team);
+      },
     });
     account.limited = this.#limits.has(team);
     this.#accounts.set(team, account);
