--- a/bench/idle.ts
+++ b/bench/idle.ts
@@ -1,6 +1,6 @@
 /**
- * Memory and processor time of daemons as processes that have nothing to do,
- * by the number of instances and of workers.
+ * Memory, processor time and traffic of daemons as processes that have nothing
+ * to do, by the number of instances and of workers.
  *
  * @module
  */
@@ -15,6 +15,7 @@
 const TICKS_PER_SECOND = 100;
 const NODE_CORE_PERCENT_TARGET = 2.8;
 const NODE_MEMORY_MIB_TARGET = 256;
+const NODE_BYTES_TARGET = 5_000;
 const LIMITS = { counter: 60, billing: 80 };
 
 interface Shape {
@@ -44,9 +45,16 @@
   try {
     await pause(SETTLE_MS);
     const pids = bed.nodes.map(({ process }) => process.child.pid!);
-    const before = pids.map(ticksOf);
+    const before = pids.map((pid) => ({
+      ...trafficOf(pid),
+      ticks: ticksOf(pid),
+    }));
     await pause(MEASURED_MS);
-    const ticks = pids.map((pid, at) => ticksOf(pid) - before[at]!);
+    const ticks = pids.map((pid, at) => ticksOf(pid) - before[at]!.ticks);
+    const sent = pids.map((pid, at) => trafficOf(pid).sent - before[at]!.sent);
+    const received = pids.map((pid, at) =>
+      trafficOf(pid).received - before[at]!.received
+    );
     const seconds = MEASURED_MS / 1_000;
     const percent = mean(ticks) / TICKS_PER_SECOND / seconds * 100;
     const name = `instances${shape.instances}_workers${shape.workers}`;
@@ -60,6 +68,12 @@
       mean(pids.map(memoryMibOf)),
       NODE_MEMORY_MIB_TARGET,
     );
+    results.atMost(
+      `${name}_sent_bytes_a_second`,
+      mean(sent) / seconds,
+      NODE_BYTES_TARGET,
+    );
+    results.line(`${name}_received_bytes_a_second`, mean(received) / seconds);
   } finally {
     await bed.stop();
   }
@@ -72,6 +86,16 @@
   return Number(fields[11]) + Number(fields[12]);
 }
 
+/** Bytes that a process has written and read, nearly all to and from sockets. */
+function trafficOf(
+  pid: number,
+): { readonly sent: number; readonly received: number } {
+  const io = readFileSync(`/proc/${pid}/io`, "utf8");
+  const field = (name: string) =>
+    Number(new RegExp(`^${name}: (\\d+)`, "m").exec(io)?.[1] ?? 0);
+  return { sent: field("wchar"), received: field("rchar") };
+}
+
 /** Resident memory of a process. */
 function memoryMibOf(pid: number): number {
   const status = readFileSync(`/proc/${pid}/status`, "utf8");
