--- a/bench/idle.ts
+++ b/bench/idle.ts
@@ -29,6 +29,8 @@
   { instances: 8, workers: 30 },
   { instances: 2, workers: 120 },
   { instances: 2, workers: 240 },
+  { instances: 8, workers: 120 },
+  { instances: 8, workers: 240 },
 ];
 
 /** Fills in the figures. */
--- a/bench/roles.ts
+++ b/bench/roles.ts
@@ -107,12 +107,13 @@
   { random, teams }: { readonly random: Random; readonly teams: number },
 ): void {
   const queue = queueOf(random, { waiting: teams * 10, teams });
-  const usage = Object.fromEntries(
-    Array.from({ length: teams }, (_, at) => [`team-${at}`, needOf(4_000)]),
-  );
+  const names = Array.from({ length: teams }, (_, at) => `team-${at}`);
+  const usage = Object.fromEntries(names.map((team) => [team, needOf(4_000)]));
+  const spare = Object.fromEntries(names.map((team) => [team, 10]));
   const make = () => ({
     sequence: 1,
     free: needOf(0),
+    spare,
     largest: needOf(0),
     capacity: needOf(64_000),
     backlog: queue.summary(0).map((lane) => ({
