--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -232,7 +232,7 @@
       return { type: "place", place };
     }
     pool.release(place.worker, task.need);
-    allowances.want(task.team);
+    allowances.want(task.team, 1);
     return this.#atLimit(task.team);
   }
 
