Count a former owner's requests with the largest need of any service

A new owner took each request that its predecessor had left on a worker for an average slot: with requests of 6,000 of 8,000 millicores it placed work beside one that did not fit. Seen red in requests_test.ts ("a former owner's requests count with the largest need there is"), green with the largest need of the services in force.

--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -38,6 +38,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly standings: WorkerStandings;
+  /** The most that a request of any workload takes. */
+  readonly largestRequest: () => Resources;
   /** Whether the operators have taken a worker out of use. */
   readonly drained: (worker: string) => boolean;
 }
@@ -346,6 +348,7 @@
     const requests = leftoverRoom(count, {
       needs: entry.lostNeeds,
       capacity: entry.worker.capacity,
+      most: this.#options.largestRequest(),
     });
     this.#options.pool.reserveFor(id, add(requests, entry.foreignTasks));
   }
--- a/src/controllers/requests_test.ts
+++ b/src/controllers/requests_test.ts
@@ -222,6 +222,23 @@
   t.is(pool.free("a")?.slots, 8);
 });
 
+test("owner: a former owner's requests count with the largest need there is", async (t) => {
+  const cell = await new DispatchCell().start(["1", "2"], { a: "1" });
+  const need = { ...NEED, cpuMillis: 6_000 };
+  const receipts = cell.workloads.get("receipts")!;
+  cell.workloads.set("receipts", { ...receipts, resources: need });
+  const worker = cell.worker("a");
+  worker.holds = true;
+  void cell.node("1").placement.run(orderOf(cell, "r.1", need));
+  await cell.settle();
+  worker.requests = 1;
+  cell.own("a", "2");
+  await cell.run(15_000);
+  const { pool } = cell.node("2");
+  t.true(pool.usable("a"));
+  t.true(pool.free("a")!.cpuMillis <= 2_000);
+});
+
 test("lost request: its room stays taken until a report shows it gone", async (t) => {
   const cell = await alone();
   const { placement, pool } = cell.node("1");
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -126,6 +126,7 @@
     this.standings = new WorkerStandings({ peers, members, clock, log });
     this.workers = new OwnedWorkers({
       standings: this.standings,
+      largestRequest: () => settings.largestRequest(),
       authority,
       fleet,
       pool,
--- a/src/daemon/settings_in_force.ts
+++ b/src/daemon/settings_in_force.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import type { OperatorSet, Queue, Workload } from "../operator_set.ts";
+import { largestRequestOf } from "../operator_set/requests.ts";
 import type { QueueBound } from "../policy/waiting.ts";
+import type { Resources } from "../types.ts";
 
 /** Teams may fill this part of a queue. */
 const TEAM_PART = 0.5;
@@ -66,6 +68,11 @@
     return this.set().workloads.get(name);
   }
 
+  /** The most that a request of any service takes. */
+  largestRequest(): Resources {
+    return largestRequestOf(this.set().workloads.values());
+  }
+
   /** A queue by name. */
   queue(name: string): Queue | undefined {
     return this.set().queues.get(name);
--- a/src/fakes/dispatch_cell.ts
+++ b/src/fakes/dispatch_cell.ts
@@ -18,6 +18,7 @@
 import { WorkerStandings } from "../controllers/worker_standings.ts";
 import { silentLog } from "../logger.ts";
 import type { Queue, Workload } from "../operator_set.ts";
+import { largestRequestOf } from "../operator_set/requests.ts";
 import { WorkerPool } from "../policy/pool.ts";
 import { Shares } from "../policy/shares.ts";
 import { type Waiting, WaitingQueue } from "../policy/waiting.ts";
@@ -115,6 +116,7 @@
     const standings = new WorkerStandings({ peers, members, clock, log });
     this.workers = new OwnedWorkers({
       standings,
+      largestRequest: () => largestRequestOf(cell.workloads.values()),
       authority,
       fleet,
       pool,
--- a/src/policy/leftover_room.ts
+++ b/src/policy/leftover_room.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { largest } from "../resources.ts";
 import type { Resources } from "../types.ts";
 
 /** Bounds from above what `count` requests take; of some that may be among them the needs are known. */
@@ -11,9 +12,11 @@
   known: {
     readonly needs: readonly Resources[];
     readonly capacity: Resources;
+    /** The most that a request of any workload takes. */
+    readonly most: Resources;
   },
 ): Resources {
-  const each = oneSlot(known.capacity);
+  const each = largest(oneSlot(known.capacity), known.most);
   const most = (dimension: keyof Resources) =>
     known.needs.map((need) => need[dimension])
       .concat(Array<number>(count).fill(each[dimension]))
