Give each test process a loopback address of its own

Cause, as far as found: in one run of all tests a listener of the HTTP tests was reached by 13 requests though its test sends one and no other test knows its port. Callers of a daemon that was ended go on to its port, which the system may have given to that listener meanwhile; what those requests were was not recorded.

Ruled out: a fault of the routes; the test passed in every run on its own.

Before: 1 failure in one run of all tests. After: daemons and listeners of different test processes share no address, so no port of one can be another's.

--- a/src/http/_fixtures_test.ts
+++ b/src/http/_fixtures_test.ts
@@ -5,6 +5,7 @@
  */
 import type { ExecutionContext } from "ava";
 import { connect, type Socket } from "node:net";
+import { LOOPBACK } from "../../testbed/loopback.ts";
 import { eventually } from "../adapters/_eventually_test.ts";
 import { type Clock, systemClock } from "../clock.ts";
 import type { Exchange, Next } from "../filters/chain.ts";
@@ -44,7 +45,7 @@
     readonly clock?: Clock;
   } = {},
 ): Promise<Listener> {
-  const address = `127.0.0.1:${await freePort()}`;
+  const address = `${LOOPBACK}:${await freePort()}`;
   const clock = options.clock ?? systemClock;
   const log = new EventLog();
   const metrics = new Metrics();
@@ -91,7 +92,7 @@
   bytes: string,
 ): RawCaller {
   const port = Number(address.split(":")[1]);
-  const socket = connect({ host: "127.0.0.1", port });
+  const socket = connect({ host: LOOPBACK, port });
   let text = "";
   let closed = false;
   let error: string | undefined;
--- a/src/peers/_fixtures_test.ts
+++ b/src/peers/_fixtures_test.ts
@@ -12,6 +12,7 @@
   type Socket,
 } from "node:net";
 import * as t from "io-ts";
+import { LOOPBACK } from "../../testbed/loopback.ts";
 import { type Clock, systemClock } from "../clock.ts";
 import type { Fields, Log } from "../logger.ts";
 import type { Call } from "../ports/peers.ts";
@@ -81,7 +82,7 @@
   },
 ): Promise<End> {
   const port = options.port ?? await freePort();
-  const address = `127.0.0.1:${port}`;
+  const address = `${LOOPBACK}:${port}`;
   const instance = instanceAt(options.id, address);
   const log = new EventLog();
   const peers = new TcpPeers({
@@ -120,13 +121,13 @@
     socket.on("error", () => {});
     onSocket(socket);
   });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
   t.teardown(() => {
     server.close();
     for (const socket of sockets) socket.destroy();
   });
   const { port } = server.address() as AddressInfo;
-  return { address: `127.0.0.1:${port}`, sockets, server };
+  return { address: `${LOOPBACK}:${port}`, sockets, server };
 }
 
 /** Shakes hands as the peer `id`, then hands each further message to the test. */
@@ -158,7 +159,7 @@
   readonly closed: () => boolean;
 } {
   const port = Number(address.split(":")[1]);
-  const socket = connect({ host: "127.0.0.1", port });
+  const socket = connect({ host: LOOPBACK, port });
   const lines: string[] = [];
   let closed = false;
   socket.on("error", () => {});
@@ -189,7 +190,7 @@
 /** A port of this machine that is free now. */
 export async function freePort(): Promise<number> {
   const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
   const { port } = server.address() as AddressInfo;
   await new Promise((resolve) => server.close(resolve));
   return port;
--- a/testbed/processes.ts
+++ b/testbed/processes.ts
@@ -7,6 +7,7 @@
 import { createServer } from "node:net";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
+import { LOOPBACK } from "./loopback.ts";
 
 /** A started process. */
 export interface StartedProcess {
@@ -99,7 +100,7 @@
 function openServer() {
   const server = createServer();
   return new Promise<{ server: typeof server; port: number }>((resolve) => {
-    server.listen(0, "127.0.0.1", () => {
+    server.listen(0, LOOPBACK, () => {
       const address = server.address();
       const port = typeof address === "object" ? address?.port ?? 0 : 0;
       resolve({ server, port });
--- a/testbed/testbed.ts
+++ b/testbed/testbed.ts
@@ -14,6 +14,7 @@
 import { parseOperatorSet } from "../src/operator_set/parse.ts";
 import { readHead } from "../src/configuration/read.ts";
 import { call, type Reply } from "./http.ts";
+import { LOOPBACK } from "./loopback.ts";
 import {
   announced,
   ended,
@@ -190,8 +191,8 @@
     const { instances, zones } = this.#options;
     const ports = await freePorts(instances * 2);
     for (let index = 0; index < instances; index++) {
-      const callers = `127.0.0.1:${ports[index * 2]}`;
-      const peers = `127.0.0.1:${ports[index * 2 + 1]}`;
+      const callers = `${LOOPBACK}:${ports[index * 2]}`;
+      const peers = `${LOOPBACK}:${ports[index * 2 + 1]}`;
       const name = `instance-${index + 1}`;
       const zone = zones[index % zones.length]!;
       const settings = this.#writeSettings({ name, zone, callers, peers });
