--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,10 +9,12 @@
 import { benchDecisions } from "./decisions.ts";
 import { benchFaults } from "./faults.ts";
 import { benchGangs } from "./gangs.ts";
+import { benchIdle } from "./idle.ts";
 import { benchJournal } from "./journal.ts";
 import { benchPacking } from "./packing.ts";
 import { benchRecovery } from "./recovery.ts";
 import { Results } from "./results.ts";
+import { benchRoles } from "./roles.ts";
 import { benchShares } from "./shares.ts";
 import { benchWaiting } from "./waiting.ts";
 
@@ -24,9 +26,11 @@
   decisions: benchDecisions,
   faults: benchFaults,
   gangs: benchGangs,
+  idle: benchIdle,
   journal: benchJournal,
   packing: benchPacking,
   recovery: benchRecovery,
+  roles: benchRoles,
   shares: benchShares,
   waiting: benchWaiting,
 };
--- a/src/controllers/tasks.ts
+++ b/src/controllers/tasks.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { randomUUID } from "node:crypto";
-import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import type { ResultAsync } from "neverthrow";
 import type { Clock } from "../clock.ts";
 import { unreachable } from "../errors.ts";
 import type { AttemptOutcome } from "../journal/records.ts";
@@ -22,24 +22,21 @@
 } from "../ports/runner.ts";
 import type { Instance } from "../types.ts";
 import {
-  cancelNotice,
-  findCall,
-  reserveCall,
   startCall,
   type StartOrder,
   type StartResult,
   stopNotice,
 } from "../wire/dispatch.ts";
+import { AttemptFinder } from "./attempt_finder.ts";
 import type { Deferred } from "./deferred.ts";
 import type { Fleet } from "./fleet.ts";
 import type { Gangs } from "./gangs.ts";
 import type { Matching, Startable, Target } from "./matching.ts";
 import { WORKER_UNIT } from "./owned_workers.ts";
 import type { Placement } from "./placement.ts";
-import { TASK_LEASE_MS, type TaskKeeper } from "./task_keeper.ts";
+import { Reservations, type TaskOffer } from "./reservations.ts";
+import type { TaskKeeper } from "./task_keeper.ts";
 
-/** Room that was reserved for a task is free again after so long, milliseconds. */
-export const RESERVE_LAPSE_MS = 5_000;
 /** Longest wait for another instance, milliseconds. */
 const PEER_WAIT_MS = 3_000;
 /** Time between questions after an attempt whose start was not answered, milliseconds. */
@@ -62,51 +59,49 @@
   readonly queueOf: (name: string) => Queue | undefined;
 }
 
-/** Room for one task at one instance. */
-export interface TaskOffer {
-  readonly offer: string;
-  readonly worker: string;
-  readonly fence: number;
-  /** The worker's owner. */
-  readonly owner: string;
-}
+/** The journal of attempts. */
+export type Attempts = Pick<Deferred, "mayStart" | "ended">;
 
 /** Runs the tasks of the segments that this instance holds. */
 export class Tasks implements Runner {
+  readonly reservations: Reservations;
   readonly #options: TasksOptions;
-  readonly #waitingOf = new Map<string, Set<string>>();
-  #deferred: Deferred | undefined;
+  readonly #finder: AttemptFinder;
+  /** Tasks to be started, by work and by id. */
+  readonly #pending = new Map<string, Map<string, RunnableTask>>();
+  #deferred: Attempts | undefined;
   #gangs: Gangs | undefined;
 
   constructor(options: TasksOptions) {
     this.#options = options;
-    const { peers, placement } = options;
-    peers.serve(reserveCall, ({ reservation, count, ...task }) => ({
-      offers: this.#reserveHere(reservation, { ...task, count }),
-    }));
-    peers.listen(cancelNotice, ({ reservation }) => {
-      placement.offers.cancel(reservation);
-    });
+    this.reservations = new Reservations(options);
+    this.#finder = new AttemptFinder(options);
   }
 
   /** Joins the journal's controller and the gangs, which need this one. */
-  connect(deferred: Deferred, gangs: Gangs): void {
+  connect(deferred: Attempts, gangs: Gangs): void {
     this.#deferred = deferred;
     this.#gangs = gangs;
   }
 
+  /** Number of single tasks that wait to be started. */
+  get pending(): number {
+    return [...this.#pending.values()]
+      .reduce((sum, tasks) => sum + tasks.size, 0);
+  }
+
   enqueue(tasks: readonly RunnableTask[]): void {
     if (tasks[0]?.gangSize !== undefined) this.#gangs?.enqueue(tasks);
-    else for (const task of tasks) this.#wait(task);
+    else for (const task of tasks) this.#add(task);
   }
 
   withdraw(works: readonly string[]): void {
     for (const work of works) {
       this.#gangs?.withdraw(work);
-      for (const id of this.#waitingOf.get(work) ?? []) {
+      for (const id of this.#pending.get(work)?.keys() ?? []) {
         this.#options.matching.withdraw(id);
       }
-      this.#waitingOf.delete(work);
+      this.#pending.delete(work);
     }
   }
 
@@ -122,60 +117,7 @@
   }
 
   find(attempt: StartedAttempt): ResultAsync<Finding, FindFailure> {
-    const { authority, fleet, peers, self, keeper } = this.#options;
-    const { worker } = attempt;
-    if (fleet.absentMs(worker) > TASK_LEASE_MS) {
-      return okAsync({ type: "unknown" });
-    }
-    const owner = authority.ownerOf(WORKER_UNIT + worker);
-    if (owner === undefined) return errAsync(pending);
-    const params = { worker, attempt: attempt.attempt };
-    const state = owner.id === self
-      ? ResultAsync.fromSafePromise(keeper.find(worker, attempt.attempt))
-      : peers
-        .call(owner.id, findCall, { params, timeoutMs: PEER_WAIT_MS })
-        .map((answer) => answer.state);
-    return state.mapErr(() => pending).andThen((found) => {
-      return found === "pending"
-        ? errAsync(pending)
-        : okAsync<Finding>({ type: found });
-    });
-  }
-
-  /** Asks an instance for room for several tasks. */
-  async reserveAt(
-    owner: string,
-    wanted: {
-      readonly reservation: string;
-      readonly team: string;
-      readonly workload: Workload;
-      readonly count: number;
-    },
-  ): Promise<TaskOffer[]> {
-    const { peers, self } = this.#options;
-    const { reservation, team, workload, count } = wanted;
-    const task = { team, workload: workload.name, need: workload.resources };
-    if (owner === self) {
-      const rooms = this.#reserveHere(reservation, {
-        ...task,
-        count,
-        avoid: [],
-      });
-      return rooms.map((room) => ({ ...room, owner }));
-    }
-    const answer = await peers.call(owner, reserveCall, {
-      params: { reservation, ...task, count, avoid: [] },
-      timeoutMs: PEER_WAIT_MS,
-    });
-    const offers = answer.map((given) => given.offers).unwrapOr([]);
-    return offers.map((offer) => ({ ...offer, owner }));
-  }
-
-  /** Gives up a reservation, also one whose answer was not heard. */
-  cancelAt(owner: string, reservation: string): void {
-    const { peers, placement, self } = this.#options;
-    if (owner === self) placement.offers.cancel(reservation);
-    else peers.notify(owner, cancelNotice, { reservation });
+    return this.#finder.find(attempt);
   }
 
   /** Starts an attempt that was written ahead, and writes down if it was not started. */
@@ -230,7 +172,21 @@
     }
   }
 
+  #add(task: RunnableTask): void {
+    const tasks = this.#pending.get(task.work) ?? new Map();
+    this.#pending.set(task.work, tasks.set(idOf(task), task));
+    this.#wait(task);
+  }
+
+  #remove(task: RunnableTask): void {
+    const tasks = this.#pending.get(task.work);
+    if (tasks?.get(idOf(task)) !== task) return;
+    tasks.delete(idOf(task));
+    if (tasks.size === 0) this.#pending.delete(task.work);
+  }
+
   #wait(task: RunnableTask): void {
+    if (this.#pending.get(task.work)?.get(idOf(task)) !== task) return;
     const { log, matching } = this.#options;
     const startable = this.#startable(task);
     if (startable === undefined) {
@@ -238,9 +194,6 @@
       this.#waitAgain(task);
       return;
     }
-    const { id } = startable.waiting;
-    const ids = this.#waitingOf.get(task.work) ?? new Set();
-    this.#waitingOf.set(task.work, ids.add(id));
     if (matching.submit(startable).isErr()) this.#waitAgain(task);
   }
 
@@ -249,7 +202,7 @@
   }
 
   #startable(task: RunnableTask): Startable | undefined {
-    const { clock, queueOf, workloadOf } = this.#options;
+    const { clock, placement, queueOf, workloadOf } = this.#options;
     const workload = workloadOf(task.workload);
     const queue = workload && queueOf(workload.queue);
     if (workload === undefined || queue === undefined) return undefined;
@@ -258,12 +211,16 @@
     const dueMs = workload.kind === "service" ? 0 : workload.dueMs;
     return {
       waiting: {
-        id: `${task.work}/${task.task}/${task.attempts}`,
+        id: idOf(task),
         team: task.team,
         queue: queue.name,
         workload: workload.name,
         urgency: queue.urgency,
-        need: workload.resources,
+        need: placement.sizeOf({
+          team: task.team,
+          workload: workload.name,
+          need: workload.resources,
+        }),
         arrivedAtMs,
         dueAtMs: dueMs > 0 ? arrivedAtMs + dueMs : undefined,
       },
@@ -287,11 +244,13 @@
       ?.mayStart({ work, task: index, worker, fence });
     if (attempt === undefined) return;
     if (attempt.isOk()) {
+      this.#remove(task);
       return await this.startAt(task, { attempt: attempt.value, offer });
     }
-    this.cancelAt(offer.owner, offer.offer);
+    this.reservations.cancelAt(offer.owner, offer.offer);
     const { type } = attempt.error;
-    if (type !== "notWaiting" && type !== "notHeld") this.#waitAgain(task);
+    if (type === "notWaiting" || type === "notHeld") this.#remove(task);
+    else this.#waitAgain(task);
   }
 
   async #roomAt(
@@ -305,7 +264,7 @@
       return { ...target.offer, owner: target.peer };
     }
     const owner = target.type === "self" ? this.#options.self : target.peer;
-    const offers = await this.reserveAt(owner, {
+    const offers = await this.reservations.reserveAt(owner, {
       reservation: randomUUID(),
       team: task.team,
       workload,
@@ -318,34 +277,6 @@
     return offers[0];
   }
 
-  #reserveHere(
-    reservation: string,
-    wanted: {
-      readonly team: string;
-      readonly workload: string;
-      readonly need: Workload["resources"];
-      readonly count: number;
-      readonly avoid: readonly string[];
-    },
-  ): Omit<TaskOffer, "owner">[] {
-    const { placement } = this.#options;
-    const { team, need } = wanted;
-    const offers: Omit<TaskOffer, "owner">[] = [];
-    while (offers.length < wanted.count) {
-      const reserved = placement.reserve(wanted, wanted.avoid);
-      if (reserved.type === "none") break;
-      const offer = offers.length === 0 ? reservation : randomUUID();
-      const { place } = reserved;
-      const room = { offer, ...place, team, need, reservation };
-      if (!placement.offers.hold(room, RESERVE_LAPSE_MS)) {
-        placement.giveBack(room);
-        return [];
-      }
-      offers.push({ offer, ...place });
-    }
-    return offers;
-  }
-
   async #order(owner: string, order: StartOrder): Promise<StartResult> {
     const { keeper, peers, self } = this.#options;
     if (owner === self) return await keeper.start(order);
@@ -385,10 +316,9 @@
   }
 }
 
-const pending: FindFailure = {
-  type: "findPending",
-  message: "the worker's owner cannot say yet",
-};
+function idOf(task: RunnableTask): string {
+  return `${task.work}/${task.task}/${task.attempts}`;
+}
 
 /** Members in the fixed order in which rooms are reserved. */
 export function reservationOrder(members: readonly Instance[]): string[] {
--- a/src/wire/dispatch.ts
+++ b/src/wire/dispatch.ts
@@ -104,6 +104,21 @@
   params: News,
 };
 
+/** Decayed counts of attempts and failures on the sender's workers. */
+const Failures = t.type({
+  counts: t.array(t.type({
+    workload: t.string,
+    attempts: t.number,
+    failures: t.number,
+  })),
+});
+
+/** Tells peers how often each workload fails, so that they judge their workers by it. */
+export const failuresNotice: Notice<t.TypeOf<typeof Failures>> = {
+  method: "dispatch.failures",
+  params: Failures,
+};
+
 /** Room held for the next work of a team and workload at the receiver. */
 export const Offer = t.type({
   offer: t.string,
@@ -123,10 +138,18 @@
   params: Offer,
 };
 
+/** Offered room with the lane in which nothing waits for it. */
+const Decline = t.type({
+  offer: t.string,
+  team: t.string,
+  workload: t.string,
+  urgency: UrgencyCodec,
+});
+
 /** Gives back offered room. */
-export const declineNotice: Notice<{ offer: string }> = {
+export const declineNotice: Notice<t.TypeOf<typeof Decline>> = {
   method: "dispatch.decline",
-  params: t.type({ offer: t.string }),
+  params: Decline,
 };
 
 /** Asks for room for so many tasks; the answer holds what could be held. */
