--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,23 +5,37 @@
  * @module
  */
 import { Command } from "commander";
+import { benchControl } from "./control.ts";
 import { benchDecisions } from "./decisions.ts";
+import { benchFaults } from "./faults.ts";
+import { benchGangs } from "./gangs.ts";
+import { benchIdle } from "./idle.ts";
+import { benchJournal } from "./journal.ts";
 import { benchPacking } from "./packing.ts";
+import { benchRecovery } from "./recovery.ts";
 import { Results } from "./results.ts";
+import { benchRoles } from "./roles.ts";
 import { benchShares } from "./shares.ts";
 import { benchWaiting } from "./waiting.ts";
 
 /** A bench fills in its results from a seed. */
-export type Bench = (results: Results, seed: number) => void;
+export type Bench = (results: Results, seed: number) => void | Promise<void>;
 
 const benches: Readonly<Record<string, Bench>> = {
+  control: benchControl,
   decisions: benchDecisions,
+  faults: benchFaults,
+  gangs: benchGangs,
+  idle: benchIdle,
+  journal: benchJournal,
   packing: benchPacking,
+  recovery: benchRecovery,
+  roles: benchRoles,
   shares: benchShares,
   waiting: benchWaiting,
 };
 
-function main(): void {
+async function main(): Promise<void> {
   const command = new Command("bench")
     .argument("<name>", `one of ${Object.keys(benches).join(", ")}`)
     .option("--seed <number>", "seed of all random numbers", Number, 1)
@@ -35,8 +49,8 @@
   const results = new Results();
   results.line("bench", name!);
   results.line("seed", seed);
-  bench(results, seed);
+  await bench(results, seed);
   results.end();
 }
 
-main();
+await main();
