--- a/src/controllers/configuration.ts
+++ b/src/controllers/configuration.ts
@@ -58,7 +58,7 @@
 }
 
 /** Gives the operators' set in force and tells of changes. */
-export class ConfigurationController {
+export class ConfigurationFeed {
   readonly #options: ConfigurationOptions;
   readonly #random: () => number;
   readonly #inForce: InForce;
--- a/src/controllers/configuration_test.ts
+++ b/src/controllers/configuration_test.ts
@@ -7,12 +7,12 @@
 import { MemoryNetwork } from "../fakes/memory_peers.ts";
 import { MemoryService, MemoryStore } from "../fakes/memory_store.ts";
 import { silentLog } from "../logger.ts";
-import { ConfigurationController } from "./configuration.ts";
+import { ConfigurationFeed } from "./configuration.ts";
 
 interface Node {
   readonly id: string;
   readonly store: MemoryStore;
-  readonly controller: ConfigurationController;
+  readonly controller: ConfigurationFeed;
 }
 
 class Cell {
@@ -52,7 +52,7 @@
   #join(): Node {
     const id = `i${this.#random()}`;
     const store = new MemoryStore(this.service);
-    const controller = new ConfigurationController({
+    const controller = new ConfigurationFeed({
       self: id,
       members: () =>
         this.nodes.map((node) => node.id).filter((other) => other !== id),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -133,7 +133,7 @@
     const bodies = new BodyMemory();
     const admission: Admission = {
       stopping: () => false,
-      configured: () => instance.settings.known,
+      configured: () => instance.configured(),
       inContact: () => instance.authority.inContact(),
     };
     const current = () => instance.settings.set();
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -7,7 +7,7 @@
 import { randomUUID } from "node:crypto";
 import type { Clock, Timer } from "../clock.ts";
 import { TeamAllowances } from "../controllers/allowances.ts";
-import { ConfigurationController } from "../controllers/configuration.ts";
+import { ConfigurationFeed } from "../controllers/configuration.ts";
 import { Deferred } from "../controllers/deferred.ts";
 import { DEFERRED_LIMITS } from "../controllers/deferred_options.ts";
 import { Fleet } from "../controllers/fleet.ts";
@@ -53,6 +53,8 @@
 const JOURNAL_BURST = 25;
 /** Longest wait for the home of an idempotency key, milliseconds. */
 const KEY_CALL_MS = 1_000;
+/** A set that the store has not confirmed for so long is not acted on while the store answers, milliseconds. */
+const STALE_SET_MS = 20_000;
 /** Time between looks at what is to be owned, milliseconds. */
 const UNITS_INTERVAL_MS = 2_000;
 
@@ -82,7 +84,7 @@
   readonly ownership: Ownership;
   readonly authority: Authority;
   readonly limits: Limits;
-  readonly configuration: ConfigurationController;
+  readonly configuration: ConfigurationFeed;
   readonly standings: WorkerStandings;
   readonly workers: OwnedWorkers;
   readonly placement: Placement;
@@ -118,7 +120,7 @@
       this.limits,
       (team) => this.matching.gained(team),
     );
-    this.configuration = new ConfigurationController({
+    this.configuration = new ConfigurationFeed({
       ...options,
       self: self.id,
       members,
@@ -286,9 +288,19 @@
     this.#units();
   }
 
+  /**
+   * Whether the operators' set here may be acted on: not if the store answers
+   * and what is in force there could not be read for long.
+   */
+  configured(): boolean {
+    if (!this.settings.known) return false;
+    const away = this.membership.reach().type !== "up";
+    return away || this.configuration.ageMs() < STALE_SET_MS;
+  }
+
   /** Whether callers may be sent here. */
   ready(): boolean {
-    return !this.#stopping && this.settings.known &&
+    return !this.#stopping && this.configured() &&
       this.authority.inContact() && this.segments.ready;
   }
 
