Check tasks under random faults

src/controllers/task_chaos_test.ts runs tasks of one holder on three owners under random cuts, moves of workers, lost leases, failing starts and workers that cannot be asked (200 histories, fixed seed): at every step a task runs in one place at most and no worker has more than its slots; once the faults end, every task succeeds.

It does not reach a former owner that alone cannot ask a worker, nor starts that arrive late; task_keeper_test.ts holds those.

--- /dev/null
+++ b/src/controllers/task_chaos_test.ts
@@ -0,0 +1,249 @@
+import test from "ava";
+import fc from "fast-check";
+import { DispatchCell } from "../fakes/dispatch_cell.ts";
+import type { RunnableTask } from "../ports/runner.ts";
+
+const RUNS = { seed: 20_261_204, numRuns: 200, includeErrorInReport: true };
+const NODES = ["1", "2", "3"];
+const WORKERS = ["a", "b", "c"];
+const LEASE_MS = 15_000;
+const TICK_MS = 250;
+
+const node = fc.constantFrom(...NODES);
+const worker = fc.constantFrom(...WORKERS);
+const fault = fc.constantFrom(
+  "workerSilent" as const,
+  "workerRefused" as const,
+  "workerUnreached" as const,
+);
+const step = fc.oneof(
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      type: fc.constant("submit" as const),
+      count: fc.integer({ min: 1, max: 6 }),
+    }),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      type: fc.constant("run" as const),
+      ms: fc.integer({ min: 100, max: 12_000 }),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({ type: fc.constant("finish" as const), worker }),
+  },
+  fc.record({ type: fc.constant("cut" as const), a: node, b: node }),
+  fc.record({ type: fc.constant("heal" as const), a: node, b: node }),
+  fc.record({ type: fc.constant("move" as const), worker, node }),
+  fc.record({ type: fc.constant("contact" as const), node, on: fc.boolean() }),
+  fc.record({ type: fc.constant("start" as const), worker, fault }),
+  fc.record({ type: fc.constant("mute" as const), worker }),
+  fc.record({ type: fc.constant("mend" as const), worker }),
+);
+type Step = typeof step extends fc.Arbitrary<infer T> ? T : never;
+
+/** Tasks of one holder on a cell under random faults. */
+class Trial {
+  readonly cell = new DispatchCell();
+  readonly #open = new Map<string, RunnableTask>();
+  readonly #ended = new Set<string>();
+  /** When the lease of each attempt was renewed last. */
+  readonly #renewedAtMs = new Map<string, number>();
+  readonly #cuts = new Set<string>();
+  #works = 0;
+  #written = 0;
+
+  async start(): Promise<void> {
+    await this.cell.start(NODES, { a: "1", b: "2", c: "3" });
+    await this.#run(3_000);
+  }
+
+  async take(step: Step): Promise<void> {
+    const { cell } = this;
+    switch (step.type) {
+      case "submit":
+        this.#submit(step.count);
+        break;
+      case "run":
+        return await this.#run(step.ms);
+      case "finish":
+        this.#finish(step.worker);
+        break;
+      case "cut":
+        if (step.a !== step.b) this.#cut(step.a, step.b);
+        break;
+      case "heal":
+        this.#heal(step.a, step.b);
+        break;
+      case "move":
+        cell.own(step.worker, step.node);
+        break;
+      case "contact":
+        cell.node(step.node).authority.contact = step.on;
+        break;
+      case "start":
+        cell.worker(step.worker).faults.set("start", step.fault);
+        break;
+      case "mute":
+        cell.worker(step.worker).faults.set("report", "workerSilent");
+        cell.worker(step.worker).faults.set("renew", "workerSilent");
+        break;
+      case "mend":
+        cell.worker(step.worker).faults.clear();
+        break;
+    }
+    await this.#run(TICK_MS);
+  }
+
+  /** Ends every fault and lets all tasks succeed; gives those that did not. */
+  async end(): Promise<string[]> {
+    const { cell } = this;
+    for (const id of WORKERS) cell.worker(id).faults.clear();
+    for (const id of NODES) cell.node(id).authority.contact = true;
+    for (const a of NODES) for (const b of NODES) this.#heal(a, b);
+    for (let round = 0; round < 60 && this.#open.size > 0; round++) {
+      await this.#run(1_000);
+      for (const id of WORKERS) this.#finish(id, Infinity);
+    }
+    return [...this.#open.keys()];
+  }
+
+  async #run(ms: number): Promise<void> {
+    for (let left = ms; left > 0; left -= TICK_MS) {
+      await this.cell.clock.run(Math.min(left, TICK_MS), 50);
+      await this.cell.settle(3);
+      this.#expire();
+      this.#hear();
+      this.#check();
+    }
+  }
+
+  #submit(count: number): void {
+    const work = `w.${++this.#works}`;
+    const submittedAt = this.cell.clock.now().getTime();
+    const tasks = Array.from({ length: count }, (_, task): RunnableTask => ({
+      work,
+      task,
+      team: "large",
+      workload: "billing",
+      payload: "",
+      submittedAt,
+      attempts: 0,
+    }));
+    for (const task of tasks) this.#open.set(`${work}/${task.task}`, task);
+    this.cell.node("1").tasks.enqueue(tasks);
+  }
+
+  #finish(id: string, most = 2): void {
+    const worker = this.cell.worker(id);
+    const running = [...worker.tasks.values()]
+      .filter(({ state }) => state.type === "running");
+    for (const { attempt } of running.slice(0, most)) {
+      worker.set(attempt, { type: "succeeded", result: "" });
+    }
+  }
+
+  #cut(a: string, b: string): void {
+    this.cell.network.cut(a, b);
+    this.#cuts.add([a, b].sort().join());
+    this.#reach();
+  }
+
+  #heal(a: string, b: string): void {
+    this.cell.network.heal(a, b);
+    this.#cuts.delete([a, b].sort().join());
+    this.#reach();
+  }
+
+  #reach(): void {
+    for (const id of NODES) {
+      const cut = this.#cuts.has(["1", id].sort().join());
+      this.cell.node(id).takes = !cut;
+    }
+  }
+
+  /** Workers stop what nobody renews, and what they were told to stop. */
+  #expire(): void {
+    const nowMs = this.cell.clock.monotonic();
+    for (const id of WORKERS) {
+      const worker = this.cell.worker(id);
+      for (const attempt of worker.renewed.splice(0)) {
+        this.#renewedAtMs.set(attempt, nowMs);
+      }
+      const stopped = new Set(worker.stopped.splice(0));
+      for (const { attempt, state } of worker.tasks.values()) {
+        if (state.type !== "running") continue;
+        const atMs = this.#renewedAtMs.get(attempt) ?? nowMs;
+        this.#renewedAtMs.set(attempt, atMs);
+        const lapsed = nowMs - atMs > LEASE_MS;
+        if (lapsed || stopped.has(attempt)) {
+          worker.set(attempt, { type: "stopped" });
+        }
+      }
+    }
+  }
+
+  /** The holder takes endings, and lets tasks that did not succeed wait again. */
+  #hear(): void {
+    const { attempts } = this.cell.node("1");
+    for (const [attempt, type] of attempts.endings.slice(this.#written)) {
+      this.#written++;
+      this.#end(attempt, type === "succeeded");
+    }
+    for (const id of NODES) {
+      const { told, takes } = this.cell.node(id);
+      for (const { attempt, end } of told.splice(0)) {
+        if (takes) this.#end(attempt, end.type === "succeeded");
+      }
+    }
+  }
+
+  #end(attempt: string, succeeded: boolean): void {
+    if (this.#ended.has(attempt)) return;
+    this.#ended.add(attempt);
+    const placement = this.cell.node("1").attempts.started.get(attempt)!;
+    const key = `${placement.work}/${placement.task}`;
+    const task = this.#open.get(key);
+    if (task === undefined) return;
+    if (succeeded) return void this.#open.delete(key);
+    const again = { ...task, attempts: task.attempts + 1 };
+    this.#open.set(key, again);
+    this.cell.node("1").tasks.enqueue([again]);
+  }
+
+  #check(): void {
+    const places = new Map<string, string>();
+    for (const id of WORKERS) {
+      const running = [...this.cell.worker(id).tasks.values()]
+        .filter(({ state }) => state.type === "running");
+      if (running.length > 8) throw new TypeError(`${running.length} on ${id}`);
+      for (const { attempt, task } of running) {
+        const other = places.get(task);
+        if (other !== undefined) {
+          throw new TypeError(`${task} runs as ${other} and ${attempt}@${id}`);
+        }
+        places.set(task, `${attempt}@${id}`);
+      }
+    }
+  }
+}
+
+test("tasks: in one place at a time, none vanishes, under any faults", async (t) => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(step, { minLength: 10, maxLength: 40 }),
+      async (steps) => {
+        const trial = new Trial();
+        await trial.start();
+        for (const next of steps) await trial.take(next);
+        const open = await trial.end();
+        if (open.length > 0) throw new TypeError(`open: ${open.join(" ")}`);
+      },
+    ),
+    RUNS,
+  );
+  t.pass();
+});
