--- a/testbed/processes.ts
+++ b/testbed/processes.ts
@@ -8,6 +8,7 @@
 import { createServer } from "node:net";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
+import { LOOPBACK } from "./loopback.ts";
 
 /** A started process. */
 export interface StartedProcess {
@@ -100,7 +101,7 @@
   const server = createServer();
   return new Promise((resolve) => {
     server.once("error", () => resolve(false));
-    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    server.listen(port, LOOPBACK, () => server.close(() => resolve(true)));
   });
 }
 
