--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -7,12 +7,14 @@
 import type { Clock, Timer } from "../clock.ts";
 import type { Log } from "../logger.ts";
 import { Leftover } from "../policy/leftover.ts";
+import { leftoverRoom } from "../policy/leftover_room.ts";
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Authority } from "../ports/authority.ts";
 import type { Report, TaskReport, Upstream } from "../ports/upstream.ts";
 import { add, fits, noResources } from "../resources.ts";
 import type { Resources, Worker } from "../types.ts";
 import type { Fleet } from "./fleet.ts";
+import type { Run, WorkerStandings } from "./worker_standings.ts";
 
 /** Time between reports asked of a worker, milliseconds. */
 export const REPORT_INTERVAL_MS = 1_000;
@@ -21,6 +23,9 @@
 /** Time between attempts to reach a worker that has not reported yet, milliseconds. */
 const FIRST_REPORT_INTERVAL_MS = 200;
 
+/** Requests given up on a worker that is no longer owned count for so long at most, milliseconds. */
+const LOST_MEMORY_MS = 60_000;
+
 /** Prefix of the units of ownership that are workers. */
 export const WORKER_UNIT = "worker:";
 
@@ -32,6 +37,9 @@
   readonly upstream: Upstream;
   readonly clock: Clock;
   readonly log: Log;
+  readonly standings: WorkerStandings;
+  /** The most that a request of any workload takes. */
+  readonly largestRequest: () => Resources;
   /** Whether the operators have taken a worker out of use. */
   readonly drained: (worker: string) => boolean;
 }
@@ -67,6 +75,8 @@
   foreignTasks: Resources;
   /** What requests took that were given up since none was left over. */
   lostNeeds: Resources[];
+  /** When those count as gone on a worker that is no longer owned. */
+  lostUntilMs: number;
   timer?: Timer;
 }
 
@@ -107,9 +117,24 @@
     return entry?.owned && entry.fence === fence ? fence : undefined;
   }
 
-  /** Whether a worker may get new work right now. */
+  /** Whether work may start on a worker right now, in room that is held for it. */
   usable(id: string): boolean {
-    return this.#options.pool.usable(id);
+    const entry = this.#entries.get(id);
+    return entry !== undefined && this.#isFit(id, entry);
+  }
+
+  /** Room was taken on a worker. */
+  roomTaken(id: string): void {
+    this.#options.standings.roomTaken(id);
+    const entry = this.#entries.get(id);
+    if (entry !== undefined) this.#judge(id, entry);
+  }
+
+  /** A run on a worker has ended. */
+  ran(id: string, run: Run): void {
+    this.#options.standings.ran(id, run);
+    const entry = this.#entries.get(id);
+    if (entry !== undefined) this.#judge(id, entry);
   }
 
   /** Most requests that may run on a worker without this instance waiting for them. */
@@ -139,6 +164,7 @@
     if (entry === undefined) return;
     entry.leftover.lost(request.id, this.#options.clock.monotonic());
     entry.lostNeeds.push(request.need);
+    entry.lostUntilMs = this.#options.clock.monotonic() + LOST_MEMORY_MS;
     this.#reserve(id, entry);
   }
 
@@ -163,7 +189,7 @@
   }
 
   #adopt(id: string): void {
-    const { authority, clock, fleet, log, pool } = this.#options;
+    const { authority, clock, fleet, log, pool, standings } = this.#options;
     const worker = fleet.worker(id);
     const fence = authority.fenceOf(WORKER_UNIT + id);
     if (worker === undefined || fence === undefined) return;
@@ -178,6 +204,7 @@
       known.leftover.reset(trustedFromMs);
     } else {
       pool.upsert(worker);
+      standings.add(id);
       pool.setUsable(id, false);
       this.#entries.set(id, newEntry(worker, fence, trustedFromMs));
     }
@@ -199,6 +226,7 @@
     const entry = this.#entries.get(id);
     if (entry === undefined || entry.owned) return;
     if (entry.leftover.active > 0 || this.#holdsRoom(id)) return;
+    if (this.#awaitsLost(entry)) return;
     const tracked = this.#listeners.some((listener) =>
       listener.trackedOn(id).size > 0
     );
@@ -206,6 +234,14 @@
     entry.timer?.cancel();
     this.#entries.delete(id);
     this.#options.pool.remove(id);
+    this.#options.standings.remove(id);
+    for (const listener of this.#listeners) listener.roomChanged();
+  }
+
+  /** Whether requests that were given up may still run there. */
+  #awaitsLost(entry: Owned): boolean {
+    return entry.lostNeeds.length > 0 &&
+      this.#options.clock.monotonic() < entry.lostUntilMs;
   }
 
   #holdsRoom(id: string): boolean {
@@ -214,10 +250,15 @@
   }
 
   #judge(id: string, entry: Owned): void {
-    const { drained, fleet, pool } = this.#options;
-    const usable = entry.owned && entry.fenced && entry.reachable &&
+    const { pool, standings } = this.#options;
+    pool.setUsable(id, this.#isFit(id, entry) && standings.allows(id));
+  }
+
+  /** Whether a worker may run work, whatever its standing. */
+  #isFit(id: string, entry: Owned): boolean {
+    const { drained, fleet } = this.#options;
+    return entry.owned && entry.fenced && entry.reachable &&
       entry.leftover.known && !entry.leaving && fleet.live(id) && !drained(id);
-    pool.setUsable(id, usable);
   }
 
   #poll(id: string): void {
@@ -304,9 +345,10 @@
   #reserve(id: string, entry: Owned): void {
     const { count } = entry.leftover;
     if (count === 0) entry.lostNeeds = [];
-    const requests = mostOf(entry.lostNeeds, {
-      count,
-      each: oneSlot(entry.worker.capacity),
+    const requests = leftoverRoom(count, {
+      needs: entry.lostNeeds,
+      capacity: entry.worker.capacity,
+      most: this.#options.largestRequest(),
     });
     this.#options.pool.reserveFor(id, add(requests, entry.foreignTasks));
   }
@@ -327,35 +369,6 @@
     leaving: false,
     foreignTasks: noResources,
     lostNeeds: [],
-  };
-}
-
-/** What a request of unknown workload is taken to use. */
-function oneSlot(capacity: Resources): Resources {
-  const slots = Math.max(1, capacity.slots);
-  return {
-    cpuMillis: Math.floor(capacity.cpuMillis / slots),
-    memoryMib: Math.floor(capacity.memoryMib / slots),
-    accelerators: 0,
-    slots: 1,
-  };
-}
-
-/** Most that `count` requests take, of which some took `needs` and others `each`. */
-function mostOf(
-  needs: readonly Resources[],
-  { count, each }: { readonly count: number; readonly each: Resources },
-): Resources {
-  const most = (dimension: keyof Resources) =>
-    needs.map((need) => need[dimension])
-      .concat(Array<number>(count).fill(each[dimension]))
-      .sort((a, b) => b - a)
-      .slice(0, count)
-      .reduce((sum, amount) => sum + amount, 0);
-  return {
-    cpuMillis: most("cpuMillis"),
-    memoryMib: most("memoryMib"),
-    accelerators: most("accelerators"),
-    slots: most("slots"),
+    lostUntilMs: -Infinity,
   };
 }
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -7,31 +7,27 @@
  */
 import type { Clock } from "../clock.ts";
 import { unreachable, type WorkerFailure } from "../errors.ts";
+import { place } from "../kinds/registry.ts";
 import type { Log } from "../logger.ts";
+import type { Workload } from "../operator_set.ts";
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Allowances, Authority } from "../ports/authority.ts";
 import type { Upstream } from "../ports/upstream.ts";
+import { equal } from "../resources.ts";
 import type { Reason, Resources } from "../types.ts";
 import type { RunOrder, RunResult } from "../wire/dispatch.ts";
 import { type HeldRoom, Offers } from "./offers.ts";
+import { OrderMemory } from "./order_memory.ts";
 import { type OwnedWorkers, WORKER_UNIT } from "./owned_workers.ts";
+import type { SizedTask } from "./task_sizes.ts";
+import type { Run } from "./worker_standings.ts";
 
 /** Time to come back after while a team is at its limit, milliseconds. */
 const LIMIT_RETRY_MS = 250;
-/** Orders are remembered for so long beyond their timeouts, milliseconds. */
-const ORDER_MEMORY_MS = 15_000;
 
 /** Told how each run on a worker went. */
 export interface RunObserver {
-  /** `failed`: the worker failed what it started. */
-  ran(
-    worker: string,
-    run: {
-      readonly workload: string;
-      readonly failed: boolean;
-      readonly tookMs: number;
-    },
-  ): void;
+  ran(worker: string, run: Run): void;
 }
 
 /** What the controller needs. */
@@ -44,16 +40,16 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly observer: RunObserver;
+  readonly workloadOf: (name: string) => Workload | undefined;
 }
 
-/** What is remembered of an order. */
-type OrderMemory =
-  & { readonly untilMs: number }
-  & (
-    | { readonly state: "started"; readonly worker: string }
-    /** Came too late: its holder has counted it as not started. */
-    | { readonly state: "barred" }
-  );
+/** Narrows a search for room. */
+export interface RoomOptions {
+  /** Whose kind decides where it goes. */
+  readonly workload?: string;
+  /** Workers that must not be used. */
+  readonly avoid?: readonly string[];
+}
 
 /** Room taken on a worker. */
 export interface Place {
@@ -75,12 +71,14 @@
   readonly offers: Offers;
   readonly #options: PlacementOptions;
   readonly #roomListeners: (() => void)[] = [];
-  readonly #orders = new Map<string, OrderMemory>();
+  readonly #orders: OrderMemory;
   readonly #lost = new Map<string, string[]>();
   readonly #usage = new Map<string, Resources>();
+  #sizeOf: (task: SizedTask) => Resources = ({ need }) => need;
 
   constructor(options: PlacementOptions) {
     this.#options = options;
+    this.#orders = new OrderMemory(options.clock);
     this.offers = new Offers({
       pool: options.pool,
       clock: options.clock,
@@ -99,6 +97,16 @@
     });
   }
 
+  /** Sets how much is to be reserved for a task. */
+  sizeBy(sizeOf: (task: SizedTask) => Resources): void {
+    this.#sizeOf = sizeOf;
+  }
+
+  /** What is to be reserved for a task. */
+  sizeOf(task: SizedTask): Resources {
+    return this.#sizeOf(task);
+  }
+
   /** Calls `listener` whenever there may be more room. */
   onRoom(listener: () => void): void {
     this.#roomListeners.push(listener);
@@ -133,33 +141,36 @@
 
   /** Whether an order was started. One that was not is barred from then on. */
   settle(id: string): boolean {
-    if (this.#orders.get(id)?.state === "started") return true;
-    const untilMs = this.#options.clock.monotonic() + ORDER_MEMORY_MS;
-    this.#remember(id, { state: "barred", untilMs });
-    return false;
+    return !this.#orders.bar(id);
   }
 
   /** Where a task or request could be placed now; nothing is taken. */
-  findRoom(
-    need: Resources,
-    avoid: readonly string[] = [],
-  ): Place | undefined {
-    const { authority, pool, workers } = this.#options;
+  findRoom(need: Resources, options: RoomOptions = {}): Place | undefined {
+    const { authority, workers } = this.#options;
     if (!authority.inContact()) return undefined;
-    const worker = pool.place(need, { avoid: new Set(avoid) });
+    const worker = this.#workerFor(need, options);
     if (worker === undefined) return undefined;
     const fence = workers.fence(worker);
     return fence === undefined ? undefined : { worker, fence };
   }
 
-  /** Takes room for one task or request; the caller holds it from then on. */
-  takeRoom(
-    need: Resources,
-    avoid: readonly string[],
-  ): Place | undefined {
-    const place = this.findRoom(need, avoid);
-    if (place === undefined) return undefined;
-    return this.#options.pool.take(place.worker, need) ? place : undefined;
+  /** The worker that the policy of the workload's kind picks. */
+  #workerFor(need: Resources, options: RoomOptions): string | undefined {
+    const { pool, workloadOf } = this.#options;
+    const workload = workloadOf(options.workload ?? "");
+    const context = { pool, need, avoid: new Set(options.avoid) };
+    switch (workload?.kind) {
+      case undefined:
+      case "gang":
+        return pool.place(need, context);
+      case "service":
+      case "batch": {
+        const placed = place(workload, context);
+        return placed.type === "placed" ? placed.workers[0] : undefined;
+      }
+      default:
+        return unreachable(workload);
+    }
   }
 
   /** Gives back room and allowance that were reserved and not used. */
@@ -211,12 +222,17 @@
     },
     avoid: readonly string[],
   ): PlaceResult {
-    const { allowances, pool } = this.#options;
-    const place = this.takeRoom(task.need, avoid);
-    if (place === undefined) return this.#noRoom(task.workload);
-    if (allowances.tryTake(task.team)) return { type: "place", place };
+    const { allowances, pool, workers } = this.#options;
+    const { need, workload } = task;
+    const place = this.findRoom(need, { avoid, workload });
+    const taken = place !== undefined && pool.take(place.worker, need);
+    if (!taken) return this.#noRoom(workload);
+    if (allowances.tryTake(task.team)) {
+      workers.roomTaken(place.worker);
+      return { type: "place", place };
+    }
     pool.release(place.worker, task.need);
-    allowances.want(task.team);
+    allowances.want(task.team, 1);
     return this.#atLimit(task.team);
   }
 
@@ -237,7 +253,7 @@
     const { pool, workers } = this.#options;
     const fence = workers.fence(held.worker);
     const suits = fence !== undefined && workers.usable(held.worker) &&
-      !order.avoid.includes(held.worker);
+      equal(held.need, order.need) && !order.avoid.includes(held.worker);
     if (suits) return { worker: held.worker, fence };
     pool.release(held.worker, held.need);
     return undefined;
@@ -245,8 +261,8 @@
 
   /** What to answer to an order that was started or barred before. */
   #earlier(id: string): RunResult | undefined {
-    const order = this.#orders.get(id);
-    switch (order?.state) {
+    const order = this.#orders.state(id);
+    switch (order?.type) {
       case undefined:
         return undefined;
       case "barred":
@@ -263,10 +279,8 @@
     if (earlier !== undefined) return earlier;
     const refusal = this.refusal(place);
     if (refusal !== undefined) return notStarted(refusal);
-    const nowMs = this.#options.clock.monotonic();
-    const untilMs = nowMs + order.request.timeoutMs + ORDER_MEMORY_MS;
-    const { worker } = place;
-    this.#remember(order.id, { state: "started", worker, untilMs });
+    const { timeoutMs } = order.request;
+    this.#orders.started(order.id, { worker: place.worker, timeoutMs });
     return undefined;
   }
 
@@ -286,8 +300,8 @@
     const tookMs = clock.monotonic() - sentAtMs;
     return result.match(
       (answer) => {
-        const failed = answer.status >= 500;
-        observer.ran(worker, { workload: order.workload, failed, tookMs });
+        const ending = answer.status >= 500 ? "failed" : "succeeded";
+        observer.ran(worker, { workload: order.workload, ending, tookMs });
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { type: "done", answer: { ...answer, worker } };
@@ -306,27 +320,29 @@
   ): RunResult {
     const { log, observer, workers } = this.#options;
     const { worker } = place;
+    const { workload } = order;
     log.warn("worker.failed", { worker, failure: failure.type, id: order.id });
     switch (failure.type) {
       case "workerUnreached":
       case "workerLeaving":
-        this.#orders.delete(order.id);
+        this.#orders.forget(order.id);
         workers.suspect(worker, failure.type === "workerLeaving");
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { ...notStarted({ type: "workerLost", worker }), worker };
       case "workerRefused":
+        observer.ran(worker, { workload, ending: "refused", tookMs });
+        this.#orders.forget(order.id);
+        workers.requestEnded(worker, order.id);
+        this.#vacate(order, place, true);
+        return { ...notStarted({ type: "workerFailed", worker }), worker };
       case "workerFenced":
-        this.#orders.delete(order.id);
+        this.#orders.forget(order.id);
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { ...notStarted({ type: "workerFailed", worker }), worker };
       case "workerSilent":
-        observer.ran(worker, {
-          workload: order.workload,
-          failed: false,
-          tookMs,
-        });
+        observer.ran(worker, { workload, ending: "unknown", tookMs });
         this.#lose(order, worker);
         return { type: "lost", reason: { type: "workerLost", worker }, worker };
       default:
@@ -360,15 +376,6 @@
     if (charged) this.charge(order.team, order.need, -1);
     this.giveBack({ ...order, worker: place.worker });
   }
-
-  #remember(id: string, memory: OrderMemory): void {
-    const nowMs = this.#options.clock.monotonic();
-    this.#orders.set(id, memory);
-    for (const [oldest, { untilMs }] of this.#orders) {
-      if (nowMs < untilMs) return;
-      this.#orders.delete(oldest);
-    }
-  }
 }
 
 function notStarted(
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,8 +5,10 @@
  */
 import { randomUUID } from "node:crypto";
 import { EtcdStore } from "../adapters/etcd_store.ts";
+import { StoreEndpoints } from "../adapters/store_endpoints.ts";
 import { HttpList } from "../adapters/http_list.ts";
 import { HttpUpstream } from "../adapters/http_upstream.ts";
+import { TracedUpstream } from "../adapters/traced_upstream.ts";
 import { sleep, systemClock } from "../clock.ts";
 import type { Settings } from "../config.ts";
 import { type Admission, admit } from "../filters/admit.ts";
@@ -38,8 +40,8 @@
   readonly #log: Log;
   readonly #instance: Instance;
   readonly #peers: TcpPeers;
-  readonly #store: EtcdStore;
-  readonly #upstream: HttpUpstream;
+  readonly #stores: readonly EtcdStore[];
+  readonly #upstream: TracedUpstream;
   readonly #server: HttpServer;
   readonly #stopTracing: () => Promise<void>;
 
@@ -57,12 +59,11 @@
     this.#settings = settings;
     this.#log = log;
     this.#stopTracing = startTracing({ ...settings.trace, instance: self.id });
-    this.#store = new EtcdStore({
-      address: platform.store[0]!,
-      clock,
-      timeoutMs: settings.timing.storeTimeoutMs,
-    });
-    this.#upstream = new HttpUpstream({ clock });
+    const { storeTimeoutMs: timeoutMs } = settings.timing;
+    this.#stores = platform.store.map((address) =>
+      new EtcdStore({ address, clock, timeoutMs })
+    );
+    this.#upstream = new TracedUpstream(new HttpUpstream({ clock }));
     this.#peers = new TcpPeers({
       self,
       listen: instance.peerListen,
@@ -72,7 +73,7 @@
     });
     this.#instance = new Instance({
       self,
-      store: this.#store,
+      store: new StoreEndpoints(this.#stores),
       list: new HttpList({ address: platform.list, clock }),
       peers: this.#peers,
       upstream: this.#upstream,
@@ -83,6 +84,7 @@
     this.#server = new HttpServer({
       listen: instance.listen,
       routes: this.#routes(operator.key),
+      clock,
       log,
     });
   }
@@ -103,6 +105,7 @@
   async stop(): Promise<void> {
     this.#log.info("stopping");
     this.#instance.beginStop();
+    this.#server.drain();
     await sleep(systemClock, BALANCER_MS);
     await this.#server.close();
     await this.#instance.leave();
@@ -110,6 +113,7 @@
     this.#instance.stop();
     this.#peers.close();
     await this.#upstream.close();
+    await Promise.all(this.#stores.map((store) => store.close()));
     await this.#stopTracing();
     this.#log.info("stopped");
   }
@@ -138,6 +142,7 @@
       ...callerRoutes({
         handle: this.#chain(admission),
         abandon: (id) => instance.requests.abandon(id),
+        knows: (name) => instance.settings.workload(name) !== undefined,
         bodies,
         clock: systemClock,
         metrics: instance.metrics,
@@ -169,6 +174,9 @@
 }
 
 function dispatch(instance: Instance, exchange: Exchange): Promise<Outcome> {
+  if (exchange.abandoned()) {
+    return Promise.resolve({ type: "notRun", reason: { type: "cancelled" } });
+  }
   const { id, arrivedAtMs, method, path, headers, body } = exchange;
   const service = exchange.service!;
   const queue = exchange.queue!;
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -24,7 +24,9 @@
 import { Segments } from "../controllers/segments.ts";
 import { TaskKeeper } from "../controllers/task_keeper.ts";
 import { reservationOrder, Tasks } from "../controllers/tasks.ts";
+import { TaskSizes } from "../controllers/task_sizes.ts";
 import { WorkDesk } from "../controllers/work_desk.ts";
+import { type Run, WorkerStandings } from "../controllers/worker_standings.ts";
 import { WriteBudget } from "../journal/write_budget.ts";
 import type { Log } from "../logger.ts";
 import { Metrics } from "../metrics.ts";
@@ -81,6 +83,7 @@
   readonly authority: Authority;
   readonly limits: Limits;
   readonly configuration: ConfigurationController;
+  readonly standings: WorkerStandings;
   readonly workers: OwnedWorkers;
   readonly placement: Placement;
   readonly matching: Matching;
@@ -120,7 +123,10 @@
       self: self.id,
       members,
     });
+    this.standings = new WorkerStandings({ peers, members, clock, log });
     this.workers = new OwnedWorkers({
+      standings: this.standings,
+      largestRequest: () => settings.largestRequest(),
       authority,
       fleet,
       pool,
@@ -134,6 +140,7 @@
       ran: (worker, run) => this.#ran(worker, run),
     };
     this.placement = new Placement({
+      workloadOf: (name) => settings.workload(name),
       authority,
       allowances,
       workers,
@@ -144,6 +151,16 @@
       observer,
     });
     const { placement } = this;
+    const sizes = new TaskSizes({
+      workers,
+      fleet,
+      upstream,
+      log,
+      workloadOf: (name) => settings.workload(name),
+      queueOf: (name) => settings.queue(name),
+      rankOf: (team) => shares.rank(team),
+    });
+    placement.sizeBy((task) => sizes.sizeOf(task));
     this.matching = new Matching({
       placement,
       allowances,
@@ -305,6 +322,7 @@
     this.keeper.close();
     this.limits.stop();
     this.workers.stop();
+    this.standings.stop();
     this.configuration.stop();
     this.fleet.stop();
   }
@@ -345,10 +363,12 @@
     this.#unitsTimer = clock.after(UNITS_INTERVAL_MS, () => this.#units());
   }
 
-  #ran(worker: string, run: Parameters<RunObserver["ran"]>[1]): void {
-    const { workload, failed, tookMs } = run;
-    this.metrics.count("runs_total", { workload, failed: String(failed) });
+  #ran(worker: string, run: Run): void {
+    const { workload, ending, tookMs } = run;
+    this.workers.ran(worker, run);
+    this.metrics.count("runs_total", { workload, ending });
     this.metrics.observe("run_milliseconds", tookMs, { workload });
+    const failed = ending === "failed" || ending === "refused";
     if (failed) this.metrics.count("worker_failures_total", { worker });
   }
 
--- a/src/fakes/memory_upstream.ts
+++ b/src/fakes/memory_upstream.ts
@@ -20,7 +20,7 @@
   Upstream,
   UpstreamRequest,
 } from "../ports/upstream.ts";
-import type { Answer } from "../types.ts";
+import type { Answer, Resources } from "../types.ts";
 
 type WholeAnswer = Omit<Answer, "worker">;
 type Operation = "request" | "start" | "renew" | "stop" | "report";
@@ -53,16 +53,19 @@
   readonly held: HeldRequest[] = [];
   readonly starts: TaskStart[] = [];
   readonly stopped: string[] = [];
+  /** Attempts with the processors that were left to them. */
+  readonly throttled: [string, number][] = [];
   readonly renewed: string[] = [];
   readonly forgotten: string[] = [];
   readonly tasks = new Map<string, TaskReport>();
   /** Whether requests wait for {@linkcode HeldRequest.finish}. */
   holds = false;
-  /** Requests being answered as reports tell it. */
   requests = 0;
   ageMs = 0;
   leaving = false;
   fence = 0;
+  /** Requests being answered as reports tell it. */
+  countRequests: () => number = () => this.requests;
   /** Runs before a report is answered. */
   beforeReport: () => Promise<void> = () => Promise.resolve();
   /** Runs before a start is answered. */
@@ -76,6 +79,12 @@
     this.tasks.set(start.attempt, { ...rest, state, declared: used, used });
   }
 
+  /** Changes what a task is seen to take. */
+  use(attempt: string, used: Partial<Resources>): void {
+    const task = this.tasks.get(attempt)!;
+    this.tasks.set(attempt, { ...task, used: { ...task.used, ...used } });
+  }
+
   /** Changes the state of a task. */
   set(attempt: string, state: TaskState): void {
     this.tasks.set(attempt, { ...this.tasks.get(attempt)!, state });
@@ -146,7 +155,12 @@
     return okAsync(undefined);
   }
 
-  throttle(): ResultAsync<void, WorkerFailure> {
+  throttle(
+    address: string,
+    attempt: string,
+    { cpuMillis }: { readonly cpuMillis: number },
+  ): ResultAsync<void, WorkerFailure> {
+    this.worker(address).throttled.push([attempt, cpuMillis]);
     return okAsync(undefined);
   }
 
@@ -164,7 +178,8 @@
     const worker = this.worker(address);
     const fault = worker.faults.get("report");
     if (fault !== undefined) return errAsync(workerFailure(fault));
-    const { ageMs, leaving, requests } = worker;
+    const { ageMs, leaving } = worker;
+    const requests = worker.countRequests();
     const tasks = [...worker.tasks.values()];
     const report = { ageMs, leaving, requests, tasks };
     return new ResultAsync(worker.beforeReport().then(() => ok(report)));
