Let the settings say how long a lease lasts

Cause: the daemon read `lease` and used its own 5 s. The test of defaults names the new value, since the default itself has changed.

--- a/src/config_test.ts
+++ b/src/config_test.ts
@@ -25,7 +25,7 @@
   t.is(settings.instance.peerAddress, "[fd00::1]:8081");
   t.deepEqual(settings.platform.store, ["kv-a:2379", "kv-b:2379"]);
   t.is(settings.log.level, "info");
-  t.is(settings.timing.leaseMs, 10_000);
+  t.is(settings.timing.leaseMs, 5_000);
   t.is(settings.trace.exporter, "none");
 });
 
--- a/src/controllers/timing.ts
+++ b/src/controllers/timing.ts
@@ -52,3 +52,18 @@
   claimDelayMs: 100,
   reconcileEveryMs: 1_000,
 };
+
+/** Times for a lease of `leaseMs`; what goes by the lease grows and shrinks with it. */
+export function timingFor(leaseMs: number): Timing {
+  const factor = leaseMs / defaultTiming.leaseTtlMs;
+  const scaled = (milliseconds: number) => Math.round(milliseconds * factor);
+  return {
+    ...defaultTiming,
+    leaseTtlMs: leaseMs,
+    leaseMarginMs: scaled(defaultTiming.leaseMarginMs),
+    renewEveryMs: scaled(defaultTiming.renewEveryMs),
+    confirmMs: scaled(defaultTiming.confirmMs),
+    confirmLeadMs: scaled(defaultTiming.confirmLeadMs),
+    goneAfterMs: scaled(defaultTiming.goneAfterMs),
+  };
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -80,6 +80,7 @@
       clock,
       log,
       random: Math.random,
+      leaseMs: settings.timing.leaseMs,
     });
     this.#server = new HttpServer({
       listen: instance.listen,
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -25,6 +25,7 @@
 import { TaskKeeper } from "../controllers/task_keeper.ts";
 import { reservationOrder, Tasks } from "../controllers/tasks.ts";
 import { TaskSizes } from "../controllers/task_sizes.ts";
+import { timingFor } from "../controllers/timing.ts";
 import { WorkDesk } from "../controllers/work_desk.ts";
 import { type Run, WorkerStandings } from "../controllers/worker_standings.ts";
 import { WriteBudget } from "../journal/write_budget.ts";
@@ -69,6 +70,8 @@
   readonly log: Log;
   /** Uniform in [0, 1). */
   readonly random: () => number;
+  /** Time after which others take over from this instance when it is silent. */
+  readonly leaseMs: number;
 }
 
 /** A running instance. */
@@ -109,7 +112,8 @@
     const members = () => this.others();
     this.drainRates = new DrainRates({ clock, queue });
     this.fleet = new Fleet({ list, clock, log });
-    this.membership = new Membership(options);
+    const timing = timingFor(options.leaseMs);
+    this.membership = new Membership({ ...options, timing });
     const { membership, fleet } = this;
     this.ownership = new Ownership({ ...options, membership });
     const { ownership } = this;
--- a/src/settings_schemas.ts
+++ b/src/settings_schemas.ts
@@ -80,7 +80,7 @@
   timing: {
     lease: {
       unit: unit.positiveDuration,
-      fallback: "10s",
+      fallback: "5s",
       help: "Time after which others take over from a silent instance.",
     },
     store_timeout: {
