Keep headroom for urgent requests from deferred tasks

Cause: with month-end work behind them every slot was taken by tasks of 1.5 s, so an urgent request waited for the next end at the owners it could reach. Ruled out: the exchange between instances (9 to 15 ms beyond the work with no backlog at the 99th percentile).

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -14,6 +14,7 @@
 import { benchPacking } from "./packing.ts";
 import { benchRecovery } from "./recovery.ts";
 import { Results } from "./results.ts";
+import { benchRequests } from "./requests.ts";
 import { benchRoles } from "./roles.ts";
 import { benchShares } from "./shares.ts";
 import { benchWaiting } from "./waiting.ts";
@@ -30,6 +31,7 @@
   journal: benchJournal,
   packing: benchPacking,
   recovery: benchRecovery,
+  requests: benchRequests,
   roles: benchRoles,
   shares: benchShares,
   waiting: benchWaiting,
--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -13,7 +13,7 @@
 import type { Shares } from "../policy/shares.ts";
 import type { QueueFull, Waiting } from "../policy/waiting.ts";
 import { add, noResources } from "../resources.ts";
-import type { Resources } from "../types.ts";
+import type { Resources, Urgency } from "../types.ts";
 import {
   declineNotice,
   type News,
@@ -168,7 +168,9 @@
   #giveRoom(): boolean {
     const { placement, pool } = this.#options;
     if (pool.totals().free.slots <= 0) return false;
-    const hasRoom = (need: Resources) => placement.findRoom(need) !== undefined;
+    const hasRoom = (need: Resources, urgency: Urgency) =>
+      (urgency === "urgent" || placement.leavesHeadroom(need)) &&
+      placement.findRoom(need) !== undefined;
     const chosen = this.#choose(this.#allowed(), hasRoom);
     if (chosen === undefined) return false;
     if ("holder" in chosen) return this.#offerRoom(chosen as RemoteCandidate);
@@ -190,7 +192,7 @@
 
   #choose<T extends Candidate>(
     candidates: Iterable<T>,
-    hasRoom: (need: Resources) => boolean,
+    hasRoom: (need: Resources, urgency: Urgency) => boolean,
   ): T | undefined {
     return chooseNext(this.#unblocked(candidates), {
       shares: this.#options.shares,
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -10,10 +10,11 @@
 import { place } from "../kinds/registry.ts";
 import type { Log } from "../logger.ts";
 import type { Workload } from "../operator_set.ts";
+import { Headroom } from "../policy/headroom.ts";
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Allowances, Authority } from "../ports/authority.ts";
 import type { Upstream } from "../ports/upstream.ts";
-import { equal } from "../resources.ts";
+import { add, equal, fits } from "../resources.ts";
 import type { Reason, Resources } from "../types.ts";
 import type { RunOrder, RunResult } from "../wire/dispatch.ts";
 import { type HeldRoom, Offers } from "./offers.ts";
@@ -74,6 +75,7 @@
   readonly #orders: OrderMemory;
   readonly #lost = new Map<string, string[]>();
   readonly #usage = new Map<string, Resources>();
+  readonly #headroom = new Headroom();
   #sizeOf: (task: SizedTask) => Resources = ({ need }) => need;
 
   constructor(options: PlacementOptions) {
@@ -122,10 +124,19 @@
     return this.#usage;
   }
 
+  /** Whether a deferred task leaves enough room for urgent requests to come. */
+  leavesHeadroom(need: Resources): boolean {
+    const { clock, pool } = this.#options;
+    const { capacity, free } = pool.totals();
+    const kept = this.#headroom.room(capacity, clock.monotonic());
+    return fits(add(need, kept), free);
+  }
+
   /** Sends a request to a worker, or says why not. */
   async run(order: RunOrder): Promise<RunResult> {
     const earlier = this.#earlier(order.id);
     if (earlier !== undefined) return earlier;
+    this.#headroom.urgent(order.need, this.#options.clock.monotonic());
     const found = this.#acquire(order);
     if (found.type === "none") {
       return { ...notStarted(found.reason), retryAfterMs: found.retryAfterMs };
@@ -192,6 +203,7 @@
 
   /** Accounts for what a team has running. */
   charge(team: string, need: Resources, sign: 1 | -1): void {
+    if (sign < 0) this.#headroom.ended(this.#options.clock.monotonic());
     const before = this.#usage.get(team);
     const after = {
       cpuMillis: (before?.cpuMillis ?? 0) + sign * need.cpuMillis,
--- a/src/controllers/reservations.ts
+++ b/src/controllers/reservations.ts
@@ -96,7 +96,7 @@
     const { team } = wanted;
     const need = placement.sizeOf(wanted);
     const offers: Omit<TaskOffer, "owner">[] = [];
-    while (offers.length < wanted.count) {
+    while (offers.length < wanted.count && placement.leavesHeadroom(need)) {
       const reserved = placement.reserve({ ...wanted, need }, wanted.avoid);
       if (reserved.type === "none") break;
       const offer = offers.length === 0 ? reservation : randomUUID();
