Tell the works apart that a takeover hands to the runner in one call

Cause: an instance that takes a segment over hands the tasks of all its works to the runner in one call, and the runner looked at the first task alone. With a batch first, gangs started task by task. Both seen red in tasks_test.ts ("adopted: ..."), green with the tasks told apart by work.

Ruled out: endings told and not taken, attempts that stay pending, tasks withdrawn late by an older holder of the segment.

--- a/src/controllers/tasks.ts
+++ b/src/controllers/tasks.ts
@@ -91,8 +91,10 @@
   }
 
   enqueue(tasks: readonly RunnableTask[]): void {
-    if (tasks[0]?.gangSize !== undefined) this.#gangs?.enqueue(tasks);
-    else for (const task of tasks) this.#add(task);
+    for (const together of byWork(tasks)) {
+      if (together[0]?.gangSize !== undefined) this.#gangs?.enqueue(together);
+      else for (const task of together) this.#add(task);
+    }
   }
 
   withdraw(works: readonly string[]): void {
@@ -316,6 +318,16 @@
   }
 }
 
+function byWork(tasks: readonly RunnableTask[]): RunnableTask[][] {
+  const works = new Map<string, RunnableTask[]>();
+  for (const task of tasks) {
+    const together = works.get(task.work) ?? [];
+    works.set(task.work, together);
+    together.push(task);
+  }
+  return [...works.values()];
+}
+
 function idOf(task: RunnableTask): string {
   return `${task.work}/${task.task}/${task.attempts}`;
 }
--- a/src/controllers/tasks_test.ts
+++ b/src/controllers/tasks_test.ts
@@ -234,6 +234,19 @@
   t.deepEqual(cell.worker("a").stopped, [attempt!]);
 });
 
+for (const first of ["gang", "batch"] as const) {
+  test(`adopted: a ${first} first among works of both kinds`, async (t) => {
+    const cell = await both();
+    const { tasks, attempts } = cell.node("1");
+    const gang = gangOf(cell, 17, "w.1");
+    const batch = [0, 1].map((index) => taskOf(cell, index, "w.2"));
+    tasks.enqueue(first === "gang" ? [...gang, ...batch] : [...batch, ...gang]);
+    await cell.run(3_000);
+    const started = [...attempts.started.values()];
+    t.deepEqual(started.map(({ work }) => work), ["w.2", "w.2"]);
+  });
+}
+
 test("limit: a gang never takes a team over it", async (t) => {
   const cell = await alone();
   const node = cell.node("1");
--- a/src/ports/runner.ts
+++ b/src/ports/runner.ts
@@ -55,7 +55,7 @@
 
 /** Runs tasks. */
 export interface Runner {
-  /** Takes tasks that may be started. The tasks of a gang come in one call. */
+  /** Takes tasks that may be started. The tasks of a gang come in one call, maybe with those of other works. */
   enqueue(tasks: readonly RunnableTask[]): void;
   /** Forgets the tasks of these works that were not started. */
   withdraw(works: readonly string[]): void;
