--- a/testbed/_faulted_load_test.ts
+++ b/testbed/_faulted_load_test.ts
@@ -78,6 +78,9 @@
   await options.strike();
   await running;
   const unfinished = await unfinishedOf(bed, load, keys);
+  for (const id of unfinished) {
+    t.log(JSON.stringify(await explanations(bed, id)));
+  }
   const { workers } = await bed.workerRecords() as {
     workers: readonly WorkerRecord[];
   };
@@ -118,6 +121,12 @@
   );
 }
 
+/** What each living daemon says of a work. */
+function explanations(bed: Testbed, id: string): Promise<unknown[]> {
+  const path = `/v1/explain?work=${encodeURIComponent(id)}`;
+  return Promise.all(living(bed).map((node) => bed.operate(node, path)));
+}
+
 /** Waits for the acknowledged works; gives those that did not end. */
 async function unfinishedOf(
   bed: Testbed,
