Tell of urgent work at once and of the rest every 20 ms; show room behind backlog

Cause: an instance with anything waiting told its peers that it had no room, so that the headroom kept for urgent requests could not be reached from elsewhere; and news went out every 5 ms whatever had changed. Change: the announcer of the waiting bench paces the news (1 ms while urgent work waits, else 20 ms); room is hidden only while urgent work waits, and deferred work is not pushed to a peer that has a backlog of its own.

--- a/src/controllers/neighbours.ts
+++ b/src/controllers/neighbours.ts
@@ -25,7 +25,7 @@
 }
 
 /** Work as far as it decides where it may go. */
-type Errand = Pick<Candidate, "team" | "need">;
+type Errand = Pick<Candidate, "team" | "need" | "urgency">;
 
 /** Work of one team and workload that waits at a peer. */
 export interface RemoteCandidate extends Candidate {
@@ -66,12 +66,16 @@
   }
 
   /** The peer with the most room for some work; `undefined` if none is known to have any. */
-  withRoom({ team, need }: Errand, nowMs: number): string | undefined {
+  withRoom(
+    { team, need, urgency }: Errand,
+    nowMs: number,
+  ): string | undefined {
     let best: string | undefined;
     let most = 0;
     for (const [peer, known] of this.#fresh(nowMs)) {
       const room = fits(need, known.free) && fits(need, known.largest);
       if (!room || known.free.slots <= most) continue;
+      if (urgency === "deferred" && known.backlog.size > 0) continue;
       if (this.#isLimited(team) && (known.spare.get(team) ?? 0) <= 0) continue;
       best = peer;
       most = known.free.slots;
@@ -80,7 +84,7 @@
   }
 
   /** Notes that room was asked of a peer. */
-  spend(peer: string, { team, need }: Errand): void {
+  spend(peer: string, { team, need }: Pick<Errand, "team" | "need">): void {
     const known = this.#known.get(peer);
     if (known === undefined) return;
     known.free = subtract(known.free, need);
--- a/src/controllers/news_teller.ts
+++ b/src/controllers/news_teller.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock, Timer } from "../clock.ts";
+import { Announcer } from "../policy/announcer.ts";
 import type { WorkerPool } from "../policy/pool.ts";
 import type { WaitingQueue } from "../policy/waiting.ts";
 import type { Allowances } from "../ports/authority.ts";
@@ -13,8 +14,10 @@
 import { type News, newsNotice } from "../wire/dispatch.ts";
 import type { Placement } from "./placement.ts";
 
-/** Least time between two pieces of news, milliseconds. */
-const NEWS_SPACING_MS = 5;
+/** Least time between two pieces of news while urgent work waits, milliseconds. */
+const PRESSING_GAP_MS = 1;
+/** Least time between two pieces of news otherwise, milliseconds. */
+const ORDINARY_GAP_MS = 20;
 /** Time between pieces of news when nothing changes, milliseconds. */
 const NEWS_HEARTBEAT_MS = 1_000;
 
@@ -38,7 +41,10 @@
   #sequence = 0;
   #lastNews = "";
   #newsTimer: Timer | undefined;
-  #newsAtMs = -Infinity;
+  readonly #announcer = new Announcer({
+    ordinaryGapMs: ORDINARY_GAP_MS,
+    pressingGapMs: PRESSING_GAP_MS,
+  });
   #stopped = false;
 
   constructor(options: NewsOptions) {
@@ -52,20 +58,25 @@
     this.#newsTimer?.cancel();
   }
 
-  /** Sends news if it differs from the last, urgent backlog at once. */
+  /** Sends news if it differs from the last: at once while urgent work waits, else soon. */
   tell(): void {
-    if (this.#newsTimer !== undefined || this.#stopped) return;
-    const sinceMs = this.#options.clock.monotonic() - this.#newsAtMs;
-    if (sinceMs >= NEWS_SPACING_MS) return this.#sendNews(false);
+    if (this.#stopped) return;
+    const nowMs = this.#options.clock.monotonic();
+    this.#announcer.note(this.#urgentWaits() ? "pressing" : "ordinary", nowMs);
+    this.#newsTimer?.cancel();
+    const delayMs = this.#announcer.dueAtMs - nowMs;
+    if (delayMs <= 0) return this.#sendNews(false);
     this.#newsTimer = this.#options.clock.after(
-      NEWS_SPACING_MS - sinceMs,
-      () => {
-        this.#newsTimer = undefined;
-        this.#sendNews(false);
-      },
+      delayMs,
+      () => this.#sendNews(false),
     );
   }
 
+  #urgentWaits(): boolean {
+    const heads = this.#options.queue.heads({ urgency: "urgent" });
+    return heads.next().done !== true;
+  }
+
   #heartbeat(): void {
     if (this.#stopped) return;
     this.#sendNews(true);
@@ -79,9 +90,9 @@
       news.spare,
       laneCounts(news),
     ]);
+    this.#announcer.sent(this.#options.clock.monotonic());
     if (!evenIfSame && fingerprint === this.#lastNews) return;
     this.#lastNews = fingerprint;
-    this.#newsAtMs = this.#options.clock.monotonic();
     const numbered = { ...news, sequence: ++this.#sequence };
     for (const peer of this.#options.members()) {
       this.#options.peers.notify(peer, newsNotice, numbered);
@@ -91,10 +102,9 @@
   #news(): News {
     const { clock, placement, pool, queue } = this.#options;
     const { free, capacity } = pool.totals();
-    const spare = this.#options.queue.size > 0 ? noResources : free;
     return {
       sequence: this.#sequence,
-      free: spare,
+      free: this.#urgentWaits() ? noResources : free,
       spare: this.#spare(),
       largest: largestRoom(pool),
       capacity,
