--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -7,6 +7,7 @@
 import type { Clock, Timer } from "../clock.ts";
 import type { Log } from "../logger.ts";
 import { Leftover } from "../policy/leftover.ts";
+import { leftoverRoom } from "../policy/leftover_room.ts";
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Authority } from "../ports/authority.ts";
 import type { Report, TaskReport, Upstream } from "../ports/upstream.ts";
@@ -22,6 +23,9 @@
 /** Time between attempts to reach a worker that has not reported yet, milliseconds. */
 const FIRST_REPORT_INTERVAL_MS = 200;
 
+/** Requests given up on a worker that is no longer owned count for so long at most, milliseconds. */
+const LOST_MEMORY_MS = 60_000;
+
 /** Prefix of the units of ownership that are workers. */
 export const WORKER_UNIT = "worker:";
 
@@ -34,6 +38,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly standings: WorkerStandings;
+  /** The most that a request of any workload takes. */
+  readonly largestRequest: () => Resources;
   /** Whether the operators have taken a worker out of use. */
   readonly drained: (worker: string) => boolean;
 }
@@ -69,6 +75,8 @@
   foreignTasks: Resources;
   /** What requests took that were given up since none was left over. */
   lostNeeds: Resources[];
+  /** When those count as gone on a worker that is no longer owned. */
+  lostUntilMs: number;
   timer?: Timer;
 }
 
@@ -156,6 +164,7 @@
     if (entry === undefined) return;
     entry.leftover.lost(request.id, this.#options.clock.monotonic());
     entry.lostNeeds.push(request.need);
+    entry.lostUntilMs = this.#options.clock.monotonic() + LOST_MEMORY_MS;
     this.#reserve(id, entry);
   }
 
@@ -217,6 +226,7 @@
     const entry = this.#entries.get(id);
     if (entry === undefined || entry.owned) return;
     if (entry.leftover.active > 0 || this.#holdsRoom(id)) return;
+    if (this.#awaitsLost(entry)) return;
     const tracked = this.#listeners.some((listener) =>
       listener.trackedOn(id).size > 0
     );
@@ -225,6 +235,13 @@
     this.#entries.delete(id);
     this.#options.pool.remove(id);
     this.#options.standings.remove(id);
+    for (const listener of this.#listeners) listener.roomChanged();
+  }
+
+  /** Whether requests that were given up may still run there. */
+  #awaitsLost(entry: Owned): boolean {
+    return entry.lostNeeds.length > 0 &&
+      this.#options.clock.monotonic() < entry.lostUntilMs;
   }
 
   #holdsRoom(id: string): boolean {
@@ -328,9 +345,10 @@
   #reserve(id: string, entry: Owned): void {
     const { count } = entry.leftover;
     if (count === 0) entry.lostNeeds = [];
-    const requests = mostOf(entry.lostNeeds, {
-      count,
-      each: oneSlot(entry.worker.capacity),
+    const requests = leftoverRoom(count, {
+      needs: entry.lostNeeds,
+      capacity: entry.worker.capacity,
+      most: this.#options.largestRequest(),
     });
     this.#options.pool.reserveFor(id, add(requests, entry.foreignTasks));
   }
@@ -351,35 +369,6 @@
     leaving: false,
     foreignTasks: noResources,
     lostNeeds: [],
-  };
-}
-
-/** What a request of unknown workload is taken to use. */
-function oneSlot(capacity: Resources): Resources {
-  const slots = Math.max(1, capacity.slots);
-  return {
-    cpuMillis: Math.floor(capacity.cpuMillis / slots),
-    memoryMib: Math.floor(capacity.memoryMib / slots),
-    accelerators: 0,
-    slots: 1,
-  };
-}
-
-/** Most that `count` requests take, of which some took `needs` and others `each`. */
-function mostOf(
-  needs: readonly Resources[],
-  { count, each }: { readonly count: number; readonly each: Resources },
-): Resources {
-  const most = (dimension: keyof Resources) =>
-    needs.map((need) => need[dimension])
-      .concat(Array<number>(count).fill(each[dimension]))
-      .sort((a, b) => b - a)
-      .slice(0, count)
-      .reduce((sum, amount) => sum + amount, 0);
-  return {
-    cpuMillis: most("cpuMillis"),
-    memoryMib: most("memoryMib"),
-    accelerators: most("accelerators"),
-    slots: most("slots"),
+    lostUntilMs: -Infinity,
   };
 }
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -10,21 +10,21 @@
 import { place } from "../kinds/registry.ts";
 import type { Log } from "../logger.ts";
 import type { Workload } from "../operator_set.ts";
+import { Headroom } from "../policy/headroom.ts";
 import type { WorkerPool } from "../policy/pool.ts";
 import type { Allowances, Authority } from "../ports/authority.ts";
 import type { Upstream } from "../ports/upstream.ts";
-import { equal } from "../resources.ts";
+import { add, equal, fits } from "../resources.ts";
 import type { Reason, Resources } from "../types.ts";
 import type { RunOrder, RunResult } from "../wire/dispatch.ts";
 import { type HeldRoom, Offers } from "./offers.ts";
+import { OrderMemory } from "./order_memory.ts";
 import { type OwnedWorkers, WORKER_UNIT } from "./owned_workers.ts";
 import type { SizedTask } from "./task_sizes.ts";
 import type { Run } from "./worker_standings.ts";
 
 /** Time to come back after while a team is at its limit, milliseconds. */
 const LIMIT_RETRY_MS = 250;
-/** Orders are remembered for so long beyond their timeouts, milliseconds. */
-const ORDER_MEMORY_MS = 15_000;
 
 /** Told how each run on a worker went. */
 export interface RunObserver {
@@ -44,15 +44,6 @@
   readonly workloadOf: (name: string) => Workload | undefined;
 }
 
-/** What is remembered of an order. */
-type OrderMemory =
-  & { readonly untilMs: number }
-  & (
-    | { readonly state: "started"; readonly worker: string }
-    /** Came too late: its holder has counted it as not started. */
-    | { readonly state: "barred" }
-  );
-
 /** Narrows a search for room. */
 export interface RoomOptions {
   /** Whose kind decides where it goes. */
@@ -81,13 +72,15 @@
   readonly offers: Offers;
   readonly #options: PlacementOptions;
   readonly #roomListeners: (() => void)[] = [];
-  readonly #orders = new Map<string, OrderMemory>();
+  readonly #orders: OrderMemory;
   readonly #lost = new Map<string, string[]>();
   readonly #usage = new Map<string, Resources>();
+  readonly #headroom = new Headroom();
   #sizeOf: (task: SizedTask) => Resources = ({ need }) => need;
 
   constructor(options: PlacementOptions) {
     this.#options = options;
+    this.#orders = new OrderMemory(options.clock);
     this.offers = new Offers({
       pool: options.pool,
       clock: options.clock,
@@ -131,10 +124,19 @@
     return this.#usage;
   }
 
+  /** Whether a deferred task leaves enough room for urgent requests to come. */
+  leavesHeadroom(need: Resources): boolean {
+    const { clock, pool } = this.#options;
+    const { capacity, free } = pool.totals();
+    const kept = this.#headroom.room(capacity, clock.monotonic());
+    return fits(add(need, kept), free);
+  }
+
   /** Sends a request to a worker, or says why not. */
   async run(order: RunOrder): Promise<RunResult> {
     const earlier = this.#earlier(order.id);
     if (earlier !== undefined) return earlier;
+    this.#headroom.urgent(order.need, this.#options.clock.monotonic());
     const found = this.#acquire(order);
     if (found.type === "none") {
       return { ...notStarted(found.reason), retryAfterMs: found.retryAfterMs };
@@ -150,10 +152,7 @@
 
   /** Whether an order was started. One that was not is barred from then on. */
   settle(id: string): boolean {
-    if (this.#orders.get(id)?.state === "started") return true;
-    const untilMs = this.#options.clock.monotonic() + ORDER_MEMORY_MS;
-    this.#remember(id, { state: "barred", untilMs });
-    return false;
+    return !this.#orders.bar(id);
   }
 
   /** Where a task or request could be placed now; nothing is taken. */
@@ -204,6 +203,7 @@
 
   /** Accounts for what a team has running. */
   charge(team: string, need: Resources, sign: 1 | -1): void {
+    if (sign < 0) this.#headroom.ended(this.#options.clock.monotonic());
     const before = this.#usage.get(team);
     const after = {
       cpuMillis: (before?.cpuMillis ?? 0) + sign * need.cpuMillis,
@@ -273,8 +273,8 @@
 
   /** What to answer to an order that was started or barred before. */
   #earlier(id: string): RunResult | undefined {
-    const order = this.#orders.get(id);
-    switch (order?.state) {
+    const order = this.#orders.state(id);
+    switch (order?.type) {
       case undefined:
         return undefined;
       case "barred":
@@ -291,10 +291,8 @@
     if (earlier !== undefined) return earlier;
     const refusal = this.refusal(place);
     if (refusal !== undefined) return notStarted(refusal);
-    const nowMs = this.#options.clock.monotonic();
-    const untilMs = nowMs + order.request.timeoutMs + ORDER_MEMORY_MS;
-    const { worker } = place;
-    this.#remember(order.id, { state: "started", worker, untilMs });
+    const { timeoutMs } = order.request;
+    this.#orders.started(order.id, { worker: place.worker, timeoutMs });
     return undefined;
   }
 
@@ -339,19 +337,19 @@
     switch (failure.type) {
       case "workerUnreached":
       case "workerLeaving":
-        this.#orders.delete(order.id);
+        this.#orders.forget(order.id);
         workers.suspect(worker, failure.type === "workerLeaving");
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { ...notStarted({ type: "workerLost", worker }), worker };
       case "workerRefused":
         observer.ran(worker, { workload, ending: "refused", tookMs });
-        this.#orders.delete(order.id);
+        this.#orders.forget(order.id);
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { ...notStarted({ type: "workerFailed", worker }), worker };
       case "workerFenced":
-        this.#orders.delete(order.id);
+        this.#orders.forget(order.id);
         workers.requestEnded(worker, order.id);
         this.#vacate(order, place, true);
         return { ...notStarted({ type: "workerFailed", worker }), worker };
@@ -390,15 +388,6 @@
     if (charged) this.charge(order.team, order.need, -1);
     this.giveBack({ ...order, worker: place.worker });
   }
-
-  #remember(id: string, memory: OrderMemory): void {
-    const nowMs = this.#options.clock.monotonic();
-    this.#orders.set(id, memory);
-    for (const [oldest, { untilMs }] of this.#orders) {
-      if (nowMs < untilMs) return;
-      this.#orders.delete(oldest);
-    }
-  }
 }
 
 function notStarted(
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -80,6 +80,7 @@
       clock,
       log,
       random: Math.random,
+      leaseMs: settings.timing.leaseMs,
     });
     this.#server = new HttpServer({
       listen: instance.listen,
@@ -133,7 +134,7 @@
     const bodies = new BodyMemory();
     const admission: Admission = {
       stopping: () => false,
-      configured: () => instance.settings.known,
+      configured: () => instance.configured(),
       inContact: () => instance.authority.inContact(),
     };
     const current = () => instance.settings.set();
