--- a/src/controllers/matching_test.ts
+++ b/src/controllers/matching_test.ts
@@ -44,7 +44,7 @@
   return () => looks;
 }
 
-const errand = { team: "large", need: NEED };
+const errand = { urgency: "urgent" as const, team: "large", need: NEED };
 
 function reservedRoom(node: DispatchNode, need: Resources): Place {
   const task = { team: "large", workload: "receipts", need };
