Drop a task that ended under its next owner

Cause: an owner that had given a worker up went on counting the tasks that it had started there, even when the worker's reports no longer showed them, since only the new owner may tell how they ended. Their allowance was never given back: with a limit of 12 and 4 of it lost, gangs of 6 waited for good. Change: a task that a given-up worker does not show any more is dropped with its room and allowance, and nothing is told of it. Seen red: the new test of the keeper.

--- a/src/controllers/task_keeper.ts
+++ b/src/controllers/task_keeper.ts
@@ -283,18 +283,20 @@
     this.#measured.set(worker.id, measuredAtMs);
     const reported = new Set(tasks.map(({ attempt }) => attempt));
     for (const task of tasks) this.#take(worker, task);
-    if (workers.fence(worker.id) === undefined) return;
+    const owned = workers.fence(worker.id) !== undefined;
     for (const kept of this.#onWorker.get(worker.id)?.values() ?? []) {
       const settled = measuredAtMs - kept.answeredAtMs > START_BLUR_MS;
-      if (settled && !reported.has(kept.attempt)) {
-        this.#end(kept, {
-          type: "lost",
-          detail: "the worker does not know it",
-        });
-      }
+      if (settled && !reported.has(kept.attempt)) this.#gone(kept, owned);
     }
   }
 
+  /** A task is not on its worker any more; whoever owns the worker now tells how it ended. */
+  #gone(kept: Kept, owned: boolean): void {
+    const detail = "the worker does not know it";
+    if (owned) this.#end(kept, { type: "lost", detail });
+    else if (kept.end === undefined) this.#drop(kept);
+  }
+
   #take(worker: Worker, task: TaskReport): void {
     const known = this.#kept.get(task.attempt);
     const kept = known ?? this.#adopt(worker, task);
--- a/src/controllers/task_keeper_test.ts
+++ b/src/controllers/task_keeper_test.ts
@@ -228,6 +228,18 @@
   });
 }
 
+test("former owner: a task that its successor saw end frees its allowance", async (t) => {
+  const cell = await apart();
+  await start(cell);
+  cell.own("a", "2");
+  await cell.run(2_000);
+  cell.worker("a").tasks.clear();
+  await cell.run(5_000);
+  t.deepEqual(cell.node("1").told, []);
+  t.is(cell.node("1").keeper.size, 0);
+  t.is(cell.node("1").allowances.running("large"), 0);
+});
+
 test("find: pending, then never started, and a late start is barred", async (t) => {
   const cell = await alone();
   const { keeper } = cell.node("1");
