Count a silent worker as settled after 30 seconds

Cause: after a death every limit's new home waits until each adopted worker has been accounted for; a worker that never reports, but stays on the list, held up every team's limit for good. Found by reading what the limits expect of owners. Change: what a former owner started on a worker that has not reported for 30 s counts as ended, since task leases (15 s, renewed every 4 s) have lapsed.

--- a/src/controllers/owned_workers.ts
+++ b/src/controllers/owned_workers.ts
@@ -26,6 +26,9 @@
 /** Requests given up on a worker that is no longer owned count for so long at most, milliseconds. */
 const LOST_MEMORY_MS = 60_000;
 
+/** What a former owner started on a worker that has been silent for so long counts as ended, milliseconds. */
+const SILENT_SETTLED_MS = 30_000;
+
 /** Prefix of the units of ownership that are workers. */
 export const WORKER_UNIT = "worker:";
 
@@ -69,6 +72,8 @@
   fence: number;
   /** The worker refuses starts of tasks under older fencing numbers. */
   fenced: boolean;
+  /** Time of its last report, or of its adoption. */
+  heardAtMs: number;
   owned: boolean;
   reachable: boolean;
   leaving: boolean;
@@ -200,6 +205,7 @@
       known.owned = true;
       known.fence = fence;
       known.fenced = false;
+      known.heardAtMs = trustedFromMs;
       known.reachable = false;
       known.leftover.reset(trustedFromMs);
     } else {
@@ -274,19 +280,28 @@
     const { fence, worker } = entry;
     if (entry.owned && !entry.fenced) {
       const renewed = await upstream.renew(worker.address, fence, []);
-      if (renewed.isErr()) return this.suspect(id, false);
+      if (renewed.isErr()) return this.#unheard(id, entry);
       entry.fenced = entry.fence === fence;
     }
     const sentAtMs = clock.monotonic();
     await upstream.report(worker.address).match(
       (report) => this.#reported(id, { report, sentAtMs }),
-      () => {
-        this.suspect(id, false);
-        this.#sweep(id);
-      },
+      () => this.#unheard(id, entry),
     );
   }
 
+  /** A worker gave no report. What ran on one that stays silent has ended with its lease. */
+  #unheard(id: string, entry: Owned): void {
+    this.suspect(id, false);
+    const silentMs = this.#options.clock.monotonic() - entry.heardAtMs;
+    if (silentMs > SILENT_SETTLED_MS) this.#settled(id);
+    this.#sweep(id);
+  }
+
+  #settled(id: string): void {
+    for (const listener of this.#listeners) listener.settled?.(id);
+  }
+
   #schedule(id: string): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
@@ -308,6 +323,7 @@
     if (entry === undefined) return;
     const measuredAtMs = sentAtMs - report.ageMs;
     entry.reachable = true;
+    entry.heardAtMs = this.#options.clock.monotonic();
     entry.leaving = report.leaving;
     entry.leftover.sighted({
       measuredAtMs,
@@ -323,9 +339,7 @@
     entry.foreignTasks = this.#foreign(id, report);
     this.#reserve(id, entry);
     this.#judge(id, entry);
-    if (entry.leftover.known && entry.leftover.count === 0) {
-      for (const listener of this.#listeners) listener.settled?.(id);
-    }
+    if (entry.leftover.known && entry.leftover.count === 0) this.#settled(id);
     for (const listener of this.#listeners) listener.roomChanged();
     this.#sweep(id);
   }
@@ -363,6 +377,7 @@
     worker,
     fence,
     fenced: false,
+    heardAtMs: trustedFromMs,
     leftover: new Leftover(trustedFromMs),
     owned: true,
     reachable: false,
