Split the joining of an instance; look at the aftermath of a run in one place

Cause: the constructor of an instance had grown to 150 lines, and the bench of faults and the process tests had the same checks twice.

--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -8,31 +8,18 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import process from "node:process";
-import { call } from "../testbed/http.ts";
-import { checkRecords, type WorkerRecord } from "../testbed/checker.ts";
+import { unfinishedWorks, violationsOf } from "../testbed/aftermath.ts";
 import { Load } from "../testbed/load.ts";
 import { smallSet } from "../testbed/small_set.ts";
-import { type Node, pause, Testbed } from "../testbed/testbed.ts";
+import { pause, Testbed } from "../testbed/testbed.ts";
 import { Random } from "./random.ts";
 import type { Results } from "./results.ts";
 
 const INSTANCES = 8;
 const WORKERS = 30;
-const CAPACITY = {
-  cpuMillis: 64_000,
-  memoryMib: 262_144,
-  accelerators: 0,
-  slots: 8,
-};
 const LIMITS = { counter: 60, billing: 80 };
 const DURATION_MS = 45_000;
 const SETTLE_MS = 60_000;
-const REQUEST_NEED = {
-  cpuMillis: 1_000,
-  memoryMib: 1_024,
-  accelerators: 0,
-  slots: 1,
-};
 
 /** One fault and when it strikes. */
 interface Fault {
@@ -153,23 +140,9 @@
   );
   await load.run();
   for (const timer of timers) clearTimeout(timer);
-  const unfinished = await settle(bed, load, keys);
-  const { workers } = await bed.workerRecords() as {
-    workers: readonly WorkerRecord[];
-  };
-  const violations = checkRecords({
-    load,
-    records: workers,
-    capacity: CAPACITY,
-    services: [
-      { prefix: "/print", need: REQUEST_NEED, idempotent: false },
-      { prefix: "/check", need: REQUEST_NEED, idempotent: true },
-    ],
-    onceTasks: ["price-import"],
-    limits: LIMITS,
-    requestTeam: "counter",
-    unfinished,
-  });
+  const ran = { bed, load, keys, limits: LIMITS };
+  const unfinished = await unfinishedWorks(ran, SETTLE_MS);
+  const violations = await violationsOf(ran, unfinished);
   report(results, load, unfinished);
   timeline(results, load);
   for (const [name, count] of Object.entries(violations)) {
@@ -218,52 +191,11 @@
 
 const SLICE_MS = 3_000;
 
-/** Waits for the works to end; gives those that did not. */
-async function settle(
-  bed: Testbed,
-  load: Load,
-  keys: Readonly<Record<string, string>>,
-): Promise<string[]> {
-  const until = Date.now() + SETTLE_MS;
-  let open = load.works.map(({ id }) => id);
-  while (open.length > 0 && Date.now() < until) {
-    open = (await Promise.all(open.map((id) => ended(bed, id, keys))))
-      .flatMap((id) => id ?? []);
-    if (open.length > 0) await pause(1_000);
-  }
-  return open;
-}
-
-/** The id if the work has not ended. */
-async function ended(
-  bed: Testbed,
-  id: string,
-  keys: Readonly<Record<string, string>>,
-): Promise<string | undefined> {
-  const node = living(bed)[0]!;
-  try {
-    const reply = await call(node.callers, {
-      path: `/v1/work/${id}`,
-      headers: { authorization: `Bearer ${keys.billing}` },
-    });
-    const { status } = JSON.parse(reply.body) as { status?: string };
-    return status === "finished" || status === "parked" ? undefined : id;
-  } catch {
-    return id;
-  }
-}
-
 function drawsOf(seed: number): () => number {
   const draws = new Random(seed);
   return () => draws.unit();
 }
 
-function living(bed: Testbed): Node[] {
-  return bed.nodes.filter(({ process }) =>
-    process.child.exitCode === null && process.child.signalCode === null
-  );
-}
-
 const PAUSE_MS = 9_000;
 
 async function pauseNode(bed: Testbed, index: number): Promise<void> {
--- a/src/adapters/exchange.ts
+++ b/src/adapters/exchange.ts
@@ -77,6 +77,11 @@
   };
 }
 
+/** Keeps the client from sending a request; it reaches the exchange as a failure. */
+class SendRefusal extends Error {
+  readonly type = "sendRefusal";
+}
+
 /** Headers with one text for each name. */
 export function flattenHeaders(
   headers: Readonly<Record<string, string | string[] | undefined>>,
@@ -113,9 +118,9 @@
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
-    if (this.#settled) throw new Error("given up before it was sent");
+    if (this.#settled) throw new SendRefusal("given up before it was sent");
     if (this.#controller !== undefined) {
-      throw new Error("a request is never sent twice");
+      throw new SendRefusal("a request is never sent twice");
     }
     this.#controller = controller;
     this.#deadline.progress();
--- /dev/null
+++ b/src/daemon/cluster_parts.ts
@@ -0,0 +1,62 @@
+/**
+ * The parts of an instance that agree with the other instances through the
+ * platform: fleet, membership, ownership, limits, configuration.
+ *
+ * @module
+ */
+import { TeamAllowances } from "../controllers/allowances.ts";
+import { ConfigurationFeed } from "../controllers/configuration.ts";
+import { Fleet } from "../controllers/fleet.ts";
+import { Limits } from "../controllers/limits.ts";
+import { Membership } from "../controllers/membership.ts";
+import { Ownership } from "../controllers/ownership.ts";
+import { timingFor } from "../controllers/timing.ts";
+import type { Authority } from "../ports/authority.ts";
+import type { InstanceOptions } from "./instance_options.ts";
+
+/** The parts, and the ids of the other instances. */
+export type ClusterParts = ReturnType<typeof clusterParts>;
+
+/** Makes the parts. `gained` is told when a team may have more running. */
+export function clusterParts(
+  options: InstanceOptions,
+  gained: (team: string) => void,
+) {
+  const { self, list, peers, clock, log } = options;
+  const timing = timingFor(options.leaseMs);
+  const membership = new Membership({ ...options, timing });
+  const ownership = new Ownership({ ...options, membership });
+  const limits = new Limits({ membership, ownership, peers, clock });
+  const members = () =>
+    membership.members()
+      .map((member) => member.id)
+      .filter((id) => id !== self.id);
+  return {
+    fleet: new Fleet({ list, clock, log }),
+    membership,
+    ownership,
+    authority: authorityOf(membership, ownership),
+    limits,
+    allowances: new TeamAllowances(limits, gained),
+    configuration: new ConfigurationFeed({
+      ...options,
+      self: self.id,
+      members,
+    }),
+    members,
+  };
+}
+
+function authorityOf(
+  membership: Membership,
+  ownership: Ownership,
+): Authority {
+  return {
+    inContact: () => membership.mayDecide(),
+    mayDecide: (unit) => ownership.mayDecide(unit),
+    owned: (prefix) => ownership.owned(prefix),
+    ownerOf: (unit) => ownership.ownerOf(unit),
+    fenceOf: (unit) => ownership.fenceOf(unit),
+    onChange: (listener) => ownership.onChange(listener),
+  };
+}
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -4,83 +4,52 @@
  *
  * @module
  */
-import { randomUUID } from "node:crypto";
-import type { Clock, Timer } from "../clock.ts";
-import { TeamAllowances } from "../controllers/allowances.ts";
-import { ConfigurationFeed } from "../controllers/configuration.ts";
-import { Deferred } from "../controllers/deferred.ts";
-import { DEFERRED_LIMITS } from "../controllers/deferred_options.ts";
-import { Fleet } from "../controllers/fleet.ts";
-import { Gangs } from "../controllers/gangs.ts";
-import { HomeKeyGuard } from "../controllers/home_key_guard.ts";
-import { HomeKeys } from "../controllers/home_keys.ts";
-import { Limits } from "../controllers/limits.ts";
-import { Matching } from "../controllers/matching.ts";
-import { Membership } from "../controllers/membership.ts";
-import { OwnedWorkers } from "../controllers/owned_workers.ts";
-import { Ownership } from "../controllers/ownership.ts";
-import { Placement, type RunObserver } from "../controllers/placement.ts";
-import { Requests } from "../controllers/requests.ts";
-import { Segments } from "../controllers/segments.ts";
-import { TaskKeeper } from "../controllers/task_keeper.ts";
-import { reservationOrder, Tasks } from "../controllers/tasks.ts";
-import { TaskSizes } from "../controllers/task_sizes.ts";
-import { timingFor } from "../controllers/timing.ts";
-import { WorkDesk } from "../controllers/work_desk.ts";
-import { type Run, WorkerStandings } from "../controllers/worker_standings.ts";
-import { WriteBudget } from "../journal/write_budget.ts";
-import type { Log } from "../logger.ts";
+import type { Timer } from "../clock.ts";
+import type { ConfigurationFeed } from "../controllers/configuration.ts";
+import type { Deferred } from "../controllers/deferred.ts";
+import type { Fleet } from "../controllers/fleet.ts";
+import type { Gangs } from "../controllers/gangs.ts";
+import type { HomeKeys } from "../controllers/home_keys.ts";
+import type { Limits } from "../controllers/limits.ts";
+import type { Matching } from "../controllers/matching.ts";
+import type { Membership } from "../controllers/membership.ts";
+import type { OwnedWorkers } from "../controllers/owned_workers.ts";
+import type { Ownership } from "../controllers/ownership.ts";
+import type { Placement } from "../controllers/placement.ts";
+import type { Requests } from "../controllers/requests.ts";
+import type { Segments } from "../controllers/segments.ts";
+import type { TaskKeeper } from "../controllers/task_keeper.ts";
+import type { Tasks } from "../controllers/tasks.ts";
+import type { WorkDesk } from "../controllers/work_desk.ts";
+import type { Run, WorkerStandings } from "../controllers/worker_standings.ts";
 import { Metrics } from "../metrics.ts";
-import type { TcpPeers } from "../peers/tcp_peers.ts";
-import { WorkerPool } from "../policy/pool.ts";
-import { Shares } from "../policy/shares.ts";
-import { WaitingQueue } from "../policy/waiting.ts";
+import type { WorkerPool } from "../policy/pool.ts";
+import type { Shares } from "../policy/shares.ts";
+import type { WaitingQueue } from "../policy/waiting.ts";
 import type { Authority } from "../ports/authority.ts";
 import type { KeyGuard } from "../ports/key_guard.ts";
-import type { List } from "../ports/list.ts";
-import type { Store } from "../ports/store.ts";
-import type { Upstream } from "../ports/upstream.ts";
-import { RetryTokens } from "../retry_budget.ts";
-import { KEY_LIMITS } from "../state/key_memory.ts";
-import type { Instance as Identity, Resources } from "../types.ts";
 import { fits } from "../resources.ts";
-import { DrainRates } from "./drain_rates.ts";
+import type { Resources } from "../types.ts";
+import { clusterParts } from "./cluster_parts.ts";
+import { dispatchParts } from "./dispatch_parts.ts";
+import type { DrainRates } from "./drain_rates.ts";
+import type { InstanceOptions } from "./instance_options.ts";
 import { SettingsInForce } from "./settings_in_force.ts";
 import { unitsOf } from "./units.ts";
+import { workParts } from "./work_parts.ts";
 
-/** Writes to the platform's service that one instance's journal may make. */
-const JOURNAL_WRITES_PER_SECOND = 25;
-/** Writes that may be made in a burst. */
-const JOURNAL_BURST = 25;
-/** Longest wait for the home of an idempotency key, milliseconds. */
-const KEY_CALL_MS = 1_000;
 /** A set that the store has not confirmed for so long is not acted on while the store answers, milliseconds. */
 const STALE_SET_MS = 20_000;
 /** Time between looks at what is to be owned, milliseconds. */
 const UNITS_INTERVAL_MS = 2_000;
 
-/** What an instance is made of. */
-export interface InstanceOptions {
-  readonly self: Identity;
-  readonly store: Store;
-  readonly list: List;
-  readonly peers: TcpPeers;
-  readonly upstream: Upstream;
-  readonly clock: Clock;
-  readonly log: Log;
-  /** Uniform in [0, 1). */
-  readonly random: () => number;
-  /** Time after which others take over from this instance when it is silent. */
-  readonly leaseMs: number;
-}
-
 /** A running instance. */
 export class Instance {
   readonly metrics = new Metrics();
   readonly settings = new SettingsInForce();
-  readonly pool = new WorkerPool();
-  readonly queue = new WaitingQueue((name) => this.settings.boundOf(name));
-  readonly shares = new Shares();
+  readonly pool: WorkerPool;
+  readonly queue: WaitingQueue;
+  readonly shares: Shares;
   readonly drainRates: DrainRates;
   readonly fleet: Fleet;
   readonly membership: Membership;
@@ -102,185 +71,56 @@
   readonly keys: HomeKeys;
   readonly keyGuard: KeyGuard;
   readonly #options: InstanceOptions;
+  readonly #members: () => string[];
   #unitsTimer: Timer | undefined;
   #stopping = false;
 
   constructor(options: InstanceOptions) {
     this.#options = options;
-    const { settings, pool, queue, shares } = this;
-    const { self, store, list, peers, upstream, clock, log, random } = options;
-    const members = () => this.others();
-    this.drainRates = new DrainRates({ clock, queue });
-    this.fleet = new Fleet({ list, clock, log });
-    const timing = timingFor(options.leaseMs);
-    this.membership = new Membership({ ...options, timing });
-    const { membership, fleet } = this;
-    this.ownership = new Ownership({ ...options, membership });
-    const { ownership } = this;
-    const authority = authorityOf(membership, ownership);
-    this.authority = authority;
-    this.limits = new Limits({ membership, ownership, peers, clock });
-    const allowances = new TeamAllowances(
-      this.limits,
+    const { settings } = this;
+    const cluster = clusterParts(
+      options,
       (team) => this.matching.gained(team),
     );
-    this.configuration = new ConfigurationFeed({
-      ...options,
-      self: self.id,
-      members,
-    });
-    this.standings = new WorkerStandings({ peers, members, clock, log });
-    this.workers = new OwnedWorkers({
-      standings: this.standings,
-      largestRequest: () => settings.largestRequest(),
-      authority,
-      fleet,
-      pool,
-      upstream,
-      clock,
-      log,
-      drained: (worker) => settings.drained(worker),
-    });
-    const { workers } = this;
-    const observer: RunObserver = {
-      ran: (worker, run) => this.#ran(worker, run),
-    };
-    this.placement = new Placement({
-      workloadOf: (name) => settings.workload(name),
-      authority,
-      allowances,
-      workers,
-      pool,
-      upstream,
-      clock,
-      log,
-      observer,
-    });
-    const { placement } = this;
-    const sizes = new TaskSizes({
-      workers,
-      fleet,
-      upstream,
-      log,
-      workloadOf: (name) => settings.workload(name),
-      queueOf: (name) => settings.queue(name),
-      rankOf: (team) => shares.rank(team),
-    });
-    placement.sizeBy((task) => sizes.sizeOf(task));
-    this.matching = new Matching({
-      placement,
-      allowances,
-      limitedTeams: () => settings.limits().keys(),
-      pool,
-      queue,
-      shares,
-      peers,
-      clock,
-      members,
-    });
-    const { matching } = this;
-    this.requests = new Requests({
-      matching,
-      placement,
-      peers,
-      clock,
-      log,
-      retries: new RetryTokens(),
-      retryAfterMs: (name) => this.drainRates.retryAfterMs(name),
-      departed: (name) => this.drainRates.departed(name),
-    });
-    this.keeper = new TaskKeeper({
-      placement,
-      workers,
-      pool,
-      allowances,
-      upstream,
-      peers,
-      clock,
-      log,
-      observer,
+    const dispatch = dispatchParts({
+      options,
+      cluster,
+      settings,
+      observer: { ran: (worker, run) => this.#ran(worker, run) },
       tell: (ended) => this.segments.tell(ended),
     });
-    const { keeper } = this;
-    const workloadOf = (name: string) => settings.workload(name);
-    this.tasks = new Tasks({
-      self: self.id,
-      authority,
-      matching,
-      placement,
-      keeper,
-      fleet,
-      peers,
-      clock,
-      log,
-      workloadOf,
-      queueOf: (name) => settings.queue(name),
-    });
-    const { tasks } = this;
-    this.deferred = new Deferred({
-      self: self.id,
-      store,
-      clock,
-      newId: randomUUID,
-      workloadOf,
-      runner: tasks,
-      budget: new WriteBudget(clock, {
-        perSecond: JOURNAL_WRITES_PER_SECOND,
-        burst: JOURNAL_BURST,
-      }),
-      limits: DEFERRED_LIMITS,
-      lost: (segment) => this.segments.lost(segment),
-      retired: (segment) => this.segments.retired(segment),
-    });
-    const { deferred } = this;
-    this.gangs = new Gangs({
-      tasks,
-      deferred,
-      clock,
-      random,
-      log,
-      workloadOf,
-      owners: () => reservationOrder(membership.members()),
-    });
-    tasks.connect(deferred, this.gangs);
-    this.segments = new Segments({
-      self: self.id,
-      ownership,
-      authority,
-      deferred,
-      peers,
-      clock,
-      log,
-    });
-    this.desk = new WorkDesk({
-      self: self.id,
-      deferred,
-      authority,
-      peers,
-      members,
-    });
-    this.keys = new HomeKeys({
-      self: self.id,
-      peers,
-      clock,
-      limits: KEY_LIMITS,
-      callMs: KEY_CALL_MS,
-      authority,
-      epoch: () => ownership.map().epoch,
-      members,
-      newId: randomUUID,
-    });
-    this.keyGuard = new HomeKeyGuard(this.keys, clock);
+    const work = workParts({ options, cluster, dispatch, settings });
+    this.#members = cluster.members;
+    this.fleet = cluster.fleet;
+    this.membership = cluster.membership;
+    this.ownership = cluster.ownership;
+    this.authority = cluster.authority;
+    this.limits = cluster.limits;
+    this.configuration = cluster.configuration;
+    this.queue = dispatch.queue;
+    this.pool = dispatch.pool;
+    this.shares = dispatch.shares;
+    this.drainRates = dispatch.drainRates;
+    this.standings = dispatch.standings;
+    this.workers = dispatch.workers;
+    this.placement = dispatch.placement;
+    this.matching = dispatch.matching;
+    this.requests = dispatch.requests;
+    this.keeper = dispatch.keeper;
+    this.tasks = work.tasks;
+    this.deferred = work.deferred;
+    this.gangs = work.gangs;
+    this.segments = work.segments;
+    this.desk = work.desk;
+    this.keys = work.keys;
+    this.keyGuard = work.keyGuard;
     this.#connect();
     this.#gauges();
   }
 
   /** Ids of the other instances. */
   others(): string[] {
-    const { id } = this.#options.self;
-    return this.membership.members()
-      .map((member) => member.id)
-      .filter((other) => other !== id);
+    return this.#members();
   }
 
   /** Starts to take part. */
@@ -399,17 +239,3 @@
     metrics.gauge("members", () => this.membership.members().length);
   }
 }
-
-function authorityOf(
-  membership: Membership,
-  ownership: Ownership,
-): Authority {
-  return {
-    inContact: () => membership.mayDecide(),
-    mayDecide: (unit) => ownership.mayDecide(unit),
-    owned: (prefix) => ownership.owned(prefix),
-    ownerOf: (unit) => ownership.ownerOf(unit),
-    fenceOf: (unit) => ownership.fenceOf(unit),
-    onChange: (listener) => ownership.onChange(listener),
-  };
-}
--- /dev/null
+++ b/src/daemon/instance_options.ts
@@ -0,0 +1,27 @@
+/**
+ * What an instance is made of.
+ *
+ * @module
+ */
+import type { Clock } from "../clock.ts";
+import type { Log } from "../logger.ts";
+import type { TcpPeers } from "../peers/tcp_peers.ts";
+import type { List } from "../ports/list.ts";
+import type { Store } from "../ports/store.ts";
+import type { Upstream } from "../ports/upstream.ts";
+import type { Instance as Identity } from "../types.ts";
+
+/** What an instance is made of. */
+export interface InstanceOptions {
+  readonly self: Identity;
+  readonly store: Store;
+  readonly list: List;
+  readonly peers: TcpPeers;
+  readonly upstream: Upstream;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+  /** Time after which others take over from this instance when it is silent. */
+  readonly leaseMs: number;
+}
--- a/testbed/_faulted_load_test.ts
+++ b/testbed/_faulted_load_test.ts
@@ -5,21 +5,14 @@
  * @module
  */
 import type { ExecutionContext } from "ava";
-import { checkRecords, type Violations, type WorkerRecord } from "./checker.ts";
-import { call } from "./http.ts";
+import { living, unfinishedWorks, violationsOf } from "./aftermath.ts";
+import type { Violations } from "./checker.ts";
 import { Load } from "./load.ts";
 import { smallSet } from "./small_set.ts";
-import { type Node, pause, Testbed } from "./testbed.ts";
+import { pause, Testbed } from "./testbed.ts";
 
 const INSTANCES = 3;
 const WORKERS = 4;
-const CAPACITY = {
-  cpuMillis: 64_000,
-  memoryMib: 262_144,
-  accelerators: 0,
-  slots: 8,
-};
-const NEED = { cpuMillis: 1_000, memoryMib: 1_024, accelerators: 0, slots: 1 };
 const LIMITS = { counter: 20, billing: 12 };
 const PATIENCE_MS = 45_000;
 const POLL_MS = 100;
@@ -77,26 +70,12 @@
   const running = load.run();
   await options.strike();
   await running;
-  const unfinished = await unfinishedOf(bed, load, keys);
+  const run = { bed, load, keys, limits: LIMITS };
+  const unfinished = await unfinishedWorks(run, PATIENCE_MS);
   for (const id of unfinished) {
     t.log(JSON.stringify(await explanations(bed, id)));
   }
-  const { workers } = await bed.workerRecords() as {
-    workers: readonly WorkerRecord[];
-  };
-  const violations = checkRecords({
-    load,
-    records: workers,
-    capacity: CAPACITY,
-    services: [
-      { prefix: "/print", need: NEED, idempotent: false },
-      { prefix: "/check", need: NEED, idempotent: true },
-    ],
-    onceTasks: ["price-import"],
-    limits: LIMITS,
-    requestTeam: "counter",
-    unfinished,
-  });
+  const violations = await violationsOf(run, unfinished);
   t.deepEqual(violations, none);
   t.true(load.requests.some(({ outcome }) => outcome === "done"));
   return load;
@@ -114,50 +93,8 @@
   return false;
 }
 
-/** Daemons that run now. */
-export function living(bed: Testbed): Node[] {
-  return bed.nodes.filter(({ process }) =>
-    process.child.exitCode === null && process.child.signalCode === null
-  );
-}
-
 /** What each living daemon says of a work. */
 function explanations(bed: Testbed, id: string): Promise<unknown[]> {
   const path = `/v1/explain?work=${encodeURIComponent(id)}`;
   return Promise.all(living(bed).map((node) => bed.operate(node, path)));
 }
-
-/** Waits for the acknowledged works; gives those that did not end. */
-async function unfinishedOf(
-  bed: Testbed,
-  load: Load,
-  keys: Bed["keys"],
-): Promise<string[]> {
-  let open = load.works.map(({ id }) => id);
-  await holds(async () => {
-    const still: string[] = [];
-    for (const id of open) {
-      if (!await finished(bed, id, keys)) still.push(id);
-    }
-    open = still;
-    return open.length === 0;
-  });
-  return open;
-}
-
-async function finished(
-  bed: Testbed,
-  id: string,
-  keys: Bed["keys"],
-): Promise<boolean> {
-  try {
-    const reply = await call(living(bed)[0]!.callers, {
-      path: `/v1/work/${id}`,
-      headers: { authorization: `Bearer ${keys["billing"]}` },
-    });
-    const { status } = JSON.parse(reply.body) as { status?: string };
-    return status === "finished" || status === "parked";
-  } catch {
-    return false;
-  }
-}
