Refuse at once what cannot be answered in time

Cause: a request that came to a queue with more ahead of it than could be answered by its deadline waited that long for its refusal. Change: where a queue is backed up (its first item has waited over 250 ms), a new request whose turn would come after its deadline by the measured drain rate is refused at once, with when to come back. A burst on an idle queue is not judged, since its rate would be that of the arrivals. Those that are let in still wait nearly their whole time.

--- a/src/controllers/requests.ts
+++ b/src/controllers/requests.ts
@@ -65,6 +65,8 @@
   readonly retries: RetryBudget;
   /** When a caller should come back to a queue. */
   readonly retryAfterMs: (queue: string) => number;
+  /** Whether a request that comes now would leave a queue within its time, milliseconds. */
+  readonly canAnswerInTime: (queue: string, budgetMs: number) => boolean;
   /** Told when a request leaves the queue for a worker. */
   readonly departed: (queue: string) => void;
 }
@@ -117,10 +119,19 @@
         },
       };
       this.#flights.set(request.id, flight);
+      if (this.#tooLate(flight)) return this.#refuse(flight, lateFor(flight));
       this.#wait(flight);
     });
   }
 
+  /** Whether a request that has just come cannot be answered in time. */
+  #tooLate({ waiting }: Flight): boolean {
+    const { canAnswerInTime, clock } = this.#options;
+    if (waiting.deadlineAtMs === undefined) return false;
+    const budgetMs = waiting.deadlineAtMs - clock.monotonic();
+    return !canAnswerInTime(waiting.queue, budgetMs);
+  }
+
   /** The caller has gone: a request that is not on a worker never runs. */
   abandon(id: string): void {
     const flight = this.#flights.get(id);
@@ -136,11 +147,7 @@
     const startable: Startable = {
       waiting: flight.waiting,
       start: (target) => void this.#start(flight, target),
-      expired: () =>
-        this.#refuse(flight, {
-          type: "deadlineTooClose",
-          queue: flight.waiting.queue,
-        }),
+      expired: () => this.#refuse(flight, lateFor(flight)),
     };
     const pushed = matching.submit(startable);
     if (pushed.isOk()) return;
@@ -306,6 +313,10 @@
   }
 }
 
+function lateFor({ waiting }: Flight): Reason {
+  return { type: "deadlineTooClose", queue: waiting.queue };
+}
+
 function orderOf(flight: Flight, target: Target): RunOrder {
   const { waiting, idempotent, request } = flight;
   return {
--- a/src/controllers/requests_test.ts
+++ b/src/controllers/requests_test.ts
@@ -291,6 +291,15 @@
   t.is(await outcomeOf(cell, pending), "unknown");
 });
 
+test("deadline: a request that cannot be answered in time is refused at once", async (t) => {
+  const cell = await alone();
+  cell.node("1").answersInTime = false;
+  const outcome = await cell.node("1").requests.run(cell.request("r"));
+  t.is(outcome.type === "notRun" && outcome.reason.type, "deadlineTooClose");
+  t.is(outcome.type === "notRun" && outcome.retryAfterMs, 100);
+  t.is(cell.worker("a").ran.length, 0);
+});
+
 test("deadline: passes in the queue", async (t) => {
   const cell = await new DispatchCell().start(["1"], {});
   const pending = cell.node("1").requests.run(cell.request("r"));
--- a/src/daemon/dispatch_parts.ts
+++ b/src/daemon/dispatch_parts.ts
@@ -65,6 +65,8 @@
     placement,
     retries: new RetryTokens(),
     retryAfterMs: (name) => drainRates.retryAfterMs(name),
+    canAnswerInTime: (name, budgetMs) =>
+      drainRates.canAnswerInTime(name, budgetMs),
     departed: (name) => drainRates.departed(name),
   });
   const keeper = new TaskKeeper({ ...common, placement, workers, tell });
--- a/src/daemon/drain_rates.ts
+++ b/src/daemon/drain_rates.ts
@@ -7,6 +7,9 @@
 import { DrainRate } from "../policy/drain_rate.ts";
 import type { WaitingQueue } from "../policy/waiting.ts";
 
+/** A queue whose first item has waited for so long is backed up, milliseconds. */
+const BACKED_UP_MS = 250;
+
 /** What the rates depend on. */
 export interface DrainRatesOptions {
   readonly clock: Clock;
@@ -34,13 +37,23 @@
     return this.#rate(queue).retryAfterMs(waiting, nowMs);
   }
 
-  /** Whether a new item would leave a queue within `budgetMs`. */
+  /** Whether a new item would leave a queue within `budgetMs`; true unless the queue is backed up. */
   canAnswerInTime(queue: string, budgetMs: number): boolean {
     const nowMs = this.#options.clock.monotonic();
     const ahead = this.#options.queue.waitingIn(queue);
+    if (ahead === 0 || !this.#isBackedUp(queue, nowMs)) return true;
     return this.#rate(queue).canAnswerInTime(ahead, { budgetMs, nowMs });
   }
 
+  /** Whether the first in a queue has waited for long: before that, its rate is the arrivals' own. */
+  #isBackedUp(queue: string, nowMs: number): boolean {
+    for (const head of this.#options.queue.heads()) {
+      if (head.queue !== queue) continue;
+      if (nowMs - head.arrivedAtMs > BACKED_UP_MS) return true;
+    }
+    return false;
+  }
+
   #rate(queue: string): DrainRate {
     const known = this.#rates.get(queue);
     if (known !== undefined) return known;
--- a/src/fakes/dispatch_cell.ts
+++ b/src/fakes/dispatch_cell.ts
@@ -100,6 +100,8 @@
   readonly told: Ended[] = [];
   /** Whether the holder keeps what it is told. */
   takes = true;
+  /** Whether new requests would leave their queue in time. */
+  answersInTime = true;
 
   constructor(cell: DispatchCell, id: string) {
     const { clock, upstream, fleet } = cell;
@@ -164,6 +166,7 @@
       log,
       retries,
       retryAfterMs: () => 100,
+      canAnswerInTime: () => this.answersInTime,
       departed: () => {},
     });
     this.keeper = new TaskKeeper({
