Reuse the empty set and the peers' candidate; drop what nothing uses

Cause: a read of the whole change found the empty set written a second time in the daemon, the candidate of a peer declared beside the policy's own, and a method and two types that nothing uses. Change: the daemon and the neighbours take the existing ones. Behaviour and tests are unchanged.

--- a/src/controllers/matching.ts
+++ b/src/controllers/matching.ts
@@ -9,7 +9,12 @@
 import { randomUUID } from "node:crypto";
 import type { Result } from "neverthrow";
 import type { Timer } from "../clock.ts";
-import { type Candidate, chooseNext, DeferredTurns } from "../policy/choice.ts";
+import {
+  type Candidate,
+  chooseNext,
+  DeferredTurns,
+  type PeerCandidate,
+} from "../policy/choice.ts";
 import type { Shares } from "../policy/shares.ts";
 import type { QueueFull, Waiting } from "../policy/waiting.ts";
 import { add, noResources } from "../resources.ts";
@@ -22,7 +27,7 @@
   offerNotice,
 } from "../wire/dispatch.ts";
 import { type NewsOptions, NewsTeller } from "./news_teller.ts";
-import { Neighbours, type RemoteCandidate } from "./neighbours.ts";
+import { Neighbours } from "./neighbours.ts";
 import type { Place } from "./placement.ts";
 
 /** Offered room that nobody takes is free again after so long, milliseconds. */
@@ -173,7 +178,7 @@
       placement.findRoom(need) !== undefined;
     const chosen = this.#choose(this.#allowed(), hasRoom);
     if (chosen === undefined) return false;
-    if ("holder" in chosen) return this.#offerRoom(chosen as RemoteCandidate);
+    if ("holder" in chosen) return this.#offerRoom(chosen as PeerCandidate);
     return this.#startOwn(chosen as Waiting, { type: "self" });
   }
 
@@ -252,7 +257,7 @@
     this.#charged.add(team);
   }
 
-  #offerRoom(remote: RemoteCandidate): boolean {
+  #offerRoom(remote: PeerCandidate): boolean {
     const { placement } = this.#options;
     this.neighbours.offered(remote);
     const candidate = { ...remote, need: placement.sizeOf(remote) };
@@ -263,7 +268,7 @@
     return true;
   }
 
-  #sendOffer(candidate: RemoteCandidate, place: Place): void {
+  #sendOffer(candidate: PeerCandidate, place: Place): void {
     const { peers, placement } = this.#options;
     const { team, workload, urgency, need, holder } = candidate;
     const offer = randomUUID();
--- a/src/controllers/neighbours.ts
+++ b/src/controllers/neighbours.ts
@@ -4,7 +4,11 @@
  *
  * @module
  */
-import { type Candidate, candidateOf } from "../policy/choice.ts";
+import {
+  type Candidate,
+  candidateOf,
+  type PeerCandidate,
+} from "../policy/choice.ts";
 import type { Backlog } from "../policy/waiting.ts";
 import { add, fits, noResources, subtract } from "../resources.ts";
 import type { Resources } from "../types.ts";
@@ -27,12 +31,6 @@
 /** Work as far as it decides where it may go. */
 type Errand = Pick<Candidate, "team" | "need" | "urgency">;
 
-/** Work of one team and workload that waits at a peer. */
-export interface RemoteCandidate extends Candidate {
-  readonly holder: string;
-  readonly count: number;
-}
-
 /** The peers by instance id. */
 export class Neighbours {
   readonly #known = new Map<string, Neighbour>();
@@ -103,7 +101,7 @@
   }
 
   /** What waits at the peers. */
-  *waiting(nowMs: number): Generator<RemoteCandidate> {
+  *waiting(nowMs: number): Generator<PeerCandidate> {
     for (const [holder, known] of this.#fresh(nowMs)) {
       const { receivedAtMs } = known;
       for (const lane of known.backlog.values()) {
@@ -115,7 +113,7 @@
   }
 
   /** Notes that room was offered to work that waits at a peer. */
-  offered(candidate: RemoteCandidate): void {
+  offered(candidate: PeerCandidate): void {
     const lane = this.#known.get(candidate.holder)?.backlog
       .get(laneOf(candidate));
     if (lane !== undefined) lane.count--;
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -71,7 +71,6 @@
   readonly keys: HomeKeys;
   readonly keyGuard: KeyGuard;
   readonly #options: InstanceOptions;
-  readonly #members: () => string[];
   #unitsTimer: Timer | undefined;
   #stopping = false;
 
@@ -90,7 +89,6 @@
       tell: (ended) => this.segments.tell(ended),
     });
     const work = workParts({ options, cluster, dispatch, settings });
-    this.#members = cluster.members;
     this.fleet = cluster.fleet;
     this.membership = cluster.membership;
     this.ownership = cluster.ownership;
@@ -118,11 +116,6 @@
     this.#gauges();
   }
 
-  /** Ids of the other instances. */
-  others(): string[] {
-    return this.#members();
-  }
-
   /** Starts to take part. */
   async start(): Promise<void> {
     await Promise.all([this.fleet.start(), this.configuration.start()]);
--- a/src/daemon/settings_in_force.ts
+++ b/src/daemon/settings_in_force.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { emptySet } from "../operator_set/parse.ts";
 import type { OperatorSet, Queue, Workload } from "../operator_set.ts";
 import { largestRequestOf } from "../operator_set/requests.ts";
 import type { QueueBound } from "../policy/waiting.ts";
@@ -21,12 +22,14 @@
 
 /** Views of the set in force. */
 export class SettingsInForce {
-  #set: OperatorSet | undefined;
+  #known = false;
+  #set = emptySet();
   #drained: ReadonlySet<string> = new Set();
   #limits: ReadonlyMap<string, number> = new Map();
 
   /** Puts a set in force. */
   replace(set: OperatorSet): void {
+    this.#known = true;
     this.#set = set;
     this.#drained = new Set(
       [...set.drains.values()].map(({ worker }) => worker),
@@ -38,12 +41,12 @@
 
   /** Whether a set is in force. */
   get known(): boolean {
-    return this.#set !== undefined;
+    return this.#known;
   }
 
-  /** The set in force; only asked for once one is known. */
+  /** The set in force; empty until one is known. */
   set(): OperatorSet {
-    return this.#set ?? noSet;
+    return this.#set;
   }
 
   /** Upper limits by team. */
@@ -88,14 +91,3 @@
     return { maxWaiting, maxWaitingPerTeam: Math.ceil(maxWaiting * part) };
   }
 }
-
-const noSet: OperatorSet = {
-  teams: new Map(),
-  keys: new Map(),
-  queues: new Map(),
-  shares: new Map(),
-  limits: new Map(),
-  workloads: new Map(),
-  drains: new Map(),
-  resumes: new Map(),
-};
--- a/src/daemon/work_parts.ts
+++ b/src/daemon/work_parts.ts
@@ -34,9 +34,6 @@
   readonly settings: SettingsInForce;
 }
 
-/** The parts. */
-export type WorkParts = ReturnType<typeof workParts>;
-
 /** Makes the parts. */
 export function workParts(
   { options, cluster, dispatch, settings }: WorkContext,
--- a/src/operator_set/schemas.ts
+++ b/src/operator_set/schemas.ts
@@ -177,11 +177,6 @@
 /** Kind of a section. */
 export type SectionKind = typeof sectionKinds[number];
 
-/** Values of one kind of object as read from its section. */
-export type ObjectValues<K extends keyof typeof objectSchemas> = Values<
-  typeof objectSchemas[K]
->;
-
 /** Values of one kind of workload as read from its section. */
 export type WorkloadValues<K extends WorkloadKind> = Values<
   typeof workloadSchemas[K]
