--- /dev/null
+++ b/src/cell/cell.ts
@@ -0,0 +1,433 @@
+/**
+ * One holder of the cell: takes submissions and sees them through.
+ *
+ * @module
+ */
+import type { ResultAsync } from "neverthrow";
+import { type Clock, sleep } from "../clock.ts";
+import type { StoreFailure } from "../errors.ts";
+import type { Log } from "../logger.ts";
+import type { Metrics } from "../metrics.ts";
+import type { AdviceDesk } from "./advice_desk.ts";
+import { type CellContext, persist, reviewJob } from "./context.ts";
+import { Fleet } from "./fleet.ts";
+import { Follower } from "./follower.ts";
+import {
+  dueMs,
+  type EndedJob,
+  type Job,
+  newJob,
+  occurrencesOf,
+  openOccurrence,
+  stateOf,
+} from "./job.ts";
+import { JobLog } from "./job_log.ts";
+import { Durations } from "./order.ts";
+import type { CellStore, PlatformDirectory, WorkerOrders } from "./ports.ts";
+import { type Legacy, readLegacy } from "./recovery.ts";
+import { leaseBoundMs, newRun, Runs } from "./runs.ts";
+import { Scheduler } from "./scheduler.ts";
+import type { ClusterSet, JobSpec, JobState, WorkerEntry } from "./types.ts";
+import { WeightMeter } from "./weight_meter.ts";
+
+/** The list of workers is read this often, milliseconds; a leaving worker must be idle 2 s after its report. */
+const LIST_EVERY_MS = 700;
+/** Stops, lapses and due times are looked at this often, milliseconds. */
+const TICK_MS = 100;
+/** A submission is refused while the store has not answered for so long, milliseconds. */
+const STORE_STUCK_MS = 500;
+/** Entries that lapsed with the store are back this long after its return, milliseconds; source: the platform's pages, and one reading of the list. */
+const LISTING_GRACE_MS = 2_700;
+/** A former holder that hears nobody stops within this time, milliseconds. */
+export const HOLD_LIMIT_MS = 2_000;
+/** Recovery waits so long for the first reports of all workers, milliseconds. */
+const FIRST_REPORTS_MS = 400;
+/** An occurrence is opened this long before it is due, milliseconds; the platform allows 250. */
+const EARLY_MS = 20;
+/** Ended jobs are kept for this factor of the time that the platform asks for. */
+const RETENTION_FACTOR = 2;
+/** Most jobs forgotten in a tick. */
+const MAX_FORGOTTEN = 20;
+
+/** What became of a submission. */
+export type SubmitOutcome =
+  | { readonly type: "accepted" }
+  | { readonly type: "refused"; readonly reason: "storeAway" | "overload" }
+  /** The hold on the cell ended: it may have been stored. */
+  | { readonly type: "unknown" };
+
+/** What a holder needs. */
+export interface CellOptions {
+  readonly name: string;
+  readonly fence: number;
+  /** Revision of the store at which the hold was taken. */
+  readonly revision: number;
+  readonly store: CellStore;
+  readonly directory: PlatformDirectory;
+  readonly orders: WorkerOrders;
+  readonly desk: AdviceDesk;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly set: () => ClusterSet;
+  readonly maxLeaseMs: number;
+  readonly retentionMs: number;
+  readonly holds: () => boolean;
+  readonly deposed: (why: string) => void;
+  readonly confirmed: () => void;
+}
+
+/** A submission as an entry hands it in. */
+export interface Submission {
+  readonly id: string;
+  readonly queue: string;
+  readonly team: string;
+  readonly spec: JobSpec;
+}
+
+/** The cell in the hands of this process. */
+export class Cell {
+  readonly #options: CellOptions;
+  readonly #context: CellContext;
+  readonly #runs: Runs;
+  readonly #follower: Follower;
+  readonly #scheduler: Scheduler;
+  readonly #accepting = new Map<string, Promise<SubmitOutcome>>();
+  readonly #weights: WeightMeter;
+  #closed = false;
+  #listFailedMs = 0;
+
+  constructor(options: CellOptions) {
+    this.#options = options;
+    const ended = new Map<string, EndedJob>();
+    const jobs = new Map<string, Job>();
+    this.#weights = new WeightMeter(options.clock);
+    const jobLog = new JobLog({
+      cell: options.name,
+      fence: options.fence,
+      revision: options.revision,
+      store: options.store,
+      clock: options.clock,
+      log: options.log,
+      metrics: options.metrics,
+      onDeposed: options.deposed,
+      onConfirmed: options.confirmed,
+      onEnded: (end) => this.#ended(end),
+    });
+    this.#context = {
+      fence: options.fence,
+      clock: options.clock,
+      log: options.log,
+      metrics: options.metrics,
+      orders: options.orders,
+      jobLog,
+      fleet: new Fleet(),
+      durations: new Durations(),
+      jobs,
+      ended,
+      open: new Set(),
+      set: options.set,
+      maxLeaseMs: options.maxLeaseMs,
+      holds: () => !this.#closed && options.holds(),
+      deposed: options.deposed,
+      kick: () => this.#scheduler.kick(),
+    };
+    this.#runs = new Runs(
+      this.#context,
+      (worker) => this.#follower.lookNow(worker),
+    );
+    this.#follower = new Follower(this.#context, this.#runs);
+    this.#scheduler = new Scheduler(this.#context, {
+      runs: this.#runs,
+      desk: options.desk,
+    });
+  }
+
+  /** Takes up what a former holder left; then the cell works. */
+  recover(): ResultAsync<void, StoreFailure> {
+    const { store, log, clock } = this.#options;
+    const startedMs = clock.monotonic();
+    return readLegacy(store, log)
+      .andThen((legacy) =>
+        this.#options.directory.workers().map(({ workers }) => {
+          this.#adopt(legacy);
+          return workers;
+        })
+      )
+      .map(async (workers) => {
+        await this.#firstReports(workers);
+        for (const job of this.#context.jobs.values()) {
+          reviewJob(this.#context, job);
+          if (stateOf(job) !== "pending" && stateOf(job) !== "running") {
+            this.#runs.stopJob(job);
+            void persist(this.#context, job);
+          }
+        }
+        this.#loops();
+        log.info("cell.recovered", {
+          fence: this.#options.fence,
+          jobs: this.#context.jobs.size,
+          ended: this.#context.ended.size,
+          workers: workers.length,
+          tookMs: Math.round(clock.monotonic() - startedMs),
+        });
+      });
+  }
+
+  /** Accepts a submission once the store holds it. The same id again is the same submission. */
+  submit(submission: Submission): Promise<SubmitOutcome> {
+    const { jobs, ended } = this.#context;
+    if (jobs.get(submission.id)?.stored || ended.has(submission.id)) {
+      return Promise.resolve({ type: "accepted" });
+    }
+    const underWay = this.#accepting.get(submission.id);
+    if (underWay !== undefined) return underWay;
+    const outcome = this.#accept(submission);
+    this.#accepting.set(submission.id, outcome);
+    outcome.then(() => this.#accepting.delete(submission.id));
+    return outcome;
+  }
+
+  /** State of a job; `undefined` if there is none. */
+  state(id: string): JobState | undefined {
+    const job = this.#context.jobs.get(id);
+    if (job !== undefined) return job.stored ? job.shown : undefined;
+    return this.#context.ended.get(id)?.state;
+  }
+
+  /** Cancels a job; the store holds that when this resolves. */
+  async cancel(id: string): Promise<"canceled" | "absent" | "unknown"> {
+    await this.#accepting.get(id);
+    const { jobs, ended, log, fence } = this.#context;
+    if (ended.has(id)) return "canceled";
+    const job = jobs.get(id);
+    if (job === undefined || !job.stored) return "absent";
+    job.canceled = true;
+    reviewJob(this.#context, job);
+    const saved = await persist(this.#context, job);
+    log.info("job.canceled", { job: id, fence, outcome: saved });
+    if (saved !== "saved") return "unknown";
+    this.#runs.stopJob(job);
+    return "canceled";
+  }
+
+  /** Accepted jobs by queue of which no task has started. */
+  waiting(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const job of this.#context.jobs.values()) {
+      if (!job.stored || job.begun || stateOf(job) !== "pending") continue;
+      if (job.spec.recurrence !== undefined) continue;
+      counts.set(job.queue, (counts.get(job.queue) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /** Writes what is still to be written. */
+  drain(timeoutMs: number): Promise<void> {
+    return this.#context.jobLog.drained(timeoutMs);
+  }
+
+  /** Ends all work of this holder without a trace at the workers. */
+  close(): void {
+    this.#closed = true;
+    this.#scheduler.close();
+    this.#follower.close();
+    this.#context.jobLog.close();
+  }
+
+  async #accept(submission: Submission): Promise<SubmitOutcome> {
+    const { jobs, set, jobLog, log, clock, metrics, fence } = this.#context;
+    const policy = set().queues.find((queue) =>
+      queue.name === submission.queue
+    );
+    if (policy === undefined) return { type: "unknown" };
+    if (jobLog.stuckMs() > STORE_STUCK_MS) {
+      return { type: "refused", reason: "storeAway" };
+    }
+    const startedMs = clock.monotonic();
+    const team = set().teams.find((one) => one.name === submission.team);
+    const job = newJob({
+      ...submission,
+      policy,
+      acceptedMs: clock.now().getTime(),
+      owed: this.#weights.withinWeight(team),
+    });
+    jobs.set(job.id, job);
+    const outcome = await this.#stored(job);
+    if (outcome.type !== "accepted") jobs.delete(job.id);
+    else {
+      job.stored = true;
+      reviewJob(this.#context, job);
+    }
+    const tookMs = clock.monotonic() - startedMs;
+    metrics.observe("accept_ms", tookMs, { queue: job.queue });
+    log.info("job.submitted", {
+      job: job.id,
+      queue: job.queue,
+      team: job.team,
+      owed: job.owed,
+      set: set().version,
+      fence,
+      tookMs: Math.round(tookMs),
+      outcome: outcome.type === "refused" ? outcome.reason : outcome.type,
+    });
+    return outcome;
+  }
+
+  /** Waits for the store, and takes the job back if no transaction carries it yet. */
+  async #stored(job: Job): Promise<SubmitOutcome> {
+    const { clock, jobLog } = this.#context;
+    const saving = persist(this.#context, job, { submission: true });
+    for (;;) {
+      const saved = await Promise.race([
+        saving,
+        sleep(clock, STORE_STUCK_MS).then(() => undefined),
+      ]);
+      if (saved === "saved") return { type: "accepted" };
+      if (saved === "deposed") return { type: "unknown" };
+      if (jobLog.withdraw(job)) return { type: "refused", reason: "storeAway" };
+    }
+  }
+
+  #ended(end: EndedJob): void {
+    const { jobs, ended, log, metrics, clock, fence } = this.#context;
+    const job = jobs.get(end.id);
+    jobs.delete(end.id);
+    ended.set(end.id, end);
+    metrics.count("jobs_ended", { state: end.state, queue: end.queue });
+    log.info("job.ended", {
+      job: end.id,
+      queue: end.queue,
+      state: end.state,
+      fence,
+      ageMs: clock.now().getTime() - (job?.acceptedMs ?? end.endedMs),
+    });
+  }
+
+  #adopt(legacy: Legacy): void {
+    const { fleet, clock, jobs, ended, maxLeaseMs } = this.#context;
+    const nowMs = clock.monotonic();
+    for (const [id, end] of legacy.ended) ended.set(id, end);
+    for (const [id, job] of legacy.jobs) {
+      jobs.set(id, job);
+      job.shown = stateOf(job);
+      for (const step of [...job.occurrences.values()].flat()) {
+        for (const task of step.tasks) {
+          if (task.phase !== "assigned") continue;
+          const worker = fleet.open(task.worker);
+          // The former holder may have renewed until it stopped for lack of news.
+          worker.leaseBoundMs = nowMs + HOLD_LIMIT_MS +
+            leaseBoundMs(maxLeaseMs);
+          const run = newRun(step, { task, worker, nowMs });
+          // It was recorded before: a report under this fence settles it.
+          run.provableAfterMs = nowMs;
+          fleet.take(run);
+        }
+      }
+    }
+  }
+
+  async #firstReports(workers: readonly WorkerEntry[]): Promise<void> {
+    const { fleet, clock } = this.#context;
+    this.#list(workers);
+    const reports = [...fleet.workers.values()]
+      .filter((worker) => worker.entry !== undefined)
+      .map((worker) => this.#follower.follow(worker));
+    await Promise.race([
+      Promise.all(reports),
+      sleep(clock, FIRST_REPORTS_MS),
+    ]);
+  }
+
+  #loops(): void {
+    void this.#listLoop();
+    void this.#tickLoop();
+    this.#scheduler.kick();
+  }
+
+  async #listLoop(): Promise<void> {
+    const { clock, log, fence } = this.#context;
+    while (!this.#closed) {
+      await sleep(clock, LIST_EVERY_MS);
+      if (this.#closed) return;
+      const result = await this.#options.directory.workers();
+      result.match(
+        ({ workers }) => this.#list(workers),
+        (failure) => {
+          this.#listFailedMs = clock.monotonic();
+          log.warn("list.unread", {
+            fence,
+            failure: failure.type,
+            reason: failure.message,
+          });
+        },
+      );
+    }
+  }
+
+  #list(entries: readonly WorkerEntry[]): void {
+    const { fleet, clock, log } = this.#context;
+    const listed = new Set(entries.map((entry) => entry.id));
+    for (const entry of entries) {
+      const worker = fleet.open(entry.id);
+      if (!worker.listed || worker.entry?.draining !== entry.draining) {
+        log.info("worker.listed", {
+          worker: entry.id,
+          address: entry.address,
+          draining: entry.draining,
+        });
+      }
+      worker.entry = entry;
+      worker.listed = true;
+      if (!this.#closed) void this.#follower.follow(worker);
+    }
+    const sinceFailureMs = clock.monotonic() - this.#listFailedMs;
+    if (this.#listFailedMs > 0 && sinceFailureMs < LISTING_GRACE_MS) return;
+    for (const worker of fleet.workers.values()) {
+      if (!worker.listed || listed.has(worker.id)) continue;
+      worker.listed = false;
+      log.info("worker.unlisted", {
+        worker: worker.id,
+        runs: worker.runs.size,
+      });
+    }
+  }
+
+  async #tickLoop(): Promise<void> {
+    const { clock } = this.#context;
+    while (!this.#closed) {
+      await sleep(clock, TICK_MS);
+      if (this.#closed) return;
+      if (this.#context.holds()) this.#runs.tick();
+      this.#openDue();
+      this.#forgetOld();
+      if (this.#context.open.size > 0) this.#scheduler.kick();
+    }
+  }
+
+  /** Opens the occurrences of recurring jobs that are due. */
+  #openDue(): void {
+    const now = this.#context.clock.now().getTime();
+    for (const job of this.#context.jobs.values()) {
+      if (job.spec.recurrence === undefined || !job.stored) continue;
+      const next = job.occurrences.size;
+      if (next >= occurrencesOf(job)) continue;
+      if (now < dueMs(job, next) - EARLY_MS) continue;
+      openOccurrence(job, next);
+      reviewJob(this.#context, job);
+    }
+  }
+
+  #forgetOld(): void {
+    const { ended, clock, jobLog } = this.#context;
+    const before = clock.now().getTime() -
+      RETENTION_FACTOR * this.#options.retentionMs;
+    let forgotten = 0;
+    for (const end of ended.values()) {
+      if (end.endedMs > before || forgotten === MAX_FORGOTTEN) return;
+      ended.delete(end.id);
+      jobLog.forget(end.id);
+      forgotten++;
+    }
+  }
+}
--- /dev/null
+++ b/src/cell/follower.ts
@@ -0,0 +1,299 @@
+/**
+ * Follows each worker: renews its lease, takes what it reports, and
+ * acknowledges ends once the store holds them.
+ *
+ * @module
+ */
+import { sleep } from "../clock.ts";
+import { type CellContext, persist } from "./context.ts";
+import type { FleetWorker } from "./fleet.ts";
+import { findTask, isOver, type Job } from "./job.ts";
+import type { LookFailure, ReportedRun, WorkerReport } from "./ports.ts";
+import type { Runs } from "./runs.ts";
+
+/** A report is asked for this often if nothing ends, milliseconds; leases last six times as long. */
+const LOOK_WAIT_MS = 1_000;
+/** Delay before a worker that did not answer is asked again, milliseconds. */
+const LOOK_AGAIN_MS = 250;
+/** Refused connections in a row after which the process is taken as dead. */
+const REFUSALS_OF_THE_DEAD = 2;
+/** A worker that is unlisted, unreachable and empty for so long is dropped, milliseconds. */
+const FORGET_MS = 8_000;
+/** Delay between looks while ends wait for the store, milliseconds. */
+const STORE_WAIT_MS = 1_000;
+
+/** The loops over all workers of one holder. */
+export class Follower {
+  readonly #context: CellContext;
+  readonly #runs: Runs;
+  readonly #followed = new Set<string>();
+  #closed = false;
+
+  constructor(context: CellContext, runs: Runs) {
+    this.#context = context;
+    this.#runs = runs;
+  }
+
+  /** Follows a worker until it is forgotten. Resolves after its first answer or failure. */
+  follow(worker: FleetWorker): Promise<void> {
+    if (this.#followed.has(worker.id)) return Promise.resolve();
+    this.#followed.add(worker.id);
+    const first = this.#look(worker, { waitMs: 0 }).then(() => {});
+    first.then(() => this.#loop(worker)).catch((error) =>
+      this.#context.log.error("follower.failed", {
+        worker: worker.id,
+        reason: String((error as Error).stack ?? error),
+      })
+    );
+    return first;
+  }
+
+  /** Takes a report at once, besides the loop. */
+  async lookNow(worker: FleetWorker): Promise<void> {
+    await this.#look(worker, { waitMs: 0 });
+  }
+
+  /** Ends all loops. */
+  close(): void {
+    this.#closed = true;
+  }
+
+  async #loop(worker: FleetWorker): Promise<void> {
+    const { clock, fleet, orders } = this.#context;
+    let refusals = 0;
+    while (!this.#closed) {
+      if (this.#isForgotten(worker)) break;
+      const look = await this.#look(worker, { waitMs: LOOK_WAIT_MS });
+      if (look.type === "report") {
+        refusals = 0;
+        if (look.saves.length > 0) await this.#acknowledge(worker, look.saves);
+        continue;
+      }
+      refusals = look.type === "refused" ? refusals + 1 : 0;
+      if (refusals >= REFUSALS_OF_THE_DEAD) {
+        this.#runs.loseAll(worker, "workerDead");
+      }
+      await sleep(clock, LOOK_AGAIN_MS);
+    }
+    this.#followed.delete(worker.id);
+    if (this.#closed) return;
+    fleet.workers.delete(worker.id);
+    if (worker.entry !== undefined) orders.forget(worker.entry.address);
+  }
+
+  /** Waits for the store, and keeps renewing the lease while it does not answer. */
+  async #acknowledge(
+    worker: FleetWorker,
+    saves: readonly Promise<boolean>[],
+  ): Promise<void> {
+    const { clock } = this.#context;
+    const upTo = worker.handled;
+    const bornMs = worker.bornMs;
+    const all = Promise.all(saves);
+    for (;;) {
+      const saved = await Promise.race([
+        all.then((results) => results.every((one) => one)),
+        sleep(clock, STORE_WAIT_MS).then(() => undefined),
+      ]);
+      if (this.#closed) return;
+      if (saved === undefined) {
+        await this.#look(worker, { waitMs: 0 });
+        continue;
+      }
+      const sameLife = worker.bornMs === bornMs;
+      if (saved && sameLife) {
+        worker.acknowledged = Math.max(worker.acknowledged, upTo);
+      }
+      return;
+    }
+  }
+
+  async #look(
+    worker: FleetWorker,
+    { waitMs }: { readonly waitMs: number },
+  ): Promise<Look> {
+    const { clock, orders, fence, holds } = this.#context;
+    const address = worker.entry?.address;
+    if (address === undefined || !holds()) return { type: "failed" };
+    const sentMs = clock.monotonic();
+    const order = {
+      fence,
+      // A worker that did not answer may have started anew, with other ends under the same numbers.
+      acknowledged: worker.reachable ? worker.acknowledged : 0,
+      leaseUntilMs: this.#runs.leaseFor(worker),
+      waitMs,
+    };
+    const result = await orders.look({ id: worker.id, address }, order);
+    if (this.#closed) return { type: "failed" };
+    if (result.isErr()) return this.#failed(worker, result.error);
+    const report = result.value;
+    if (worker.bornMs !== undefined && (report.bornMs ?? 0) < worker.bornMs) {
+      return { type: "failed" };
+    }
+    this.#noteLife(worker, report);
+    const unknownClock = worker.clockOffsetMs === undefined;
+    worker.clockOffsetMs = report.clockMs - clock.monotonic();
+    worker.reportedMs = sentMs;
+    if (!worker.reachable) this.#regained(worker);
+    const saves = this.#take(worker, { report, sentMs });
+    // The first look could not name a time on the worker's clock.
+    if (unknownClock) {
+      return await this.#again(worker, saves);
+    }
+    return { type: "report", saves };
+  }
+
+  async #again(
+    worker: FleetWorker,
+    saves: readonly Promise<boolean>[],
+  ): Promise<Look> {
+    const look = await this.#look(worker, { waitMs: 0 });
+    if (look.type !== "report") return look;
+    return { type: "report", saves: [...saves, ...look.saves] };
+  }
+
+  #failed(worker: FleetWorker, failure: LookFailure): Look {
+    const { log, deposed, metrics, clock, fence } = this.#context;
+    metrics.count("look_failures", { type: failure.type });
+    if (failure.type === "fenced") {
+      deposed(`worker ${worker.id} has seen a higher fence`);
+      return { type: "failed" };
+    }
+    if (worker.reachable) {
+      log.warn("worker.silent", {
+        worker: worker.id,
+        fence,
+        runs: worker.runs.size,
+        leaseLeftMs: Math.round(worker.leaseBoundMs - clock.monotonic()),
+        failure: failure.type,
+        reason: failure.message,
+      });
+    }
+    worker.reachable = false;
+    if (failure.type === "otherBoot") {
+      this.#runs.loseAll(worker, "otherBoot");
+    }
+    return { type: failure.type === "refused" ? "refused" : "failed" };
+  }
+
+  #regained(worker: FleetWorker): void {
+    worker.reachable = true;
+    this.#context.log.info("worker.answers", {
+      worker: worker.id,
+      fence: this.#context.fence,
+      runs: worker.runs.size,
+    });
+    this.#context.kick();
+  }
+
+  #noteLife(worker: FleetWorker, report: WorkerReport): void {
+    if (report.bornMs === worker.bornMs) return;
+    if (worker.bornMs !== undefined) {
+      this.#context.log.info("worker.reborn", {
+        worker: worker.id,
+        bornMs: report.bornMs,
+        before: worker.bornMs,
+      });
+    }
+    worker.bornMs = report.bornMs;
+    worker.acknowledged = 0;
+    worker.handled = 0;
+  }
+
+  #take(
+    worker: FleetWorker,
+    { report, sentMs }: {
+      readonly report: WorkerReport;
+      readonly sentMs: number;
+    },
+  ): readonly Promise<boolean>[] {
+    const changed = new Set<Job>();
+    const listed = new Set<string>();
+    for (const ended of report.ended) {
+      listed.add(`${ended.task} ${ended.run}`);
+      if (ended.number <= worker.handled) continue;
+      const found = findTask(this.#context.jobs, ended.task);
+      const job = found && this.#runs.end(worker, ended, found);
+      if (job !== undefined) changed.add(job);
+      this.#logEnd(worker, ended, job !== undefined);
+    }
+    const numbers = report.ended.map((ended) => ended.number);
+    worker.handled = Math.max(worker.handled, ...numbers);
+    for (const reported of report.running) {
+      listed.add(`${reported.task} ${reported.run}`);
+      this.#takeRunning(worker, reported);
+    }
+    for (const run of [...worker.runs.values()]) {
+      const proof = run.provableAfterMs;
+      if (listed.has(`${run.task.id} ${run.number}`)) continue;
+      if (proof !== undefined && proof < sentMs) {
+        this.#runs.lose(run, "notThere");
+      }
+    }
+    if (report.ended.length > 0) this.#context.kick();
+    const saves = [...changed].map((job) =>
+      persist(this.#context, job).then((saved) => saved === "saved")
+    );
+    // Ends that change nothing are acknowledged all the same.
+    if (saves.length === 0 && worker.handled > worker.acknowledged) {
+      saves.push(Promise.resolve(true));
+    }
+    return saves;
+  }
+
+  #takeRunning(worker: FleetWorker, reported: ReportedRun): void {
+    const run = worker.runs.get(reported.task);
+    if (run === undefined || run.number !== reported.run) {
+      return this.#stopStray(worker, reported);
+    }
+    run.seen = true;
+    run.provableAfterMs ??= this.#context.clock.monotonic();
+    if (reported.checkpoint !== "") run.task.checkpoint = reported.checkpoint;
+    if (reported.percent > run.percent) {
+      run.percent = reported.percent;
+      run.progressMs = this.#context.clock.monotonic();
+    }
+    if (isOver(run.step.job)) this.#runs.stop(run);
+  }
+
+  /** Ends a run that nobody counts on: an order that was carried out late, or one of a job that is over. */
+  #stopStray(worker: FleetWorker, reported: ReportedRun): void {
+    const { orders, fence, log, holds } = this.#context;
+    const address = worker.entry?.address;
+    if (address === undefined || !holds()) return;
+    log.warn("run.stray", {
+      task: reported.task,
+      run: reported.run,
+      worker: worker.id,
+      fence,
+    });
+    const order = { task: reported.task, run: reported.run, fence };
+    void orders.stop({ id: worker.id, address }, order);
+  }
+
+  #isForgotten(worker: FleetWorker): boolean {
+    const now = this.#context.clock.monotonic();
+    return !worker.listed && !worker.reachable && worker.runs.size === 0 &&
+      now - worker.reportedMs > FORGET_MS;
+  }
+
+  #logEnd(
+    worker: FleetWorker,
+    ended: WorkerReport["ended"][number],
+    counted: boolean,
+  ): void {
+    this.#context.log.info("run.end", {
+      task: ended.task,
+      run: ended.run,
+      worker: worker.id,
+      fence: this.#context.fence,
+      how: ended.kind,
+      counted,
+    });
+  }
+}
+
+type Look =
+  | { readonly type: "report"; readonly saves: readonly Promise<boolean>[] }
+  | { readonly type: "refused" }
+  | { readonly type: "failed" };
--- /dev/null
+++ b/src/cell/gateway.ts
@@ -0,0 +1,235 @@
+/**
+ * Brings the calls of clients to the holder of the cell, wherever it is.
+ *
+ * Submissions are idempotent by their id, so a call whose answer was lost is
+ * simply made again, at the next holder if there is one.
+ *
+ * @module
+ */
+import { type Clock, sleep } from "../clock.ts";
+import type { Metrics } from "../metrics.ts";
+import type { Peers } from "../ports/peers.ts";
+import type { Cell, Submission } from "./cell.ts";
+import type { Leadership } from "./leadership.ts";
+import {
+  type CancelAnswer,
+  cancelCall,
+  type StateAnswer,
+  stateCall,
+  type SubmitAnswer,
+  submitCall,
+} from "./protocol.ts";
+import type { SetInForce } from "./set_in_force.ts";
+import type { JobState, StepSpec } from "./types.ts";
+
+/** A call waits for a holder so long at most, milliseconds: a takeover and its recovery. */
+const HOLDER_WAIT_MS = 900;
+/** A holder is looked for this often, milliseconds. */
+const LOOK_EVERY_MS = 25;
+/** A call to the holder is made again after this, milliseconds. */
+const CALL_TIMEOUT_MS = 1_200;
+/** Counts of waiting jobs older than this are not told, milliseconds; source: the platform's pages. */
+const WAITING_MAX_AGE_MS = 1_800;
+
+/** What a client is told. `unknown`: the call may have taken effect. */
+export type GatewayAnswer<A> =
+  | { readonly type: "answered"; readonly answer: A }
+  | { readonly type: "refused"; readonly reason: RefusalReason }
+  | { readonly type: "unknown" };
+
+/** Why nothing was done. */
+export type RefusalReason = "noHolder" | "storeAway" | "overload";
+
+/** What the gateway needs. */
+export interface GatewayOptions {
+  readonly peers: Peers;
+  readonly leadership: Leadership;
+  /** The cell, if this process holds it and has recovered it. */
+  readonly cell: () => Cell | undefined;
+  readonly set: SetInForce;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+}
+
+/** Calls of clients at one instance. */
+export class Gateway {
+  readonly #options: GatewayOptions;
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    this.#serve();
+  }
+
+  /** Hands a submission in. `deadlineMs` is on the monotonic clock. */
+  async submit(
+    submission: Submission,
+    deadlineMs: number,
+  ): Promise<GatewayAnswer<"accepted">> {
+    const answer = await this.#reach<SubmitAnswer>(deadlineMs, {
+      here: (cell) => cell.submit(submission),
+      there: (holder, timeoutMs) =>
+        this.#options.peers.call(holder, submitCall, {
+          params: {
+            id: submission.id,
+            queue: submission.queue,
+            team: submission.team,
+            setVersion: this.#options.set.version,
+            spec: {
+              ...submission.spec,
+              steps: submission.spec.steps.map(wireStep),
+            },
+          },
+          timeoutMs,
+        }).unwrapOr({ type: "unknown" } as SubmitAnswer),
+    });
+    if (answer === undefined) return { type: "refused", reason: "noHolder" };
+    switch (answer.type) {
+      case "accepted":
+        return { type: "answered", answer: "accepted" };
+      case "refused":
+        return { type: "refused", reason: answer.reason };
+      case "unknown":
+      case "notHolder":
+        return { type: "unknown" };
+    }
+  }
+
+  /** State of a job; `absent` if there is none. */
+  async state(
+    id: string,
+    deadlineMs: number,
+  ): Promise<GatewayAnswer<JobState | "absent">> {
+    const answer = await this.#reach<StateAnswer | Silence>(deadlineMs, {
+      here: (cell) => Promise.resolve(stateAnswer(cell, id)),
+      there: (holder, timeoutMs) =>
+        this.#options.peers.call(holder, stateCall, {
+          params: { id },
+          timeoutMs,
+        }).unwrapOr({ type: "unknown" } as Silence),
+    });
+    switch (answer?.type) {
+      case "found":
+        return { type: "answered", answer: answer.state };
+      case "absent":
+        return { type: "answered", answer: "absent" };
+      // A question changes nothing: not answered is not done.
+      case "unknown":
+      case "notHolder":
+      case undefined:
+        return { type: "refused", reason: "noHolder" };
+    }
+  }
+
+  /** Cancels a job. */
+  async cancel(
+    id: string,
+    deadlineMs: number,
+  ): Promise<GatewayAnswer<"canceled" | "absent">> {
+    const answer = await this.#reach<CancelAnswer>(deadlineMs, {
+      here: async (cell) => ({ type: await cell.cancel(id) }),
+      there: (holder, timeoutMs) =>
+        this.#options.peers.call(holder, cancelCall, {
+          params: { id },
+          timeoutMs,
+        }).unwrapOr({ type: "unknown" } as CancelAnswer),
+    });
+    if (answer === undefined) return { type: "refused", reason: "noHolder" };
+    switch (answer.type) {
+      case "canceled":
+      case "absent":
+        return { type: "answered", answer: answer.type };
+      case "unknown":
+      case "notHolder":
+        return { type: "unknown" };
+    }
+  }
+
+  /** Accepted jobs of a queue that have not begun. */
+  waiting(queue: string): GatewayAnswer<number> {
+    const cell = this.#options.cell();
+    if (cell !== undefined) {
+      return { type: "answered", answer: cell.waiting().get(queue) ?? 0 };
+    }
+    const { counts, ageMs } = this.#options.leadership.waitingNews();
+    if (ageMs > WAITING_MAX_AGE_MS) {
+      return { type: "refused", reason: "noHolder" };
+    }
+    return { type: "answered", answer: counts.get(queue) ?? 0 };
+  }
+
+  /** Whether calls have a chance now. */
+  get ready(): boolean {
+    const { leadership, set, cell } = this.#options;
+    if (set.set === undefined) return false;
+    return cell() !== undefined || leadership.silenceMs < WAITING_MAX_AGE_MS;
+  }
+
+  #serve(): void {
+    const { peers, set } = this.#options;
+    peers.serve(submitCall, async (params): Promise<SubmitAnswer> => {
+      await set.reaches(params.setVersion, CALL_TIMEOUT_MS);
+      const cell = this.#options.cell();
+      if (cell === undefined) return { type: "notHolder" };
+      return await cell.submit(params);
+    });
+    peers.serve(stateCall, ({ id }): StateAnswer => {
+      const cell = this.#options.cell();
+      return cell === undefined ? { type: "notHolder" } : stateAnswer(cell, id);
+    });
+    peers.serve(cancelCall, async ({ id }): Promise<CancelAnswer> => {
+      const cell = this.#options.cell();
+      if (cell === undefined) return { type: "notHolder" };
+      return { type: await cell.cancel(id) };
+    });
+  }
+
+  /** Makes a call at the holder until it answers; `undefined` if no holder ever got it. */
+  async #reach<A extends { readonly type: string }>(
+    deadlineMs: number,
+    call: {
+      readonly here: (cell: Cell) => Promise<A>;
+      readonly there: (holder: string, timeoutMs: number) => Promise<A>;
+    },
+  ): Promise<A | undefined> {
+    const { clock, leadership, metrics } = this.#options;
+    const startedMs = clock.monotonic();
+    let last: A | undefined;
+    let holderSeenMs = startedMs;
+    for (;;) {
+      const now = clock.monotonic();
+      if (now >= deadlineMs) return last;
+      const cell = this.#options.cell();
+      const holder = leadership.holder;
+      if (cell !== undefined || holder !== undefined) {
+        const timeoutMs = Math.min(CALL_TIMEOUT_MS, deadlineMs - now);
+        const answer = cell !== undefined
+          ? await call.here(cell)
+          : await call.there(holder!.name, timeoutMs);
+        if (answer.type !== "unknown" && answer.type !== "notHolder") {
+          metrics.observe("holder_answer_ms", clock.monotonic() - startedMs);
+          return answer;
+        }
+        if (answer.type === "unknown") {
+          last = answer;
+          holderSeenMs = clock.monotonic();
+        }
+      }
+      if (clock.monotonic() - holderSeenMs > HOLDER_WAIT_MS) return last;
+      await sleep(clock, LOOK_EVERY_MS);
+    }
+  }
+}
+
+/** The holder did not answer. */
+interface Silence {
+  readonly type: "unknown";
+}
+
+function stateAnswer(cell: Cell, id: string): StateAnswer {
+  const state = cell.state(id);
+  return state === undefined ? { type: "absent" } : { type: "found", state };
+}
+
+function wireStep(step: StepSpec): StepSpec & { after: number[] } {
+  return { ...step, after: [...step.after] };
+}
--- /dev/null
+++ b/src/cell/job_log.ts
@@ -0,0 +1,346 @@
+/**
+ * Writes jobs to the store in group commits.
+ *
+ * Every transaction is conditional on the last revision of its lane and
+ * writes the lane anew. So an order of writes that was given up and is carried
+ * out late finds its condition broken, and so does everything that a former
+ * holder of the cell still has under way, since a takeover writes all lanes.
+ *
+ * @module
+ */
+import type { Clock } from "../clock.ts";
+import type { StoreFailure } from "../errors.ts";
+import type { Log } from "../logger.ts";
+import type { Metrics } from "../metrics.ts";
+import type { Commit, Entry, Write } from "../ports/store.ts";
+import { type EndedJob, type Job, stateOf } from "./job.ts";
+import type { CellStore } from "./ports.ts";
+import {
+  encodeEnd,
+  encodeProgress,
+  encodeSubmission,
+  JOBS_PREFIX,
+  PROGRESS_PREFIX,
+} from "./records.ts";
+
+/** Independent sequences of transactions of one cell. */
+export const LANES = 2;
+/** Changes gather for so long before they are written, milliseconds: a fifth of the wait that a human notices. */
+const GATHER_MS = 20;
+/** Most writes of jobs in a transaction; the platform's limit is 32 entries, and the lane takes two. */
+const MAX_WRITES = 29;
+/** Delay before a transaction is sent again that was refused or lost, milliseconds. */
+const RETRY_MS = 60;
+
+/** What became of a job's write. */
+export type Saved = "saved" | "deposed";
+
+/** Value of a lane's key. */
+export interface LaneRecord {
+  readonly fence: number;
+  readonly sequence: number;
+}
+
+/** Key of a lane. */
+export function laneKey(cell: string, lane: number): string {
+  return `${cell}/lane/${lane}`;
+}
+
+interface Pending {
+  readonly job: Job;
+  submission: boolean;
+  readonly waiters: ((saved: Saved) => void)[];
+}
+
+interface Lane {
+  readonly key: string;
+  revision: number;
+  sequence: number;
+  readonly dirty: Map<string, Pending>;
+  readonly forgotten: string[];
+  busy: boolean;
+  /** Since when the transaction under way has not got through. */
+  stuckSinceMs: number | undefined;
+}
+
+interface Batch {
+  readonly writes: readonly Write[];
+  readonly pending: readonly Pending[];
+  readonly ended: readonly EndedJob[];
+}
+
+/** What the log needs. */
+export interface JobLogOptions {
+  readonly cell: string;
+  readonly fence: number;
+  /** Revision at which the takeover wrote the lanes. */
+  readonly revision: number;
+  readonly store: CellStore;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Another holder has written the lanes. */
+  readonly onDeposed: (why: string) => void;
+  /** A transaction went through: the store says that this holder is the last. */
+  readonly onConfirmed: () => void;
+  /** A job whose end the store holds. */
+  readonly onEnded: (ended: EndedJob) => void;
+}
+
+/** The writer of one holder's jobs. */
+export class JobLog {
+  readonly #options: JobLogOptions;
+  readonly #lanes: readonly Lane[];
+  #closed = false;
+
+  constructor(options: JobLogOptions) {
+    this.#options = options;
+    this.#lanes = Array.from({ length: LANES }, (_, lane) => ({
+      key: laneKey(options.cell, lane),
+      revision: options.revision,
+      sequence: 0,
+      dirty: new Map(),
+      forgotten: [],
+      busy: false,
+      stuckSinceMs: undefined,
+    }));
+  }
+
+  /** Writes a job as it is at the next commit; resolves once the store holds that. */
+  save(job: Job, { submission = false } = {}): Promise<Saved> {
+    if (this.#closed) return Promise.resolve("deposed");
+    const lane = this.#laneOf(job.id);
+    const pending = lane.dirty.get(job.id) ??
+      { job, submission: false, waiters: [] };
+    pending.submission ||= submission;
+    lane.dirty.set(job.id, pending);
+    const saved = new Promise<Saved>((resolve) =>
+      pending.waiters.push(resolve)
+    );
+    this.#schedule(lane);
+    return saved;
+  }
+
+  /** Takes back a job that no transaction has carried yet; `false` if one may have. */
+  withdraw(job: Job): boolean {
+    return this.#laneOf(job.id).dirty.delete(job.id);
+  }
+
+  /** Removes the note of a job's end. */
+  forget(id: string): void {
+    const lane = this.#laneOf(id);
+    lane.forgotten.push(id);
+    this.#schedule(lane);
+  }
+
+  /** Longest time for which a transaction has not got through, milliseconds. */
+  stuckMs(): number {
+    const now = this.#options.clock.monotonic();
+    return Math.max(
+      ...this.#lanes.map((lane) => now - (lane.stuckSinceMs ?? now)),
+    );
+  }
+
+  /** Resolves once nothing waits to be written, or after `timeoutMs`. */
+  async drained(timeoutMs: number): Promise<void> {
+    const { clock } = this.#options;
+    const end = clock.monotonic() + timeoutMs;
+    const idle = () =>
+      this.#lanes.every((lane) => !lane.busy && lane.dirty.size === 0);
+    while (!idle() && !this.#closed && clock.monotonic() < end) {
+      await new Promise<void>((resolve) => clock.after(GATHER_MS, resolve));
+    }
+  }
+
+  /** Stops writing; whoever waits is told that the holder is deposed. */
+  close(): void {
+    this.#closed = true;
+    for (const lane of this.#lanes) {
+      for (const pending of lane.dirty.values()) settle(pending, "deposed");
+      lane.dirty.clear();
+    }
+  }
+
+  #laneOf(id: string): Lane {
+    // Ids are hexadecimal and random; their last digit spreads them evenly.
+    const digit = parseInt(id.slice(-1), 16) || 0;
+    return this.#lanes[digit % LANES]!;
+  }
+
+  #schedule(lane: Lane): void {
+    if (lane.busy || this.#closed) return;
+    lane.busy = true;
+    this.#options.clock.after(GATHER_MS, () => {
+      this.#write(lane).catch((error) =>
+        this.#options.log.error("joblog.failed", { reason: String(error) })
+      );
+    });
+  }
+
+  async #write(lane: Lane): Promise<void> {
+    const batch = this.#collect(lane);
+    const sequence = lane.sequence + 1;
+    const record: LaneRecord = { fence: this.#options.fence, sequence };
+    const writes: readonly Write[] = [
+      { type: "put", key: lane.key, value: JSON.stringify(record) },
+      ...batch.writes,
+    ];
+    const revision = await this.#persist(lane, { writes, sequence });
+    lane.busy = false;
+    if (revision === undefined) {
+      for (const pending of batch.pending) settle(pending, "deposed");
+      return;
+    }
+    lane.revision = revision;
+    lane.sequence = sequence;
+    for (const pending of batch.pending) settle(pending, "saved");
+    for (const ended of batch.ended) this.#options.onEnded(ended);
+    if (lane.dirty.size > 0 || lane.forgotten.length > 0) this.#schedule(lane);
+  }
+
+  #collect(lane: Lane): Batch {
+    const writes: Write[] = [];
+    const pending: Pending[] = [];
+    const ended: EndedJob[] = [];
+    for (const [id, entry] of lane.dirty) {
+      if (writes.length + 2 > MAX_WRITES) break;
+      lane.dirty.delete(id);
+      pending.push(entry);
+      const end = this.#endOf(entry.job);
+      if (end !== undefined) ended.push(end);
+      writes.push(...writesOf(entry, end));
+    }
+    while (lane.forgotten.length > 0 && writes.length < MAX_WRITES) {
+      const key = PROGRESS_PREFIX + lane.forgotten.pop();
+      writes.push({ type: "delete", key });
+    }
+    return { writes, pending, ended };
+  }
+
+  #endOf(job: Job): EndedJob | undefined {
+    const state = stateOf(job);
+    if (state === "pending" || state === "running") return undefined;
+    // Runs that are being stopped keep the record until they have ended.
+    if (state !== "done" && holdsRoom(job)) return undefined;
+    const endedMs = this.#options.clock.now().getTime();
+    return { id: job.id, queue: job.queue, state, endedMs };
+  }
+
+  /** Repeats a transaction until its fate is known; `undefined` if deposed. */
+  async #persist(
+    lane: Lane,
+    { writes, sequence }: {
+      readonly writes: readonly Write[];
+      readonly sequence: number;
+    },
+  ): Promise<number | undefined> {
+    const { store, clock, metrics, onConfirmed, onDeposed } = this.#options;
+    const condition = { key: lane.key, revision: lane.revision };
+    const startedMs = clock.monotonic();
+    while (!this.#closed) {
+      const result = await store.commit([condition], writes);
+      if (this.#closed) return undefined;
+      const settled = result.match(
+        (commit) => this.#settled(commit, { lane, sequence }),
+        (failure) => this.#refused(lane, { failure, startedMs }),
+      );
+      if (settled.type === "written") {
+        lane.stuckSinceMs = undefined;
+        metrics.observe("commit_ms", clock.monotonic() - startedMs);
+        onConfirmed();
+        return settled.revision;
+      }
+      if (settled.type === "deposed") {
+        onDeposed("another holder has written the lane");
+        return undefined;
+      }
+      await new Promise<void>((resolve) => clock.after(RETRY_MS, resolve));
+    }
+    return undefined;
+  }
+
+  #settled(
+    commit: Commit,
+    { lane, sequence }: { readonly lane: Lane; readonly sequence: number },
+  ): Settled {
+    if (commit.type === "committed") {
+      return { type: "written", revision: commit.revision };
+    }
+    const found = commit.entries?.find((entry) => entry.key === lane.key);
+    const record = found && laneRecordOf(found);
+    if (found === undefined || record === undefined) return { type: "deposed" };
+    if (record.fence !== this.#options.fence) return { type: "deposed" };
+    // An earlier sending got through and its answer was lost.
+    if (record.sequence === sequence) {
+      return { type: "written", revision: found.revision };
+    }
+    return { type: "deposed" };
+  }
+
+  #refused(
+    lane: Lane,
+    { failure, startedMs }: {
+      readonly failure: StoreFailure;
+      readonly startedMs: number;
+    },
+  ): Settled {
+    lane.stuckSinceMs ??= startedMs;
+    const { log, clock, fence } = this.#options;
+    log.warn("joblog.retry", {
+      lane: lane.key,
+      fence,
+      failure: failure.type,
+      reason: failure.message,
+      stuckMs: Math.round(clock.monotonic() - startedMs),
+    });
+    return { type: "retry" };
+  }
+}
+
+type Settled =
+  | { readonly type: "written"; readonly revision: number }
+  | { readonly type: "deposed" }
+  | { readonly type: "retry" };
+
+function laneRecordOf(entry: Entry): LaneRecord | undefined {
+  try {
+    return JSON.parse(entry.value) as LaneRecord;
+  } catch {
+    // Only holders write lanes; anything else is treated as another holder.
+    return undefined;
+  }
+}
+
+function holdsRoom(job: Job): boolean {
+  return [...job.occurrences.values()].some((steps) =>
+    steps.some((step) => step.tasks.some((task) => task.phase === "assigned"))
+  );
+}
+
+function writesOf(entry: Pending, end: EndedJob | undefined): Write[] {
+  const { job, submission } = entry;
+  const jobKey = JOBS_PREFIX + job.id;
+  const progressKey = PROGRESS_PREFIX + job.id;
+  if (end !== undefined) {
+    return [
+      { type: "delete", key: jobKey },
+      { type: "put", key: progressKey, value: encodeEnd(end) },
+    ];
+  }
+  const writes: Write[] = [];
+  if (submission) {
+    writes.push({ type: "put", key: jobKey, value: encodeSubmission(job) });
+  }
+  if (job.begun || job.canceled) {
+    writes.push({
+      type: "put",
+      key: progressKey,
+      value: encodeProgress(job),
+    });
+  }
+  return writes;
+}
+
+function settle(pending: Pending, saved: Saved): void {
+  for (const waiter of pending.waiters) waiter(saved);
+}
--- /dev/null
+++ b/src/cell/leadership.ts
@@ -0,0 +1,586 @@
+/**
+ * Which instance holds the cell.
+ *
+ * The hold is a record in the store that is taken by a conditional write, on
+ * suspicion alone: the write also renews the lanes of the job log, which
+ * stops every write of the former holder, and raises the fence, which stops
+ * its orders at every worker that the new one reaches.
+ *
+ * @module
+ */
+import { type Clock, sleep } from "../clock.ts";
+import type { Log } from "../logger.ts";
+import type { Peers } from "../ports/peers.ts";
+import type { Write } from "../ports/store.ts";
+import { HOLD_LIMIT_MS } from "./cell.ts";
+import {
+  type CellRecord,
+  decodeMember,
+  decodeRecord,
+  type Member,
+  MEMBERS_PREFIX,
+  recordKey,
+} from "./cell_record.ts";
+import { laneKey, type LaneRecord, LANES } from "./job_log.ts";
+import type { CellStore } from "./ports.ts";
+import { helloCall, statusCall, yieldCall } from "./protocol.ts";
+import type { SetInForce } from "./set_in_force.ts";
+
+/** The holder tells where it stands this often, milliseconds. */
+const STATUS_EVERY_MS = 250;
+/** Longest wait for a reply to that, milliseconds. */
+const STATUS_TIMEOUT_MS = 700;
+/** Silence of the holder after which others try to take the cell, milliseconds: three statuses. */
+const SILENCE_MS = 800;
+/** The same after the link to it broke, milliseconds: one status and a redial. */
+const BROKEN_LINK_MS = 350;
+/** Each further candidate waits so much longer, milliseconds: a takeover's write and its news. */
+const RANK_MS = 150;
+/** Pause after a failed try, milliseconds. */
+const AGAIN_MS = 300;
+/** State is looked at this often, milliseconds. */
+const TICK_MS = 50;
+/** A hold that was not confirmed for so long is confirmed by a read, milliseconds. */
+const CONFIRM_AFTER_MS = 700;
+/** Jump between wall clock and monotonic clock that tells of a suspension, milliseconds. */
+const SUSPENSION_MS = 700;
+/** Members are read from the store this often by the holder, milliseconds. */
+const MEMBERS_EVERY_MS = 5_000;
+/** A member that has not replied for so long is dropped by the holder, milliseconds. */
+const MEMBER_SILENCE_MS = 20_000;
+/** Longest wait for a successor, milliseconds. */
+const YIELD_TIMEOUT_MS = 1_500;
+/** Longest wait for a greeting's answer, milliseconds. */
+const HELLO_TIMEOUT_MS = 500;
+
+/** A hold on the cell. */
+export interface Hold {
+  readonly fence: number;
+  /** Revision at which it was written. */
+  readonly revision: number;
+}
+
+/** What becomes of the cell in this process. */
+export interface HoldListener {
+  /** The hold is this process's. */
+  gained(hold: Hold): void;
+  /** The hold is another's now. */
+  lost(fence: number, why: string): void;
+  /** Accepted jobs that have not begun, told to all members. */
+  waiting(): readonly (readonly [string, number])[];
+}
+
+/** What the leadership needs. */
+export interface LeadershipOptions {
+  readonly cell: string;
+  readonly self: Member;
+  /** Unique to this start of the process. */
+  readonly boot: string;
+  readonly store: CellStore;
+  /** Whether the store answers this process itself. */
+  readonly reachesStore: () => boolean;
+  readonly peers: Peers;
+  /** Opens links to these instances and drops others. */
+  readonly link: (members: readonly Member[]) => void;
+  readonly set: SetInForce;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly random: () => number;
+  readonly listener: HoldListener;
+}
+
+interface Known {
+  readonly record: CellRecord;
+  readonly revision: number;
+}
+
+/** Follows the holder, and takes the cell when it is silent. */
+export class Leadership {
+  readonly #options: LeadershipOptions;
+  readonly #members = new Map<string, Member>();
+  readonly #repliedMs = new Map<string, number>();
+  readonly #reaching = new Set<string>();
+  #known: Known | undefined;
+  #holding: Hold | undefined;
+  #heardMs: number;
+  #linkLost = false;
+  #confirmedMs = 0;
+  #trying = false;
+  #retryAtMs = 0;
+  #waiting: ReadonlyMap<string, number> = new Map();
+  #waitingMs = 0;
+  #leaving = false;
+  #clockSkewMs: number;
+
+  constructor(options: LeadershipOptions) {
+    this.#options = options;
+    this.#heardMs = options.clock.monotonic();
+    this.#clockSkewMs = this.#skew();
+  }
+
+  /** The holder, if one is known and this process is not it. */
+  get holder(): Member | undefined {
+    if (this.#holding !== undefined || this.#known === undefined) {
+      return undefined;
+    }
+    const { name, address } = this.#known.record;
+    return { name, address };
+  }
+
+  /** Milliseconds since the holder was heard of. */
+  get silenceMs(): number {
+    return this.#options.clock.monotonic() - this.#heardMs;
+  }
+
+  /** Highest fence that is known. */
+  get fence(): number {
+    return this.#known?.record.fence ?? 0;
+  }
+
+  /** Instances that answered lately, for the holder; the holder, for the others. */
+  reachable(): readonly string[] {
+    if (this.#holding === undefined) {
+      return this.holder === undefined ? [] : [this.holder.name];
+    }
+    const since = this.#options.clock.monotonic() - 2 * STATUS_TIMEOUT_MS;
+    return [...this.#repliedMs]
+      .filter(([, atMs]) => atMs >= since)
+      .map(([name]) => name)
+      .sort();
+  }
+
+  /** Instances through which the store can be reached. */
+  relays(): readonly string[] {
+    const reachable = this.reachable();
+    if (this.#holding === undefined) return reachable;
+    return reachable.filter((name) => this.#reaching.has(name));
+  }
+
+  /** Waiting jobs by queue as the holder told them, and the age of that. */
+  waitingNews(): {
+    readonly counts: ReadonlyMap<string, number>;
+    readonly ageMs: number;
+  } {
+    const ageMs = this.#options.clock.monotonic() - this.#waitingMs;
+    return { counts: this.#waiting, ageMs };
+  }
+
+  /** Whether the hold was confirmed lately: only then orders are given. */
+  holds(): boolean {
+    if (this.#holding === undefined) return false;
+    const age = this.#options.clock.monotonic() - this.#confirmedMs;
+    return age < HOLD_LIMIT_MS && !this.#wasSuspended();
+  }
+
+  /** The store has just taken a write of this holder. */
+  confirmed(): void {
+    this.#confirmedMs = this.#options.clock.monotonic();
+    this.#clockSkewMs = this.#skew();
+  }
+
+  /** Somebody else holds the cell, by a worker or by the store. */
+  deposed(why: string): void {
+    if (this.#holding === undefined) return;
+    const { fence } = this.#holding;
+    this.#options.log.warn("hold.lost", { fence, reason: why });
+    this.#holding = undefined;
+    this.#heardMs = this.#options.clock.monotonic();
+    this.#options.listener.lost(fence, why);
+    void this.#readRecord();
+  }
+
+  /** Takes part until the process ends. */
+  async run(): Promise<void> {
+    this.#serve();
+    const { clock } = this.#options;
+    await this.#register();
+    await this.#readRecord();
+    void this.#statusLoop();
+    for (;;) {
+      await sleep(clock, TICK_MS);
+      if (this.#holding !== undefined) this.#watchHold();
+      else if (this.#isSuspicious()) await this.#take();
+    }
+  }
+
+  /** Hands the cell to another instance; `false` if none took it. */
+  async yield(): Promise<boolean> {
+    this.#leaving = true;
+    const hold = this.#holding;
+    if (hold === undefined) return true;
+    for (const name of this.#ranked()) {
+      const answer = await this.#options.peers.call(name, yieldCall, {
+        params: { fence: hold.fence },
+        timeoutMs: YIELD_TIMEOUT_MS,
+      });
+      const taken = answer.unwrapOr(false);
+      this.#options.log.info("hold.yielded", {
+        fence: hold.fence,
+        to: name,
+        taken,
+      });
+      if (taken) return true;
+    }
+    return false;
+  }
+
+  #serve(): void {
+    const { peers, boot, set, reachesStore } = this.#options;
+    peers.serve(statusCall, (status, from) => {
+      const record: CellRecord = {
+        ...status.holder,
+        boot: status.boot,
+        fence: status.fence,
+      };
+      if (status.fence >= this.fence) {
+        this.#note({ record, revision: status.revision });
+        this.#heard(status.waiting, status.members);
+        if (status.setVersion > set.version) this.#wantSet(from);
+      }
+      return {
+        fence: this.fence,
+        setVersion: set.version,
+        reachesStore: reachesStore(),
+      };
+    });
+    peers.serve(helloCall, (member) => {
+      if (this.#holding !== undefined) this.#admit(member);
+      return {
+        boot,
+        fence: this.fence,
+        holds: this.#holding !== undefined,
+      };
+    });
+    peers.serve(yieldCall, async ({ fence }) => {
+      if (this.#leaving || fence < this.fence) return false;
+      await this.#take();
+      return this.#holding !== undefined;
+    });
+    peers.onLost((peer) => {
+      if (peer === this.holder?.name) this.#linkLost = true;
+    });
+  }
+
+  /** Set by the process: fetches the set from a peer. */
+  onSetWanted: (peer: string) => void = () => {};
+
+  #wantSet(peer: string): void {
+    this.onSetWanted(peer);
+  }
+
+  async #register(): Promise<void> {
+    const { store, self, clock, log } = this.#options;
+    const key = MEMBERS_PREFIX + self.name;
+    const write = { type: "put", key, value: self.address } as const;
+    const result = await store.commit([], [write]);
+    if (result.isOk()) return;
+    log.warn("member.unregistered", { reason: result.error.message });
+    clock.after(AGAIN_MS, () => void this.#register());
+  }
+
+  async #readRecord(): Promise<void> {
+    const { store, cell, log, self } = this.#options;
+    const result = await store.get(recordKey(cell));
+    if (result.isErr()) {
+      log.warn("hold.unread", { reason: result.error.message });
+      return;
+    }
+    const entry = result.value;
+    const record = entry && decodeRecord(entry);
+    if (entry === undefined || record === undefined) return;
+    this.#note({ record, revision: entry.revision });
+    if (record.name === self.name || this.#holding !== undefined) return;
+    void this.#greet(record);
+  }
+
+  /** Tells the holder of this instance, and finds out whether it still is the holder. */
+  async #greet(record: CellRecord): Promise<void> {
+    const { peers, self } = this.#options;
+    const answer = await peers.call(record.name, helloCall, {
+      params: self,
+      timeoutMs: HELLO_TIMEOUT_MS,
+    });
+    if (answer.isErr()) return;
+    if (answer.value.boot === record.boot && answer.value.holds) {
+      this.#heardMs = this.#options.clock.monotonic();
+    } else if (this.#known?.record === record) {
+      // Its process has started anew and knows nothing of the hold.
+      this.#heardMs = Math.min(this.#heardMs, this.#silentSince());
+    }
+  }
+
+  #silentSince(): number {
+    return this.#options.clock.monotonic() - SILENCE_MS;
+  }
+
+  #note(known: Known): void {
+    const before = this.#known;
+    if (before !== undefined && known.record.fence < before.record.fence) {
+      return;
+    }
+    this.#known = known;
+    if (known.record.fence === before?.record.fence) return;
+    const { self, log, clock, boot } = this.#options;
+    const mine = known.record.name === self.name && known.record.boot === boot;
+    if (mine) return;
+    log.info("hold.noted", {
+      holder: known.record.name,
+      fence: known.record.fence,
+      revision: known.revision,
+    });
+    this.#linkLost = false;
+    this.#heardMs = clock.monotonic();
+    if (this.#holding !== undefined) {
+      this.deposed(`${known.record.name} took the cell`);
+    }
+    if (known.record.name !== self.name) this.#options.link([known.record]);
+  }
+
+  #heard(
+    waiting: readonly (readonly [string, number])[],
+    members: readonly Member[],
+  ): void {
+    const now = this.#options.clock.monotonic();
+    this.#heardMs = now;
+    this.#linkLost = false;
+    this.#waiting = new Map(waiting);
+    this.#waitingMs = now;
+    this.#members.clear();
+    for (const member of members) this.#members.set(member.name, member);
+  }
+
+  #isSuspicious(): boolean {
+    if (this.#leaving || this.#trying) return false;
+    const { clock, self } = this.#options;
+    if (clock.monotonic() < this.#retryAtMs) return false;
+    const delay = this.#ranked().indexOf(self.name) * RANK_MS;
+    const own = this.#known?.record.name === self.name;
+    if (own) return true;
+    const limit = this.#linkLost ? BROKEN_LINK_MS : SILENCE_MS;
+    return this.silenceMs > limit + Math.max(0, delay);
+  }
+
+  /** Candidates in the order in which they try; it changes with each holder. */
+  #ranked(): readonly string[] {
+    const { self } = this.#options;
+    const names = new Set([self.name, ...this.#members.keys()]);
+    names.delete(this.#known?.record.name ?? "");
+    if (this.#holding !== undefined) names.delete(self.name);
+    const sorted = [...names].sort();
+    const turn = this.fence % Math.max(1, sorted.length);
+    return [...sorted.slice(turn), ...sorted.slice(0, turn)];
+  }
+
+  async #take(): Promise<void> {
+    if (this.#trying || this.#holding !== undefined) return;
+    this.#trying = true;
+    try {
+      await this.#tryTake();
+    } finally {
+      this.#trying = false;
+      const { clock, random } = this.#options;
+      this.#retryAtMs = clock.monotonic() + AGAIN_MS * (0.5 + random());
+    }
+  }
+
+  async #tryTake(): Promise<void> {
+    const { store, cell, self, boot, log, clock } = this.#options;
+    if (this.#known === undefined) {
+      await this.#readRecord();
+      // Somebody was quicker: its news is on its way.
+      if (this.#known !== undefined) return;
+    }
+    const known = this.#known as Known | undefined;
+    const fence = this.fence + 1;
+    const record: CellRecord = { ...self, boot, fence };
+    const startedMs = clock.monotonic();
+    const condition = {
+      key: recordKey(cell),
+      revision: known?.revision ?? 0,
+    };
+    const result = await store.commit([condition], takeover(cell, record));
+    if (result.isErr()) {
+      log.warn("hold.untaken", { fence, reason: result.error.message });
+      return;
+    }
+    if (result.value.type === "committed") {
+      return this.#gain({ record, revision: result.value.revision });
+    }
+    const entry = result.value.entries?.find((one) =>
+      one.key === condition.key
+    );
+    const current = entry && decodeRecord(entry);
+    if (entry === undefined || current === undefined) {
+      return void await this.#readRecord();
+    }
+    if (current.boot === boot && current.fence === fence) {
+      // An earlier try got through and its answer was lost.
+      return this.#gain({ record: current, revision: entry.revision });
+    }
+    log.info("hold.raced", {
+      holder: current.name,
+      fence: current.fence,
+      tookMs: Math.round(clock.monotonic() - startedMs),
+    });
+    this.#note({ record: current, revision: entry.revision });
+    this.#heardMs = clock.monotonic();
+  }
+
+  #gain(known: Known): void {
+    const { log, listener, clock, self } = this.#options;
+    this.#known = known;
+    const { fence } = known.record;
+    const hold = { fence, revision: known.revision };
+    this.#holding = hold;
+    this.confirmed();
+    log.info("hold.gained", {
+      fence,
+      revision: known.revision,
+      silenceMs: Math.round(this.silenceMs),
+    });
+    this.#members.delete(self.name);
+    this.#repliedMs.clear();
+    const now = clock.monotonic();
+    for (const name of this.#members.keys()) this.#repliedMs.set(name, now);
+    this.#options.link([...this.#members.values()]);
+    void this.#readMembers();
+    void this.#tellAll();
+    listener.gained(hold);
+  }
+
+  #watchHold(): void {
+    const { clock, store, cell } = this.#options;
+    const age = clock.monotonic() - this.#confirmedMs;
+    if (age < CONFIRM_AFTER_MS && !this.#wasSuspended()) return;
+    if (this.#trying) return;
+    this.#trying = true;
+    const sentMs = clock.monotonic();
+    store.get(recordKey(cell)).match((entry) => {
+      this.#trying = false;
+      const record = entry && decodeRecord(entry);
+      if (record === undefined || entry === undefined) return;
+      if (record.fence === this.#holding?.fence) {
+        this.#confirmedMs = Math.max(this.#confirmedMs, sentMs);
+        this.#clockSkewMs = this.#skew();
+      } else this.#note({ record, revision: entry.revision });
+    }, () => {
+      this.#trying = false;
+    });
+  }
+
+  async #statusLoop(): Promise<void> {
+    let membersAtMs = this.#options.clock.monotonic();
+    for (;;) {
+      await sleep(this.#options.clock, STATUS_EVERY_MS);
+      if (this.#holding === undefined) continue;
+      void this.#tellAll();
+      const now = this.#options.clock.monotonic();
+      if (now - membersAtMs < MEMBERS_EVERY_MS) continue;
+      membersAtMs = now;
+      void this.#readMembers();
+    }
+  }
+
+  async #tellAll(): Promise<void> {
+    const names = [...this.#members.keys()];
+    const heard = await Promise.all(names.map((name) => this.#tell(name)));
+    if (this.#holding === undefined) return;
+    // No majority of the members knows of another holder, whatever the store does.
+    const agreeing = heard.filter((agrees) => agrees).length;
+    if (names.length > 0 && agreeing >= Math.ceil((names.length + 1) / 2)) {
+      if (!this.#wasSuspended()) this.confirmed();
+    }
+  }
+
+  async #tell(name: string): Promise<boolean> {
+    const { peers, set, self, boot, clock, listener } = this.#options;
+    const hold = this.#holding;
+    if (hold === undefined) return false;
+    const answer = await peers.call(name, statusCall, {
+      params: {
+        holder: self,
+        boot,
+        fence: hold.fence,
+        revision: hold.revision,
+        setVersion: set.version,
+        waiting: listener.waiting().map((
+          [queue, count],
+        ): [string, number] => [queue, count]),
+        members: [...this.#members.values(), self],
+      },
+      timeoutMs: STATUS_TIMEOUT_MS,
+    });
+    if (answer.isErr()) return this.#unreplied(name);
+    const reply = answer.value;
+    this.#repliedMs.set(name, clock.monotonic());
+    if (reply.reachesStore) this.#reaching.add(name);
+    else this.#reaching.delete(name);
+    if (reply.setVersion > set.version) this.#wantSet(name);
+    if (reply.fence > hold.fence) {
+      void this.#readRecord();
+      return false;
+    }
+    return true;
+  }
+
+  #unreplied(name: string): boolean {
+    const { clock, log } = this.#options;
+    const silentMs = clock.monotonic() - (this.#repliedMs.get(name) ?? 0);
+    if (silentMs < MEMBER_SILENCE_MS || !this.#members.has(name)) return false;
+    log.info("member.dropped", {
+      member: name,
+      silentMs: Math.round(silentMs),
+    });
+    this.#members.delete(name);
+    this.#repliedMs.delete(name);
+    this.#options.link([...this.#members.values()]);
+    return false;
+  }
+
+  #admit(member: Member): void {
+    if (member.name === this.#options.self.name) return;
+    this.#repliedMs.set(member.name, this.#options.clock.monotonic());
+    if (this.#members.get(member.name)?.address === member.address) return;
+    this.#options.log.info("member.joined", {
+      member: member.name,
+      address: member.address,
+    });
+    this.#members.set(member.name, member);
+    this.#options.link([...this.#members.values()]);
+  }
+
+  async #readMembers(): Promise<void> {
+    const result = await this.#options.store.list(MEMBERS_PREFIX);
+    if (result.isErr() || this.#holding === undefined) return;
+    for (const entry of result.value.entries) {
+      const member = decodeMember(entry);
+      if (member !== undefined && !this.#members.has(member.name)) {
+        this.#admit(member);
+      }
+    }
+  }
+
+  #skew(): number {
+    const { clock } = this.#options;
+    return clock.now().getTime() - clock.monotonic();
+  }
+
+  /** The wall clock counts the time of a suspension, the monotonic one may not. */
+  #wasSuspended(): boolean {
+    return Math.abs(this.#skew() - this.#clockSkewMs) > SUSPENSION_MS;
+  }
+}
+
+/** The writes that make an instance the holder. */
+function takeover(cell: string, record: CellRecord): readonly Write[] {
+  const lane: LaneRecord = { fence: record.fence, sequence: 0 };
+  const lanes = Array.from({ length: LANES }, (_, index): Write => ({
+    type: "put",
+    key: laneKey(cell, index),
+    value: JSON.stringify(lane),
+  }));
+  return [
+    { type: "put", key: recordKey(cell), value: JSON.stringify(record) },
+    ...lanes,
+  ];
+}
--- /dev/null
+++ b/src/cell/placement.ts
@@ -0,0 +1,228 @@
+/**
+ * Finds workers for the waiting tasks of a step.
+ *
+ * @module
+ */
+import {
+  type Fleet,
+  type FleetWorker,
+  roomOn,
+  takesWork,
+  tasksIn,
+  teamAllowance,
+  weighsOn,
+} from "./fleet.ts";
+import type { StepRun, Task } from "./job.ts";
+import { type Amounts, fits, plus, type Queue, type Team } from "./types.ts";
+
+/** Where a task goes. */
+export interface Place {
+  readonly task: Task;
+  readonly worker: FleetWorker;
+  readonly ticket?: string;
+}
+
+/** Why nothing was placed. */
+export type NoPlace =
+  | "teamLimit"
+  | "noRoom"
+  | "noAdvice"
+  | "gangIncomplete";
+
+/** What a look for places gives. */
+export interface Search {
+  readonly places: readonly Place[];
+  readonly reason: NoPlace | undefined;
+  /** Workers with room whose advice is missing or stale, the best first. */
+  readonly unadvised: readonly FleetWorker[];
+}
+
+/** What a search goes by. */
+export interface SearchContext {
+  readonly fleet: Fleet;
+  readonly queue: Queue;
+  readonly team: Team | undefined;
+  /** Monotonic milliseconds. */
+  readonly nowMs: number;
+  /** Room held for others, by worker. */
+  readonly held: ReadonlyMap<string, Amounts>;
+}
+
+/** A ticket is not used in the last part of its life, milliseconds: commit and order take time. */
+const TICKET_MARGIN_MS = 120;
+
+/** Looks for places for a step; a gang gets all or none. */
+export function findPlaces(step: StepRun, context: SearchContext): Search {
+  const waiting = step.tasks.filter((task) => task.phase === "waiting");
+  const allowance = teamAllowance(
+    context.team,
+    context.fleet.usedBy(step.job.team),
+    step.spec.amounts,
+  );
+  const needed = step.spec.gang ? waiting.length : 1;
+  if (allowance < needed) return nothing("teamLimit");
+  const suited = suitedWorkers(step, context);
+  if (suited.length === 0) return nothing("noRoom");
+  const ready = suited.filter((worker) => isAdvised(step, worker, context));
+  const unadvised = suited.filter((worker) =>
+    !ready.includes(worker) && step.advice.verdicts.get(worker.id) !== false
+  );
+  const most = Math.min(waiting.length, allowance);
+  const places = fill(step, {
+    waiting: waiting.slice(0, most),
+    ready,
+    context,
+  });
+  if (step.spec.gang && places.length < waiting.length) {
+    return { places: [], reason: "gangIncomplete", unadvised };
+  }
+  const reason = places.length > 0
+    ? undefined
+    : unadvised.length > 0
+    ? "noAdvice"
+    : "noRoom";
+  return { places, reason, unadvised };
+}
+
+/** How many tasks of a step workers could take, each at most as its rules allow. */
+export function capacityFor(
+  step: StepRun,
+  workers: readonly FleetWorker[],
+  context: Pick<SearchContext, "held">,
+): number {
+  const amounts = weighsOn(step);
+  return workers.reduce(
+    (sum, worker) =>
+      sum +
+      Math.min(
+        tasksIn(openRoom(worker, context), amounts),
+        perWorkerLeft(step, worker),
+      ),
+    0,
+  );
+}
+
+function suitedWorkers(
+  step: StepRun,
+  context: SearchContext,
+): readonly FleetWorker[] {
+  const { spec } = step;
+  const amounts = weighsOn(step);
+  const suited: FleetWorker[] = [];
+  for (const worker of context.fleet.workers.values()) {
+    if (!takesWork(worker, context.nowMs)) continue;
+    const entry = worker.entry;
+    if (entry === undefined || entry.service !== context.queue.service) {
+      continue;
+    }
+    if (
+      spec.requiredLabel !== "" && !entry.labels.includes(spec.requiredLabel)
+    ) continue;
+    if (!fits(amounts, openRoom(worker, context))) continue;
+    if (perWorkerLeft(step, worker) < 1) continue;
+    suited.push(worker);
+  }
+  return inOrder(step, suited);
+}
+
+/** Near the data first, then the fullest, which leaves large room in one piece. */
+function inOrder(
+  step: StepRun,
+  workers: readonly FleetWorker[],
+): readonly FleetWorker[] {
+  const { dataRack } = step.spec;
+  const far = (worker: FleetWorker) =>
+    dataRack !== "" && !worker.entry?.labels.includes(dataRack) ? 1 : 0;
+  return [...workers].sort((a, b) =>
+    far(a) - far(b) || a.failureShare - b.failureShare ||
+    roomOn(a).cpuMillis - roomOn(b).cpuMillis
+  );
+}
+
+function isAdvised(
+  step: StepRun,
+  worker: FleetWorker,
+  { queue, nowMs }: SearchContext,
+): boolean {
+  if (queue.advice === undefined) return true;
+  const ticket = step.advice.tickets.get(worker.id);
+  return ticket !== undefined &&
+    nowMs < ticket.atMs + queue.advice.ticketMs - TICKET_MARGIN_MS;
+}
+
+function fill(
+  step: StepRun,
+  { waiting, ready, context }: {
+    readonly waiting: readonly Task[];
+    readonly ready: readonly FleetWorker[];
+    readonly context: SearchContext;
+  },
+): readonly Place[] {
+  if (step.spec.sameRack) {
+    const racks = new Set(ready.map(rackOf));
+    for (const rack of racks) {
+      const near = ready.filter((worker) => rackOf(worker) === rack);
+      const places = fillFrom(step, { waiting, ready: near, context });
+      if (places.length === waiting.length) return places;
+    }
+  }
+  return fillFrom(step, { waiting, ready, context });
+}
+
+function fillFrom(
+  step: StepRun,
+  { waiting, ready, context }: {
+    readonly waiting: readonly Task[];
+    readonly ready: readonly FleetWorker[];
+    readonly context: SearchContext;
+  },
+): readonly Place[] {
+  const amounts = weighsOn(step);
+  const places: Place[] = [];
+  let next = 0;
+  for (const worker of ready) {
+    let most = Math.min(
+      tasksIn(openRoom(worker, context), amounts),
+      perWorkerLeft(step, worker),
+    );
+    const ticket = step.advice.tickets.get(worker.id)?.ticket;
+    while (most > 0 && next < waiting.length) {
+      const task = waiting[next]!;
+      places.push({
+        task,
+        worker,
+        ...(ticket === undefined ? {} : { ticket }),
+      });
+      next++;
+      most--;
+    }
+    if (next === waiting.length) break;
+  }
+  return places;
+}
+
+function openRoom(
+  worker: FleetWorker,
+  { held }: Pick<SearchContext, "held">,
+): Amounts {
+  const room = roomOn(worker);
+  const kept = held.get(worker.id);
+  return kept === undefined ? room : plus(room, kept, -1);
+}
+
+function perWorkerLeft(step: StepRun, worker: FleetWorker): number {
+  const most = step.spec.maxPerWorker;
+  if (most === 0) return Infinity;
+  let there = 0;
+  for (const run of worker.runs.values()) if (run.step === step) there++;
+  return most - there;
+}
+
+/** The rack is the label that names it; a worker has its kind and its rack as labels. */
+function rackOf(worker: FleetWorker): string {
+  return worker.entry?.labels.at(-1) ?? "";
+}
+
+function nothing(reason: NoPlace): Search {
+  return { places: [], reason, unadvised: [] };
+}
--- /dev/null
+++ b/src/cell/relayed_store.ts
@@ -0,0 +1,197 @@
+/**
+ * The store, directly or through another instance where the store turns this
+ * one away.
+ *
+ * @module
+ */
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import type { Clock } from "../clock.ts";
+import type { StoreFailure } from "../errors.ts";
+import type { Log } from "../logger.ts";
+import type { Peers } from "../ports/peers.ts";
+import type { Commit, Condition, Entry, Write } from "../ports/store.ts";
+import type { CellStore } from "./ports.ts";
+import { type StoreAnswer, storeCall, type StoreRequest } from "./protocol.ts";
+
+/** After a failure of the direct way others are asked first for so long, milliseconds. */
+const DETOUR_MS = 1_000;
+/** Longest wait for an answer through another instance, milliseconds. */
+const RELAY_TIMEOUT_MS = 1_500;
+
+/** What the relayed store needs. */
+export interface RelayedStoreOptions {
+  readonly direct: CellStore;
+  readonly peers: Peers;
+  /** Instances that may reach the store, the likeliest first. */
+  readonly relays: () => readonly string[];
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** {@linkcode CellStore} that takes a detour when it must. */
+export class RelayedStore implements CellStore {
+  readonly #options: RelayedStoreOptions;
+  #detourUntilMs = 0;
+  #reached = true;
+
+  constructor(options: RelayedStoreOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the last direct call was answered. */
+  get reached(): boolean {
+    return this.#reached;
+  }
+
+  /** Takes note of the outcome of a direct call. */
+  observe(failure: StoreFailure | undefined): void {
+    const { clock, log } = this.#options;
+    const reached = failure === undefined || failure.type === "storeProtocol";
+    if (!reached) this.#detourUntilMs = clock.monotonic() + DETOUR_MS;
+    if (reached === this.#reached) return;
+    this.#reached = reached;
+    if (reached) log.info("store.regained");
+    else {
+      log.warn("store.lost", {
+        failure: failure.type,
+        reason: failure.message,
+      });
+    }
+  }
+
+  get(key: string): ResultAsync<Entry | undefined, StoreFailure> {
+    return this.#through(
+      () => this.#options.direct.get(key),
+      { type: "get", key },
+      (answer) =>
+        answer.type === "entry" ? ok(answer.entry ?? undefined) : odd(),
+    );
+  }
+
+  list(prefix: string): ReturnType<CellStore["list"]> {
+    return this.#through(
+      () => this.#options.direct.list(prefix),
+      { type: "list", prefix },
+      (answer) => answer.type === "entries" ? ok(answer) : odd(),
+    );
+  }
+
+  commit(
+    conditions: readonly Condition[],
+    writes: readonly Write[],
+  ): ResultAsync<Commit, StoreFailure> {
+    const request: StoreRequest = {
+      type: "commit",
+      conditions: [...conditions],
+      writes: [...writes],
+    };
+    return this.#through(
+      () => this.#options.direct.commit(conditions, writes),
+      request,
+      (answer): Result<Commit, StoreFailure> =>
+        answer.type === "committed" || answer.type === "conflict"
+          ? ok(answer)
+          : odd(),
+    );
+  }
+
+  /** Only directly: a wait of seconds is no load for another instance. */
+  changes(
+    ...call: Parameters<CellStore["changes"]>
+  ): ReturnType<CellStore["changes"]> {
+    return this.#options.direct.changes(...call);
+  }
+
+  #through<A>(
+    direct: () => ResultAsync<A, StoreFailure>,
+    request: StoreRequest,
+    read: (answer: StoreAnswer) => Result<A, StoreFailure>,
+  ): ResultAsync<A, StoreFailure> {
+    return new ResultAsync(this.#attempt(direct, request, read));
+  }
+
+  async #attempt<A>(
+    direct: () => ResultAsync<A, StoreFailure>,
+    request: StoreRequest,
+    read: (answer: StoreAnswer) => Result<A, StoreFailure>,
+  ): Promise<Result<A, StoreFailure>> {
+    const detour = this.#options.clock.monotonic() < this.#detourUntilMs;
+    if (detour) {
+      const relayed = await this.#relay(request, read);
+      if (relayed?.isOk()) return relayed;
+    }
+    const answered = await direct();
+    if (answered.isOk() || detour) return answered;
+    if (answered.error.type === "storeProtocol") return answered;
+    return await this.#relay(request, read) ?? answered;
+  }
+
+  async #relay<A>(
+    request: StoreRequest,
+    read: (answer: StoreAnswer) => Result<A, StoreFailure>,
+  ): Promise<Result<A, StoreFailure> | undefined> {
+    const { peers, relays } = this.#options;
+    const relay = relays()[0];
+    if (relay === undefined) return undefined;
+    const answer = await peers.call(relay, storeCall, {
+      params: request,
+      timeoutMs: RELAY_TIMEOUT_MS,
+    });
+    if (answer.isErr()) {
+      return err({ type: "storeAnswerLost", message: answer.error.message });
+    }
+    if (answer.value.type === "failure") return err(answer.value.failure);
+    return read(answer.value);
+  }
+}
+
+/** Carries out a call for another instance. */
+export async function serveStore(
+  direct: CellStore,
+  request: StoreRequest,
+): Promise<StoreAnswer> {
+  const answer = await perform(direct, request);
+  return answer.match(
+    (value) => value,
+    (failure): StoreAnswer =>
+      failure.type === "storeValueTooLarge"
+        ? {
+          type: "failure",
+          failure: { type: "storeProtocol", message: failure.message },
+        }
+        : { type: "failure", failure },
+  );
+}
+
+function perform(
+  direct: CellStore,
+  request: StoreRequest,
+): ResultAsync<StoreAnswer, StoreFailure> {
+  switch (request.type) {
+    case "get":
+      return direct.get(request.key).map((entry): StoreAnswer => ({
+        type: "entry",
+        entry: entry ?? null,
+      }));
+    case "list":
+      return direct.list(request.prefix).map((
+        { entries, revision },
+      ): StoreAnswer => ({
+        type: "entries",
+        entries: [...entries],
+        revision,
+      }));
+    case "commit":
+      return direct.commit(request.conditions, request.writes).map((
+        commit,
+      ): StoreAnswer =>
+        commit.type === "committed"
+          ? commit
+          : { ...commit, entries: [...(commit.entries ?? [])] }
+      );
+  }
+}
+
+function odd(): Result<never, StoreFailure> {
+  return err({ type: "storeProtocol", message: "answer to another call" });
+}
--- /dev/null
+++ b/src/cell/runs.ts
@@ -0,0 +1,376 @@
+/**
+ * The life of a run: recorded, ordered, seen, stopped, ended.
+ *
+ * @module
+ */
+import {
+  type CellContext,
+  persist,
+  queueOf,
+  reviewJob,
+  reviewStep,
+} from "./context.ts";
+import type { FleetWorker, Run } from "./fleet.ts";
+import { isOver, type Job, type StepRun, type Task } from "./job.ts";
+import type { Place } from "./placement.ts";
+import type { EndingKind, ReportedEnd, StartAnswer } from "./ports.ts";
+
+/** Leases stay below the longest by this, milliseconds, so that a clock read a moment ago does. */
+const LEASE_SLACK_MS = 50;
+/** How much slower a worker's clock may run; source: the platform's pages. */
+const CLOCK_DRIFT = 0.02;
+/** Time after a lease's end by our clock until everything on the worker has surely ended, milliseconds. */
+const LEASE_END_SLACK_MS = 300;
+/** A stop that is not confirmed or not seen is sent again after this, milliseconds. */
+const STOP_AGAIN_MS = 400;
+/** A worker that refused as unhealthy or could not be reached is left alone so long, milliseconds. */
+const AVOID_MS = 700;
+/** Weight of a new end in a worker's share of failures. */
+const FAILURE_WEIGHT = 0.2;
+/** A worker with a larger share of failures gets nothing for a while. */
+const FAILURE_LIMIT = 0.6;
+/** How long such a worker gets nothing, milliseconds. */
+const QUARANTINE_MS = 3_000;
+/** Most of the workers that may be left alone for their failures at once. */
+const QUARANTINE_SHARE = 0.25;
+
+/** Reports of a worker on demand, for a run whose order was not answered. */
+export type LookNow = (worker: FleetWorker) => Promise<void>;
+
+/** Starts, stops and ends runs. */
+export class Runs {
+  readonly #context: CellContext;
+  readonly #lookNow: LookNow;
+
+  constructor(context: CellContext, lookNow: LookNow) {
+    this.#context = context;
+    this.#lookNow = lookNow;
+  }
+
+  /** Takes room for the places, records that, then gives the orders. */
+  start(step: StepRun, places: readonly Place[]): void {
+    const { clock, fleet } = this.#context;
+    const gangRun = 1 + Math.max(...step.tasks.map((task) => task.run));
+    const checkpoint = step.spec.gang ? gangCheckpoint(step) : undefined;
+    const runs = places.map(({ task, worker, ticket }) => {
+      task.run = step.spec.gang ? gangRun : task.run + 1;
+      task.phase = "assigned";
+      task.worker = worker.id;
+      if (checkpoint !== undefined) task.checkpoint = checkpoint;
+      const run = newRun(step, { task, worker, nowMs: clock.monotonic() });
+      fleet.take(run);
+      return { run, ticket };
+    });
+    step.job.begun = true;
+    reviewStep(this.#context, step);
+    persist(this.#context, step.job).then((saved) => {
+      if (saved !== "saved") return;
+      for (const { run, ticket } of runs) this.#send(run, ticket);
+    });
+  }
+
+  /** Tells a worker to end a run, again and again until it is seen to have ended. */
+  stop(run: Run): void {
+    const { clock, orders, fence, holds } = this.#context;
+    const now = clock.monotonic();
+    run.stopping = true;
+    if (run.stopSentMs + STOP_AGAIN_MS > now || !holds()) return;
+    run.stopSentMs = now;
+    const address = addressOf(run.worker);
+    if (address === undefined) return;
+    const order = { task: run.task.id, run: run.number, fence };
+    orders.stop(address, order).then((confirmed) => {
+      // From now on the worker refuses the run if it was not there.
+      if (confirmed) run.provableAfterMs ??= clock.monotonic();
+      else run.stopSentMs = clock.monotonic() - STOP_AGAIN_MS / 2;
+    });
+  }
+
+  /** Ends a run that its worker lists as ended; gives the job whose record has changed. */
+  end(worker: FleetWorker, ended: ReportedEnd, found: {
+    readonly step: StepRun;
+    readonly task: Task;
+  }): Job | undefined {
+    const { step, task } = found;
+    const run = worker.runs.get(task.id);
+    const current = run !== undefined && run.number === ended.run;
+    if (current) this.#context.fleet.release(run);
+    // A run that was given up too early counts if nothing has replaced it.
+    const mattersStill = task.phase === "waiting" && task.run === ended.run;
+    if (!current && !mattersStill) return undefined;
+    if (current) this.#learn(run, ended.kind);
+    if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
+    this.#apply(found, ended);
+    return step.job;
+  }
+
+  /** Gives up a run that is not on its worker and will not be. */
+  lose(run: Run, why: string): void {
+    const { fleet, log, metrics, fence } = this.#context;
+    if (!fleet.release(run)) return;
+    const { task, step, worker } = run;
+    log.info("run.lost", {
+      job: step.job.id,
+      task: task.id,
+      run: run.number,
+      worker: worker.id,
+      fence,
+      reason: why,
+    });
+    metrics.count("runs_lost", { reason: why });
+    if (task.phase !== "assigned" || task.run !== run.number) return;
+    task.phase = "waiting";
+    this.#settle(step);
+  }
+
+  /** Gives up everything on a worker. */
+  loseAll(worker: FleetWorker, why: string): void {
+    for (const run of [...worker.runs.values()]) this.lose(run, why);
+  }
+
+  /** Stops what still runs of a job that is over. */
+  stopJob(job: Job): void {
+    for (const worker of this.#context.fleet.workers.values()) {
+      for (const run of worker.runs.values()) {
+        if (run.step.job === job) this.stop(run);
+      }
+    }
+  }
+
+  /** Sends stops again that have not had their effect, and ends what leases have ended. */
+  tick(): void {
+    const now = this.#context.clock.monotonic();
+    for (const worker of this.#context.fleet.workers.values()) {
+      if (!worker.reachable && worker.leaseBoundMs <= now) {
+        this.loseAll(worker, "leaseEnded");
+      }
+      for (const run of worker.runs.values()) if (run.stopping) this.stop(run);
+    }
+  }
+
+  /** End of a lease on a worker's clock, and its latest end by ours. */
+  leaseFor(worker: FleetWorker): number | undefined {
+    const { clock, maxLeaseMs } = this.#context;
+    if (worker.clockOffsetMs === undefined) return undefined;
+    const now = clock.monotonic();
+    const boundMs = now + leaseBoundMs(maxLeaseMs);
+    worker.leaseBoundMs = Math.max(worker.leaseBoundMs, boundMs);
+    return now + worker.clockOffsetMs + maxLeaseMs - LEASE_SLACK_MS;
+  }
+
+  async #send(run: Run, ticket: string | undefined): Promise<void> {
+    const { clock, orders, fence, holds } = this.#context;
+    const { step, task, worker } = run;
+    const address = addressOf(worker);
+    const leaseUntilMs = this.leaseFor(worker);
+    const wanted = worker.runs.get(task.id) === run && !run.stopping;
+    if (!wanted) return;
+    if (
+      isOver(step.job) || !holds() || address === undefined ||
+      leaseUntilMs === undefined
+    ) {
+      return this.lose(run, "notOrdered");
+    }
+    const sentMs = clock.monotonic();
+    const answer = await orders.start(address, {
+      task: task.id,
+      run: run.number,
+      spec: step.job.spec.payload,
+      leaseUntilMs,
+      fence,
+      checkpoint: task.checkpoint,
+      ...(ticket === undefined ? {} : { ticket }),
+    });
+    this.#logStart(run, answer, sentMs);
+    this.#started(run, answer);
+  }
+
+  #started(run: Run, answer: StartAnswer): void {
+    const { clock, deposed } = this.#context;
+    const now = clock.monotonic();
+    const { worker, step } = run;
+    switch (answer.type) {
+      case "started":
+        run.provableAfterMs ??= now;
+        if (run.stopping || isOver(step.job)) this.stop(run);
+        return;
+      case "unreached":
+        worker.avoidUntilMs = now + AVOID_MS;
+        return this.lose(run, "unreached");
+      case "unknown":
+        worker.avoidUntilMs = now + AVOID_MS;
+        void this.#settleUnknown(run);
+        return;
+      case "rejected":
+        if (answer.reason === "fenced") return deposed("a worker refused");
+        if (answer.reason === "ticket") step.advice.tickets.delete(worker.id);
+        else worker.avoidUntilMs = now + AVOID_MS;
+        if (answer.reason === "tooLate") worker.clockOffsetMs = undefined;
+        return this.lose(run, answer.reason);
+    }
+  }
+
+  /** Finds out whether an unanswered order was carried out; forbids it if not. */
+  async #settleUnknown(run: Run): Promise<void> {
+    await this.#lookNow(run.worker);
+    const there = run.worker.runs.get(run.task.id) === run;
+    if (!there || run.seen) return;
+    this.stop(run);
+  }
+
+  #apply(
+    { step, task }: { readonly step: StepRun; readonly task: Task },
+    ended: ReportedEnd,
+  ): void {
+    const { job } = step;
+    const attempts = queueOf(this.#context, job).attempts;
+    if (ended.kind === "done" && !step.spec.longRunning) {
+      const finished = step.spec.gang ? step.tasks : [task];
+      for (const done of finished) markDone(step, done);
+    } else {
+      if (task.phase === "assigned") task.phase = "waiting";
+      if (ended.kind === "failed" && !step.spec.longRunning) {
+        const failures = countFailure(step, task, ended.run);
+        if (failures >= attempts && !isOver(job)) job.failed = true;
+      }
+    }
+    if (step.left === 0) this.#finishStep(step);
+    if (job.failed) this.stopJob(job);
+    this.#settle(step);
+  }
+
+  #finishStep(step: StepRun): void {
+    const { job } = step;
+    const steps = job.occurrences.get(step.occurrence) ?? [];
+    if (steps.some((other) => other.left > 0)) return;
+    job.finishedOccurrences = [...job.occurrences.values()]
+      .filter((all) => all.every((other) => other.left === 0)).length;
+  }
+
+  /** A gang runs whole or not at all: the rest of a broken one is stopped. */
+  #settle(step: StepRun): void {
+    if (step.spec.gang && step.left > 0) {
+      const broken = step.tasks.some((task) => task.phase === "waiting");
+      if (broken) this.#stopStep(step);
+    }
+    reviewJob(this.#context, step.job);
+    this.#context.kick();
+  }
+
+  #stopStep(step: StepRun): void {
+    for (const task of step.tasks) {
+      if (task.phase !== "assigned") continue;
+      const run = this.#context.fleet.workers.get(task.worker)?.runs
+        .get(task.id);
+      if (run !== undefined) this.stop(run);
+    }
+  }
+
+  #learn(run: Run, kind: EndingKind): void {
+    const { clock, durations, metrics } = this.#context;
+    const { worker, step } = run;
+    metrics.count("runs_ended", { how: kind });
+    if (kind === "done" && run.task.checkpoint === "") {
+      durations.learn(step.job.queue, clock.monotonic() - run.placedMs);
+    }
+    if (kind !== "done" && kind !== "failed") return;
+    const failed = kind === "failed" ? 1 : 0;
+    worker.failureShare += FAILURE_WEIGHT * (failed - worker.failureShare);
+    if (failed === 1 && worker.failureShare > FAILURE_LIMIT) {
+      this.#quarantine(worker);
+    }
+  }
+
+  #quarantine(worker: FleetWorker): void {
+    const { clock, fleet, log } = this.#context;
+    const now = clock.monotonic();
+    const all = [...fleet.workers.values()];
+    const avoided = all.filter((other) => other.avoidUntilMs > now).length;
+    if (avoided >= all.length * QUARANTINE_SHARE) return;
+    worker.avoidUntilMs = now + QUARANTINE_MS;
+    log.warn("worker.quarantined", {
+      worker: worker.id,
+      failureShare: worker.failureShare.toFixed(2),
+      forMs: QUARANTINE_MS,
+    });
+  }
+
+  #logStart(run: Run, answer: StartAnswer, sentMs: number): void {
+    const { log, metrics, clock, fence } = this.#context;
+    const outcome = answer.type === "rejected" ? answer.reason : answer.type;
+    const now = clock.monotonic();
+    metrics.count("starts", { outcome });
+    metrics.observe("start_ms", now - sentMs);
+    log.info("run.start", {
+      job: run.step.job.id,
+      task: run.task.id,
+      run: run.number,
+      worker: run.worker.id,
+      fence,
+      reportAgeMs: Math.round(now - run.worker.reportedMs),
+      tookMs: Math.round(now - sentMs),
+      outcome,
+    });
+  }
+}
+
+/** Time after which a lease given now has surely ended on the slowest clock, milliseconds. */
+export function leaseBoundMs(maxLeaseMs: number): number {
+  return maxLeaseMs * (1 + CLOCK_DRIFT) + LEASE_END_SLACK_MS;
+}
+
+/** A run that has just been decided. */
+export function newRun(
+  step: StepRun,
+  { task, worker, nowMs }: {
+    readonly task: Task;
+    readonly worker: FleetWorker;
+    readonly nowMs: number;
+  },
+): Run {
+  return {
+    step,
+    task,
+    number: task.run,
+    worker,
+    amounts: step.spec.amounts,
+    placedMs: nowMs,
+    provableAfterMs: undefined,
+    seen: false,
+    stopping: false,
+    stopSentMs: 0,
+    percent: 0,
+    progressMs: nowMs,
+  };
+}
+
+function addressOf(
+  worker: FleetWorker,
+): { readonly id: string; readonly address: string } | undefined {
+  const address = worker.entry?.address;
+  return address === undefined ? undefined : { id: worker.id, address };
+}
+
+/** Counts a failed run: of the gang as a whole, or of its task. */
+function countFailure(step: StepRun, task: Task, run: number): number {
+  if (!step.spec.gang) return ++task.failures;
+  if (run > step.gangFailedRun) {
+    step.gangFailedRun = run;
+    step.gangFailures++;
+  }
+  return step.gangFailures;
+}
+
+function markDone(step: StepRun, task: Task): void {
+  if (task.phase === "done") return;
+  task.phase = "done";
+  step.left--;
+}
+
+/** One checkpoint for all members; any member's holds for the gang. */
+function gangCheckpoint(step: StepRun): string {
+  const newest = [...step.tasks]
+    .filter((task) => task.checkpoint !== "")
+    .sort((a, b) => b.run - a.run)[0];
+  return newest?.checkpoint ?? "";
+}
--- a/src/logger.ts
+++ b/src/logger.ts
@@ -46,22 +46,35 @@
   return [`event=${event}`, ...pairs].join(" ");
 }
 
-/** Opens a log on standard error. `common` goes into every line. */
-export function openLog(level: LogLevel, common: Fields): Log {
-  const logger = new TsLogger<{ line: string }>({
+/** Takes finished lines. */
+export type WriteLine = (event: string, line: string) => void;
+
+/** Opens a log, on standard error unless told otherwise. `common` goes into every line. */
+export function openLog(
+  level: LogLevel,
+  common: Fields,
+  writeLine: WriteLine = (_event, line) =>
+    void process.stderr.write(line + "\n"),
+): Log {
+  const logger = new TsLogger<{ event: string; line: string }>({
     type: "hidden",
     minLevel: logLevels[level],
+    // The position of a call costs a stack trace for each line.
+    hideLogPositionForProduction: true,
   });
   logger.attachTransport((record) => {
-    const line = (record as unknown as { line: string }).line;
-    process.stderr.write(line + "\n");
+    const { event, line } = record as unknown as {
+      event: string;
+      line: string;
+    };
+    writeLine(event, line);
   });
   function write(severity: LogLevel, event: string, fields: Fields = {}): void {
     if (logLevels[severity] < logLevels[level]) return;
     const time = new Date().toISOString();
     const all = { level: severity, ...common, ...fields };
     const line = `time=${time} ${formatLine(event, all)}`;
-    logger.log(logLevels[severity], severity, { line });
+    logger.log(logLevels[severity], severity, { event, line });
   }
   return {
     debug: (event, fields) => write("debug", event, fields),
--- a/src/ports/store.ts
+++ b/src/ports/store.ts
@@ -35,7 +35,12 @@
 /** What became of a transaction. */
 export type Commit =
   | { readonly type: "committed"; readonly revision: number }
-  | { readonly type: "conflict"; readonly revision: number };
+  | {
+    readonly type: "conflict";
+    readonly revision: number;
+    /** The conditions' keys as they are now, where the service tells. */
+    readonly entries?: readonly Entry[];
+  };
 
 /** A change seen by a watch. */
 export type Change =
