Acknowledge an end only once the store holds it; ask for advice when a lane is free

Each worker now has one chain of saves, and ends are acknowledged in its order. The test failed before the change.

A question is now chosen when a lane is free, by rank, and names more workers where that is cheap.

Ruled out: too few lanes (all seven answered), a stuck lane.

--- a/src/cell/advice_desk.ts
+++ b/src/cell/advice_desk.ts
@@ -2,8 +2,9 @@
  * Asks the advice service through all instances.
  *
  * The service answers one call at a time for each calling instance, and calls
- * take from ten milliseconds to a second. So each instance is a lane, slow
- * calls keep to some of the lanes, and calls wait here by urgency.
+ * take from ten milliseconds to a second. So each instance is a lane, and slow
+ * calls keep to some of the lanes. Nothing waits here: a question is chosen
+ * when a lane is free, by what is first in line and has room then.
  *
  * @module
  */
@@ -28,8 +29,6 @@
 export interface Question {
   readonly step: string;
   readonly workers: readonly string[];
-  /** Lower goes first. */
-  readonly urgency: number;
   /** How long the service takes, milliseconds. */
   readonly expectedMs: number;
 }
@@ -41,11 +40,6 @@
   options: { readonly timeoutMs: number },
 ) => Promise<Advice>;
 
-interface Waiting {
-  readonly question: Question;
-  readonly resolve: (advice: Advice) => void;
-}
-
 /** The desk of one cell. */
 export class AdviceDesk {
   readonly #ask: AskThrough;
@@ -54,7 +48,6 @@
   readonly #metrics: Metrics;
   readonly #busy = new Set<string>();
   readonly #restUntilMs = new Map<string, number>();
-  #waiting: Waiting[] = [];
 
   /** `lanes`: the instances that carry questions now. */
   constructor(
@@ -68,56 +61,41 @@
     this.#metrics = metrics;
   }
 
-  /** Asks once a lane is free. */
-  ask(question: Question): Promise<Advice> {
-    return new Promise((resolve) => {
-      this.#waiting.push({ question, resolve });
-      this.#waiting.sort((a, b) => a.question.urgency - b.question.urgency);
-      this.#dispatch();
-    });
+  /** Questions under way. */
+  get asking(): number {
+    return this.#busy.size;
   }
 
-  /** Questions that wait for a lane. */
-  get backlog(): number {
-    return this.#waiting.length;
+  /** Whether a question of this length would be asked at once. */
+  isFree(expectedMs: number): boolean {
+    return this.#freeLane(expectedMs) !== undefined;
   }
 
-  #dispatch(): void {
-    const lanes = this.#lanes();
-    const left: Waiting[] = [];
-    for (const waiting of this.#waiting) {
-      const lane = this.#freeLane(lanes, waiting.question.expectedMs);
-      if (lane === undefined) left.push(waiting);
-      else this.#send(lane, waiting);
+  /** Asks through a free lane; `busy` if there is none. */
+  async ask(question: Question): Promise<Advice> {
+    const lane = this.#freeLane(question.expectedMs);
+    if (lane === undefined) return { type: "busy" };
+    const startedMs = this.#clock.monotonic();
+    const timeoutMs = 2 * question.expectedMs + TIMEOUT_SLACK_MS;
+    this.#busy.add(lane);
+    const advice = await this.#ask(lane, question, { timeoutMs });
+    this.#busy.delete(lane);
+    const now = this.#clock.monotonic();
+    if (advice.type !== "advised") {
+      this.#restUntilMs.set(lane, now + LANE_REST_MS);
     }
-    this.#waiting = left;
+    this.#metrics.count("advice_calls", { answer: advice.type });
+    this.#metrics.observe("advice_ms", now - startedMs);
+    return advice;
   }
 
-  #freeLane(lanes: readonly string[], expectedMs: number): string | undefined {
+  #freeLane(expectedMs: number): string | undefined {
     const now = this.#clock.monotonic();
-    const allowed = lanesFor(lanes, expectedMs);
+    const allowed = lanesFor(this.#lanes(), expectedMs);
     return allowed.find((lane) =>
       !this.#busy.has(lane) && (this.#restUntilMs.get(lane) ?? 0) <= now
     );
   }
-
-  #send(lane: string, { question, resolve }: Waiting): void {
-    const startedMs = this.#clock.monotonic();
-    const timeoutMs = 2 * question.expectedMs + TIMEOUT_SLACK_MS;
-    this.#busy.add(lane);
-    this.#ask(lane, question, { timeoutMs }).then((advice) => {
-      this.#busy.delete(lane);
-      const now = this.#clock.monotonic();
-      if (advice.type !== "advised") {
-        this.#restUntilMs.set(lane, now + LANE_REST_MS);
-        this.#clock.after(LANE_REST_MS, () => this.#dispatch());
-      }
-      this.#metrics.count("advice_calls", { answer: advice.type });
-      this.#metrics.observe("advice_ms", now - startedMs);
-      resolve(advice);
-      this.#dispatch();
-    });
-  }
 }
 
 /** Lanes that a call may use, the preferred first: quick ones begin at the end. */
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -10,7 +10,7 @@
 import type { Metrics } from "../metrics.ts";
 import type { AdviceDesk } from "./advice_desk.ts";
 import { type CellContext, persist, reviewJob } from "./context.ts";
-import { Fleet } from "./fleet.ts";
+import { Fleet, roomOn, takesWork } from "./fleet.ts";
 import { Follower } from "./follower.ts";
 import {
   dueMs,
@@ -44,6 +44,8 @@
 const FIRST_REPORTS_MS = 400;
 /** An occurrence is opened this long before it is due, milliseconds; the platform allows 250. */
 const EARLY_MS = 20;
+/** The load of the cell is told this often, milliseconds. */
+const LOAD_EVERY_MS = 1_000;
 /** Ended jobs are kept for this factor of the time that the platform asks for. */
 const RETENTION_FACTOR = 2;
 /** Most jobs forgotten in a tick. */
@@ -342,6 +344,7 @@
   #loops(): void {
     void this.#listLoop();
     void this.#tickLoop();
+    void this.#loadLoop();
     this.#scheduler.kick();
   }
 
@@ -405,6 +408,31 @@
     }
   }
 
+  /** Tells once a second how full the cell is and what waits. */
+  async #loadLoop(): Promise<void> {
+    const { clock, log, fence, fleet, jobs, open } = this.#context;
+    while (!this.#closed) {
+      await sleep(clock, LOAD_EVERY_MS);
+      if (this.#closed) return;
+      const workers = [...fleet.workers.values()];
+      const usable = workers.filter((one) => takesWork(one, clock.monotonic()));
+      log.info("cell.load", {
+        fence,
+        jobs: jobs.size,
+        openSteps: open.size,
+        runs: workers.reduce((sum, one) => sum + one.runs.size, 0),
+        workers: workers.length,
+        usable: usable.length,
+        freeCores: usable.reduce(
+          (sum, one) => sum + Math.round(roomOn(one).cpuMillis / 1000),
+          0,
+        ),
+        asking: this.#options.desk.asking,
+        storeStuckMs: Math.round(this.#context.jobLog.stuckMs()),
+      });
+    }
+  }
+
   /** Opens the occurrences of recurring jobs that are due. */
   #openDue(): void {
     const now = this.#context.clock.now().getTime();
--- /dev/null
+++ b/src/cell/cell_test.ts
@@ -0,0 +1,259 @@
+import test from "ava";
+import { testStep, World } from "./_fixtures_test.ts";
+
+const JOB = "00000000000000aa";
+const TASK = `${JOB}.0.0.0`;
+
+test("a job runs and is done once the store holds its end", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  t.is(await world.submit(cell, [testStep()]), "accepted");
+  await world.clock.run(300);
+  t.is(worker.starts.length, 1);
+  t.is(cell.state(JOB), "running");
+  worker.end(TASK, "done");
+  await world.clock.run(300);
+  t.is(cell.state(JOB), "done");
+  t.is(worker.acknowledged, 1);
+});
+
+test("ends are not acknowledged before the store holds them", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  const other = "00000000000000b1";
+  await world.submit(cell, [testStep()]);
+  await world.submit(cell, [testStep()], other);
+  await world.clock.run(300);
+  world.store.stuckKeys.add("cell/lane/0").add("cell/lane/1");
+  worker.end(TASK, "done");
+  await world.clock.run(1_500);
+  // Reported while the first end still waits for the store.
+  worker.end(`${other}.0.0.0`, "done");
+  await world.clock.run(2_000);
+  t.is(worker.acknowledged, 0);
+  world.store.stuckKeys.delete("cell/lane/0");
+  await world.clock.run(2_000);
+  t.is(worker.acknowledged, 1);
+  t.is(cell.state(other), "running");
+  world.store.stuckKeys.delete("cell/lane/1");
+  await world.clock.run(2_000);
+  t.is(worker.acknowledged, 2);
+  t.is(cell.state(other), "done");
+});
+
+test("a new holder goes on from the store and from the workers", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const first = await world.open();
+  await world.submit(first, [testStep(), testStep({ after: [0] })]);
+  await world.clock.run(300);
+  first.close();
+  worker.end(TASK, "done");
+  const second = await world.open();
+  await world.clock.run(500);
+  t.deepEqual(worker.starts.map((order) => order.task), [
+    TASK,
+    `${JOB}.0.1.0`,
+  ]);
+  t.is(second.state(JOB), "running");
+});
+
+test("a former holder's writes and orders have no effect", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const first = await world.open();
+  await world.open();
+  const outcome = first.submit({
+    id: JOB,
+    queue: "receipts",
+    team: "",
+    spec: { payload: "", steps: [testStep()] },
+  });
+  await world.clock.run(1_000);
+  t.is((await outcome).type, "unknown");
+  t.true(world.deposed.length > 0);
+  t.is(worker.starts.length, 0);
+});
+
+test("a task whose worker cannot be reached waits out the lease", async (t) => {
+  const world = new World();
+  const cut = world.addWorker("w1");
+  const first = await world.open();
+  await world.submit(first, [testStep()]);
+  await world.clock.run(300);
+  first.close();
+  cut.silent = true;
+  const other = world.addWorker("w2");
+  await world.open();
+  await world.clock.run(5_900);
+  t.is(other.starts.length, 0);
+  await world.clock.run(4_000);
+  t.is(other.starts.length, 1);
+  t.is(other.starts[0]?.run, 2);
+});
+
+test("an order without an answer is forbidden before it is given elsewhere", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  worker.mute = true;
+  await world.submit(cell, [testStep()]);
+  await world.clock.run(600);
+  t.true(worker.stops.some((stop) => stop.task === TASK && stop.run === 1));
+  worker.mute = false;
+  worker.carryOutLate();
+  t.is(worker.running.size, 0);
+  await world.clock.run(1_500);
+  t.deepEqual(worker.starts.map((order) => order.run), [2]);
+});
+
+test("a worker that starts anew loses its runs and keeps no acknowledgement", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  await world.submit(cell, [testStep()]);
+  await world.clock.run(300);
+  worker.silent = true;
+  await world.clock.run(500);
+  worker.restart();
+  worker.silent = false;
+  await world.clock.run(1_500);
+  t.is(cell.state(JOB), "running");
+  t.is(worker.starts.at(-1)?.run, 2);
+  t.is(worker.acknowledged, 0);
+});
+
+test("a job fails after its attempts", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  await world.submit(cell, [testStep()]);
+  for (let run = 1; run <= 3; run++) {
+    await world.clock.run(5_000);
+    worker.end(TASK, "failed");
+  }
+  await world.clock.run(500);
+  t.is(worker.starts.length, 3);
+  t.is(cell.state(JOB), "failed");
+});
+
+test("a canceled job is stopped and stays canceled", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  await world.submit(cell, [testStep({ tasks: 2 })]);
+  await world.clock.run(300);
+  const canceled = cell.cancel(JOB);
+  await world.clock.run(300);
+  t.is(await canceled, "canceled");
+  t.is(worker.running.size, 0);
+  t.is(cell.state(JOB), "canceled");
+});
+
+test("a gang starts whole and restarts only when all have ended", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  await world.submit(cell, [testStep({ tasks: 3, gang: true })]);
+  await world.clock.run(300);
+  t.is(worker.starts.length, 3);
+  worker.slowToStop = true;
+  worker.end(TASK, "failed");
+  worker.end(`${JOB}.0.0.1`, "peerEnded");
+  await world.clock.run(100);
+  t.is(worker.starts.length, 3);
+  worker.end(`${JOB}.0.0.2`, "peerEnded");
+  await world.clock.run(4_000);
+  t.deepEqual(worker.starts.slice(3).map((order) => order.run), [2, 2, 2]);
+});
+
+test("no worker is filled beyond its capacity", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  await world.submit(cell, [testStep({ tasks: 9 })]);
+  await world.clock.run(500);
+  t.is(worker.running.size, 4);
+});
+
+test("a submission is refused while the store is away, and never runs", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  world.store.away = true;
+  const first = cell.submit({
+    id: "00000000000000b2",
+    queue: "receipts",
+    team: "",
+    spec: { payload: "", steps: [testStep()] },
+  });
+  await world.clock.run(700);
+  const outcome = cell.submit({
+    id: JOB,
+    queue: "receipts",
+    team: "",
+    spec: { payload: "", steps: [testStep()] },
+  });
+  await world.clock.run(100);
+  t.deepEqual(await outcome, { type: "refused", reason: "storeAway" });
+  world.store.away = false;
+  await world.clock.run(1_000);
+  t.is((await first).type, "accepted");
+  t.deepEqual(worker.starts.map((order) => order.task), [
+    "00000000000000b2.0.0.0",
+  ]);
+});
+
+test("a transaction whose answer was lost counts once", async (t) => {
+  const world = new World();
+  world.addWorker("w1");
+  const cell = await world.open();
+  world.store.loseAnswers = 1;
+  const outcome = cell.submit({
+    id: JOB,
+    queue: "receipts",
+    team: "",
+    spec: { payload: "", steps: [testStep()] },
+  });
+  await world.clock.run(500);
+  t.is((await outcome).type, "accepted");
+  t.deepEqual(world.deposed, []);
+});
+
+test("a draining worker gets nothing new", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  world.entries = world.entries.map((entry) => ({ ...entry, draining: true }));
+  await world.clock.run(800);
+  await world.submit(cell, [testStep()]);
+  await world.clock.run(500);
+  t.is(worker.starts.length, 0);
+});
+
+test("a team stays within its limit over all workers", async (t) => {
+  const world = new World();
+  world.set = {
+    ...world.set,
+    teams: [{
+      name: "darkhan",
+      keys: [],
+      weight: 0,
+      limit: { cpuMillis: 3_000, memoryMib: 0, accelerators: 0 },
+    }],
+  };
+  const workers = [world.addWorker("w1"), world.addWorker("w2")];
+  const cell = await world.open();
+  const outcome = cell.submit({
+    id: JOB,
+    queue: "receipts",
+    team: "darkhan",
+    spec: { payload: "", steps: [testStep({ tasks: 8 })] },
+  });
+  await world.clock.run(800);
+  t.is((await outcome).type, "accepted");
+  const running = workers.reduce((sum, one) => sum + one.running.size, 0);
+  t.is(running, 3);
+});
--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -49,6 +49,8 @@
   acknowledged: number;
   /** Highest end that has been handled. */
   handled: number;
+  /** Resolves once the store holds all ends handled so far, in their order. */
+  saving: Promise<void>;
   bornMs: number | undefined;
   /** Whether the platform lists it. */
   listed: boolean;
@@ -80,6 +82,7 @@
       leaseBoundMs: 0,
       acknowledged: 0,
       handled: 0,
+      saving: Promise.resolve(),
       bornMs: undefined,
       listed: false,
       reachable: false,
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -64,12 +64,12 @@
     while (!this.#closed) {
       if (this.#isForgotten(worker)) break;
       const look = await this.#look(worker, { waitMs: LOOK_WAIT_MS });
-      if (look.type === "report") {
+      if (look === "report") {
         refusals = 0;
-        if (look.saves.length > 0) await this.#acknowledge(worker, look.saves);
+        if (worker.handled > worker.acknowledged) await this.#saved(worker);
         continue;
       }
-      refusals = look.type === "refused" ? refusals + 1 : 0;
+      refusals = look === "refused" ? refusals + 1 : 0;
       if (refusals >= REFUSALS_OF_THE_DEAD) {
         this.#runs.loseAll(worker, "workerDead");
       }
@@ -81,31 +81,10 @@
     if (worker.entry !== undefined) orders.forget(worker.entry.address);
   }
 
-  /** Waits for the store, and keeps renewing the lease while it does not answer. */
-  async #acknowledge(
-    worker: FleetWorker,
-    saves: readonly Promise<boolean>[],
-  ): Promise<void> {
-    const { clock } = this.#context;
-    const upTo = worker.handled;
-    const bornMs = worker.bornMs;
-    const all = Promise.all(saves);
-    for (;;) {
-      const saved = await Promise.race([
-        all.then((results) => results.every((one) => one)),
-        sleep(clock, STORE_WAIT_MS).then(() => undefined),
-      ]);
-      if (this.#closed) return;
-      if (saved === undefined) {
-        await this.#look(worker, { waitMs: 0 });
-        continue;
-      }
-      const sameLife = worker.bornMs === bornMs;
-      if (saved && sameLife) {
-        worker.acknowledged = Math.max(worker.acknowledged, upTo);
-      }
-      return;
-    }
+  /** Waits for the store, but no longer than the lease can go without a renewal. */
+  async #saved(worker: FleetWorker): Promise<void> {
+    const limit = sleep(this.#context.clock, STORE_WAIT_MS);
+    await Promise.race([worker.saving, limit]);
   }
 
   async #look(
@@ -114,7 +93,7 @@
   ): Promise<Look> {
     const { clock, orders, fence, holds } = this.#context;
     const address = worker.entry?.address;
-    if (address === undefined || !holds()) return { type: "failed" };
+    if (address === undefined || !holds()) return "failed";
     const sentMs = clock.monotonic();
     const order = {
       fence,
@@ -124,32 +103,20 @@
       waitMs,
     };
     const result = await orders.look({ id: worker.id, address }, order);
-    if (this.#closed) return { type: "failed" };
+    if (this.#closed) return "failed";
     if (result.isErr()) return this.#failed(worker, result.error);
     const report = result.value;
     if (worker.bornMs !== undefined && (report.bornMs ?? 0) < worker.bornMs) {
-      return { type: "failed" };
+      return "failed";
     }
     this.#noteLife(worker, report);
     const unknownClock = worker.clockOffsetMs === undefined;
     worker.clockOffsetMs = report.clockMs - clock.monotonic();
     worker.reportedMs = sentMs;
     if (!worker.reachable) this.#regained(worker);
-    const saves = this.#take(worker, { report, sentMs });
+    this.#take(worker, { report, sentMs });
     // The first look could not name a time on the worker's clock.
-    if (unknownClock) {
-      return await this.#again(worker, saves);
-    }
-    return { type: "report", saves };
-  }
-
-  async #again(
-    worker: FleetWorker,
-    saves: readonly Promise<boolean>[],
-  ): Promise<Look> {
-    const look = await this.#look(worker, { waitMs: 0 });
-    if (look.type !== "report") return look;
-    return { type: "report", saves: [...saves, ...look.saves] };
+    return unknownClock ? await this.#look(worker, { waitMs: 0 }) : "report";
   }
 
   #failed(worker: FleetWorker, failure: LookFailure): Look {
@@ -157,7 +124,7 @@
     metrics.count("look_failures", { type: failure.type });
     if (failure.type === "fenced") {
       deposed(`worker ${worker.id} has seen a higher fence`);
-      return { type: "failed" };
+      return "failed";
     }
     if (worker.reachable) {
       log.warn("worker.silent", {
@@ -173,7 +140,7 @@
     if (failure.type === "otherBoot") {
       this.#runs.loseAll(worker, "otherBoot");
     }
-    return { type: failure.type === "refused" ? "refused" : "failed" };
+    return failure.type === "refused" ? "refused" : "failed";
   }
 
   #regained(worker: FleetWorker): void {
@@ -206,7 +173,7 @@
       readonly report: WorkerReport;
       readonly sentMs: number;
     },
-  ): readonly Promise<boolean>[] {
+  ): void {
     const changed = new Set<Job>();
     const listed = new Set<string>();
     for (const ended of report.ended) {
@@ -231,14 +198,20 @@
       }
     }
     if (report.ended.length > 0) this.#context.kick();
-    const saves = [...changed].map((job) =>
-      persist(this.#context, job).then((saved) => saved === "saved")
-    );
-    // Ends that change nothing are acknowledged all the same.
-    if (saves.length === 0 && worker.handled > worker.acknowledged) {
-      saves.push(Promise.resolve(true));
-    }
-    return saves;
+    if (numbers.length > 0) this.#acknowledgeOnceSaved(worker, changed);
+  }
+
+  /** Ends count as acknowledged in their order, each once the store holds its job. */
+  #acknowledgeOnceSaved(worker: FleetWorker, changed: Iterable<Job>): void {
+    const upTo = worker.handled;
+    const bornMs = worker.bornMs;
+    const saves = [...changed].map((job) => persist(this.#context, job));
+    const before = worker.saving;
+    worker.saving = Promise.all([before, ...saves]).then(([, ...saved]) => {
+      const held = saved.every((one) => one === "saved");
+      if (!held || worker.bornMs !== bornMs) return;
+      worker.acknowledged = Math.max(worker.acknowledged, upTo);
+    });
   }
 
   #takeRunning(worker: FleetWorker, reported: ReportedRun): void {
@@ -293,7 +266,5 @@
   }
 }
 
-type Look =
-  | { readonly type: "report"; readonly saves: readonly Promise<boolean>[] }
-  | { readonly type: "refused" }
-  | { readonly type: "failed" };
+/** What came of a look. */
+type Look = "report" | "refused" | "failed";
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -21,6 +21,8 @@
 
 /** Changes gather for so long before a pass, milliseconds. */
 const PASS_DELAY_MS = 15;
+/** The same when a lane to the advice service has come free, milliseconds. */
+const LANE_DELAY_MS = 2;
 /** A question that failed is asked again after this, milliseconds. */
 const ASK_AGAIN_MS = 200;
 /** Share of workers that may run a step, before any advice. */
@@ -29,6 +31,8 @@
 const GOOD_WEIGHT = 0.1;
 /** Workers asked about beyond the number that should do. */
 const ASK_SPARE = 2;
+/** Part of a call's constant cost that may go to asking about more workers than needed. */
+const ASK_WIDELY = 0.25;
 /** Factor by which more workers are asked about than should do. */
 const ASK_FACTOR = 1.6;
 /** Most workers in a question; source: the platform's pages. */
@@ -45,6 +49,7 @@
   /** Room held while a question about it is under way. */
   readonly #holds = new Map<StepRun, ReadonlyMap<string, Amounts>>();
   #timer: Timer | undefined;
+  #closed = false;
 
   constructor(
     context: CellContext,
@@ -56,8 +61,9 @@
   }
 
   /** Asks for a pass soon. */
-  kick(): void {
-    this.#timer ??= this.#context.clock.after(PASS_DELAY_MS, () => {
+  kick(delayMs = PASS_DELAY_MS): void {
+    if (this.#closed) return;
+    this.#timer ??= this.#context.clock.after(delayMs, () => {
       this.#timer = undefined;
       this.#pass();
     });
@@ -65,9 +71,8 @@
 
   /** No pass any more. */
   close(): void {
+    this.#closed = true;
     this.#timer?.cancel();
-    // Never cleared: a timer that is set keeps further passes away.
-    this.#timer ??= { cancel() {} };
   }
 
   #pass(): void {
@@ -95,6 +100,7 @@
 
   #place(step: StepRun): void {
     if (!this.#context.open.has(step)) return;
+    if (this.#mustWaitForAdvice(step)) return;
     const context = this.#searchContext(step);
     const search = findPlaces(step, context);
     if (search.places.length > 0) {
@@ -110,6 +116,13 @@
     }
   }
 
+  /** Whether a step has no ticket and cannot ask for one now. */
+  #mustWaitForAdvice(step: StepRun): boolean {
+    const advice = queueOf(this.#context, step.job).advice;
+    if (advice === undefined || step.advice.tickets.size > 0) return false;
+    return step.advice.asking || !this.#desk.isFree(advice.baseMs);
+  }
+
   #searchContext(step: StepRun): SearchContext {
     return {
       fleet: this.#context.fleet,
@@ -142,6 +155,7 @@
     const { advice } = step;
     if (queue.advice === undefined || advice.asking) return;
     if (nowMs < advice.retryAtMs) return;
+    if (!this.#desk.isFree(queue.advice.baseMs)) return;
     const asked = this.#chooseAsked(step, { unadvised, context });
     if (asked.length === 0) return;
     advice.asking = true;
@@ -152,12 +166,21 @@
     const question = {
       step: `${job.id}.${occurrence}.${index}`,
       workers: asked.map((worker) => worker.id),
-      urgency: queue.priority,
       expectedMs,
     };
     this.#desk.ask(question).then((answer) => {
       advice.asking = false;
       const now = this.#context.clock.monotonic();
+      this.#context.log.info("advice.answered", {
+        job: job.id,
+        step: index,
+        queue: job.queue,
+        asked: asked.length,
+        good: answer.type === "advised" ? answer.tickets.size : 0,
+        tookMs: Math.round(now - nowMs),
+        expectedMs: Math.round(expectedMs),
+        outcome: answer.type,
+      });
       if (answer.type === "advised") {
         this.#learn(step, { queue, asked, tickets: answer.tickets });
       } else {
@@ -171,7 +194,7 @@
       }
       this.#place(step);
       this.#holds.delete(step);
-      this.kick();
+      this.kick(LANE_DELAY_MS);
     });
   }
 
@@ -198,8 +221,13 @@
     }
     const perWorker = Math.max(1, unknownRoom / Math.max(1, unknown.length));
     const missing = (waiting - goodRoom) / perWorker / share;
-    const number = Math.ceil(ASK_FACTOR * missing) + ASK_SPARE;
-    return [...good, ...unknown.slice(0, number)].slice(0, MAX_ASKED);
+    const number = Math.max(
+      Math.ceil(ASK_FACTOR * missing) + ASK_SPARE,
+      cheaply(context.queue),
+    );
+    // The emptiest are the likeliest to have room still when the answer comes.
+    const asked = [...unknown].reverse().slice(0, number);
+    return [...good, ...asked].slice(0, MAX_ASKED);
   }
 
   #hold(step: StepRun, asked: readonly FleetWorker[]): void {
@@ -250,6 +278,15 @@
   }
 }
 
+/** Workers that a call may name at little extra cost. */
+function cheaply(queue: Queue): number {
+  if (queue.advice === undefined) return 0;
+  const { baseMs, perWorkerMs } = queue.advice;
+  return perWorkerMs === 0
+    ? MAX_ASKED
+    : Math.floor(ASK_WIDELY * baseMs / perWorkerMs);
+}
+
 function adviceMayHelp(reason: NoPlace | undefined): boolean {
   switch (reason) {
     case "noAdvice":
