Do not renew silent workers; take over sooner; refuse only what was not written

A worker that did not answer is now looked at without a renewal.

Jobs now go back into line, and a call is made again as soon as another holder is known. An answer lost on one way and a refusal on the other is told as lost.

Also: a run that stands still for 3 s while its worker answers is started elsewhere; nothing starts while the store is stuck; statuses every 150 ms, takeover after three missed ones.

--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -35,7 +35,7 @@
 /** Stops, lapses and due times are looked at this often, milliseconds. */
 const TICK_MS = 100;
 /** A submission is refused while the store has not answered for so long, milliseconds. */
-const STORE_STUCK_MS = 500;
+const STORE_STUCK_MS = 300;
 /** Entries that lapsed with the store are back this long after its return, milliseconds; source: the platform's pages, and one reading of the list. */
 const LISTING_GRACE_MS = 2_700;
 /** A former holder that hears nobody stops within this time, milliseconds. */
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -99,7 +99,8 @@
       fence,
       // A worker that did not answer may have started anew, with other ends under the same numbers.
       acknowledged: worker.reachable ? worker.acknowledged : 0,
-      leaseUntilMs: this.#runs.leaseFor(worker),
+      // Renewals that may or may not arrive would keep its runs from ever being given up.
+      leaseUntilMs: worker.reachable ? this.#runs.leaseFor(worker) : undefined,
       waitMs,
     };
     const result = await orders.look({ id: worker.id, address }, order);
--- a/src/cell/gateway.ts
+++ b/src/cell/gateway.ts
@@ -66,6 +66,7 @@
     deadlineMs: number,
   ): Promise<GatewayAnswer<"accepted">> {
     const answer = await this.#reach<SubmitAnswer>(deadlineMs, {
+      unknown: { type: "unknown" },
       here: (cell) => cell.submit(submission),
       there: (holder, timeoutMs) =>
         this.#options.peers.call(holder, submitCall, {
@@ -100,6 +101,7 @@
     deadlineMs: number,
   ): Promise<GatewayAnswer<JobState | "absent">> {
     const answer = await this.#reach<StateAnswer | Silence>(deadlineMs, {
+      unknown: { type: "unknown" },
       here: (cell) => Promise.resolve(stateAnswer(cell, id)),
       there: (holder, timeoutMs) =>
         this.#options.peers.call(holder, stateCall, {
@@ -126,6 +128,7 @@
     deadlineMs: number,
   ): Promise<GatewayAnswer<"canceled" | "absent">> {
     const answer = await this.#reach<CancelAnswer>(deadlineMs, {
+      unknown: { type: "unknown" },
       here: async (cell) => ({ type: await cell.cancel(id) }),
       there: (holder, timeoutMs) =>
         this.#options.peers.call(holder, cancelCall, {
@@ -183,12 +186,20 @@
     });
   }
 
+  /** `undefined` if another holder takes over before the answer comes. */
+  async #unlessReplaced<A>(answer: Promise<A>): Promise<A | undefined> {
+    const replaced = this.#options.leadership.changed();
+    return await Promise.race([answer, replaced.then(() => undefined)]);
+  }
+
   /** Makes a call at the holder until it answers; `undefined` if no holder ever got it. */
   async #reach<A extends { readonly type: string }>(
     deadlineMs: number,
     call: {
       readonly here: (cell: Cell) => Promise<A>;
       readonly there: (holder: string, timeoutMs: number) => Promise<A>;
+      /** What is told when the call was sent and no answer came. */
+      readonly unknown: A;
     },
   ): Promise<A | undefined> {
     const { clock, leadership, metrics } = this.#options;
@@ -204,13 +215,13 @@
         const timeoutMs = Math.min(CALL_TIMEOUT_MS, deadlineMs - now);
         const answer = cell !== undefined
           ? await call.here(cell)
-          : await call.there(holder!.name, timeoutMs);
-        if (answer.type !== "unknown" && answer.type !== "notHolder") {
+          : await this.#unlessReplaced(call.there(holder!.name, timeoutMs));
+        if (answer !== undefined && isFinal(answer)) {
           metrics.observe("holder_answer_ms", clock.monotonic() - startedMs);
           return answer;
         }
-        if (answer.type === "unknown") {
-          last = answer;
+        if (answer === undefined || answer.type === "unknown") {
+          last = answer ?? call.unknown;
           holderSeenMs = clock.monotonic();
         }
       }
@@ -225,6 +236,10 @@
   readonly type: "unknown";
 }
 
+function isFinal(answer: { readonly type: string }): boolean {
+  return answer.type !== "unknown" && answer.type !== "notHolder";
+}
+
 function stateAnswer(cell: Cell, id: string): StateAnswer {
   const state = cell.state(id);
   return state === undefined ? { type: "absent" } : { type: "found", state };
--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { Clock } from "../clock.ts";
+import { type Clock, sleep } from "../clock.ts";
 import type { StoreFailure } from "../errors.ts";
 import type { Log } from "../logger.ts";
 import type { Metrics } from "../metrics.ts";
@@ -67,6 +67,7 @@
   readonly writes: readonly Write[];
   readonly pending: readonly Pending[];
   readonly ended: readonly EndedJob[];
+  readonly forgotten: readonly string[];
 }
 
 /** What the log needs. */
@@ -167,10 +168,12 @@
     return this.#lanes[digit % LANES]!;
   }
 
-  #schedule(lane: Lane): void {
+  #schedule(lane: Lane, delayMs = GATHER_MS): void {
     if (lane.busy || this.#closed) return;
     lane.busy = true;
-    this.#options.clock.after(GATHER_MS, () => {
+    this.#options.clock.after(delayMs, () => {
+      lane.busy = lane.dirty.size > 0 || lane.forgotten.length > 0;
+      if (!lane.busy) return;
       this.#write(lane).catch((error) =>
         this.#options.log.error("joblog.failed", { reason: String(error) })
       );
@@ -185,17 +188,37 @@
       { type: "put", key: lane.key, value: JSON.stringify(record) },
       ...batch.writes,
     ];
-    const revision = await this.#persist(lane, { writes, sequence });
+    const fate = await this.#persist(lane, { writes, sequence });
     lane.busy = false;
-    if (revision === undefined) {
-      for (const pending of batch.pending) settle(pending, "deposed");
-      return;
+    switch (fate.type) {
+      case "written":
+        lane.revision = fate.revision;
+        lane.sequence = sequence;
+        for (const pending of batch.pending) settle(pending, "saved");
+        for (const ended of batch.ended) this.#options.onEnded(ended);
+        break;
+      case "untouched":
+        this.#putBack(lane, batch);
+        break;
+      case "deposed":
+        for (const pending of batch.pending) settle(pending, "deposed");
+        return;
+    }
+    if (lane.dirty.size === 0 && lane.forgotten.length === 0) return;
+    this.#schedule(lane, fate.type === "written" ? GATHER_MS : RETRY_MS);
+  }
+
+  /** Lets jobs wait again that no transaction has carried. */
+  #putBack(lane: Lane, batch: Batch): void {
+    lane.forgotten.push(...batch.forgotten);
+    for (const pending of batch.pending) {
+      const newer = lane.dirty.get(pending.job.id);
+      if (newer === undefined) lane.dirty.set(pending.job.id, pending);
+      else {
+        newer.submission ||= pending.submission;
+        newer.waiters.push(...pending.waiters);
+      }
     }
-    lane.revision = revision;
-    lane.sequence = sequence;
-    for (const pending of batch.pending) settle(pending, "saved");
-    for (const ended of batch.ended) this.#options.onEnded(ended);
-    if (lane.dirty.size > 0 || lane.forgotten.length > 0) this.#schedule(lane);
   }
 
   #collect(lane: Lane): Batch {
@@ -210,11 +233,12 @@
       if (end !== undefined) ended.push(end);
       writes.push(...writesOf(entry, end));
     }
-    while (lane.forgotten.length > 0 && writes.length < MAX_WRITES) {
-      const key = PROGRESS_PREFIX + lane.forgotten.pop();
-      writes.push({ type: "delete", key });
+    const room = MAX_WRITES - writes.length;
+    const forgotten = lane.forgotten.splice(0, room);
+    for (const id of forgotten) {
+      writes.push({ type: "delete", key: PROGRESS_PREFIX + id });
     }
-    return { writes, pending, ended };
+    return { writes, pending, ended, forgotten };
   }
 
   #endOf(job: Job): EndedJob | undefined {
@@ -226,43 +250,47 @@
     return { id: job.id, queue: job.queue, state, endedMs };
   }
 
-  /** Repeats a transaction until its fate is known; `undefined` if deposed. */
+  /**
+   * Sends a transaction until its fate is known. One whose answer was lost is
+   * repeated as it is; one that was certainly not carried out is given up.
+   */
   async #persist(
     lane: Lane,
     { writes, sequence }: {
       readonly writes: readonly Write[];
       readonly sequence: number;
     },
-  ): Promise<number | undefined> {
+  ): Promise<Fate> {
     const { store, clock, metrics, onConfirmed, onDeposed } = this.#options;
     const condition = { key: lane.key, revision: lane.revision };
     const startedMs = clock.monotonic();
+    let lost = false;
     while (!this.#closed) {
       const result = await store.commit([condition], writes);
-      if (this.#closed) return undefined;
-      const settled = result.match(
-        (commit) => this.#settled(commit, { lane, sequence }),
-        (failure) => this.#refused(lane, { failure, startedMs }),
-      );
-      if (settled.type === "written") {
+      if (this.#closed) break;
+      if (result.isErr()) {
+        this.#refused(lane, { failure: result.error, startedMs });
+        lost ||= result.error.type === "storeAnswerLost";
+        if (!lost) return { type: "untouched" };
+        await sleep(clock, RETRY_MS);
+        continue;
+      }
+      const fate = this.#fateOf(result.value, { lane, sequence });
+      if (fate.type === "deposed") onDeposed("another holder has the lane");
+      else {
         lane.stuckSinceMs = undefined;
         metrics.observe("commit_ms", clock.monotonic() - startedMs);
         onConfirmed();
-        return settled.revision;
-      }
-      if (settled.type === "deposed") {
-        onDeposed("another holder has written the lane");
-        return undefined;
       }
-      await new Promise<void>((resolve) => clock.after(RETRY_MS, resolve));
+      return fate;
     }
-    return undefined;
+    return { type: "deposed" };
   }
 
-  #settled(
+  #fateOf(
     commit: Commit,
     { lane, sequence }: { readonly lane: Lane; readonly sequence: number },
-  ): Settled {
+  ): Fate {
     if (commit.type === "committed") {
       return { type: "written", revision: commit.revision };
     }
@@ -283,7 +311,7 @@
       readonly failure: StoreFailure;
       readonly startedMs: number;
     },
-  ): Settled {
+  ): void {
     lane.stuckSinceMs ??= startedMs;
     const { log, clock, fence } = this.#options;
     log.warn("joblog.retry", {
@@ -293,14 +321,14 @@
       reason: failure.message,
       stuckMs: Math.round(clock.monotonic() - startedMs),
     });
-    return { type: "retry" };
   }
 }
 
-type Settled =
+/** What became of a transaction. */
+type Fate =
   | { readonly type: "written"; readonly revision: number }
-  | { readonly type: "deposed" }
-  | { readonly type: "retry" };
+  | { readonly type: "untouched" }
+  | { readonly type: "deposed" };
 
 function laneRecordOf(entry: Entry): LaneRecord | undefined {
   try {
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -26,16 +26,22 @@
 import { helloCall, statusCall, yieldCall } from "./protocol.ts";
 import type { SetInForce } from "./set_in_force.ts";
 
-/** The holder tells where it stands this often, milliseconds. */
-const STATUS_EVERY_MS = 250;
+/** The holder tells where it stands this often at least, milliseconds. */
+const STATUS_EVERY_MS = 150;
+/** The same for each member, milliseconds: it bounds the holder's cost with many. */
+const STATUS_EVERY_MEMBER_MS = 8;
 /** Longest wait for a reply to that, milliseconds. */
 const STATUS_TIMEOUT_MS = 700;
-/** Silence of the holder after which others try to take the cell, milliseconds: three statuses. */
-const SILENCE_MS = 800;
-/** The same after the link to it broke, milliseconds: one status and a redial. */
-const BROKEN_LINK_MS = 350;
+/** Statuses of the holder that must fail to come before others try to take the cell. */
+const MISSED_STATUSES = 3;
+/** Time that a status may be late, milliseconds. */
+const LATE_STATUS_MS = 80;
+/** Silence of the holder that tells enough after the link to it broke, milliseconds: a redial. */
+const BROKEN_LINK_MS = 220;
+/** Silence after the start of a process within which a holder makes itself known, milliseconds. */
+const FIRST_SILENCE_MS = 700;
 /** Each further candidate waits so much longer, milliseconds: a takeover's write and its news. */
-const RANK_MS = 150;
+const RANK_MS = 100;
 /** Pause after a failed try, milliseconds. */
 const AGAIN_MS = 300;
 /** State is looked at this often, milliseconds. */
@@ -111,6 +117,7 @@
   #waitingMs = 0;
   #leaving = false;
   #clockSkewMs: number;
+  #changed: (() => void)[] = [];
 
   constructor(options: LeadershipOptions) {
     this.#options = options;
@@ -132,6 +139,11 @@
     return this.#options.clock.monotonic() - this.#heardMs;
   }
 
+  /** Resolves when somebody else becomes the holder. */
+  changed(): Promise<void> {
+    return new Promise((resolve) => this.#changed.push(resolve));
+  }
+
   /** Highest fence that is known. */
   get fence(): number {
     return this.#known?.record.fence ?? 0;
@@ -310,7 +322,17 @@
   }
 
   #silentSince(): number {
-    return this.#options.clock.monotonic() - SILENCE_MS;
+    return this.#options.clock.monotonic() - this.#silenceLimitMs();
+  }
+
+  #statusEveryMs(): number {
+    const members = this.#members.size + 1;
+    return Math.max(STATUS_EVERY_MS, STATUS_EVERY_MEMBER_MS * members);
+  }
+
+  #silenceLimitMs(): number {
+    if (this.#members.size === 0) return FIRST_SILENCE_MS;
+    return MISSED_STATUSES * this.#statusEveryMs() + LATE_STATUS_MS;
   }
 
   #note(known: Known): void {
@@ -330,6 +352,7 @@
     });
     this.#linkLost = false;
     this.#heardMs = clock.monotonic();
+    for (const resolve of this.#changed.splice(0)) resolve();
     if (this.#holding !== undefined) {
       this.deposed(`${known.record.name} took the cell`);
     }
@@ -356,7 +379,7 @@
     const delay = this.#ranked().indexOf(self.name) * RANK_MS;
     const own = this.#known?.record.name === self.name;
     if (own) return true;
-    const limit = this.#linkLost ? BROKEN_LINK_MS : SILENCE_MS;
+    const limit = this.#linkLost ? BROKEN_LINK_MS : this.#silenceLimitMs();
     return this.silenceMs > limit + Math.max(0, delay);
   }
 
@@ -429,6 +452,7 @@
   #gain(known: Known): void {
     const { log, listener, clock, self } = this.#options;
     this.#known = known;
+    for (const resolve of this.#changed.splice(0)) resolve();
     const { fence } = known.record;
     const hold = { fence, revision: known.revision };
     this.#holding = hold;
@@ -471,7 +495,7 @@
   async #statusLoop(): Promise<void> {
     let membersAtMs = this.#options.clock.monotonic();
     for (;;) {
-      await sleep(this.#options.clock, STATUS_EVERY_MS);
+      await sleep(this.#options.clock, this.#statusEveryMs());
       if (this.#holding === undefined) continue;
       void this.#tellAll();
       const now = this.#options.clock.monotonic();
--- a/src/cell/relayed_store.ts
+++ b/src/cell/relayed_store.ts
@@ -116,14 +116,15 @@
     read: (answer: StoreAnswer) => Result<A, StoreFailure>,
   ): Promise<Result<A, StoreFailure>> {
     const detour = this.#options.clock.monotonic() < this.#detourUntilMs;
-    if (detour) {
-      const relayed = await this.#relay(request, read);
-      if (relayed?.isOk()) return relayed;
-    }
-    const answered = await direct();
-    if (answered.isOk() || detour) return answered;
-    if (answered.error.type === "storeProtocol") return answered;
-    return await this.#relay(request, read) ?? answered;
+    const first = detour ? await this.#relay(request, read) : await direct();
+    if (first === undefined) return await direct();
+    if (first.isOk()) return first;
+    if (!detour && first.error.type === "storeProtocol") return first;
+    const second = detour ? await direct() : await this.#relay(request, read);
+    if (second === undefined) return first;
+    if (second.isOk()) return second;
+    // Either call may have taken effect: then neither may be told as undone.
+    return first.error.type === "storeAnswerLost" ? first : second;
   }
 
   async #relay<A>(
--- /dev/null
+++ b/src/cell/relayed_store_test.ts
@@ -0,0 +1,81 @@
+import test from "ava";
+import { errAsync, okAsync } from "neverthrow";
+import { ManualClock } from "../clock.ts";
+import type { StoreFailure } from "../errors.ts";
+import { silentLog } from "../logger.ts";
+import type { Peers } from "../ports/peers.ts";
+import { FakeStore } from "./_fixtures_test.ts";
+import type { StoreAnswer } from "./protocol.ts";
+import { RelayedStore } from "./relayed_store.ts";
+
+/** Peers that give one answer to every call. */
+function peersThat(answer: StoreAnswer | "silent", calls: string[]): Peers {
+  return {
+    call: (peer: string) => {
+      calls.push(peer);
+      return answer === "silent"
+        ? errAsync({ type: "peerSilent", message: "silent" })
+        : okAsync(answer as never);
+    },
+    notify() {},
+    serve() {},
+    listen() {},
+    onLost() {},
+  } as Peers;
+}
+
+function failing(type: "storeBusy" | "storeAnswerLost"): FakeStore {
+  const store = new FakeStore();
+  store.commit = () => errAsync({ type, message: "direct" } as StoreFailure);
+  return store;
+}
+
+function open(
+  direct: FakeStore,
+  answer: StoreAnswer | "silent",
+): { readonly store: RelayedStore; readonly calls: string[] } {
+  const calls: string[] = [];
+  const store = new RelayedStore({
+    direct,
+    peers: peersThat(answer, calls),
+    relays: () => ["peer-1"],
+    clock: new ManualClock(),
+    log: silentLog,
+  });
+  return { store, calls };
+}
+
+const COMMITTED: StoreAnswer = { type: "committed", revision: 9 };
+const BUSY: StoreAnswer = {
+  type: "failure",
+  failure: { type: "storeBusy", message: "relayed" },
+};
+
+test("the direct way is enough", async (t) => {
+  const { store, calls } = open(new FakeStore(), COMMITTED);
+  t.true((await store.commit([], [])).isOk());
+  t.deepEqual(calls, []);
+});
+
+test("a store that turns this instance away is reached through another", async (t) => {
+  const { store, calls } = open(failing("storeBusy"), COMMITTED);
+  t.deepEqual((await store.commit([], []))._unsafeUnwrap(), COMMITTED);
+  t.deepEqual(calls, ["peer-1"]);
+});
+
+test("an answer that was lost is never told as nothing done", async (t) => {
+  for (const relayed of [BUSY, "silent"] as const) {
+    const { store } = open(failing("storeAnswerLost"), relayed);
+    const failure = (await store.commit([], []))._unsafeUnwrapErr();
+    t.is(failure.type, "storeAnswerLost");
+  }
+  const { store } = open(failing("storeBusy"), "silent");
+  const failure = (await store.commit([], []))._unsafeUnwrapErr();
+  t.is(failure.type, "storeAnswerLost");
+});
+
+test("busy everywhere is busy", async (t) => {
+  const { store } = open(failing("storeBusy"), BUSY);
+  const failure = (await store.commit([], []))._unsafeUnwrapErr();
+  t.is(failure.type, "storeBusy");
+});
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -25,6 +25,10 @@
 const STOP_AGAIN_MS = 400;
 /** A worker that refused as unhealthy or could not be reached is left alone so long, milliseconds. */
 const AVOID_MS = 700;
+/** A run that makes no progress for so long, though its worker answers, is started elsewhere, milliseconds. */
+const STALL_MS = 3_000;
+/** Its worker gets nothing new for so long, milliseconds. */
+const STALL_AVOID_MS = 5_000;
 /** Weight of a new end in a worker's share of failures. */
 const FAILURE_WEIGHT = 0.2;
 /** A worker with a larger share of failures gets nothing for a while. */
@@ -65,7 +69,7 @@
     reviewStep(this.#context, step);
     persist(this.#context, step.job).then((saved) => {
       if (saved !== "saved") return;
-      for (const { run, ticket } of runs) this.#send(run, ticket);
+      for (const { run, ticket } of runs) void this.#send(run, ticket);
     });
   }
 
@@ -144,7 +148,10 @@
       if (!worker.reachable && worker.leaseBoundMs <= now) {
         this.loseAll(worker, "leaseEnded");
       }
-      for (const run of worker.runs.values()) if (run.stopping) this.stop(run);
+      for (const run of worker.runs.values()) {
+        if (run.stopping) this.stop(run);
+        else if (this.#isStalled(run, now)) this.#giveUpStalled(run);
+      }
     }
   }
 
@@ -158,6 +165,32 @@
     return now + worker.clockOffsetMs + maxLeaseMs - LEASE_SLACK_MS;
   }
 
+  /** Whether a worker that answers has not moved a run on. Services stay at 100 percent. */
+  #isStalled(run: Run, nowMs: number): boolean {
+    const { worker, step } = run;
+    if (!run.seen || !worker.reachable || step.spec.longRunning) return false;
+    if (run.percent >= 100) return false;
+    return nowMs - run.progressMs > STALL_MS &&
+      worker.reportedMs > run.progressMs;
+  }
+
+  #giveUpStalled(run: Run): void {
+    const { clock, log, metrics, fence } = this.#context;
+    const now = clock.monotonic();
+    log.warn("run.stalled", {
+      job: run.step.job.id,
+      task: run.task.id,
+      run: run.number,
+      worker: run.worker.id,
+      fence,
+      percent: run.percent,
+      stillMs: Math.round(now - run.progressMs),
+    });
+    metrics.count("runs_stalled");
+    run.worker.avoidUntilMs = now + STALL_AVOID_MS;
+    this.stop(run);
+  }
+
   async #send(run: Run, ticket: string | undefined): Promise<void> {
     const { clock, orders, fence, holds } = this.#context;
     const { step, task, worker } = run;
@@ -172,6 +205,10 @@
       return this.lose(run, "notOrdered");
     }
     const sentMs = clock.monotonic();
+    const ticketMs = queueOf(this.#context, step.job).advice?.ticketMs;
+    if (ticketMs !== undefined && sentMs - run.placedMs > ticketMs) {
+      return this.lose(run, "ticketExpired");
+    }
     const answer = await orders.start(address, {
       task: task.id,
       run: run.number,
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -31,6 +31,8 @@
 const GOOD_WEIGHT = 0.1;
 /** Workers asked about beyond the number that should do. */
 const ASK_SPARE = 2;
+/** Nothing is started while the store has not answered for so long, milliseconds: starts are recorded first. */
+const STORE_STUCK_MS = 250;
 /** Part of a call's constant cost that may go to asking about more workers than needed. */
 const ASK_WIDELY = 0.25;
 /** Factor by which more workers are asked about than should do. */
@@ -76,7 +78,8 @@
   }
 
   #pass(): void {
-    if (!this.#context.holds()) return;
+    const { holds, jobLog } = this.#context;
+    if (!holds() || jobLog.stuckMs() > STORE_STUCK_MS) return;
     const startedMs = this.#context.clock.monotonic();
     for (const { step } of this.#line()) this.#place(step);
     const tookMs = this.#context.clock.monotonic() - startedMs;
