--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -76,7 +76,7 @@
   readonly retentionMs: number;
   readonly holds: () => boolean;
   readonly deposed: (why: string) => void;
-  readonly confirmed: () => void;
+  readonly confirmed: (sentMs: number) => void;
 }
 
 /** A submission as an entry hands it in. */
--- a/src/cell/cell_record.ts
+++ b/src/cell/cell_record.ts
@@ -32,6 +32,11 @@
   return `${cell}/holder`;
 }
 
+/** Key of the holder's sign of life. */
+export function aliveKey(cell: string): string {
+  return `${cell}/alive`;
+}
+
 /** Decodes a cell's record; `undefined` if it is none. */
 export function decodeRecord(entry: Entry): CellRecord | undefined {
   try {
--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -83,7 +83,7 @@
   /** Another holder has written the lanes. */
   readonly onDeposed: (why: string) => void;
   /** A transaction went through: the store says that this holder is the last. */
-  readonly onConfirmed: () => void;
+  readonly onConfirmed: (sentMs: number) => void;
   /** A job whose end the store holds. */
   readonly onEnded: (ended: EndedJob) => void;
 }
@@ -266,6 +266,7 @@
     const startedMs = clock.monotonic();
     let lost = false;
     while (!this.#closed) {
+      const sentMs = clock.monotonic();
       const result = await store.commit([condition], writes);
       if (this.#closed) break;
       if (result.isErr()) {
@@ -280,7 +281,7 @@
       else {
         lane.stuckSinceMs = undefined;
         metrics.observe("commit_ms", clock.monotonic() - startedMs);
-        onConfirmed();
+        onConfirmed(sentMs);
       }
       return fate;
     }
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -14,16 +14,18 @@
 import type { Write } from "../ports/store.ts";
 import { HOLD_LIMIT_MS } from "./cell.ts";
 import {
+  aliveKey,
   type CellRecord,
-  decodeMember,
   decodeRecord,
   type Member,
-  MEMBERS_PREFIX,
   recordKey,
 } from "./cell_record.ts";
+import { Confirmation } from "./confirmation.ts";
+import { Doubt } from "./doubt.ts";
 import { laneKey, type LaneRecord, LANES } from "./job_log.ts";
 import type { CellStore } from "./ports.ts";
 import { helloCall, statusCall, yieldCall } from "./protocol.ts";
+import { Roster } from "./roster.ts";
 import type { SetInForce } from "./set_in_force.ts";
 
 /** The holder tells where it stands this often at least, milliseconds. */
@@ -46,14 +48,10 @@
 const AGAIN_MS = 300;
 /** State is looked at this often, milliseconds. */
 const TICK_MS = 50;
-/** A hold that was not confirmed for so long is confirmed by a read, milliseconds. */
+/** A hold that was not confirmed for so long is confirmed by a write, milliseconds. */
 const CONFIRM_AFTER_MS = 700;
-/** Jump between wall clock and monotonic clock that tells of a suspension, milliseconds. */
-const SUSPENSION_MS = 700;
 /** Members are read from the store this often by the holder, milliseconds. */
 const MEMBERS_EVERY_MS = 5_000;
-/** A member that has not replied for so long is dropped by the holder, milliseconds. */
-const MEMBER_SILENCE_MS = 20_000;
 /** Longest wait for a successor, milliseconds. */
 const YIELD_TIMEOUT_MS = 1_500;
 /** Longest wait for a greeting's answer, milliseconds. */
@@ -103,26 +101,28 @@
 /** Follows the holder, and takes the cell when it is silent. */
 export class Leadership {
   readonly #options: LeadershipOptions;
-  readonly #members = new Map<string, Member>();
-  readonly #repliedMs = new Map<string, number>();
-  readonly #reaching = new Set<string>();
+  readonly #roster: Roster;
+  readonly #confirmation: Confirmation;
+  readonly #doubt: Doubt;
   #known: Known | undefined;
   #holding: Hold | undefined;
   #heardMs: number;
   #linkLost = false;
-  #confirmedMs = 0;
+  /** Whether the holder itself was heard, not only of. */
+  #hears = false;
   #trying = false;
   #retryAtMs = 0;
   #waiting: ReadonlyMap<string, number> = new Map();
   #waitingMs = 0;
   #leaving = false;
-  #clockSkewMs: number;
   #changed: (() => void)[] = [];
 
   constructor(options: LeadershipOptions) {
     this.#options = options;
     this.#heardMs = options.clock.monotonic();
-    this.#clockSkewMs = this.#skew();
+    this.#roster = new Roster(options);
+    this.#confirmation = new Confirmation(options.clock);
+    this.#doubt = new Doubt(options);
   }
 
   /** The holder, if one is known and this process is not it. */
@@ -154,18 +154,13 @@
     if (this.#holding === undefined) {
       return this.holder === undefined ? [] : [this.holder.name];
     }
-    const since = this.#options.clock.monotonic() - 2 * STATUS_TIMEOUT_MS;
-    return [...this.#repliedMs]
-      .filter(([, atMs]) => atMs >= since)
-      .map(([name]) => name)
-      .sort();
+    return this.#roster.reachable();
   }
 
   /** Instances through which the store can be reached. */
   relays(): readonly string[] {
-    const reachable = this.reachable();
-    if (this.#holding === undefined) return reachable;
-    return reachable.filter((name) => this.#reaching.has(name));
+    if (this.#holding === undefined) return this.reachable();
+    return this.#roster.reachingStore();
   }
 
   /** Waiting jobs by queue as the holder told them, and the age of that. */
@@ -180,14 +175,13 @@
   /** Whether the hold was confirmed lately: only then orders are given. */
   holds(): boolean {
     if (this.#holding === undefined) return false;
-    const age = this.#options.clock.monotonic() - this.#confirmedMs;
-    return age < HOLD_LIMIT_MS && !this.#wasSuspended();
+    const { ageMs, wasSuspended } = this.#confirmation;
+    return ageMs < HOLD_LIMIT_MS && !wasSuspended;
   }
 
-  /** The store has just taken a write of this holder. */
-  confirmed(): void {
-    this.#confirmedMs = this.#options.clock.monotonic();
-    this.#clockSkewMs = this.#skew();
+  /** The store has taken a write of this holder that was sent at `sentMs`. */
+  confirmed(sentMs: number): void {
+    this.#confirmation.confirm(sentMs);
   }
 
   /** Somebody else holds the cell, by a worker or by the store. */
@@ -205,13 +199,13 @@
   async run(): Promise<void> {
     this.#serve();
     const { clock } = this.#options;
-    await this.#register();
+    await this.#roster.register();
     await this.#readRecord();
     void this.#statusLoop();
     for (;;) {
       await sleep(clock, TICK_MS);
       if (this.#holding !== undefined) this.#watchHold();
-      else if (this.#isSuspicious()) await this.#take();
+      else if (this.#isSuspicious()) await this.#take({ asked: false });
     }
   }
 
@@ -256,16 +250,19 @@
       };
     });
     peers.serve(helloCall, (member) => {
-      if (this.#holding !== undefined) this.#admit(member);
+      if (this.#holding !== undefined) this.#roster.admit(member);
+      const holds = this.#holding !== undefined;
       return {
         boot,
         fence: this.fence,
-        holds: this.#holding !== undefined,
+        holds,
+        hearsHolder: holds ||
+          this.#hears && this.silenceMs < this.#silenceLimitMs(),
       };
     });
     peers.serve(yieldCall, async ({ fence }) => {
       if (this.#leaving || fence < this.fence) return false;
-      await this.#take();
+      await this.#take({ asked: true });
       return this.#holding !== undefined;
     });
     peers.onLost((peer) => {
@@ -280,16 +277,6 @@
     this.onSetWanted(peer);
   }
 
-  async #register(): Promise<void> {
-    const { store, self, clock, log } = this.#options;
-    const key = MEMBERS_PREFIX + self.name;
-    const write = { type: "put", key, value: self.address } as const;
-    const result = await store.commit([], [write]);
-    if (result.isOk()) return;
-    log.warn("member.unregistered", { reason: result.error.message });
-    clock.after(AGAIN_MS, () => void this.#register());
-  }
-
   async #readRecord(): Promise<void> {
     const { store, cell, log, self } = this.#options;
     const result = await store.get(recordKey(cell));
@@ -314,6 +301,7 @@
     });
     if (answer.isErr()) return;
     if (answer.value.boot === record.boot && answer.value.holds) {
+      this.#hears = true;
       this.#heardMs = this.#options.clock.monotonic();
     } else if (this.#known?.record === record) {
       // Its process has started anew and knows nothing of the hold.
@@ -326,12 +314,12 @@
   }
 
   #statusEveryMs(): number {
-    const members = this.#members.size + 1;
+    const members = this.#roster.members.length + 1;
     return Math.max(STATUS_EVERY_MS, STATUS_EVERY_MEMBER_MS * members);
   }
 
   #silenceLimitMs(): number {
-    if (this.#members.size === 0) return FIRST_SILENCE_MS;
+    if (this.#roster.members.length === 0) return FIRST_SILENCE_MS;
     return MISSED_STATUSES * this.#statusEveryMs() + LATE_STATUS_MS;
   }
 
@@ -351,6 +339,7 @@
       revision: known.revision,
     });
     this.#linkLost = false;
+    this.#hears = false;
     this.#heardMs = clock.monotonic();
     for (const resolve of this.#changed.splice(0)) resolve();
     if (this.#holding !== undefined) {
@@ -365,11 +354,11 @@
   ): void {
     const now = this.#options.clock.monotonic();
     this.#heardMs = now;
+    this.#hears = true;
     this.#linkLost = false;
     this.#waiting = new Map(waiting);
     this.#waitingMs = now;
-    this.#members.clear();
-    for (const member of members) this.#members.set(member.name, member);
+    this.#roster.replace(members);
   }
 
   #isSuspicious(): boolean {
@@ -386,7 +375,10 @@
   /** Candidates in the order in which they try; it changes with each holder. */
   #ranked(): readonly string[] {
     const { self } = this.#options;
-    const names = new Set([self.name, ...this.#members.keys()]);
+    const names = new Set([
+      self.name,
+      ...this.#roster.members.map((member) => member.name),
+    ]);
     names.delete(this.#known?.record.name ?? "");
     if (this.#holding !== undefined) names.delete(self.name);
     const sorted = [...names].sort();
@@ -394,11 +386,12 @@
     return [...sorted.slice(turn), ...sorted.slice(0, turn)];
   }
 
-  async #take(): Promise<void> {
+  async #take({ asked }: { readonly asked: boolean }): Promise<void> {
     if (this.#trying || this.#holding !== undefined) return;
     this.#trying = true;
     try {
-      await this.#tryTake();
+      const own = this.#known?.record.name === this.#options.self.name;
+      if (asked || own || await this.#isSilentForAll()) await this.#tryTake();
     } finally {
       this.#trying = false;
       const { clock, random } = this.#options;
@@ -406,6 +399,30 @@
     }
   }
 
+  /** Whether the other instances miss the holder too. */
+  async #isSilentForAll(): Promise<boolean> {
+    const { self, link } = this.#options;
+    const holder = this.#known?.record;
+    if (holder === undefined) return true;
+    const others = this.#roster.members.filter((member) =>
+      member.name !== self.name && member.name !== holder.name
+    );
+    link([holder, ...others]);
+    const { silenceMs } = this;
+    const verdict = await this.#doubt.settle(holder, others, { silenceMs });
+    switch (verdict) {
+      case "silent":
+        return true;
+      case "heard":
+        // It may have dropped this instance.
+        void this.#greet(holder);
+        return false;
+      case "replaced":
+        await this.#readRecord();
+        return false;
+    }
+  }
+
   async #tryTake(): Promise<void> {
     const { store, cell, self, boot, log, clock } = this.#options;
     if (this.#known === undefined) {
@@ -450,46 +467,61 @@
   }
 
   #gain(known: Known): void {
-    const { log, listener, clock, self } = this.#options;
+    const { log, listener, clock } = this.#options;
     this.#known = known;
     for (const resolve of this.#changed.splice(0)) resolve();
     const { fence } = known.record;
     const hold = { fence, revision: known.revision };
     this.#holding = hold;
-    this.confirmed();
+    this.#confirmation.confirm(clock.monotonic());
     log.info("hold.gained", {
       fence,
       revision: known.revision,
       silenceMs: Math.round(this.silenceMs),
     });
-    this.#members.delete(self.name);
-    this.#repliedMs.clear();
-    const now = clock.monotonic();
-    for (const name of this.#members.keys()) this.#repliedMs.set(name, now);
-    this.#options.link([...this.#members.values()]);
-    void this.#readMembers();
+    this.#roster.open();
     void this.#tellAll();
     listener.gained(hold);
   }
 
   #watchHold(): void {
-    const { clock, store, cell } = this.#options;
-    const age = clock.monotonic() - this.#confirmedMs;
-    if (age < CONFIRM_AFTER_MS && !this.#wasSuspended()) return;
+    const { ageMs, wasSuspended } = this.#confirmation;
+    if (ageMs < CONFIRM_AFTER_MS && !wasSuspended) return;
     if (this.#trying) return;
     this.#trying = true;
+    void this.#confirm().finally(() => this.#trying = false);
+  }
+
+  /** Writes a sign of life, on condition that the hold is still this one's. */
+  async #confirm(): Promise<void> {
+    const { clock, store, cell, log } = this.#options;
+    const hold = this.#holding;
+    const known = this.#known;
+    if (hold === undefined || known === undefined) return;
     const sentMs = clock.monotonic();
-    store.get(recordKey(cell)).match((entry) => {
-      this.#trying = false;
-      const record = entry && decodeRecord(entry);
-      if (record === undefined || entry === undefined) return;
-      if (record.fence === this.#holding?.fence) {
-        this.#confirmedMs = Math.max(this.#confirmedMs, sentMs);
-        this.#clockSkewMs = this.#skew();
-      } else this.#note({ record, revision: entry.revision });
-    }, () => {
-      this.#trying = false;
-    });
+    const skewMs = this.#confirmation.skewMs();
+    const key = recordKey(cell);
+    const result = await store.commit([{ key, revision: hold.revision }], [{
+      type: "put",
+      key: aliveKey(cell),
+      value: String(hold.fence),
+    }]);
+    if (result.isErr()) {
+      log.warn("hold.unconfirmed", {
+        fence: hold.fence,
+        ageMs: Math.round(this.#confirmation.ageMs),
+        failure: result.error.type,
+        reason: result.error.message,
+      });
+      return;
+    }
+    if (result.value.type === "committed") {
+      return this.#confirmation.confirm(sentMs, skewMs);
+    }
+    const entry = result.value.entries?.find((one) => one.key === key);
+    const record = entry && decodeRecord(entry);
+    if (entry === undefined || record === undefined) return;
+    this.#note({ record, revision: entry.revision });
   }
 
   async #statusLoop(): Promise<void> {
@@ -501,23 +533,23 @@
       const now = this.#options.clock.monotonic();
       if (now - membersAtMs < MEMBERS_EVERY_MS) continue;
       membersAtMs = now;
-      void this.#readMembers();
+      void this.#roster.read();
     }
   }
 
   async #tellAll(): Promise<void> {
-    const names = [...this.#members.keys()];
+    const sentMs = this.#options.clock.monotonic();
+    const names = this.#roster.members.map((member) => member.name);
     const heard = await Promise.all(names.map((name) => this.#tell(name)));
     if (this.#holding === undefined) return;
-    // No majority of the members knows of another holder, whatever the store does.
+    // Most members know of no other holder, whatever the store does.
     const agreeing = heard.filter((agrees) => agrees).length;
-    if (names.length > 0 && agreeing >= Math.ceil((names.length + 1) / 2)) {
-      if (!this.#wasSuspended()) this.confirmed();
-    }
+    if (names.length === 0 || 2 * agreeing <= names.length) return;
+    if (!this.#confirmation.wasSuspended) this.#confirmation.confirm(sentMs);
   }
 
   async #tell(name: string): Promise<boolean> {
-    const { peers, set, self, boot, clock, listener } = this.#options;
+    const { peers, set, self, boot, listener } = this.#options;
     const hold = this.#holding;
     if (hold === undefined) return false;
     const answer = await peers.call(name, statusCall, {
@@ -530,15 +562,16 @@
         waiting: listener.waiting().map((
           [queue, count],
         ): [string, number] => [queue, count]),
-        members: [...this.#members.values(), self],
+        members: [...this.#roster.members, self],
       },
       timeoutMs: STATUS_TIMEOUT_MS,
     });
-    if (answer.isErr()) return this.#unreplied(name);
+    if (answer.isErr()) {
+      this.#roster.unreplied(name);
+      return false;
+    }
     const reply = answer.value;
-    this.#repliedMs.set(name, clock.monotonic());
-    if (reply.reachesStore) this.#reaching.add(name);
-    else this.#reaching.delete(name);
+    this.#roster.replied(name, reply);
     if (reply.setVersion > set.version) this.#wantSet(name);
     if (reply.fence > hold.fence) {
       void this.#readRecord();
@@ -546,53 +579,6 @@
     }
     return true;
   }
-
-  #unreplied(name: string): boolean {
-    const { clock, log } = this.#options;
-    const silentMs = clock.monotonic() - (this.#repliedMs.get(name) ?? 0);
-    if (silentMs < MEMBER_SILENCE_MS || !this.#members.has(name)) return false;
-    log.info("member.dropped", {
-      member: name,
-      silentMs: Math.round(silentMs),
-    });
-    this.#members.delete(name);
-    this.#repliedMs.delete(name);
-    this.#options.link([...this.#members.values()]);
-    return false;
-  }
-
-  #admit(member: Member): void {
-    if (member.name === this.#options.self.name) return;
-    this.#repliedMs.set(member.name, this.#options.clock.monotonic());
-    if (this.#members.get(member.name)?.address === member.address) return;
-    this.#options.log.info("member.joined", {
-      member: member.name,
-      address: member.address,
-    });
-    this.#members.set(member.name, member);
-    this.#options.link([...this.#members.values()]);
-  }
-
-  async #readMembers(): Promise<void> {
-    const result = await this.#options.store.list(MEMBERS_PREFIX);
-    if (result.isErr() || this.#holding === undefined) return;
-    for (const entry of result.value.entries) {
-      const member = decodeMember(entry);
-      if (member !== undefined && !this.#members.has(member.name)) {
-        this.#admit(member);
-      }
-    }
-  }
-
-  #skew(): number {
-    const { clock } = this.#options;
-    return clock.now().getTime() - clock.monotonic();
-  }
-
-  /** The wall clock counts the time of a suspension, the monotonic one may not. */
-  #wasSuspended(): boolean {
-    return Math.abs(this.#skew() - this.#clockSkewMs) > SUSPENSION_MS;
-  }
 }
 
 /** The writes that make an instance the holder. */
--- /dev/null
+++ b/src/cell/leadership_test.ts
@@ -0,0 +1,162 @@
+import test from "ava";
+import { errAsync, okAsync } from "neverthrow";
+import { ManualClock } from "../clock.ts";
+import { silentLog } from "../logger.ts";
+import type { Call, Peers } from "../ports/peers.ts";
+import { FakeStore } from "./_fixtures_test.ts";
+import type { Member } from "./cell_record.ts";
+import { Leadership } from "./leadership.ts";
+import { SetInForce } from "./set_in_force.ts";
+
+type Handler = (params: unknown, from: string) => unknown;
+
+/** Links between instances in memory; each may be cut. */
+class Network {
+  readonly handlers = new Map<string, Map<string, Handler>>();
+  readonly cut = new Set<string>();
+
+  peersOf(self: string): Peers {
+    const mine = new Map<string, Handler>();
+    this.handlers.set(self, mine);
+    return {
+      call: <P, R>(
+        peer: string,
+        call: Call<P, R>,
+        { params }: { readonly params: P },
+      ) => {
+        const handler = this.handlers.get(peer)?.get(call.method);
+        if (handler === undefined || this.cut.has(peer) || this.cut.has(self)) {
+          return errAsync({ type: "peerSilent", message: "cut" } as const);
+        }
+        return okAsync(undefined).map(async () =>
+          await handler(params, self) as R
+        );
+      },
+      notify() {},
+      serve: (call: { readonly method: string }, handler: Handler) => {
+        mine.set(call.method, handler);
+      },
+      listen() {},
+      onLost() {},
+    } as unknown as Peers;
+  }
+}
+
+class Instances {
+  readonly clock = new ManualClock();
+  readonly store = new FakeStore();
+  readonly network = new Network();
+  readonly holding = new Set<string>();
+  readonly fences: number[] = [];
+
+  start(name: string, boot = name): Leadership {
+    const self: Member = { name, address: `${name}:1` };
+    const { clock, store } = this;
+    const set = new SetInForce(
+      {
+        workers: () => okAsync({ workers: [], foreign: 0 }),
+        configuration: () => okAsync(undefined),
+        nextConfiguration: () => okAsync({ set: undefined, revision: 0 }),
+      },
+      { clock, log: silentLog },
+    );
+    const leadership = new Leadership({
+      cell: "cell/0",
+      self,
+      boot,
+      store,
+      reachesStore: () => true,
+      peers: this.network.peersOf(name),
+      link() {},
+      set,
+      clock,
+      log: silentLog,
+      random: () => 0.5,
+      listener: {
+        gained: ({ fence }) => {
+          this.holding.add(name);
+          this.fences.push(fence);
+        },
+        lost: () => void this.holding.delete(name),
+        waiting: () => [["receipts", 2]],
+      },
+    });
+    void leadership.run();
+    return leadership;
+  }
+}
+
+test("one of several instances takes the cell, the others follow", async (t) => {
+  const world = new Instances();
+  const all = ["a", "b", "c"].map((name) => world.start(name));
+  await world.clock.run(2_000);
+  t.is(world.holding.size, 1);
+  t.deepEqual(world.fences, [1]);
+  const followers = all.filter((one) => one.holder !== undefined);
+  t.is(followers.length, 2);
+  t.deepEqual([...followers[0]!.waitingNews().counts], [["receipts", 2]]);
+  t.true(all.some((one) => one.holds()));
+});
+
+test("a silent holder is replaced within a second and stops on its own", async (t) => {
+  const world = new Instances();
+  const first = world.start("a");
+  await world.clock.run(1_000);
+  world.start("b");
+  world.start("c");
+  await world.clock.run(1_000);
+  t.deepEqual([...world.holding], ["a"]);
+  world.network.cut.add("a");
+  await world.clock.run(1_000);
+  const others = [...world.holding].filter((name) => name !== "a");
+  t.is(others.length, 1);
+  t.deepEqual(world.fences, [1, 2]);
+  await world.clock.run(1_500);
+  t.false(first.holds());
+});
+
+test("a process that starts anew does not hold what it held before", async (t) => {
+  const world = new Instances();
+  world.start("a", "boot-1");
+  await world.clock.run(1_500);
+  world.holding.clear();
+  world.start("a", "boot-2");
+  await world.clock.run(500);
+  t.true(world.fences.includes(2));
+});
+
+test("a holder that yields is followed at once", async (t) => {
+  const world = new Instances();
+  const first = world.start("a");
+  await world.clock.run(1_000);
+  world.start("b");
+  await world.clock.run(1_000);
+  const yielded = first.yield();
+  await world.clock.run(300);
+  t.true(await yielded);
+  t.true(world.holding.has("b"));
+});
+
+test("no instance takes the cell while the store is away", async (t) => {
+  const world = new Instances();
+  world.start("a");
+  await world.clock.run(1_000);
+  const follower = world.start("b");
+  await world.clock.run(1_000);
+  world.store.away = true;
+  await world.clock.run(3_000);
+  t.deepEqual([...world.holding], ["a"]);
+  t.is(follower.holder?.name, "a");
+});
+
+test("a holder that the store turns away holds on while members confirm", async (t) => {
+  const world = new Instances();
+  const first = world.start("a");
+  await world.clock.run(1_000);
+  world.start("b");
+  world.start("c");
+  await world.clock.run(1_000);
+  world.store.away = true;
+  await world.clock.run(4_000);
+  t.true(first.holds());
+});
--- a/src/cell/node.ts
+++ b/src/cell/node.ts
@@ -234,7 +234,7 @@
       retentionMs,
       holds: () => this.#leadership.holds(),
       deposed: (why) => this.#leadership.deposed(why),
-      confirmed: () => this.#leadership.confirmed(),
+      confirmed: (sentMs) => this.#leadership.confirmed(sentMs),
     });
     this.#recovering = cell;
     metrics.count("takeovers");
--- a/src/cell/protocol.ts
+++ b/src/cell/protocol.ts
@@ -50,14 +50,19 @@
   result: StatusReply,
 };
 
-/** A new instance makes itself known. */
-export const helloCall: Call<
-  typeof Member._A,
-  { readonly boot: string; readonly fence: number; readonly holds: boolean }
-> = {
+const HelloAnswer = t.type({
+  boot: t.string,
+  fence: t.number,
+  holds: t.boolean,
+  /** Whether it hears the holder, or is the holder. */
+  hearsHolder: t.boolean,
+});
+
+/** An instance makes itself known, and asks how another one sees the cell. */
+export const helloCall: Call<typeof Member._A, typeof HelloAnswer._A> = {
   method: "cell.hello",
   params: Member,
-  result: t.type({ boot: t.string, fence: t.number, holds: t.boolean }),
+  result: HelloAnswer,
 };
 
 /** A leaving holder asks a member to take the cell over. */
--- a/src/cli/tool.ts
+++ b/src/cli/tool.ts
@@ -67,7 +67,9 @@
 /** Arguments and options of one call of a command. */
 export interface Input {
   readonly arguments: readonly string[];
-  readonly options: Readonly<Record<string, string | boolean | undefined>>;
+  readonly options: Readonly<
+    Record<string, string | boolean | readonly string[] | undefined>
+  >;
 }
 
 /** An option of a command. */
@@ -98,6 +100,12 @@
   return typeof value === "string" ? value : undefined;
 }
 
+/** The values of an option that takes several. */
+export function optionList(input: Input, name: string): readonly string[] {
+  const value = input.options[name];
+  return Array.isArray(value) ? value : [];
+}
+
 /** Whether an option without a value is given. */
 export function flag(input: Input, name: string): boolean {
   return input.options[name] === true;
