--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -10,46 +10,24 @@
 import type { Metrics } from "../metrics.ts";
 import type { AdviceDesk } from "./advice_desk.ts";
 import { type CellContext, persist, reviewJob } from "./context.ts";
-import { Fleet, roomOn, takesWork } from "./fleet.ts";
+import { Fleet } from "./fleet.ts";
 import { Follower } from "./follower.ts";
-import {
-  dueMs,
-  type EndedJob,
-  type Job,
-  newJob,
-  occurrencesOf,
-  openOccurrence,
-  stateOf,
-} from "./job.ts";
+import { Housekeeping } from "./housekeeping.ts";
+import { type EndedJob, type Job, newJob, stateOf } from "./job.ts";
 import { JobLog } from "./job_log.ts";
 import { Durations } from "./order.ts";
 import type { CellStore, PlatformDirectory, WorkerOrders } from "./ports.ts";
 import { type Legacy, readLegacy } from "./recovery.ts";
 import { leaseBoundMs, newRun, Runs } from "./runs.ts";
 import { Scheduler } from "./scheduler.ts";
-import type { ClusterSet, JobSpec, JobState, WorkerEntry } from "./types.ts";
+import type { ClusterSet, JobSpec, JobState } from "./types.ts";
 import { WeightMeter } from "./weight_meter.ts";
+import { WorkerList } from "./worker_list.ts";
 
-/** The list of workers is read this often, milliseconds; a leaving worker must be idle 2 s after its report. */
-const LIST_EVERY_MS = 700;
-/** Stops, lapses and due times are looked at this often, milliseconds. */
-const TICK_MS = 100;
 /** A submission is refused while the store has not answered for so long, milliseconds. */
 const STORE_STUCK_MS = 300;
-/** Entries that lapsed with the store are back this long after its return, milliseconds; source: the platform's pages, and one reading of the list. */
-const LISTING_GRACE_MS = 2_700;
 /** A former holder that hears nobody stops within this time, milliseconds. */
 export const HOLD_LIMIT_MS = 2_000;
-/** Recovery waits so long for the first reports of all workers, milliseconds. */
-const FIRST_REPORTS_MS = 400;
-/** An occurrence is opened this long before it is due, milliseconds; the platform allows 250. */
-const EARLY_MS = 20;
-/** The load of the cell is told this often, milliseconds. */
-const LOAD_EVERY_MS = 1_000;
-/** Ended jobs are kept for this factor of the time that the platform asks for. */
-const RETENTION_FACTOR = 2;
-/** Most jobs forgotten in a tick. */
-const MAX_FORGOTTEN = 20;
 
 /** What became of a submission. */
 export type SubmitOutcome =
@@ -96,8 +74,9 @@
   readonly #scheduler: Scheduler;
   readonly #accepting = new Map<string, Promise<SubmitOutcome>>();
   readonly #weights: WeightMeter;
+  readonly #list: WorkerList;
+  readonly #housekeeping: Housekeeping;
   #closed = false;
-  #listFailedMs = 0;
 
   constructor(options: CellOptions) {
     this.#options = options;
@@ -143,6 +122,16 @@
       runs: this.#runs,
       desk: options.desk,
     });
+    this.#list = new WorkerList(
+      this.#context,
+      options.directory,
+      (id) => void this.#follower.follow(this.#context.fleet.open(id)),
+    );
+    this.#housekeeping = new Housekeeping(this.#context, {
+      runs: this.#runs,
+      retentionMs: options.retentionMs,
+      questions: () => options.desk.asking,
+    });
   }
 
   /** Takes up what a former holder left; then the cell works. */
@@ -156,8 +145,8 @@
           return workers;
         })
       )
-      .map(async (workers) => {
-        await this.#firstReports(workers);
+      .map((workers) => {
+        this.#list.take(workers);
         for (const job of this.#context.jobs.values()) {
           reviewJob(this.#context, job);
           if (stateOf(job) !== "pending" && stateOf(job) !== "running") {
@@ -165,7 +154,9 @@
             void persist(this.#context, job);
           }
         }
-        this.#loops();
+        void this.#list.run();
+        void this.#housekeeping.run();
+        this.#scheduler.kick();
         log.info("cell.recovered", {
           fence: this.#options.fence,
           jobs: this.#context.jobs.size,
@@ -232,6 +223,8 @@
   /** Ends all work of this holder without a trace at the workers. */
   close(): void {
     this.#closed = true;
+    this.#list.close();
+    this.#housekeeping.close();
     this.#scheduler.close();
     this.#follower.close();
     this.#context.jobLog.close();
@@ -328,134 +321,4 @@
       }
     }
   }
-
-  async #firstReports(workers: readonly WorkerEntry[]): Promise<void> {
-    const { fleet, clock } = this.#context;
-    this.#list(workers);
-    const reports = [...fleet.workers.values()]
-      .filter((worker) => worker.entry !== undefined)
-      .map((worker) => this.#follower.follow(worker));
-    await Promise.race([
-      Promise.all(reports),
-      sleep(clock, FIRST_REPORTS_MS),
-    ]);
-  }
-
-  #loops(): void {
-    void this.#listLoop();
-    void this.#tickLoop();
-    void this.#loadLoop();
-    this.#scheduler.kick();
-  }
-
-  async #listLoop(): Promise<void> {
-    const { clock, log, fence } = this.#context;
-    while (!this.#closed) {
-      await sleep(clock, LIST_EVERY_MS);
-      if (this.#closed) return;
-      const result = await this.#options.directory.workers();
-      result.match(
-        ({ workers }) => this.#list(workers),
-        (failure) => {
-          this.#listFailedMs = clock.monotonic();
-          log.warn("list.unread", {
-            fence,
-            failure: failure.type,
-            reason: failure.message,
-          });
-        },
-      );
-    }
-  }
-
-  #list(entries: readonly WorkerEntry[]): void {
-    const { fleet, clock, log } = this.#context;
-    const listed = new Set(entries.map((entry) => entry.id));
-    for (const entry of entries) {
-      const worker = fleet.open(entry.id);
-      if (!worker.listed || worker.entry?.draining !== entry.draining) {
-        log.info("worker.listed", {
-          worker: entry.id,
-          address: entry.address,
-          draining: entry.draining,
-        });
-      }
-      worker.entry = entry;
-      worker.listed = true;
-      if (!this.#closed) void this.#follower.follow(worker);
-    }
-    const sinceFailureMs = clock.monotonic() - this.#listFailedMs;
-    if (this.#listFailedMs > 0 && sinceFailureMs < LISTING_GRACE_MS) return;
-    for (const worker of fleet.workers.values()) {
-      if (!worker.listed || listed.has(worker.id)) continue;
-      worker.listed = false;
-      log.info("worker.unlisted", {
-        worker: worker.id,
-        runs: worker.runs.size,
-      });
-    }
-  }
-
-  async #tickLoop(): Promise<void> {
-    const { clock } = this.#context;
-    while (!this.#closed) {
-      await sleep(clock, TICK_MS);
-      if (this.#closed) return;
-      if (this.#context.holds()) this.#runs.tick();
-      this.#openDue();
-      this.#forgetOld();
-      if (this.#context.open.size > 0) this.#scheduler.kick();
-    }
-  }
-
-  /** Tells once a second how full the cell is and what waits. */
-  async #loadLoop(): Promise<void> {
-    const { clock, log, fence, fleet, jobs, open } = this.#context;
-    while (!this.#closed) {
-      await sleep(clock, LOAD_EVERY_MS);
-      if (this.#closed) return;
-      const workers = [...fleet.workers.values()];
-      const usable = workers.filter((one) => takesWork(one, clock.monotonic()));
-      log.info("cell.load", {
-        fence,
-        jobs: jobs.size,
-        openSteps: open.size,
-        runs: workers.reduce((sum, one) => sum + one.runs.size, 0),
-        workers: workers.length,
-        usable: usable.length,
-        freeCores: usable.reduce(
-          (sum, one) => sum + Math.round(roomOn(one).cpuMillis / 1000),
-          0,
-        ),
-        asking: this.#options.desk.asking,
-        storeStuckMs: Math.round(this.#context.jobLog.stuckMs()),
-      });
-    }
-  }
-
-  /** Opens the occurrences of recurring jobs that are due. */
-  #openDue(): void {
-    const now = this.#context.clock.now().getTime();
-    for (const job of this.#context.jobs.values()) {
-      if (job.spec.recurrence === undefined || !job.stored) continue;
-      const next = job.occurrences.size;
-      if (next >= occurrencesOf(job)) continue;
-      if (now < dueMs(job, next) - EARLY_MS) continue;
-      openOccurrence(job, next);
-      reviewJob(this.#context, job);
-    }
-  }
-
-  #forgetOld(): void {
-    const { ended, clock, jobLog } = this.#context;
-    const before = clock.now().getTime() -
-      RETENTION_FACTOR * this.#options.retentionMs;
-    let forgotten = 0;
-    for (const end of ended.values()) {
-      if (end.endedMs > before || forgotten === MAX_FORGOTTEN) return;
-      ended.delete(end.id);
-      jobLog.forget(end.id);
-      forgotten++;
-    }
-  }
 }
--- a/src/cell/cell_record.ts
+++ b/src/cell/cell_record.ts
@@ -5,7 +5,8 @@
  */
 import { either } from "fp-ts";
 import * as t from "io-ts";
-import type { Entry } from "../ports/store.ts";
+import type { Entry, Write } from "../ports/store.ts";
+import { laneKey, type LaneRecord, LANES } from "./lane_record.ts";
 
 const Record = t.type({
   name: t.string,
@@ -17,6 +18,13 @@
 /** The holder by the store. */
 export type CellRecord = typeof Record._A;
 
+/** A hold on the cell. */
+export interface Hold {
+  readonly fence: number;
+  /** Revision at which it was written. */
+  readonly revision: number;
+}
+
 /** An instance that others can reach. */
 export interface Member {
   readonly name: string;
@@ -55,3 +63,17 @@
     ? { name, address: entry.value }
     : undefined;
 }
+
+/** The writes that make an instance the holder. */
+export function takeover(cell: string, record: CellRecord): readonly Write[] {
+  const lane: LaneRecord = { fence: record.fence, sequence: 0 };
+  const lanes = Array.from({ length: LANES }, (_, index): Write => ({
+    type: "put",
+    key: laneKey(cell, index),
+    value: JSON.stringify(lane),
+  }));
+  return [
+    { type: "put", key: recordKey(cell), value: JSON.stringify(record) },
+    ...lanes,
+  ];
+}
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -6,6 +6,7 @@
  */
 import { sleep } from "../clock.ts";
 import { type CellContext, persist } from "./context.ts";
+import { Endings } from "./endings.ts";
 import type { FleetWorker } from "./fleet.ts";
 import { findTask, isOver, type Job } from "./job.ts";
 import type { LookFailure, ReportedRun, WorkerReport } from "./ports.ts";
@@ -26,12 +27,14 @@
 export class Follower {
   readonly #context: CellContext;
   readonly #runs: Runs;
+  readonly #endings: Endings;
   readonly #followed = new Set<string>();
   #closed = false;
 
   constructor(context: CellContext, runs: Runs) {
     this.#context = context;
     this.#runs = runs;
+    this.#endings = new Endings(context, runs);
   }
 
   /** Follows a worker until it is forgotten. Resolves after its first answer or failure. */
@@ -181,7 +184,7 @@
       listed.add(`${ended.task} ${ended.run}`);
       if (ended.number <= worker.handled) continue;
       const found = findTask(this.#context.jobs, ended.task);
-      const job = found && this.#runs.end(worker, ended, found);
+      const job = found && this.#endings.end(worker, ended, found);
       if (job !== undefined) changed.add(job);
       this.#logEnd(worker, ended, job !== undefined);
     }
--- a/src/cell/gateway.ts
+++ b/src/cell/gateway.ts
@@ -187,9 +187,11 @@
   }
 
   /** `undefined` if another holder takes over before the answer comes. */
-  async #unlessReplaced<A>(answer: Promise<A>): Promise<A | undefined> {
-    const replaced = this.#options.leadership.changed();
-    return await Promise.race([answer, replaced.then(() => undefined)]);
+  #unlessReplaced<A>(answer: Promise<A>): Promise<A | undefined> {
+    return new Promise((resolve) => {
+      const end = this.#options.leadership.onReplaced(() => resolve(undefined));
+      answer.then(resolve).finally(end);
+    });
   }
 
   /** Makes a call at the holder until it answers; `undefined` if no holder ever got it. */
--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -12,19 +12,18 @@
 import type { StoreFailure } from "../errors.ts";
 import type { Log } from "../logger.ts";
 import type { Metrics } from "../metrics.ts";
-import type { Commit, Entry, Write } from "../ports/store.ts";
-import { type EndedJob, type Job, stateOf } from "./job.ts";
-import type { CellStore } from "./ports.ts";
+import type { Commit, Write } from "../ports/store.ts";
+import type { EndedJob, Job } from "./job.ts";
+import { endOf, writesOf } from "./job_writes.ts";
 import {
-  encodeEnd,
-  encodeProgress,
-  encodeSubmission,
-  JOBS_PREFIX,
-  PROGRESS_PREFIX,
-} from "./records.ts";
+  laneKey,
+  type LaneRecord,
+  laneRecordOf,
+  LANES,
+} from "./lane_record.ts";
+import type { CellStore } from "./ports.ts";
+import { PROGRESS_PREFIX } from "./records.ts";
 
-/** Independent sequences of transactions of one cell. */
-export const LANES = 2;
 /** Changes gather for so long before they are written, milliseconds: a fifth of the wait that a human notices. */
 const GATHER_MS = 20;
 /** Most writes of jobs in a transaction; the platform's limit is 32 entries, and the lane takes two. */
@@ -35,17 +34,6 @@
 /** What became of a job's write. */
 export type Saved = "saved" | "deposed";
 
-/** Value of a lane's key. */
-export interface LaneRecord {
-  readonly fence: number;
-  readonly sequence: number;
-}
-
-/** Key of a lane. */
-export function laneKey(cell: string, lane: number): string {
-  return `${cell}/lane/${lane}`;
-}
-
 interface Pending {
   readonly job: Job;
   submission: boolean;
@@ -229,9 +217,10 @@
       if (writes.length + 2 > MAX_WRITES) break;
       lane.dirty.delete(id);
       pending.push(entry);
-      const end = this.#endOf(entry.job);
+      const end = endOf(entry.job, this.#options.clock.now().getTime());
       if (end !== undefined) ended.push(end);
-      writes.push(...writesOf(entry, end));
+      const { submission } = entry;
+      writes.push(...writesOf(entry.job, { submission, end }));
     }
     const room = MAX_WRITES - writes.length;
     const forgotten = lane.forgotten.splice(0, room);
@@ -241,15 +230,6 @@
     return { writes, pending, ended, forgotten };
   }
 
-  #endOf(job: Job): EndedJob | undefined {
-    const state = stateOf(job);
-    if (state === "pending" || state === "running") return undefined;
-    // Runs that are being stopped keep the record until they have ended.
-    if (state !== "done" && holdsRoom(job)) return undefined;
-    const endedMs = this.#options.clock.now().getTime();
-    return { id: job.id, queue: job.queue, state, endedMs };
-  }
-
   /**
    * Sends a transaction until its fate is known. One whose answer was lost is
    * repeated as it is; one that was certainly not carried out is given up.
@@ -331,45 +311,6 @@
   | { readonly type: "untouched" }
   | { readonly type: "deposed" };
 
-function laneRecordOf(entry: Entry): LaneRecord | undefined {
-  try {
-    return JSON.parse(entry.value) as LaneRecord;
-  } catch {
-    // Only holders write lanes; anything else is treated as another holder.
-    return undefined;
-  }
-}
-
-function holdsRoom(job: Job): boolean {
-  return [...job.occurrences.values()].some((steps) =>
-    steps.some((step) => step.tasks.some((task) => task.phase === "assigned"))
-  );
-}
-
-function writesOf(entry: Pending, end: EndedJob | undefined): Write[] {
-  const { job, submission } = entry;
-  const jobKey = JOBS_PREFIX + job.id;
-  const progressKey = PROGRESS_PREFIX + job.id;
-  if (end !== undefined) {
-    return [
-      { type: "delete", key: jobKey },
-      { type: "put", key: progressKey, value: encodeEnd(end) },
-    ];
-  }
-  const writes: Write[] = [];
-  if (submission) {
-    writes.push({ type: "put", key: jobKey, value: encodeSubmission(job) });
-  }
-  if (job.begun || job.canceled) {
-    writes.push({
-      type: "put",
-      key: progressKey,
-      value: encodeProgress(job),
-    });
-  }
-  return writes;
-}
-
 function settle(pending: Pending, saved: Saved): void {
   for (const waiter of pending.waiters) waiter(saved);
 }
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -11,37 +11,18 @@
 import { type Clock, sleep } from "../clock.ts";
 import type { Log } from "../logger.ts";
 import type { Peers } from "../ports/peers.ts";
-import type { Write } from "../ports/store.ts";
 import { HOLD_LIMIT_MS } from "./cell.ts";
-import {
-  aliveKey,
-  type CellRecord,
-  decodeRecord,
-  type Member,
-  recordKey,
-} from "./cell_record.ts";
+import type { CellRecord, Hold, Member } from "./cell_record.ts";
 import { Confirmation } from "./confirmation.ts";
 import { Doubt } from "./doubt.ts";
-import { laneKey, type LaneRecord, LANES } from "./job_log.ts";
+import { HolderNews, statusEveryMs } from "./holder_news.ts";
+import { HoldWriter, type KnownRecord } from "./hold_writer.ts";
 import type { CellStore } from "./ports.ts";
 import { helloCall, statusCall, yieldCall } from "./protocol.ts";
 import { Roster } from "./roster.ts";
 import type { SetInForce } from "./set_in_force.ts";
+import { StatusTeller } from "./status_teller.ts";
 
-/** The holder tells where it stands this often at least, milliseconds. */
-const STATUS_EVERY_MS = 150;
-/** The same for each member, milliseconds: it bounds the holder's cost with many. */
-const STATUS_EVERY_MEMBER_MS = 8;
-/** Longest wait for a reply to that, milliseconds. */
-const STATUS_TIMEOUT_MS = 700;
-/** Statuses of the holder that must fail to come before others try to take the cell. */
-const MISSED_STATUSES = 3;
-/** Time that a status may be late, milliseconds. */
-const LATE_STATUS_MS = 80;
-/** Silence of the holder that tells enough after the link to it broke, milliseconds: a redial. */
-const BROKEN_LINK_MS = 220;
-/** Silence after the start of a process within which a holder makes itself known, milliseconds. */
-const FIRST_SILENCE_MS = 700;
 /** Each further candidate waits so much longer, milliseconds: a takeover's write and its news. */
 const RANK_MS = 100;
 /** Pause after a failed try, milliseconds. */
@@ -50,20 +31,11 @@
 const TICK_MS = 50;
 /** A hold that was not confirmed for so long is confirmed by a write, milliseconds. */
 const CONFIRM_AFTER_MS = 700;
-/** Members are read from the store this often by the holder, milliseconds. */
-const MEMBERS_EVERY_MS = 5_000;
 /** Longest wait for a successor, milliseconds. */
 const YIELD_TIMEOUT_MS = 1_500;
 /** Longest wait for a greeting's answer, milliseconds. */
 const HELLO_TIMEOUT_MS = 500;
 
-/** A hold on the cell. */
-export interface Hold {
-  readonly fence: number;
-  /** Revision at which it was written. */
-  readonly revision: number;
-}
-
 /** What becomes of the cell in this process. */
 export interface HoldListener {
   /** The hold is this process's. */
@@ -93,36 +65,42 @@
   readonly listener: HoldListener;
 }
 
-interface Known {
-  readonly record: CellRecord;
-  readonly revision: number;
-}
-
 /** Follows the holder, and takes the cell when it is silent. */
 export class Leadership {
   readonly #options: LeadershipOptions;
   readonly #roster: Roster;
+  readonly #news: HolderNews;
   readonly #confirmation: Confirmation;
   readonly #doubt: Doubt;
-  #known: Known | undefined;
+  readonly #teller: StatusTeller;
+  readonly #writer: HoldWriter;
+  #known: KnownRecord | undefined;
   #holding: Hold | undefined;
-  #heardMs: number;
-  #linkLost = false;
-  /** Whether the holder itself was heard, not only of. */
-  #hears = false;
   #trying = false;
   #retryAtMs = 0;
-  #waiting: ReadonlyMap<string, number> = new Map();
-  #waitingMs = 0;
   #leaving = false;
-  #changed: (() => void)[] = [];
+  readonly #replaced = new Set<() => void>();
 
   constructor(options: LeadershipOptions) {
     this.#options = options;
-    this.#heardMs = options.clock.monotonic();
     this.#roster = new Roster(options);
+    this.#news = new HolderNews(
+      options.clock,
+      () => this.#roster.members.length,
+    );
     this.#confirmation = new Confirmation(options.clock);
     this.#doubt = new Doubt(options);
+    this.#writer = new HoldWriter(options);
+    this.#teller = new StatusTeller({
+      ...options,
+      roster: this.#roster,
+      confirmation: this.#confirmation,
+      hold: () => this.#holding,
+      everyMs: () => statusEveryMs(this.#roster.members.length),
+      waiting: () => options.listener.waiting(),
+      replaced: () => void this.#readRecord(),
+      setWanted: (peer) => this.onSetWanted(peer),
+    });
   }
 
   /** The holder, if one is known and this process is not it. */
@@ -136,12 +114,13 @@
 
   /** Milliseconds since the holder was heard of. */
   get silenceMs(): number {
-    return this.#options.clock.monotonic() - this.#heardMs;
+    return this.#news.silenceMs;
   }
 
-  /** Resolves when somebody else becomes the holder. */
-  changed(): Promise<void> {
-    return new Promise((resolve) => this.#changed.push(resolve));
+  /** Calls `listener` when somebody else becomes the holder; gives a function that ends that. */
+  onReplaced(listener: () => void): () => void {
+    this.#replaced.add(listener);
+    return () => void this.#replaced.delete(listener);
   }
 
   /** Highest fence that is known. */
@@ -168,8 +147,7 @@
     readonly counts: ReadonlyMap<string, number>;
     readonly ageMs: number;
   } {
-    const ageMs = this.#options.clock.monotonic() - this.#waitingMs;
-    return { counts: this.#waiting, ageMs };
+    return this.#news.waiting();
   }
 
   /** Whether the hold was confirmed lately: only then orders are given. */
@@ -190,7 +168,7 @@
     const { fence } = this.#holding;
     this.#options.log.warn("hold.lost", { fence, reason: why });
     this.#holding = undefined;
-    this.#heardMs = this.#options.clock.monotonic();
+    this.#news.heardOf();
     this.#options.listener.lost(fence, why);
     void this.#readRecord();
   }
@@ -201,7 +179,7 @@
     const { clock } = this.#options;
     await this.#roster.register();
     await this.#readRecord();
-    void this.#statusLoop();
+    void this.#teller.run();
     for (;;) {
       await sleep(clock, TICK_MS);
       if (this.#holding !== undefined) this.#watchHold();
@@ -240,8 +218,9 @@
       };
       if (status.fence >= this.fence) {
         this.#note({ record, revision: status.revision });
-        this.#heard(status.waiting, status.members);
-        if (status.setVersion > set.version) this.#wantSet(from);
+        this.#news.told(status.waiting);
+        this.#roster.replace(status.members);
+        if (status.setVersion > set.version) this.onSetWanted(from);
       }
       return {
         fence: this.fence,
@@ -256,8 +235,7 @@
         boot,
         fence: this.fence,
         holds,
-        hearsHolder: holds ||
-          this.#hears && this.silenceMs < this.#silenceLimitMs(),
+        hearsHolder: holds || this.#news.hears,
       };
     });
     peers.serve(yieldCall, async ({ fence }) => {
@@ -266,29 +244,20 @@
       return this.#holding !== undefined;
     });
     peers.onLost((peer) => {
-      if (peer === this.holder?.name) this.#linkLost = true;
+      if (peer === this.holder?.name) this.#news.lostLink();
     });
   }
 
   /** Set by the process: fetches the set from a peer. */
   onSetWanted: (peer: string) => void = () => {};
 
-  #wantSet(peer: string): void {
-    this.onSetWanted(peer);
-  }
-
   async #readRecord(): Promise<void> {
-    const { store, cell, log, self } = this.#options;
-    const result = await store.get(recordKey(cell));
-    if (result.isErr()) {
-      log.warn("hold.unread", { reason: result.error.message });
-      return;
-    }
-    const entry = result.value;
-    const record = entry && decodeRecord(entry);
-    if (entry === undefined || record === undefined) return;
-    this.#note({ record, revision: entry.revision });
-    if (record.name === self.name || this.#holding !== undefined) return;
+    const known = await this.#writer.read();
+    if (known === undefined) return;
+    const { record } = known;
+    this.#note(known);
+    const own = record.name === this.#options.self.name;
+    if (own || this.#holding !== undefined) return;
     void this.#greet(record);
   }
 
@@ -301,36 +270,20 @@
     });
     if (answer.isErr()) return;
     if (answer.value.boot === record.boot && answer.value.holds) {
-      this.#hears = true;
-      this.#heardMs = this.#options.clock.monotonic();
+      this.#news.answered();
     } else if (this.#known?.record === record) {
-      // Its process has started anew and knows nothing of the hold.
-      this.#heardMs = Math.min(this.#heardMs, this.#silentSince());
+      this.#news.forgotten();
     }
   }
 
-  #silentSince(): number {
-    return this.#options.clock.monotonic() - this.#silenceLimitMs();
-  }
-
-  #statusEveryMs(): number {
-    const members = this.#roster.members.length + 1;
-    return Math.max(STATUS_EVERY_MS, STATUS_EVERY_MEMBER_MS * members);
-  }
-
-  #silenceLimitMs(): number {
-    if (this.#roster.members.length === 0) return FIRST_SILENCE_MS;
-    return MISSED_STATUSES * this.#statusEveryMs() + LATE_STATUS_MS;
-  }
-
-  #note(known: Known): void {
+  #note(known: KnownRecord): void {
     const before = this.#known;
     if (before !== undefined && known.record.fence < before.record.fence) {
       return;
     }
     this.#known = known;
     if (known.record.fence === before?.record.fence) return;
-    const { self, log, clock, boot } = this.#options;
+    const { self, log, boot } = this.#options;
     const mine = known.record.name === self.name && known.record.boot === boot;
     if (mine) return;
     log.info("hold.noted", {
@@ -338,27 +291,16 @@
       fence: known.record.fence,
       revision: known.revision,
     });
-    this.#linkLost = false;
-    this.#hears = false;
-    this.#heardMs = clock.monotonic();
-    for (const resolve of this.#changed.splice(0)) resolve();
+    this.#news.heardOf();
+    this.#tellReplaced();
     if (this.#holding !== undefined) {
       this.deposed(`${known.record.name} took the cell`);
     }
     if (known.record.name !== self.name) this.#options.link([known.record]);
   }
 
-  #heard(
-    waiting: readonly (readonly [string, number])[],
-    members: readonly Member[],
-  ): void {
-    const now = this.#options.clock.monotonic();
-    this.#heardMs = now;
-    this.#hears = true;
-    this.#linkLost = false;
-    this.#waiting = new Map(waiting);
-    this.#waitingMs = now;
-    this.#roster.replace(members);
+  #tellReplaced(): void {
+    for (const listener of [...this.#replaced]) listener();
   }
 
   #isSuspicious(): boolean {
@@ -368,8 +310,7 @@
     const delay = this.#ranked().indexOf(self.name) * RANK_MS;
     const own = this.#known?.record.name === self.name;
     if (own) return true;
-    const limit = this.#linkLost ? BROKEN_LINK_MS : this.#silenceLimitMs();
-    return this.silenceMs > limit + Math.max(0, delay);
+    return this.#news.isSilent(Math.max(0, delay));
   }
 
   /** Candidates in the order in which they try; it changes with each holder. */
@@ -424,52 +365,33 @@
   }
 
   async #tryTake(): Promise<void> {
-    const { store, cell, self, boot, log, clock } = this.#options;
     if (this.#known === undefined) {
       await this.#readRecord();
       // Somebody was quicker: its news is on its way.
       if (this.#known !== undefined) return;
     }
-    const known = this.#known as Known | undefined;
-    const fence = this.fence + 1;
-    const record: CellRecord = { ...self, boot, fence };
-    const startedMs = clock.monotonic();
-    const condition = {
-      key: recordKey(cell),
-      revision: known?.revision ?? 0,
-    };
-    const result = await store.commit([condition], takeover(cell, record));
-    if (result.isErr()) {
-      log.warn("hold.untaken", { fence, reason: result.error.message });
-      return;
-    }
-    if (result.value.type === "committed") {
-      return this.#gain({ record, revision: result.value.revision });
-    }
-    const entry = result.value.entries?.find((one) =>
-      one.key === condition.key
-    );
-    const current = entry && decodeRecord(entry);
-    if (entry === undefined || current === undefined) {
-      return void await this.#readRecord();
-    }
-    if (current.boot === boot && current.fence === fence) {
-      // An earlier try got through and its answer was lost.
-      return this.#gain({ record: current, revision: entry.revision });
+    const revision = this.#knownRevision();
+    const outcome = await this.#writer.take(this.fence + 1, revision);
+    switch (outcome.type) {
+      case "held":
+        return this.#gain(outcome.known);
+      case "replaced":
+        this.#note(outcome.known);
+        this.#news.heardOf();
+        return;
+      case "failed":
+        return await this.#readRecord();
     }
-    log.info("hold.raced", {
-      holder: current.name,
-      fence: current.fence,
-      tookMs: Math.round(clock.monotonic() - startedMs),
-    });
-    this.#note({ record: current, revision: entry.revision });
-    this.#heardMs = clock.monotonic();
   }
 
-  #gain(known: Known): void {
+  #knownRevision(): number {
+    return this.#known?.revision ?? 0;
+  }
+
+  #gain(known: KnownRecord): void {
     const { log, listener, clock } = this.#options;
     this.#known = known;
-    for (const resolve of this.#changed.splice(0)) resolve();
+    this.#tellReplaced();
     const { fence } = known.record;
     const hold = { fence, revision: known.revision };
     this.#holding = hold;
@@ -480,7 +402,7 @@
       silenceMs: Math.round(this.silenceMs),
     });
     this.#roster.open();
-    void this.#tellAll();
+    void this.#teller.tellAll();
     listener.gained(hold);
   }
 
@@ -492,105 +414,14 @@
     void this.#confirm().finally(() => this.#trying = false);
   }
 
-  /** Writes a sign of life, on condition that the hold is still this one's. */
   async #confirm(): Promise<void> {
-    const { clock, store, cell, log } = this.#options;
     const hold = this.#holding;
-    const known = this.#known;
-    if (hold === undefined || known === undefined) return;
-    const sentMs = clock.monotonic();
-    const skewMs = this.#confirmation.skewMs();
-    const key = recordKey(cell);
-    const result = await store.commit([{ key, revision: hold.revision }], [{
-      type: "put",
-      key: aliveKey(cell),
-      value: String(hold.fence),
-    }]);
-    if (result.isErr()) {
-      log.warn("hold.unconfirmed", {
-        fence: hold.fence,
-        ageMs: Math.round(this.#confirmation.ageMs),
-        failure: result.error.type,
-        reason: result.error.message,
-      });
-      return;
-    }
-    if (result.value.type === "committed") {
-      return this.#confirmation.confirm(sentMs, skewMs);
-    }
-    const entry = result.value.entries?.find((one) => one.key === key);
-    const record = entry && decodeRecord(entry);
-    if (entry === undefined || record === undefined) return;
-    this.#note({ record, revision: entry.revision });
-  }
-
-  async #statusLoop(): Promise<void> {
-    let membersAtMs = this.#options.clock.monotonic();
-    for (;;) {
-      await sleep(this.#options.clock, this.#statusEveryMs());
-      if (this.#holding === undefined) continue;
-      void this.#tellAll();
-      const now = this.#options.clock.monotonic();
-      if (now - membersAtMs < MEMBERS_EVERY_MS) continue;
-      membersAtMs = now;
-      void this.#roster.read();
-    }
-  }
-
-  async #tellAll(): Promise<void> {
+    if (hold === undefined) return;
     const sentMs = this.#options.clock.monotonic();
-    const names = this.#roster.members.map((member) => member.name);
-    const heard = await Promise.all(names.map((name) => this.#tell(name)));
-    if (this.#holding === undefined) return;
-    // Most members know of no other holder, whatever the store does.
-    const agreeing = heard.filter((agrees) => agrees).length;
-    if (names.length === 0 || 2 * agreeing <= names.length) return;
-    if (!this.#confirmation.wasSuspended) this.#confirmation.confirm(sentMs);
-  }
-
-  async #tell(name: string): Promise<boolean> {
-    const { peers, set, self, boot, listener } = this.#options;
-    const hold = this.#holding;
-    if (hold === undefined) return false;
-    const answer = await peers.call(name, statusCall, {
-      params: {
-        holder: self,
-        boot,
-        fence: hold.fence,
-        revision: hold.revision,
-        setVersion: set.version,
-        waiting: listener.waiting().map((
-          [queue, count],
-        ): [string, number] => [queue, count]),
-        members: [...this.#roster.members, self],
-      },
-      timeoutMs: STATUS_TIMEOUT_MS,
-    });
-    if (answer.isErr()) {
-      this.#roster.unreplied(name);
-      return false;
-    }
-    const reply = answer.value;
-    this.#roster.replied(name, reply);
-    if (reply.setVersion > set.version) this.#wantSet(name);
-    if (reply.fence > hold.fence) {
-      void this.#readRecord();
-      return false;
-    }
-    return true;
+    const skewMs = this.#confirmation.skewMs();
+    const outcome = await this.#writer.confirm(hold);
+    if (outcome.type === "replaced") this.#note(outcome.known);
+    if (outcome.type !== "held") return;
+    this.#confirmation.confirm(sentMs, skewMs);
   }
 }
-
-/** The writes that make an instance the holder. */
-function takeover(cell: string, record: CellRecord): readonly Write[] {
-  const lane: LaneRecord = { fence: record.fence, sequence: 0 };
-  const lanes = Array.from({ length: LANES }, (_, index): Write => ({
-    type: "put",
-    key: laneKey(cell, index),
-    value: JSON.stringify(lane),
-  }));
-  return [
-    { type: "put", key: recordKey(cell), value: JSON.stringify(record) },
-    ...lanes,
-  ];
-}
--- a/src/cell/node.ts
+++ b/src/cell/node.ts
@@ -11,9 +11,9 @@
 import type { Instance } from "../types.ts";
 import { AdviceDesk, type Question } from "./advice_desk.ts";
 import { Cell } from "./cell.ts";
-import type { Member } from "./cell_record.ts";
+import type { Hold, Member } from "./cell_record.ts";
 import { Gateway } from "./gateway.ts";
-import { type Hold, Leadership } from "./leadership.ts";
+import { Leadership } from "./leadership.ts";
 import type {
   AdviceService,
   CellStore,
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -1,5 +1,5 @@
 /**
- * The life of a run: recorded, ordered, seen, stopped, ended.
+ * The life of a run up to its end: recorded, ordered, stopped, given up.
  *
  * @module
  */
@@ -13,7 +13,7 @@
 import type { FleetWorker, Run } from "./fleet.ts";
 import { isOver, type Job, type StepRun, type Task } from "./job.ts";
 import type { Place } from "./placement.ts";
-import type { EndingKind, ReportedEnd, StartAnswer } from "./ports.ts";
+import type { StartAnswer } from "./ports.ts";
 
 /** Leases stay below the longest by this, milliseconds, so that a clock read a moment ago does. */
 const LEASE_SLACK_MS = 50;
@@ -29,19 +29,11 @@
 const STALL_MS = 3_000;
 /** Its worker gets nothing new for so long, milliseconds. */
 const STALL_AVOID_MS = 5_000;
-/** Weight of a new end in a worker's share of failures. */
-const FAILURE_WEIGHT = 0.2;
-/** A worker with a larger share of failures gets nothing for a while. */
-const FAILURE_LIMIT = 0.6;
-/** How long such a worker gets nothing, milliseconds. */
-const QUARANTINE_MS = 3_000;
-/** Most of the workers that may be left alone for their failures at once. */
-const QUARANTINE_SHARE = 0.25;
 
 /** Reports of a worker on demand, for a run whose order was not answered. */
 export type LookNow = (worker: FleetWorker) => Promise<void>;
 
-/** Starts, stops and ends runs. */
+/** Starts and stops runs. */
 export class Runs {
   readonly #context: CellContext;
   readonly #lookNow: LookNow;
@@ -90,24 +82,6 @@
     });
   }
 
-  /** Ends a run that its worker lists as ended; gives the job whose record has changed. */
-  end(worker: FleetWorker, ended: ReportedEnd, found: {
-    readonly step: StepRun;
-    readonly task: Task;
-  }): Job | undefined {
-    const { step, task } = found;
-    const run = worker.runs.get(task.id);
-    const current = run !== undefined && run.number === ended.run;
-    if (current) this.#context.fleet.release(run);
-    // A run that was given up too early counts if nothing has replaced it.
-    const mattersStill = task.phase === "waiting" && task.run === ended.run;
-    if (!current && !mattersStill) return undefined;
-    if (current) this.#learn(run, ended.kind);
-    if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
-    this.#apply(found, ended);
-    return step.job;
-  }
-
   /** Gives up a run that is not on its worker and will not be. */
   lose(run: Run, why: string): void {
     const { fleet, log, metrics, fence } = this.#context;
@@ -124,7 +98,7 @@
     metrics.count("runs_lost", { reason: why });
     if (task.phase !== "assigned" || task.run !== run.number) return;
     task.phase = "waiting";
-    this.#settle(step);
+    this.settle(step);
   }
 
   /** Gives up everything on a worker. */
@@ -141,6 +115,16 @@
     }
   }
 
+  /** A gang runs whole or not at all: the rest of a broken one is stopped. */
+  settle(step: StepRun): void {
+    if (step.spec.gang && step.left > 0) {
+      const broken = step.tasks.some((task) => task.phase === "waiting");
+      if (broken) this.#stopStep(step);
+    }
+    reviewJob(this.#context, step.job);
+    this.#context.kick();
+  }
+
   /** Sends stops again that have not had their effect, and ends what leases have ended. */
   tick(): void {
     const now = this.#context.clock.monotonic();
@@ -255,45 +239,6 @@
     this.stop(run);
   }
 
-  #apply(
-    { step, task }: { readonly step: StepRun; readonly task: Task },
-    ended: ReportedEnd,
-  ): void {
-    const { job } = step;
-    const attempts = queueOf(this.#context, job).attempts;
-    if (ended.kind === "done" && !step.spec.longRunning) {
-      const finished = step.spec.gang ? step.tasks : [task];
-      for (const done of finished) markDone(step, done);
-    } else {
-      if (task.phase === "assigned") task.phase = "waiting";
-      if (ended.kind === "failed" && !step.spec.longRunning) {
-        const failures = countFailure(step, task, ended.run);
-        if (failures >= attempts && !isOver(job)) job.failed = true;
-      }
-    }
-    if (step.left === 0) this.#finishStep(step);
-    if (job.failed) this.stopJob(job);
-    this.#settle(step);
-  }
-
-  #finishStep(step: StepRun): void {
-    const { job } = step;
-    const steps = job.occurrences.get(step.occurrence) ?? [];
-    if (steps.some((other) => other.left > 0)) return;
-    job.finishedOccurrences = [...job.occurrences.values()]
-      .filter((all) => all.every((other) => other.left === 0)).length;
-  }
-
-  /** A gang runs whole or not at all: the rest of a broken one is stopped. */
-  #settle(step: StepRun): void {
-    if (step.spec.gang && step.left > 0) {
-      const broken = step.tasks.some((task) => task.phase === "waiting");
-      if (broken) this.#stopStep(step);
-    }
-    reviewJob(this.#context, step.job);
-    this.#context.kick();
-  }
-
   #stopStep(step: StepRun): void {
     for (const task of step.tasks) {
       if (task.phase !== "assigned") continue;
@@ -303,35 +248,6 @@
     }
   }
 
-  #learn(run: Run, kind: EndingKind): void {
-    const { clock, durations, metrics } = this.#context;
-    const { worker, step } = run;
-    metrics.count("runs_ended", { how: kind });
-    if (kind === "done" && run.task.checkpoint === "") {
-      durations.learn(step.job.queue, clock.monotonic() - run.placedMs);
-    }
-    if (kind !== "done" && kind !== "failed") return;
-    const failed = kind === "failed" ? 1 : 0;
-    worker.failureShare += FAILURE_WEIGHT * (failed - worker.failureShare);
-    if (failed === 1 && worker.failureShare > FAILURE_LIMIT) {
-      this.#quarantine(worker);
-    }
-  }
-
-  #quarantine(worker: FleetWorker): void {
-    const { clock, fleet, log } = this.#context;
-    const now = clock.monotonic();
-    const all = [...fleet.workers.values()];
-    const avoided = all.filter((other) => other.avoidUntilMs > now).length;
-    if (avoided >= all.length * QUARANTINE_SHARE) return;
-    worker.avoidUntilMs = now + QUARANTINE_MS;
-    log.warn("worker.quarantined", {
-      worker: worker.id,
-      failureShare: worker.failureShare.toFixed(2),
-      forMs: QUARANTINE_MS,
-    });
-  }
-
   #logStart(run: Run, answer: StartAnswer, sentMs: number): void {
     const { log, metrics, clock, fence } = this.#context;
     const outcome = answer.type === "rejected" ? answer.reason : answer.type;
@@ -388,22 +304,6 @@
   return address === undefined ? undefined : { id: worker.id, address };
 }
 
-/** Counts a failed run: of the gang as a whole, or of its task. */
-function countFailure(step: StepRun, task: Task, run: number): number {
-  if (!step.spec.gang) return ++task.failures;
-  if (run > step.gangFailedRun) {
-    step.gangFailedRun = run;
-    step.gangFailures++;
-  }
-  return step.gangFailures;
-}
-
-function markDone(step: StepRun, task: Task): void {
-  if (task.phase === "done") return;
-  task.phase = "done";
-  step.left--;
-}
-
 /** One checkpoint for all members; any member's holds for the gang. */
 function gangCheckpoint(step: StepRun): string {
   const newest = [...step.tasks]
--- /dev/null
+++ b/src/cell/worker_list.ts
@@ -0,0 +1,97 @@
+/**
+ * Keeps the cell's workers in step with the platform's list.
+ *
+ * @module
+ */
+import { sleep } from "../clock.ts";
+import type { CellContext } from "./context.ts";
+import type { PlatformDirectory } from "./ports.ts";
+import type { WorkerEntry } from "./types.ts";
+
+/** The list is read this often, milliseconds; a leaving worker must be idle 2 s after its report. */
+const LIST_EVERY_MS = 700;
+/** Entries that lapsed with the store are back this long after its return, milliseconds; source: the platform's pages, and one reading of the list. */
+const LISTING_GRACE_MS = 2_700;
+
+/** Reads the list for one holder. */
+export class WorkerList {
+  readonly #context: CellContext;
+  readonly #directory: PlatformDirectory;
+  readonly #follow: (worker: string) => void;
+  #failedMs: number | undefined;
+  #closed = false;
+
+  /** `follow` is called for each worker that is listed. */
+  constructor(
+    context: CellContext,
+    directory: PlatformDirectory,
+    follow: (worker: string) => void,
+  ) {
+    this.#context = context;
+    this.#directory = directory;
+    this.#follow = follow;
+  }
+
+  /** Reads until it is closed. */
+  async run(): Promise<void> {
+    const { clock, log, fence } = this.#context;
+    while (!this.#closed) {
+      await sleep(clock, LIST_EVERY_MS);
+      if (this.#closed) return;
+      const result = await this.#directory.workers();
+      result.match(
+        ({ workers }) => this.take(workers),
+        (failure) => {
+          this.#failedMs = clock.monotonic();
+          log.warn("list.unread", {
+            fence,
+            failure: failure.type,
+            reason: failure.message,
+          });
+        },
+      );
+    }
+  }
+
+  /** Takes a list. */
+  take(entries: readonly WorkerEntry[]): void {
+    if (this.#closed) return;
+    for (const entry of entries) this.#takeEntry(entry);
+    if (this.#mayBeIncomplete()) return;
+    const listed = new Set(entries.map((entry) => entry.id));
+    for (const worker of this.#context.fleet.workers.values()) {
+      if (!worker.listed || listed.has(worker.id)) continue;
+      worker.listed = false;
+      this.#context.log.info("worker.unlisted", {
+        worker: worker.id,
+        runs: worker.runs.size,
+      });
+    }
+  }
+
+  /** Reads no more. */
+  close(): void {
+    this.#closed = true;
+  }
+
+  #takeEntry(entry: WorkerEntry): void {
+    const { fleet, log } = this.#context;
+    const worker = fleet.open(entry.id);
+    if (!worker.listed || worker.entry?.draining !== entry.draining) {
+      log.info("worker.listed", {
+        worker: entry.id,
+        address: entry.address,
+        draining: entry.draining,
+      });
+    }
+    worker.entry = entry;
+    worker.listed = true;
+    this.#follow(entry.id);
+  }
+
+  #mayBeIncomplete(): boolean {
+    if (this.#failedMs === undefined) return false;
+    const sinceMs = this.#context.clock.monotonic() - this.#failedMs;
+    return sinceMs < LISTING_GRACE_MS;
+  }
+}
