Probe a stuck lane until the store answers; test whole daemons against stand-ins

Cause (found by the new test with processes): a submission that was taken back left its lane with nothing to write, so the lane stayed stuck for ever; new submissions were refused and nothing started, long after the store's return. A stuck lane now goes on trying with an empty transaction. A unit test failed before.

standins/platform speaks the published interface of store and workers, testbed/platform_site starts daemons against them: whole way, death of the holder and of all, hand-over, lost answers, store away.

--- a/src/cell/cell_test.ts
+++ b/src/cell/cell_test.ts
@@ -215,6 +215,7 @@
   await world.clock.run(1_000);
   t.is(worker.starts.length, 0);
   t.is(cell.state("00000000000000b2"), undefined);
+  t.is(await world.submit(cell, [testStep()]), "accepted");
 });
 
 test("a submission whose write may have taken effect is not refused", async (t) => {
--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -160,7 +160,8 @@
     if (lane.busy || this.#closed) return;
     lane.busy = true;
     this.#options.clock.after(delayMs, () => {
-      lane.busy = lane.dirty.size > 0 || lane.forgotten.length > 0;
+      // A lane that got stuck goes on trying, or nobody would notice the store's return.
+      lane.busy = hasWork(lane) || lane.stuckSinceMs !== undefined;
       if (!lane.busy) return;
       this.#write(lane).catch((error) =>
         this.#options.log.error("joblog.failed", { reason: String(error) })
@@ -192,8 +193,8 @@
         for (const pending of batch.pending) settle(pending, "deposed");
         return;
     }
-    if (lane.dirty.size === 0 && lane.forgotten.length === 0) return;
-    this.#schedule(lane, fate.type === "written" ? GATHER_MS : RETRY_MS);
+    if (fate.type === "untouched") this.#schedule(lane, RETRY_MS);
+    else if (hasWork(lane)) this.#schedule(lane);
   }
 
   /** Lets jobs wait again that no transaction has carried. */
@@ -311,6 +312,10 @@
   | { readonly type: "untouched" }
   | { readonly type: "deposed" };
 
+function hasWork(lane: Lane): boolean {
+  return lane.dirty.size > 0 || lane.forgotten.length > 0;
+}
+
 function settle(pending: Pending, saved: Saved): void {
   for (const waiter of pending.waiters) waiter(saved);
 }
--- /dev/null
+++ b/testbed/platform_site_test.ts
@@ -0,0 +1,139 @@
+import test from "ava";
+import type { RecordedRun } from "../standins/platform/worker_server.ts";
+import { PlatformSite, type SiteDaemon, until } from "./platform_site.ts";
+
+const STEP = { count: 2, cpu: 1_000, "mem-mb": 100, "est-ms": 200 };
+const JOB = { spec: "text", steps: [STEP, { ...STEP, after: [0] }] };
+/** Longest wait for a job, milliseconds; generous, as other tests run beside. */
+const DONE_MS = 20_000;
+
+/** An id of a job. */
+function jobId(number: number): string {
+  return number.toString(16).padStart(16, "0");
+}
+
+async function submitted(
+  site: PlatformSite,
+  daemon: SiteDaemon,
+  id: string,
+): Promise<boolean> {
+  const accepted = await until(async () => {
+    const { status } = await site.call(daemon, "POST", id, JOB);
+    return status === 200 ? true : undefined;
+  }, DONE_MS);
+  return accepted === true;
+}
+
+async function done(
+  site: PlatformSite,
+  daemon: SiteDaemon,
+  id: string,
+): Promise<boolean> {
+  const state = await until(async () => {
+    const { body } = await site.call(daemon, "GET", id);
+    return body.state === "done" ? true : undefined;
+  }, DONE_MS);
+  return state === true;
+}
+
+/** Tasks that ran twice at a time, or again after they were done. */
+function doubled(record: readonly RecordedRun[]): readonly string[] {
+  return record.flatMap((run) =>
+    record.some((other) =>
+        other !== run && other.task === run.task &&
+        other.startedMs >= run.startedMs &&
+        (other.startedMs < (run.endedMs ?? Infinity) || run.how === "done")
+      )
+      ? [run.task]
+      : []
+  );
+}
+
+test("a job goes its whole way, from any daemon to any other", async (t) => {
+  const site = await PlatformSite.start({ daemons: 3, workers: 2 });
+  t.teardown(() => site.close());
+  const [first, second, third] = site.daemons as [
+    SiteDaemon,
+    SiteDaemon,
+    SiteDaemon,
+  ];
+  t.true(await submitted(site, first, jobId(1)));
+  t.true(await done(site, second, jobId(1)));
+  t.is(site.record.length, 4);
+  t.is((await site.call(third, "GET", jobId(2))).status, 410);
+  t.deepEqual((await site.call(third, "GET", "")).body, { waiting: 0 });
+  t.is((await site.call(first, "POST", "xyz", JOB)).status, 400);
+  t.is((await site.call(first, "POST", jobId(3), { steps: [] })).status, 400);
+});
+
+test("jobs survive the holder's death and the death of all", async (t) => {
+  const site = await PlatformSite.start({ daemons: 3, workers: 3 });
+  t.teardown(() => site.close());
+  const ids = Array.from({ length: 12 }, (_, index) => jobId(index + 1));
+  const holder = await site.holder();
+  const others = site.daemons.filter((daemon) => daemon !== holder);
+  for (const id of ids.slice(0, 6)) {
+    t.true(await submitted(site, others[0]!, id));
+  }
+  holder.child.kill("SIGKILL");
+  for (const id of ids.slice(6)) t.true(await submitted(site, others[1]!, id));
+  for (const daemon of others) daemon.child.kill("SIGKILL");
+  for (const daemon of site.daemons) site.restart(daemon);
+  for (const daemon of site.daemons) await site.ready(daemon);
+  for (const id of ids) t.true(await done(site, holder, id), id);
+  t.deepEqual(doubled(site.record), []);
+});
+
+test("a holder that is told to leave hands the cell over", async (t) => {
+  const site = await PlatformSite.start({ daemons: 2, workers: 2 });
+  t.teardown(() => site.close());
+  const holder = await site.holder();
+  const other = site.daemons.find((daemon) => daemon !== holder)!;
+  t.true(await submitted(site, holder, jobId(1)));
+  holder.child.kill("SIGTERM");
+  t.true(await submitted(site, holder, jobId(2)));
+  t.true(await done(site, other, jobId(1)));
+  t.true(await done(site, other, jobId(2)));
+  t.is(site.lastHolder(), other);
+  t.deepEqual(doubled(site.record), []);
+});
+
+test("lost answers of workers and of the store double nothing", async (t) => {
+  const site = await PlatformSite.start({ daemons: 2, workers: 2 });
+  t.teardown(() => site.close());
+  for (const worker of site.workers) worker.losesAnswers = true;
+  t.true(await submitted(site, site.daemons[0]!, jobId(1)));
+  t.true(await done(site, site.daemons[0]!, jobId(1)));
+  for (const worker of site.workers) worker.losesAnswers = false;
+  const waiting = submitted(site, site.daemons[1]!, jobId(2));
+  site.store.mood = "loses answers";
+  await new Promise((resolve) => setTimeout(resolve, 1_000));
+  site.store.mood = "well";
+  t.true(await waiting);
+  t.true(await done(site, site.daemons[1]!, jobId(2)));
+  t.deepEqual(doubled(site.record), []);
+});
+
+test("while the store is away submissions are refused and runs go on", async (t) => {
+  const site = await PlatformSite.start({ daemons: 2, workers: 1 });
+  t.teardown(() => site.close());
+  for (const worker of site.workers) worker.workMs = 3_000;
+  t.true(await submitted(site, site.daemons[0]!, jobId(1)));
+  t.truthy(await until(() => site.record[0], DONE_MS));
+  site.store.mood = "busy";
+  const refused = await until(async () => {
+    const { status } = await site.call(
+      site.daemons[1]!,
+      "POST",
+      jobId(2),
+      JOB,
+    );
+    return status === 503 ? true : undefined;
+  }, DONE_MS);
+  t.true(refused);
+  await new Promise((resolve) => setTimeout(resolve, 3_000));
+  t.deepEqual(site.record.map((run) => run.how), ["done", "done"]);
+  site.store.mood = "well";
+  t.true(await done(site, site.daemons[0]!, jobId(1)));
+  t.deepEqual(doubled(site.record), []);
+});
