Count an end once, also when the next holder hears of it again

Tasks record the last run whose end was applied; gangs the last failed run.

A broken link to the holder counts as not hearing it. A line for each job that fails for good.

Ruled out: a longer Retry-After.

--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -107,6 +107,8 @@
     string,
     { run: number; checkpoint: string; percent: number }
   >();
+  /** Acknowledgements are lost on their way. */
+  keepsEnds = false;
   /** Its tasks stand still. */
   stalled = false;
   readonly starts: StartOrder[] = [];
@@ -186,7 +188,9 @@
   /** Reports, and forgets what is acknowledged. */
   report(acknowledged: number): WorkerReport {
     this.acknowledged = Math.max(this.acknowledged, acknowledged);
-    this.ended = this.ended.filter((end) => end.number > acknowledged);
+    if (!this.keepsEnds) {
+      this.ended = this.ended.filter((end) => end.number > acknowledged);
+    }
     const running = [...this.running].map(([task, held]): ReportedRun => ({
       task,
       run: held.run,
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -24,8 +24,14 @@
 import { WeightMeter } from "./weight_meter.ts";
 import { WorkerList } from "./worker_list.ts";
 
-/** A submission is refused while the store has not answered for so long, milliseconds. */
-const STORE_STUCK_MS = 300;
+/** While the store does not answer a submission waits for this part of its queue's objective; source: the platform prices refusals that come later. */
+const PATIENCE = 0.25;
+/** Time that is left of that for the answer's way, milliseconds. */
+const PATIENCE_MARGIN_MS = 20;
+/** Longest such wait, milliseconds: clients come back after a second. */
+const MAX_PATIENCE_MS = 600;
+/** A waiting submission is looked at this often, milliseconds. */
+const LOOK_EVERY_MS = 40;
 /** A former holder that hears nobody stops within this time, milliseconds. */
 export const HOLD_LIMIT_MS = 2_000;
 
@@ -231,14 +237,11 @@
   }
 
   async #accept(submission: Submission): Promise<SubmitOutcome> {
-    const { jobs, set, jobLog, log, clock, metrics, fence } = this.#context;
+    const { jobs, set, log, clock, metrics, fence } = this.#context;
     const policy = set().queues.find((queue) =>
       queue.name === submission.queue
     );
     if (policy === undefined) return { type: "unknown" };
-    if (jobLog.stuckMs() > STORE_STUCK_MS) {
-      return { type: "refused", reason: "storeAway" };
-    }
     const startedMs = clock.monotonic();
     const team = set().teams.find((one) => one.name === submission.team);
     const job = newJob({
@@ -269,17 +272,23 @@
     return outcome;
   }
 
-  /** Waits for the store, and takes the job back if no transaction carries it yet. */
+  /** Waits for the store; takes the job back if the store is away and no transaction carries it. */
   async #stored(job: Job): Promise<SubmitOutcome> {
     const { clock, jobLog } = this.#context;
+    const patienceMs = Math.min(
+      MAX_PATIENCE_MS,
+      PATIENCE * job.policy.objectiveMs - PATIENCE_MARGIN_MS,
+    );
+    const endMs = clock.monotonic() + patienceMs;
     const saving = persist(this.#context, job, { submission: true });
     for (;;) {
       const saved = await Promise.race([
         saving,
-        sleep(clock, STORE_STUCK_MS).then(() => undefined),
+        sleep(clock, LOOK_EVERY_MS).then(() => undefined),
       ]);
       if (saved === "saved") return { type: "accepted" };
       if (saved === "deposed") return { type: "unknown" };
+      if (clock.monotonic() < endMs || jobLog.stuckMs() === 0) continue;
       if (jobLog.withdraw(job)) return { type: "refused", reason: "storeAway" };
     }
   }
--- a/src/cell/endings.ts
+++ b/src/cell/endings.ts
@@ -39,7 +39,10 @@
     if (current) this.#context.fleet.release(run);
     // A run that was given up too early counts if nothing has replaced it.
     const mattersStill = task.phase === "waiting" && task.run === ended.run;
-    if (!current && !mattersStill) return undefined;
+    // A former holder may have applied it without acknowledging it.
+    const isNew = task.endedRun < ended.run;
+    if (!isNew || !current && !mattersStill) return undefined;
+    task.endedRun = ended.run;
     if (current) this.#learn(run, ended.kind);
     if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
     this.#apply(found, ended);
@@ -50,6 +53,8 @@
     { step, task }: { readonly step: StepRun; readonly task: Task },
     ended: ReportedEnd,
   ): void {
+    // The other members of a gang are done with the first that tells of it.
+    if (task.phase === "done") return;
     const { job } = step;
     const attempts = queueOf(this.#context, job).attempts;
     if (ended.kind === "done" && !step.spec.longRunning) {
@@ -59,7 +64,9 @@
       if (task.phase === "assigned") task.phase = "waiting";
       if (ended.kind === "failed" && !step.spec.longRunning) {
         const failures = countFailure(step, task, ended.run);
-        if (failures >= attempts && !isOver(job)) job.failed = true;
+        if (failures >= attempts && !isOver(job)) {
+          this.#fail(job, { task, failures, attempts });
+        }
       }
     }
     if (step.left === 0) this.#finishStep(step);
@@ -67,6 +74,27 @@
     this.#runs.settle(step);
   }
 
+  #fail(
+    job: Job,
+    { task, failures, attempts }: {
+      readonly task: Task;
+      readonly failures: number;
+      readonly attempts: number;
+    },
+  ): void {
+    const { log, fence, set } = this.#context;
+    job.failed = true;
+    log.info("job.failed", {
+      job: job.id,
+      task: task.id,
+      run: task.run,
+      failures,
+      attempts,
+      set: set().version,
+      fence,
+    });
+  }
+
   #finishStep(step: StepRun): void {
     const { job } = step;
     const steps = job.occurrences.get(step.occurrence) ?? [];
--- a/src/cell/holder_news.ts
+++ b/src/cell/holder_news.ts
@@ -47,7 +47,7 @@
 
   /** Whether the holder itself makes itself heard. */
   get hears(): boolean {
-    return this.#hears && this.silenceMs < this.#limitMs();
+    return this.#hears && !this.#linkLost && this.silenceMs < this.#limitMs();
   }
 
   /** Whether it has been silent for `extraMs` longer than it should be. */
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -15,6 +15,8 @@
   phase: TaskPhase;
   /** Number of its last run; 0 before the first. */
   run: number;
+  /** Last run whose end has been applied; its worker may tell of it again. */
+  endedRun: number;
   /** Runs that ended in failure. */
   failures: number;
   /** Worker of its last run; empty before the first. */
@@ -122,6 +124,7 @@
       index: task,
       phase: "waiting",
       run: 0,
+      endedRun: 0,
       failures: 0,
       worker: "",
       checkpoint: "",
--- a/src/cell/records.ts
+++ b/src/cell/records.ts
@@ -81,15 +81,20 @@
   owed: t.boolean,
   spec: SpecRecord,
 });
-/** Phase, run, failures, worker, checkpoint. */
-const TaskRecord = t.tuple([t.number, t.number, t.number, t.string, t.string]);
+/** Phase, run, last ended run, failures. */
+const TaskNumbers = t.tuple([t.number, t.number, t.number, t.number]);
+/** Numbers, worker, checkpoint. */
+const TaskRecord = t.tuple([TaskNumbers, t.string, t.string]);
 const ProgressRecord = t.type({
   canceled: t.boolean,
   failed: t.boolean,
   finished: t.number,
-  /** Occurrence, then for each step the failures of its gang and its tasks. */
+  /** Occurrence, then for each step the failures of its gang, the last failed run and its tasks. */
   occurrences: t.array(
-    t.tuple([t.number, t.array(t.tuple([t.number, t.array(TaskRecord)]))]),
+    t.tuple([
+      t.number,
+      t.array(t.tuple([t.number, t.number, t.array(TaskRecord)])),
+    ]),
   ),
 });
 const EndRecord = t.type({
@@ -98,6 +103,9 @@
   atMs: t.number,
 });
 
+/** How the record of an end begins. */
+const END_START = '{"end":';
+
 const PHASES: readonly TaskPhase[] = ["waiting", "assigned", "done"];
 
 /** Encodes what was submitted. */
@@ -110,7 +118,11 @@
 export function encodeProgress(job: Job): string {
   const occurrences = [...job.occurrences].map(([occurrence, steps]) => [
     occurrence,
-    steps.map((step) => [step.gangFailures, step.tasks.map(encodeTask)]),
+    steps.map((step) => [
+      step.gangFailures,
+      step.gangFailedRun,
+      step.tasks.map(encodeTask),
+    ]),
   ]);
   const progress = {
     canceled: job.canceled,
@@ -140,8 +152,10 @@
   return job;
 }
 
-/** Decodes an end; `undefined` if the record is none. */
+/** Decodes an end; `undefined` if the record tells of progress. */
 export function decodeEnd(id: string, text: string): EndedJob | undefined {
+  // A decoder that fails costs more than this look, and most records are ends.
+  if (!text.startsWith(END_START)) return undefined;
   const record = decode(EndRecord, text);
   if (record === undefined) return undefined;
   return {
@@ -162,10 +176,11 @@
   for (const [occurrence, steps] of record.occurrences) {
     const opened = job.occurrences.get(occurrence) ??
       openOccurrence(job, occurrence);
-    for (const [index, [gangFailures, tasks]] of steps.entries()) {
+    for (const [index, [failures, failedRun, tasks]] of steps.entries()) {
       const step = opened[index];
       if (step === undefined) return false;
-      step.gangFailures = gangFailures;
+      step.gangFailures = failures;
+      step.gangFailedRun = failedRun;
       for (const [place, encoded] of tasks.entries()) {
         restoreTask(step, step.tasks[place], encoded);
       }
@@ -176,17 +191,22 @@
 
 function encodeTask(task: Task): typeof TaskRecord._A {
   const phase = PHASES.indexOf(task.phase);
-  return [phase, task.run, task.failures, task.worker, task.checkpoint];
+  return [
+    [phase, task.run, task.endedRun, task.failures],
+    task.worker,
+    task.checkpoint,
+  ];
 }
 
 function restoreTask(
   step: StepRun,
   task: Task | undefined,
-  [phase, run, failures, worker, checkpoint]: typeof TaskRecord._A,
+  [[phase, run, endedRun, failures], worker, checkpoint]: typeof TaskRecord._A,
 ): void {
   if (task === undefined) return;
   task.phase = PHASES[phase] ?? "waiting";
   task.run = run;
+  task.endedRun = endedRun;
   task.failures = failures;
   task.worker = worker;
   task.checkpoint = checkpoint;
