--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,52 @@
+/**
+ * `npm run -s soak -- --seeds 50 --first 1 --seconds 15`: seeded runs, a line
+ * each; logs of a run with findings are kept in a folder.
+ *
+ * @module
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { Command } from "commander";
+import { soak } from "./soak.ts";
+
+const program = new Command("soak")
+  .option("--seeds <number>", "runs", "1")
+  .option("--first <number>", "first seed", String(Date.now() % 1_000_000))
+  .option("--seconds <number>", "time under faults", "15")
+  .option("--daemons <number>", "processes", "4")
+  .option("--workers <number>", "workers", "5")
+  .option("--keep <folder>", "where logs of findings go", "soak-findings")
+  .parse(process.argv);
+
+const given = program.opts<Record<string, string>>();
+const first = Number(given.first);
+let broken = 0;
+for (let seed = first; seed < first + Number(given.seeds); seed++) {
+  const result = await soak({
+    seed,
+    lengthMs: 1000 * Number(given.seconds),
+    daemons: Number(given.daemons),
+    workers: Number(given.workers),
+  });
+  const { jobs, accepted, runs, faults, findings } = result;
+  console.log(
+    `seed=${seed} jobs=${jobs} accepted=${accepted} runs=${runs} ` +
+      `faults=${faults.length} findings=${findings.length}`,
+  );
+  if (findings.length === 0) continue;
+  broken++;
+  for (const { promise, about } of findings.slice(0, 10)) {
+    console.log(`  ${promise}: ${about}`);
+  }
+  const folder = given.keep ?? "soak-findings";
+  mkdirSync(folder, { recursive: true });
+  const text = [
+    ...findings.map((finding) => JSON.stringify(finding)),
+    ...faults,
+    ...result.logs.toSorted(),
+  ].join("\n");
+  writeFileSync(join(folder, `${seed}.log`), text);
+}
+console.log(`seeds=${given.seeds} broken=${broken}`);
+process.exit(broken > 0 ? 1 : 0);
--- /dev/null
+++ b/soak/soak_test.ts
@@ -0,0 +1,55 @@
+import test from "ava";
+import type { RecordedRun } from "../standins/platform/worker_server.ts";
+import { check, type ClientJob, twice } from "./checks.ts";
+import { soak } from "./soak.ts";
+
+const RUN: RecordedRun = {
+  worker: "w1",
+  task: "00000000000000aa.0.0.0",
+  run: 1,
+  startedMs: 0,
+  endedMs: 10,
+  how: "done",
+  acknowledged: true,
+};
+const JOB: ClientJob = {
+  id: "00000000000000aa",
+  tasks: 1,
+  tries: [200],
+  canceled: false,
+  state: "done",
+};
+const LIMITS = { room: 1, canceledMs: new Map<string, number>() };
+
+test("checks: a sound record has no finding", (t) => {
+  t.deepEqual(check([JOB], [RUN], LIMITS), []);
+});
+
+test("checks: two runs at once, and a run after an acknowledged end", (t) => {
+  const beside = { ...RUN, worker: "w2", run: 2, startedMs: 5 };
+  const after = { ...RUN, run: 2, startedMs: 20, endedMs: 30 };
+  t.is(twice([RUN, beside]).length, 1);
+  t.is(twice([RUN, after]).length, 1);
+  t.is(twice([{ ...RUN, acknowledged: false }, after]).length, 0);
+});
+
+test("checks: a lost job, a refused one that ran, an overfilled worker", (t) => {
+  const promises = (jobs: readonly ClientJob[], runs: readonly RecordedRun[]) =>
+    check(jobs, runs, LIMITS).map((finding) => finding.promise);
+  t.deepEqual(promises([{ ...JOB, state: "pending" }], []), ["lost"]);
+  t.deepEqual(promises([{ ...JOB, tries: [503, 503] }], [RUN]), ["refused"]);
+  const other = { ...RUN, task: "00000000000000bb.0.0.0", startedMs: 5 };
+  t.deepEqual(promises([JOB], [RUN, other]), ["overfilled"]);
+});
+
+test("a short run with a fixed seed has no finding", async (t) => {
+  t.timeout(110_000);
+  const result = await soak({
+    seed: 7,
+    lengthMs: 5_000,
+    daemons: 3,
+    workers: 3,
+  });
+  t.deepEqual(result.findings, []);
+  t.true(result.accepted > 0);
+});
--- a/standins/platform/worker_server.ts
+++ b/standins/platform/worker_server.ts
@@ -24,6 +24,8 @@
   readonly startedMs: number;
   endedMs?: number;
   how?: string;
+  /** Whether the end was acknowledged: it stands for good. */
+  acknowledged?: boolean;
 }
 
 /** Longest lease that the worker gives, milliseconds. */
@@ -86,6 +88,19 @@
     await this.endpoint.close();
   }
 
+  /** Ends all that runs and starts anew under the same id; gives the entry to list. */
+  async restart(service: string): Promise<Record<string, unknown>> {
+    for (const [task] of [...this.#running]) this.#end(task, "lost");
+    await this.endpoint.close();
+    this.#forbidden.clear();
+    this.#ended = [];
+    this.#ends = 0;
+    this.#fence = 0;
+    this.#untilMs = 0;
+    this.#bornMs = Math.max(Date.now(), this.#bornMs + 1);
+    return await this.start(service);
+  }
+
   async #handle(call: StandinCall): Promise<StandinAnswer> {
     const expected = call.headers["zinniapoint-expect-instance"];
     if (expected !== undefined && expected !== this.id) return { status: 421 };
@@ -134,6 +149,11 @@
   // deno-lint-ignore no-explicit-any -- the published JSON as it is.
   async #hold(body: any): Promise<StandinAnswer> {
     this.#renew(body["until-ms"]);
+    for (const [n, task, run] of this.#ended) {
+      if (n > body["acked-upto"]) continue;
+      const recorded = this.#recorded(task, run);
+      if (recorded !== undefined) recorded.acknowledged = true;
+    }
     this.#ended = this.#ended.filter(([n]) => n > body["acked-upto"]);
     if (this.#ended.length === 0 && body["wait-ms"] > 0) {
       await new Promise<void>((resolve) => {
@@ -167,10 +187,7 @@
     this.#forbidden.set(task, running.run);
     this.#ends++;
     this.#ended.push([this.#ends, task, running.run, how, ""]);
-    const recorded = this.#record.find((one) =>
-      one.worker === this.id && one.task === task && one.run === running.run &&
-      one.endedMs === undefined
-    );
+    const recorded = this.#recorded(task, running.run);
     if (recorded !== undefined) {
       recorded.endedMs = Date.now();
       recorded.how = how;
@@ -178,6 +195,12 @@
     this.#wake();
   }
 
+  #recorded(task: string, run: number): RecordedRun | undefined {
+    return this.#record.findLast((one) =>
+      one.worker === this.id && one.task === task && one.run === run
+    );
+  }
+
   #renew(untilMs: number | undefined): void {
     if (untilMs === undefined) return;
     const most = this.#clockMs() + MAX_LEASE_MS;
--- a/testbed/platform_site.ts
+++ b/testbed/platform_site.ts
@@ -16,9 +16,11 @@
   type RecordedRun,
   WorkerServer,
 } from "../standins/platform/worker_server.ts";
+import { LOOPBACK } from "./loopback.ts";
 import { freePorts } from "./processes.ts";
 
-const SERVICE = "copier";
+/** The service of the site's workers. */
+export const SERVICE = "copier";
 const HOST = "shop.example";
 /** Path of the site's one queue. */
 export const QUEUE = "/receipts/";
@@ -26,6 +28,8 @@
 /** Time within which a daemon is to be ready, milliseconds. */
 const READY_MS = 15_000;
 const LOOK_EVERY_MS = 20;
+/** A call without a byte for so long is given up, milliseconds: clients wait 3 s. */
+const CALL_TIMEOUT_MS = 4_000;
 
 /** A daemon of the site. */
 export interface SiteDaemon {
@@ -44,6 +48,13 @@
   readonly body: { readonly state?: string; readonly waiting?: number };
 }
 
+/** Gives the address under which `name` is to be reached, for instance a proxy's. */
+export type Route = (
+  kind: "store" | "worker",
+  name: string,
+  address: () => string,
+) => Promise<string>;
+
 /** The site. */
 export class PlatformSite {
   readonly store = new KvServer();
@@ -51,32 +62,62 @@
   /** Every run of every worker. */
   readonly record: RecordedRun[] = [];
   readonly daemons: SiteDaemon[] = [];
+  readonly #listed = new Map<string, string>();
   readonly #folder = mkdtempSync(join(tmpdir(), "platform-site-"));
+  readonly #route: Route;
+
+  /** `route`: where daemons reach the store and the workers. */
+  constructor(
+    route: Route = (_kind, _name, address) => Promise.resolve(address()),
+  ) {
+    this.#route = route;
+  }
 
   /** Starts store, workers and daemons, and waits until all are ready. */
   static async start(
-    { daemons, workers }: {
+    { daemons, workers, route }: {
       readonly daemons: number;
       readonly workers: number;
+      readonly route?: Route;
     },
   ): Promise<PlatformSite> {
-    const site = new PlatformSite();
-    await site.store.endpoint.listen();
-    site.store.put("op/config", configuration());
-    for (let i = 0; i < workers; i++) await site.addWorker(`i-${i}`);
-    for (let i = 0; i < daemons; i++) await site.addDaemon(`edge-${i}`);
-    await Promise.all(site.daemons.map((daemon) => site.ready(daemon)));
+    const site = new PlatformSite(route);
+    try {
+      await site.#open(daemons, workers);
+    } catch (error) {
+      await site.close();
+      throw error;
+    }
     return site;
   }
 
+  async #open(daemons: number, workers: number): Promise<void> {
+    await this.store.endpoint.listen();
+    this.store.put("op/config", configuration());
+    for (let i = 0; i < workers; i++) await this.addWorker(`i-${i}`);
+    for (let i = 0; i < daemons; i++) await this.addDaemon(`edge-${i}`);
+    await Promise.all(this.daemons.map((daemon) => this.ready(daemon)));
+  }
+
   /** Adds a worker and lists it. */
   async addWorker(id: string): Promise<WorkerServer> {
     const worker = new WorkerServer(id, this.record);
-    this.store.put(`servers/${id}`, await worker.start(SERVICE));
+    const entry = await worker.start(SERVICE);
+    const address = () => worker.endpoint.address;
+    const addr = await this.#route("worker", id, address);
+    this.#listed.set(id, addr);
+    this.store.put(`servers/${id}`, { ...entry, addr });
     this.workers.push(worker);
     return worker;
   }
 
+  /** Crashes a worker and starts it anew under its id. */
+  async restartWorker(worker: WorkerServer): Promise<void> {
+    const entry = await worker.restart(SERVICE);
+    const addr = this.#listed.get(worker.id);
+    this.store.put(`servers/${worker.id}`, { ...entry, addr });
+  }
+
   /** Adds a daemon; it may not be ready yet. */
   async addDaemon(name: string): Promise<SiteDaemon> {
     const [client, ready, peers, metrics] = await freePorts(4);
@@ -88,7 +129,11 @@
         ready: ready!,
         peers: peers!,
         metrics: metrics!,
-        store: this.store.endpoint.address,
+        store: await this.#route(
+          "store",
+          name,
+          () => this.store.endpoint.address,
+        ),
       }),
     );
     const daemon: SiteDaemon = {
@@ -203,10 +248,11 @@
   return new Promise((resolve) => {
     const broken = () => resolve({ status: 0, body: {} });
     const sent = request({
-      host: "127.0.0.1",
+      host: LOOPBACK,
       port,
       method,
       path,
+      timeout: CALL_TIMEOUT_MS,
       headers: { host: HOST, "content-type": "application/json" },
     }, (response) => {
       let text = "";
@@ -220,6 +266,7 @@
         }));
     });
     sent.on("error", broken);
+    sent.on("timeout", () => sent.destroy());
     sent.end(body === undefined ? undefined : JSON.stringify(body));
   });
 }
@@ -256,13 +303,13 @@
 ): string {
   return `
 node-name: "${name}"
-ip: "127.0.0.1"
+ip: "${LOOPBACK}"
 zone: "a"
 zones: { a: "north" }
 listen:
-  front: "127.0.0.1:${ports.client}"
-  ready: "127.0.0.1:${ports.ready}"
-  control: "127.0.0.1:${ports.peers}"
+  front: "${LOOPBACK}:${ports.client}"
+  ready: "${LOOPBACK}:${ports.ready}"
+  control: "${LOOPBACK}:${ports.peers}"
 port-range: [${ports.peers}, ${ports.metrics}]
 bounds: { hold-max-ms: 6000, grace-s: 6, status_s: 120 }
 platform: { addr: "${ports.store}" }
