Keep the platform's names in platform/: move its stand-ins there

The stand-ins of store and workers and the site of processes speak the platform's interface, so they stand beside the adapter, with the submissions' bodies that the soak uses. No name of the platform is left in TypeScript outside platform/. Ports are handed out once by a testbed, as two daemons of one site could be given the same one before either listened (seen in three batches of the soak).

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { RecordedRun } from "../standins/platform/worker_server.ts";
+import type { RecordedRun } from "../platform/standins/worker_server.ts";
 
 /** A submission as its client saw it. */
 export interface ClientJob {
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -9,8 +9,9 @@
 import {
   PlatformSite,
   type SiteDaemon,
+  submissionBody,
   until,
-} from "../testbed/platform_site.ts";
+} from "../platform/standins/site.ts";
 import { check, type ClientJob, type Finding } from "./checks.ts";
 import { Proxy, type ProxyMood } from "./proxy.ts";
 
@@ -130,12 +131,8 @@
   async #client(number: number): Promise<void> {
     const id = number.toString(16).padStart(16, "0");
     const width = this.#random(1, 3);
-    const step = { count: width, cpu: 1_000, "mem-mb": 100, "est-ms": 300 };
-    const gang = this.#random(1, 4) === 1 ? { gang: true } : {};
-    const body = {
-      spec: id,
-      steps: [{ ...step, ...gang }, { ...step, after: [0] }],
-    };
+    const gang = this.#random(1, 4) === 1;
+    const body = submissionBody({ payload: id, steps: 2, tasks: width, gang });
     const job: ClientJob = {
       id,
       tasks: 2 * width,
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { RecordedRun } from "../standins/platform/worker_server.ts";
+import type { RecordedRun } from "../platform/standins/worker_server.ts";
 import { check, type ClientJob, twice } from "./checks.ts";
 import { soak } from "./soak.ts";
 
--- a/testbed/processes.ts
+++ b/testbed/processes.ts
@@ -78,14 +78,19 @@
   });
 }
 
+/** Ports that this process has handed out; their users may not listen yet. */
+const handedOut = new Set<number>();
+
 /** Ports of this machine that are free now, and that no socket is given unasked. */
 export async function freePorts(count: number): Promise<number[]> {
-  const ports = new Set<number>();
-  while (ports.size < count) {
+  const ports: number[] = [];
+  while (ports.length < count) {
     const port = randomInt(FIRST_PORT, LAST_PORT);
-    if (await isFree(port)) ports.add(port);
+    if (handedOut.has(port) || !await isFree(port)) continue;
+    handedOut.add(port);
+    ports.push(port);
   }
-  return [...ports];
+  return ports;
 }
 
 /** A process of the testbed did not start. */
