Renew a worker's lease only with an order that is sent

Cause (read-through): a start that was given up before its order counted as a renewal, so the bound of an unreachable worker's lease moved on without one. Ruled out as a broken rule: the bound was only ever too late. Tests of the cell pass as before (32).

--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -179,13 +179,9 @@
     const { clock, orders, fence, holds } = this.#context;
     const { step, task, worker } = run;
     const address = addressOf(worker);
-    const leaseUntilMs = this.leaseFor(worker);
     const wanted = worker.runs.get(task.id) === run && !run.stopping;
     if (!wanted) return;
-    if (
-      isOver(step.job) || !holds() || address === undefined ||
-      leaseUntilMs === undefined
-    ) {
+    if (isOver(step.job) || !holds() || address === undefined) {
       return this.lose(run, "notOrdered");
     }
     const sentMs = clock.monotonic();
@@ -193,6 +189,9 @@
     if (ticketMs !== undefined && sentMs - run.placedMs > ticketMs) {
       return this.lose(run, "ticketExpired");
     }
+    // Asked for last: it counts as a renewal that the worker may get.
+    const leaseUntilMs = this.leaseFor(worker);
+    if (leaseUntilMs === undefined) return this.lose(run, "notOrdered");
     const answer = await orders.start(address, {
       task: task.id,
       run: run.number,
