Let strong machines hold the cell

Members now tell the power of their machine; the strong ones try first, and a machine of half the power or less waits 1.5 s longer.

Ruled out: the store's outage (it had returned), a stuck lane (mended before).

--- a/src/cell/cell_record.ts
+++ b/src/cell/cell_record.ts
@@ -11,6 +11,7 @@
 const Record = t.type({
   name: t.string,
   address: t.string,
+  cores: t.number,
   boot: t.string,
   fence: t.number,
 });
@@ -30,6 +31,8 @@
   readonly name: string;
   /** `host:port` for other instances. */
   readonly address: string;
+  /** Processing power of its machine, cores. */
+  readonly cores: number;
 }
 
 /** Keys of the instances. */
@@ -56,12 +59,17 @@
   }
 }
 
+/** Encodes the entry of an instance. */
+export function encodeMember(member: Member): string {
+  return `${member.address} ${member.cores}`;
+}
+
 /** Decodes the entry of an instance; `undefined` if it is none. */
 export function decodeMember(entry: Entry): Member | undefined {
   const name = entry.key.slice(MEMBERS_PREFIX.length);
-  return /^[^:\s]+:\d+$/.test(entry.value)
-    ? { name, address: entry.value }
-    : undefined;
+  const parts = /^([^:\s]+:\d+) (\d+(?:\.\d+)?)$/.exec(entry.value);
+  if (parts === null) return undefined;
+  return { name, address: parts[1] ?? "", cores: Number(parts[2]) };
 }
 
 /** The writes that make an instance the holder. */
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -25,6 +25,10 @@
 
 /** Each further candidate waits so much longer, milliseconds: a takeover's write and its news. */
 const RANK_MS = 100;
+/** A machine is weak beside one of so many times its power. */
+const WEAK_FACTOR = 2;
+/** Weak candidates wait so much longer, milliseconds: the restart of a strong one. */
+const WEAK_MS = 1_500;
 /** Pause after a failed try, milliseconds. */
 const AGAIN_MS = 300;
 /** State is looked at this often, milliseconds. */
@@ -108,8 +112,8 @@
     if (this.#holding !== undefined || this.#known === undefined) {
       return undefined;
     }
-    const { name, address } = this.#known.record;
-    return { name, address };
+    const { name, address, cores } = this.#known.record;
+    return { name, address, cores };
   }
 
   /** Milliseconds since the holder was heard of. */
@@ -178,6 +182,7 @@
     this.#serve();
     const { clock } = this.#options;
     await this.#roster.register();
+    await this.#roster.learn();
     await this.#readRecord();
     void this.#teller.run();
     for (;;) {
@@ -307,24 +312,41 @@
     if (this.#leaving || this.#trying) return false;
     const { clock, self } = this.#options;
     if (clock.monotonic() < this.#retryAtMs) return false;
-    const delay = this.#ranked().indexOf(self.name) * RANK_MS;
+    const rank = this.#ranked().indexOf(self.name);
+    const delay = rank * RANK_MS + (this.#isWeak() ? WEAK_MS : 0);
+    // A weak machine that held the cell before its restart waits like any other.
     const own = this.#known?.record.name === self.name;
-    if (own) return true;
+    if (own && !this.#isWeak()) return true;
     return this.#news.isSilent(Math.max(0, delay));
   }
 
-  /** Candidates in the order in which they try; it changes with each holder. */
+  /**
+   * Candidates in the order in which they try: the strong machines first, as
+   * the holder does the work of all; among equals it changes with each holder.
+   */
   #ranked(): readonly string[] {
     const { self } = this.#options;
-    const names = new Set([
-      self.name,
-      ...this.#roster.members.map((member) => member.name),
-    ]);
-    names.delete(this.#known?.record.name ?? "");
-    if (this.#holding !== undefined) names.delete(self.name);
-    const sorted = [...names].sort();
-    const turn = this.fence % Math.max(1, sorted.length);
-    return [...sorted.slice(turn), ...sorted.slice(0, turn)];
+    const others = this.#roster.members.filter((member) =>
+      member.name !== self.name
+    );
+    const all = this.#holding === undefined ? [self, ...others] : others;
+    const candidates = all
+      .filter((member) => member.name !== this.#known?.record.name)
+      .sort((a, b) => a.name < b.name ? -1 : 1);
+    const turn = this.fence % Math.max(1, candidates.length);
+    return [...candidates.slice(turn), ...candidates.slice(0, turn)]
+      .sort((a, b) => b.cores - a.cores)
+      .map((member) => member.name);
+  }
+
+  /** Whether a machine of at least twice the power takes part. */
+  #isWeak(): boolean {
+    const { self } = this.#options;
+    const strongest = Math.max(
+      self.cores,
+      ...this.#roster.members.map((member) => member.cores),
+    );
+    return WEAK_FACTOR * self.cores <= strongest;
   }
 
   async #take({ asked }: { readonly asked: boolean }): Promise<void> {
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -49,8 +49,8 @@
   readonly holding = new Set<string>();
   readonly fences: number[] = [];
 
-  start(name: string, boot = name): Leadership {
-    const self: Member = { name, address: `${name}:1` };
+  start(name: string, { boot = name, cores = 1 } = {}): Leadership {
+    const self: Member = { name, address: `${name}:1`, cores };
     const { clock, store } = this;
     const set = new SetInForce(
       {
@@ -117,10 +117,10 @@
 
 test("a process that starts anew does not hold what it held before", async (t) => {
   const world = new Instances();
-  world.start("a", "boot-1");
+  world.start("a", { boot: "boot-1" });
   await world.clock.run(1_500);
   world.holding.clear();
-  world.start("a", "boot-2");
+  world.start("a", { boot: "boot-2" });
   await world.clock.run(500);
   t.true(world.fences.includes(2));
 });
@@ -160,3 +160,27 @@
   await world.clock.run(4_000);
   t.true(first.holds());
 });
+
+test("a strong machine takes the cell before many weak ones", async (t) => {
+  const world = new Instances();
+  world.start("a", { cores: 1.35 });
+  await world.clock.run(1_000);
+  for (const name of ["b", "c", "d", "e"]) world.start(name, { cores: 0.3 });
+  world.start("z", { cores: 1.35 });
+  await world.clock.run(1_000);
+  world.network.cut.add("a");
+  await world.clock.run(1_500);
+  t.true(world.holding.has("z"));
+  t.deepEqual(world.fences, [1, 2]);
+});
+
+test("weak machines take the cell where no strong one does", async (t) => {
+  const world = new Instances();
+  world.start("a", { cores: 1.35 });
+  await world.clock.run(1_000);
+  for (const name of ["b", "c"]) world.start(name, { cores: 0.3 });
+  await world.clock.run(1_000);
+  world.network.cut.add("a");
+  await world.clock.run(3_500);
+  t.deepEqual(world.fences, [1, 2]);
+});
--- a/src/cell/protocol.ts
+++ b/src/cell/protocol.ts
@@ -22,7 +22,11 @@
   maxBodyBytes: t.number,
 });
 
-const Member = t.type({ name: t.string, address: t.string });
+const Member = t.type({
+  name: t.string,
+  address: t.string,
+  cores: t.number,
+});
 
 const Status = t.type({
   holder: Member,
--- a/src/cell/roster.ts
+++ b/src/cell/roster.ts
@@ -6,7 +6,12 @@
 import type { Clock } from "../clock.ts";
 import type { Log } from "../logger.ts";
 import type { Write } from "../ports/store.ts";
-import { decodeMember, type Member, MEMBERS_PREFIX } from "./cell_record.ts";
+import {
+  decodeMember,
+  encodeMember,
+  type Member,
+  MEMBERS_PREFIX,
+} from "./cell_record.ts";
 import type { CellStore } from "./ports.ts";
 
 /** A member that has not replied for so long is dropped by the holder, milliseconds. */
@@ -80,15 +85,15 @@
     clock.after(AGAIN_MS, () => void this.register());
   }
 
+  /** Learns of the members that the store knows, without calling them. */
+  async learn(): Promise<void> {
+    for (const member of await this.#stored()) this.#remember(member);
+  }
+
   /** Adds the members that the store knows. */
   async read(): Promise<void> {
-    const result = await this.#options.store.list(MEMBERS_PREFIX);
-    if (result.isErr()) return;
-    for (const entry of result.value.entries) {
-      const member = decodeMember(entry);
-      if (member !== undefined && !this.#members.has(member.name)) {
-        this.#add(member);
-      }
+    for (const member of await this.#stored()) {
+      if (!this.#members.has(member.name)) this.#add(member);
     }
   }
 
@@ -119,6 +124,15 @@
     void this.#write({ type: "delete", key: MEMBERS_PREFIX + name });
   }
 
+  async #stored(): Promise<readonly Member[]> {
+    const result = await this.#options.store.list(MEMBERS_PREFIX);
+    if (result.isOk()) {
+      return result.value.entries.flatMap((entry) => decodeMember(entry) ?? []);
+    }
+    this.#options.log.warn("member.unread", { reason: result.error.message });
+    return [];
+  }
+
   /** `false` if the member was known at that address. */
   #add(member: Member): boolean {
     const { self, clock, log } = this.#options;
@@ -156,6 +170,6 @@
   return {
     type: "put",
     key: MEMBERS_PREFIX + member.name,
-    value: member.address,
+    value: encodeMember(member),
   };
 }
