Tell a home's next owner by the fence before, not by the map's number

Cause: a leaving instance handed the memory of its idempotency keys over only if the next grant came in the very next ownership map it had seen. Under load a map was skipped, the memory stayed behind, and a keyed receipt print was told unknown. A holding now carries the fence of the owner before, which proves that nobody had the home in between whatever maps were missed. Ruled out: a longer wait for maps (the proof would still depend on timing).

--- a/src/controllers/home_keys.ts
+++ b/src/controllers/home_keys.ts
@@ -28,8 +28,6 @@
   /** Time that a message to another instance may take, milliseconds. */
   readonly callMs: number;
   readonly authority: Authority;
-  /** Number of the ownership map that the authority goes by. */
-  readonly epoch: () => number;
   /** The other live instances. */
   readonly members: () => readonly string[];
   /** Gives an id that is unique among all instances. */
--- a/src/controllers/home_keys_test.ts
+++ b/src/controllers/home_keys_test.ts
@@ -21,24 +21,26 @@
 class OneOwner {
   owner = "a";
   fence: number | undefined = 1;
-  epoch = 1;
+  /** Fence of the owner before; 0 if there was none. */
+  former = 0;
   readonly paused = new Set<string>();
   readonly #listeners: (() => void)[] = [];
 
-  move(owner: string, epoch = this.epoch + 1): void {
+  /** Gives the homes to another owner, `steps` maps later. */
+  move(owner: string, { former = this.fence ?? 0, steps = 1 } = {}): void {
     this.owner = owner;
-    this.epoch = epoch;
-    this.fence = epoch;
+    this.fence = (this.fence ?? 0) + steps;
+    this.former = former;
     for (const listener of this.#listeners) listener();
   }
 
   /** What an instance sees; one that is paused sees what it saw before. */
-  viewOf(self: string): Authority & { epoch(): number } {
-    let seen = { owner: this.owner, fence: this.fence, epoch: this.epoch };
+  viewOf(self: string): Authority {
+    let seen = { owner: this.owner, fence: this.fence, former: this.former };
     const look = () => {
       if (this.paused.has(self)) return seen;
-      const { owner, fence, epoch } = this;
-      return seen = { owner, fence, epoch };
+      const { owner, fence, former } = this;
+      return seen = { owner, fence, former };
     };
     return {
       inContact: () => !this.paused.has(self),
@@ -47,7 +49,7 @@
       ownerOf: () =>
         look().fence === undefined ? undefined : instance(look().owner),
       fenceOf: () => look().fence,
-      epoch: () => look().epoch,
+      formerFenceOf: () => look().former,
       onChange: (listener) => {
         this.#listeners.push(() => {
           if (!this.paused.has(self)) listener();
@@ -79,7 +81,6 @@
       limits: KEY_LIMITS,
       callMs: 500,
       authority,
-      epoch: () => authority.epoch(),
       members: () => this.#names.filter((name) => name !== self),
       newId: () => `r${this.#ids++}`,
     });
@@ -125,17 +126,17 @@
 });
 
 const beginnings = [
-  { name: "next", steps: 1, outcome: "proceed" },
-  { name: "later", steps: 2, outcome: "unknown" },
+  { name: "its first", former: 0, outcome: "proceed" },
+  { name: "another", former: 1, outcome: "unknown" },
 ];
 
-for (const { name, steps, outcome } of beginnings) {
-  test(`a home without an owner, given one in the ${name} map`, async (t) => {
+for (const { name, former, outcome } of beginnings) {
+  test(`a home without an owner is given ${name} one`, async (t) => {
     const bench = new Bench();
     bench.map.fence = undefined;
     const [a, b] = ["a", "b"].map((name) => bench.join(name));
     t.is(outcomeType(await bench.begin(b!.keys)), "notRun");
-    bench.map.move("a", bench.map.epoch + steps);
+    bench.map.move("a", { former, steps: 2 });
     t.is(outcomeType(await bench.begin(a!.keys)), outcome);
   });
 }
@@ -202,11 +203,23 @@
   t.is((await bench.begin(c!.keys, other)).type, "proceed");
 });
 
+test("a handover keeps the memory across maps that changed other units", async (t) => {
+  const bench = new Bench();
+  const [, b, c] = ["a", "b", "c"].map((name) => bench.join(name));
+  await bench.vouch();
+  const use = await bench.proceed(b!.keys);
+  bench.map.move("c", { steps: 3 });
+  t.is((await bench.begin(b!.keys)).type, "inProgress");
+  await bench.settle(b!.keys.finish(use, done));
+  t.deepEqual(await bench.begin(c!.keys), { type: "answer", outcome: done });
+});
+
 test("a memory with a gap behind it is not taken up", async (t) => {
   const bench = new Bench();
   const [, b, c] = ["a", "b", "c"].map((name) => bench.join(name));
   await bench.vouch();
-  bench.map.move("c", bench.map.epoch + 2);
+  // Somebody whom neither of them saw had the home in between.
+  bench.map.move("c", { former: 2, steps: 2 });
   t.is(outcomeType(await bench.begin(b!.keys)), "unknown");
   t.is(outcomeType(await bench.begin(c!.keys)), "unknown");
 });
--- a/src/controllers/key_homes.ts
+++ b/src/controllers/key_homes.ts
@@ -31,8 +31,6 @@
   /** Time that a message to another instance may take, milliseconds. */
   readonly callMs: number;
   readonly authority: Authority;
-  /** Number of the ownership map that the authority goes by. */
-  readonly epoch: () => number;
 }
 
 const BEGINNING_OF_TIME = 0;
@@ -40,8 +38,6 @@
 interface Home {
   readonly memory: KeyMemory;
   readonly fence: number;
-  /** Newest ownership map in which this instance was seen to own the home. */
-  epoch: number;
 }
 
 /** The homes at this instance. */
@@ -49,8 +45,6 @@
   readonly #options: KeyHomesOptions;
   readonly #homes = new Map<number, Home>();
   readonly #handovers = new KeyHandovers();
-  /** Newest ownership map in which a home had no owner yet. */
-  readonly #absentAt = new Map<number, number>();
 
   constructor(options: KeyHomesOptions) {
     this.#options = options;
@@ -92,38 +86,26 @@
   }
 
   #follow(bucket: number): void {
-    const { authority, epoch, self } = this.#options;
+    const { authority, self } = this.#options;
     const owner = authority.ownerOf(unitOf(bucket))?.id;
     const fence = authority.fenceOf(unitOf(bucket));
-    if (fence === undefined) this.#absentAt.set(bucket, epoch());
     if (owner === undefined || fence === undefined) return;
     const home = this.#homes.get(bucket);
-    if (owner === self && home?.fence === fence) {
-      home.epoch = epoch();
-      return;
-    }
+    if (owner === self && home?.fence === fence) return;
     if (home !== undefined) this.#release(bucket, { home, owner, fence });
     if (owner === self) this.#adopt(bucket, fence);
-    this.#absentAt.delete(bucket);
   }
 
   #adopt(bucket: number, fence: number): void {
-    const { clock, epoch, limits } = this.#options;
-    const completeSince = this.#isFirst(bucket, fence)
-      ? BEGINNING_OF_TIME
-      : clock.now().getTime();
+    const { authority, clock, limits } = this.#options;
+    const isFirst = authority.formerFenceOf(unitOf(bucket)) === 0;
+    const completeSince = isFirst ? BEGINNING_OF_TIME : clock.now().getTime();
     const nothing = { completeSince, forgottenUpTo: 0, rows: [] };
     const memory = new KeyMemory(limits, nothing);
-    this.#homes.set(bucket, { memory, fence, epoch: epoch() });
+    this.#homes.set(bucket, { memory, fence });
     this.#takeUp(bucket);
   }
 
-  /** Whether the grant follows a map without the home, so that it had no owner before. */
-  #isFirst(bucket: number, fence: number): boolean {
-    const absentAt = this.#absentAt.get(bucket);
-    return absentAt !== undefined && fence === absentAt + 1;
-  }
-
   /** Passes the memory on, if no other instance can have been the home in between. */
   #release(
     bucket: number,
@@ -135,8 +117,11 @@
   ): void {
     this.#homes.delete(bucket);
     const { home, owner, fence } = next;
-    const isNext = fence === home.epoch + 1 && owner !== this.#options.self;
-    if (isNext) void this.#handOver(home.memory, { bucket, owner, fence });
+    const { authority, self } = this.#options;
+    const former = authority.formerFenceOf(unitOf(bucket));
+    if (former === home.fence && owner !== self) {
+      void this.#handOver(home.memory, { bucket, owner, fence });
+    }
   }
 
   async #handOver(
--- a/src/controllers/ownership.ts
+++ b/src/controllers/ownership.ts
@@ -101,6 +101,11 @@
     return this.map().units.get(unit)?.fence;
   }
 
+  /** Fencing number of a unit's owner before; 0 if there was none. */
+  formerFenceOf(unit: string): number | undefined {
+    return this.map().units.get(unit)?.former;
+  }
+
   /** Units with the prefix that this instance owns and has not begun to hand over. */
   owned(prefix: string): readonly string[] {
     return [...this.#own()].filter((unit) =>
--- a/src/daemon/cluster_parts.ts
+++ b/src/daemon/cluster_parts.ts
@@ -57,6 +57,7 @@
     owned: (prefix) => ownership.owned(prefix),
     ownerOf: (unit) => ownership.ownerOf(unit),
     fenceOf: (unit) => ownership.fenceOf(unit),
+    formerFenceOf: (unit) => ownership.formerFenceOf(unit),
     onChange: (listener) => ownership.onChange(listener),
   };
 }
--- a/src/daemon/work_parts.ts
+++ b/src/daemon/work_parts.ts
@@ -75,7 +75,6 @@
     ...common,
     limits: KEY_LIMITS,
     callMs: KEY_CALL_MS,
-    epoch: () => ownership.map().epoch,
     newId: randomUUID,
   });
   return {
--- a/src/fakes/memory_authority.ts
+++ b/src/fakes/memory_authority.ts
@@ -4,22 +4,24 @@
  * @module
  */
 import type { Allowances, Authority } from "../ports/authority.ts";
+import type { Holding } from "../state/ownership_map.ts";
 import type { Instance } from "../types.ts";
 
 /** Ownership as all instances see it. */
 export class MemoryMap {
-  readonly #holdings = new Map<string, { owner: string; fence: number }>();
+  readonly #holdings = new Map<string, Holding>();
   readonly #listeners: (() => void)[] = [];
   #fence = 0;
 
   /** Gives a unit to an instance, or to none, under a new fencing number. */
   assign(unit: string, owner: string | undefined): void {
+    const former = this.#holdings.get(unit)?.fence ?? 0;
     if (owner === undefined) this.#holdings.delete(unit);
-    else this.#holdings.set(unit, { owner, fence: ++this.#fence });
+    else this.#holdings.set(unit, { owner, fence: ++this.#fence, former });
     for (const listener of this.#listeners) listener();
   }
 
-  holding(unit: string): { owner: string; fence: number } | undefined {
+  holding(unit: string): Holding | undefined {
     return this.#holdings.get(unit);
   }
 
@@ -69,6 +71,10 @@
     return this.#map.holding(unit)?.fence;
   }
 
+  formerFenceOf(unit: string): number | undefined {
+    return this.#map.holding(unit)?.former;
+  }
+
   onChange(listener: () => void): void {
     this.#map.onChange(listener);
   }
--- a/src/ports/authority.ts
+++ b/src/ports/authority.ts
@@ -17,6 +17,8 @@
   ownerOf(unit: string): Instance | undefined;
   /** Grows with each change of the unit's owner. */
   fenceOf(unit: string): number | undefined;
+  /** Fence of the owner before the present one; 0 if it is the first. */
+  formerFenceOf(unit: string): number | undefined;
   /** Calls `listener` after each change. */
   onChange(listener: () => void): void;
 }
--- a/src/state/ownership_codec.ts
+++ b/src/state/ownership_codec.ts
@@ -1,5 +1,5 @@
 /**
- * Compact text form of the ownership map. Units are grouped by owner, fence
+ * Compact text form of the ownership map. Units are grouped by owner, fences
  * and kind, so that a name costs little more than its length.
  *
  * @module
@@ -37,11 +37,18 @@
     standing: Standings,
     since: t.number,
   })),
-  /** Owner's index among the members, fence, kind, names. */
-  groups: t.array(t.tuple([t.number, t.number, t.string, t.array(t.string)])),
+  /** Owner's index among the members, fence and former fence, kind, names. */
+  groups: t.array(
+    t.tuple([
+      t.number,
+      t.tuple([t.number, t.number]),
+      t.string,
+      t.array(t.string),
+    ]),
+  ),
 });
 
-type Group = [number, number, string, string[]];
+type Group = [number, [number, number], string, string[]];
 
 /** Text of a map; equal maps have equal texts. */
 export function encodeMap(map: OwnershipMap): string {
@@ -50,11 +57,11 @@
   const index = new Map(members.map((each, at) => [each.instance.id, at]));
   const groups = new Map<string, Group>();
   for (const unit of [...map.units.keys()].sort()) {
-    const { owner, fence } = map.units.get(unit)!;
+    const { owner, fence, former } = map.units.get(unit)!;
     const at = index.get(owner) ?? -1;
     const kind = kindOf(unit);
-    const label = `${at} ${fence} ${kind}`;
-    const group: Group = groups.get(label) ?? [at, fence, kind, []];
+    const label = `${at} ${fence} ${former} ${kind}`;
+    const group: Group = groups.get(label) ?? [at, [fence, former], kind, []];
     group[3].push(unit.slice(kind.length + 1));
     groups.set(label, group);
   }
@@ -70,9 +77,11 @@
   if (either.isLeft(parsed)) return err(unreadable);
   const { epoch, members, groups } = parsed.right;
   const units = new Map<string, Holding>();
-  for (const [at, fence, kind, names] of groups) {
+  for (const [at, [fence, former], kind, names] of groups) {
     const owner = members[at]?.instance.id ?? "";
-    for (const name of names) units.set(`${kind}:${name}`, { owner, fence });
+    for (const name of names) {
+      units.set(`${kind}:${name}`, { owner, fence, former });
+    }
   }
   const byId = new Map<string, Member>(
     members.map((member) => [member.instance.id, member]),
--- a/src/state/ownership_map.ts
+++ b/src/state/ownership_map.ts
@@ -29,6 +29,8 @@
   readonly owner: string;
   /** Epoch at which the owner last changed. */
   readonly fence: number;
+  /** Fence of the owner before; 0 if there was none. */
+  readonly former: number;
 }
 
 /** The map; one value in the store, changed by compare-and-swap only. */
@@ -174,7 +176,7 @@
   const counts = countByKind(map.units, able);
   for (const unit of orphans) {
     const owner = fewest(countsOf(counts, kindOf(unit), able), able);
-    units.set(unit, { owner, fence: map.epoch });
+    units.set(unit, grant(units.get(unit), { owner, epoch: map.epoch }));
     increment(countsOf(counts, kindOf(unit), able), owner, 1);
   }
   return units;
@@ -230,10 +232,20 @@
     return map.members.has(self) ? { ...kept, units: left } : map;
   }
   const moves = excess(kept, self);
-  for (const [unit, owner] of moves) units.set(unit, { owner, fence: epoch });
+  for (const [unit, owner] of moves) {
+    units.set(unit, grant(units.get(unit), { owner, epoch }));
+  }
   return moves.size === 0 && units.size === map.units.size ? map : kept;
 }
 
+/** A unit's next holding. */
+function grant(
+  before: Holding | undefined,
+  { owner, epoch }: { readonly owner: string; readonly epoch: number },
+): Holding {
+  return { owner, fence: epoch, former: before?.fence ?? 0 };
+}
+
 /** Units of one owner, sorted. */
 export function ownedBy(map: OwnershipMap, owner: string): readonly string[] {
   return [...map.units]
