Let lanes share transactions while the store is quick, and run alone while it is slow

Eight lanes now: idle lanes with little work share a transaction, a lane that is stuck goes alone.

The store test of cell_test names the lanes that its two jobs have now.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { Command } from "commander";
+import { benchCell } from "./cell.ts";
 import { benchControl } from "./control.ts";
 import { benchDecisions } from "./decisions.ts";
 import { benchFaults } from "./faults.ts";
@@ -23,6 +24,7 @@
 export type Bench = (results: Results, seed: number) => void | Promise<void>;
 
 const benches: Readonly<Record<string, Bench>> = {
+  cell: benchCell,
   control: benchControl,
   decisions: benchDecisions,
   faults: benchFaults,
--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -11,6 +11,7 @@
 import type { Commit, Condition, Entry, Write } from "../ports/store.ts";
 import { AdviceDesk } from "./advice_desk.ts";
 import { Cell } from "./cell.ts";
+import { laneKey, LANES } from "./lane_record.ts";
 import type {
   CellStore,
   LookFailure,
@@ -351,9 +352,9 @@
     this.fence++;
     const fence = this.fence;
     const lane = JSON.stringify({ fence, sequence: 0 });
-    const writes = [0, 1].map((index): Write => ({
+    const writes = Array.from({ length: LANES }, (_, index): Write => ({
       type: "put",
-      key: `cell/lane/${index}`,
+      key: laneKey("cell", index),
       value: lane,
     }));
     await this.store.commit([], writes);
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -20,6 +20,7 @@
 import { type Legacy, readLegacy } from "./recovery.ts";
 import { leaseBoundMs, newRun, Runs } from "./runs.ts";
 import { Scheduler } from "./scheduler.ts";
+import { queueNamed, teamNamed } from "./set_index.ts";
 import type { ClusterSet, JobSpec, JobState } from "./types.ts";
 import { WeightMeter } from "./weight_meter.ts";
 import { WorkerList } from "./worker_list.ts";
@@ -137,6 +138,7 @@
       runs: this.#runs,
       retentionMs: options.retentionMs,
       questions: () => options.desk.asking,
+      passMs: () => this.#scheduler.takePassMs(),
     });
   }
 
@@ -238,12 +240,10 @@
 
   async #accept(submission: Submission): Promise<SubmitOutcome> {
     const { jobs, set, log, clock, metrics, fence } = this.#context;
-    const policy = set().queues.find((queue) =>
-      queue.name === submission.queue
-    );
+    const policy = queueNamed(set(), submission.queue);
     if (policy === undefined) return { type: "unknown" };
     const startedMs = clock.monotonic();
-    const team = set().teams.find((one) => one.name === submission.team);
+    const team = teamNamed(set(), submission.team);
     const job = newJob({
       ...submission,
       policy,
--- a/src/cell/cell_test.ts
+++ b/src/cell/cell_test.ts
@@ -26,14 +26,15 @@
   await world.submit(cell, [testStep()]);
   await world.submit(cell, [testStep()], other);
   await world.clock.run(300);
-  world.store.stuckKeys.add("cell/lane/0").add("cell/lane/1");
+  // The lanes of the two jobs.
+  world.store.stuckKeys.add("cell/lane/2").add("cell/lane/1");
   worker.end(TASK, "done");
   await world.clock.run(1_500);
   // Reported while the first end still waits for the store.
   worker.end(`${other}.0.0.0`, "done");
   await world.clock.run(2_000);
   t.is(worker.acknowledged, 0);
-  world.store.stuckKeys.delete("cell/lane/0");
+  world.store.stuckKeys.delete("cell/lane/2");
   await world.clock.run(2_000);
   t.is(worker.acknowledged, 1);
   t.is(cell.state(other), "running");
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -15,9 +15,11 @@
   stateOf,
   type StepRun,
 } from "./job.ts";
-import type { JobLog, Saved } from "./job_log.ts";
+import type { JobLog } from "./job_log.ts";
 import type { Durations } from "./order.ts";
 import type { WorkerOrders } from "./ports.ts";
+import type { Saved } from "./write_lane.ts";
+import { queueNamed, teamNamed } from "./set_index.ts";
 import type { ClusterSet, Queue, Team } from "./types.ts";
 
 /** State and tools of one holder of the cell. */
@@ -49,13 +51,12 @@
 
 /** The queue of a job: as the set has it, else as it was at acceptance. */
 export function queueOf(context: CellContext, job: Job): Queue {
-  return context.set().queues.find((queue) => queue.name === job.queue) ??
-    job.policy;
+  return queueNamed(context.set(), job.queue) ?? job.policy;
 }
 
 /** The team of a job; `undefined` if the set has none of that name. */
 export function teamOf(context: CellContext, job: Job): Team | undefined {
-  return context.set().teams.find((team) => team.name === job.team);
+  return teamNamed(context.set(), job.team);
 }
 
 /** Puts a step into the line or takes it out. */
--- a/src/cell/housekeeping.ts
+++ b/src/cell/housekeeping.ts
@@ -26,22 +26,28 @@
   readonly #runs: Runs;
   readonly #retentionMs: number;
   readonly #questions: () => number;
+  readonly #passMs: () => number;
   #closed = false;
+  /** Longest delay of a timer since the load was last told, milliseconds. */
+  #lateMs = 0;
 
   constructor(
     context: CellContext,
-    { runs, retentionMs, questions }: {
+    { runs, retentionMs, questions, passMs }: {
       readonly runs: Runs;
       /** How long ended jobs are told of, milliseconds. */
       readonly retentionMs: number;
       /** Questions for advice under way. */
       readonly questions: () => number;
+      /** Time that passes took since it was last asked, milliseconds. */
+      readonly passMs: () => number;
     },
   ) {
     this.#context = context;
     this.#runs = runs;
     this.#retentionMs = retentionMs;
     this.#questions = questions;
+    this.#passMs = passMs;
   }
 
   /** Works until it is closed. */
@@ -49,8 +55,10 @@
     const { clock, open, holds, kick } = this.#context;
     let loadAtMs = clock.monotonic();
     while (!this.#closed) {
+      const dueAtMs = clock.monotonic() + TICK_MS;
       await sleep(clock, TICK_MS);
       if (this.#closed) return;
+      this.#lateMs = Math.max(this.#lateMs, clock.monotonic() - dueAtMs);
       if (holds()) this.#runs.tick();
       this.#openDue();
       this.#forgetOld();
@@ -95,6 +103,7 @@
   #tellLoad(): void {
     const { clock, log, fence, fleet, jobs, open, jobLog } = this.#context;
     const workers = [...fleet.workers.values()];
+    const writes = jobLog.takeWork();
     const usable = workers.filter((one) => takesWork(one, clock.monotonic()));
     const freeMillis = usable.reduce(
       (sum, one) => sum + roomOn(one).cpuMillis,
@@ -109,7 +118,13 @@
       usable: usable.length,
       freeCores: Math.round(freeMillis / 1000),
       questions: this.#questions(),
+      passMs: Math.round(this.#passMs()),
+      lateMs: Math.round(this.#lateMs),
+      commits: writes.commits,
+      slowestCommitMs: Math.round(writes.slowestMs),
+      unwritten: writes.waiting,
       storeStuckMs: Math.round(jobLog.stuckMs()),
     });
+    this.#lateMs = 0;
   }
 }
--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -1,20 +1,21 @@
 /**
  * Writes jobs to the store in group commits.
  *
- * Every transaction is conditional on the last revision of its lane and
- * writes the lane anew. So an order of writes that was given up and is carried
- * out late finds its condition broken, and so does everything that a former
- * holder of the cell still has under way, since a takeover writes all lanes.
+ * Every transaction is conditional on the last revision of its lanes and
+ * writes these lanes anew. So an order of writes that was given up and is
+ * carried out late finds its condition broken, and so does everything that a
+ * former holder of the cell still has under way, since a takeover writes all
+ * lanes. While the store is quick the lanes share a transaction; while it is
+ * slow each has one under way.
  *
  * @module
  */
-import { type Clock, sleep } from "../clock.ts";
+import { type Clock, sleep, type Timer } from "../clock.ts";
 import type { StoreFailure } from "../errors.ts";
 import type { Log } from "../logger.ts";
 import type { Metrics } from "../metrics.ts";
-import type { Commit, Write } from "../ports/store.ts";
+import type { Commit, Entry, Write } from "../ports/store.ts";
 import type { EndedJob, Job } from "./job.ts";
-import { endOf, writesOf } from "./job_writes.ts";
 import {
   laneKey,
   type LaneRecord,
@@ -22,40 +23,29 @@
   LANES,
 } from "./lane_record.ts";
 import type { CellStore } from "./ports.ts";
-import { PROGRESS_PREFIX } from "./records.ts";
+import {
+  type Batch,
+  hasWork,
+  type Lane,
+  newLane,
+  packLanes,
+  putBack,
+  type Saved,
+  settle,
+} from "./write_lane.ts";
 
 /** Changes gather for so long before they are written, milliseconds: a fifth of the wait that a human notices. */
 const GATHER_MS = 20;
-/** Most writes of jobs in a transaction; the platform's limit is 32 entries, and the lane takes two. */
-const MAX_WRITES = 29;
 /** Delay before a transaction is sent again that was refused or lost, milliseconds. */
 const RETRY_MS = 60;
 
-/** What became of a job's write. */
-export type Saved = "saved" | "deposed";
-
-interface Pending {
-  readonly job: Job;
-  submission: boolean;
-  readonly waiters: ((saved: Saved) => void)[];
-}
-
-interface Lane {
-  readonly key: string;
-  revision: number;
-  sequence: number;
-  readonly dirty: Map<string, Pending>;
-  readonly forgotten: string[];
-  busy: boolean;
-  /** Since when the transaction under way has not got through. */
-  stuckSinceMs: number | undefined;
-}
-
-interface Batch {
-  readonly writes: readonly Write[];
-  readonly pending: readonly Pending[];
-  readonly ended: readonly EndedJob[];
-  readonly forgotten: readonly string[];
+/** What the log has done since it was last asked. */
+export interface JobLogWork {
+  readonly commits: number;
+  /** Longest time of one of them, milliseconds. */
+  readonly slowestMs: number;
+  /** Jobs that wait for their write. */
+  readonly waiting: number;
 }
 
 /** What the log needs. */
@@ -80,19 +70,17 @@
 export class JobLog {
   readonly #options: JobLogOptions;
   readonly #lanes: readonly Lane[];
+  #timer: Timer | undefined;
   #closed = false;
+  #commits = 0;
+  #slowestMs = 0;
 
   constructor(options: JobLogOptions) {
     this.#options = options;
-    this.#lanes = Array.from({ length: LANES }, (_, lane) => ({
-      key: laneKey(options.cell, lane),
-      revision: options.revision,
-      sequence: 0,
-      dirty: new Map(),
-      forgotten: [],
-      busy: false,
-      stuckSinceMs: undefined,
-    }));
+    this.#lanes = Array.from(
+      { length: LANES },
+      (_, lane) => newLane(laneKey(options.cell, lane), options.revision),
+    );
   }
 
   /** Writes a job as it is at the next commit; resolves once the store holds that. */
@@ -106,7 +94,7 @@
     const saved = new Promise<Saved>((resolve) =>
       pending.waiters.push(resolve)
     );
-    this.#schedule(lane);
+    this.#schedule();
     return saved;
   }
 
@@ -117,9 +105,8 @@
 
   /** Removes the note of a job's end. */
   forget(id: string): void {
-    const lane = this.#laneOf(id);
-    lane.forgotten.push(id);
-    this.#schedule(lane);
+    this.#laneOf(id).forgotten.push(id);
+    this.#schedule();
   }
 
   /** Longest time for which a transaction has not got through, milliseconds. */
@@ -130,6 +117,18 @@
     );
   }
 
+  /** Tells and forgets what was done. */
+  takeWork(): JobLogWork {
+    const work = {
+      commits: this.#commits,
+      slowestMs: this.#slowestMs,
+      waiting: this.#lanes.reduce((sum, lane) => sum + lane.dirty.size, 0),
+    };
+    this.#commits = 0;
+    this.#slowestMs = 0;
+    return work;
+  }
+
   /** Resolves once nothing waits to be written, or after `timeoutMs`. */
   async drained(timeoutMs: number): Promise<void> {
     const { clock } = this.#options;
@@ -144,6 +143,7 @@
   /** Stops writing; whoever waits is told that the holder is deposed. */
   close(): void {
     this.#closed = true;
+    this.#timer?.cancel();
     for (const lane of this.#lanes) {
       for (const pending of lane.dirty.values()) settle(pending, "deposed");
       lane.dirty.clear();
@@ -156,148 +156,150 @@
     return this.#lanes[digit % LANES]!;
   }
 
-  #schedule(lane: Lane, delayMs = GATHER_MS): void {
-    if (lane.busy || this.#closed) return;
-    lane.busy = true;
-    this.#options.clock.after(delayMs, () => {
-      // A lane that got stuck goes on trying, or nobody would notice the store's return.
-      lane.busy = hasWork(lane) || lane.stuckSinceMs !== undefined;
-      if (!lane.busy) return;
-      this.#write(lane).catch((error) =>
-        this.#options.log.error("joblog.failed", { reason: String(error) })
-      );
+  #schedule(delayMs = GATHER_MS): void {
+    if (this.#closed) return;
+    this.#timer ??= this.#options.clock.after(delayMs, () => {
+      this.#timer = undefined;
+      this.#flush();
     });
   }
 
-  async #write(lane: Lane): Promise<void> {
-    const batch = this.#collect(lane);
-    const sequence = lane.sequence + 1;
-    const record: LaneRecord = { fence: this.#options.fence, sequence };
-    const writes: readonly Write[] = [
-      { type: "put", key: lane.key, value: JSON.stringify(record) },
-      ...batch.writes,
-    ];
-    const fate = await this.#persist(lane, { writes, sequence });
-    lane.busy = false;
-    switch (fate.type) {
-      case "written":
-        lane.revision = fate.revision;
-        lane.sequence = sequence;
-        for (const pending of batch.pending) settle(pending, "saved");
-        for (const ended of batch.ended) this.#options.onEnded(ended);
-        break;
-      case "untouched":
-        this.#putBack(lane, batch);
-        break;
-      case "deposed":
-        for (const pending of batch.pending) settle(pending, "deposed");
-        return;
+  /** Writes what waits in lanes without a transaction under way. */
+  #flush(): void {
+    const { clock, log } = this.#options;
+    const nowMs = clock.monotonic();
+    // A lane that got stuck goes on trying, or nobody would notice the store's return.
+    const wanted = this.#lanes.filter((lane) =>
+      !lane.busy && (hasWork(lane) || lane.stuckSinceMs !== undefined)
+    );
+    const due = wanted.filter((lane) => lane.retryAtMs <= nowMs);
+    if (due.length < wanted.length) this.#schedule(RETRY_MS);
+    for (const group of packLanes(due, clock.now().getTime())) {
+      for (const { lane } of group) lane.busy = true;
+      this.#write(group).catch((error) =>
+        log.error("joblog.failed", { reason: String(error) })
+      );
     }
-    if (fate.type === "untouched") this.#schedule(lane, RETRY_MS);
-    else if (hasWork(lane)) this.#schedule(lane);
   }
 
-  /** Lets jobs wait again that no transaction has carried. */
-  #putBack(lane: Lane, batch: Batch): void {
-    lane.forgotten.push(...batch.forgotten);
-    for (const pending of batch.pending) {
-      const newer = lane.dirty.get(pending.job.id);
-      if (newer === undefined) lane.dirty.set(pending.job.id, pending);
-      else {
-        newer.submission ||= pending.submission;
-        newer.waiters.push(...pending.waiters);
+  async #write(group: readonly Batch[]): Promise<void> {
+    const { clock } = this.#options;
+    const fate = await this.#persist(group);
+    for (const batch of group) {
+      const { lane } = batch;
+      lane.busy = false;
+      switch (fate.type) {
+        case "written":
+          lane.revision = fate.revision;
+          lane.sequence++;
+          for (const pending of batch.pending) settle(pending, "saved");
+          for (const ended of batch.ended) this.#options.onEnded(ended);
+          break;
+        case "untouched":
+          putBack(batch);
+          lane.retryAtMs = clock.monotonic() + RETRY_MS;
+          break;
+        case "deposed":
+          for (const pending of batch.pending) settle(pending, "deposed");
       }
     }
-  }
-
-  #collect(lane: Lane): Batch {
-    const writes: Write[] = [];
-    const pending: Pending[] = [];
-    const ended: EndedJob[] = [];
-    for (const [id, entry] of lane.dirty) {
-      if (writes.length + 2 > MAX_WRITES) break;
-      lane.dirty.delete(id);
-      pending.push(entry);
-      const end = endOf(entry.job, this.#options.clock.now().getTime());
-      if (end !== undefined) ended.push(end);
-      const { submission } = entry;
-      writes.push(...writesOf(entry.job, { submission, end }));
+    if (fate.type === "untouched") this.#schedule(RETRY_MS);
+    else if (this.#lanes.some((lane) => !lane.busy && hasWork(lane))) {
+      this.#schedule();
     }
-    const room = MAX_WRITES - writes.length;
-    const forgotten = lane.forgotten.splice(0, room);
-    for (const id of forgotten) {
-      writes.push({ type: "delete", key: PROGRESS_PREFIX + id });
-    }
-    return { writes, pending, ended, forgotten };
   }
 
   /**
    * Sends a transaction until its fate is known. One whose answer was lost is
    * repeated as it is; one that was certainly not carried out is given up.
    */
-  async #persist(
-    lane: Lane,
-    { writes, sequence }: {
-      readonly writes: readonly Write[];
-      readonly sequence: number;
-    },
-  ): Promise<Fate> {
-    const { store, clock, metrics, onConfirmed, onDeposed } = this.#options;
-    const condition = { key: lane.key, revision: lane.revision };
+  async #persist(group: readonly Batch[]): Promise<Fate> {
+    const { store, clock } = this.#options;
+    const conditions = group.map(({ lane }) => ({
+      key: lane.key,
+      revision: lane.revision,
+    }));
+    const writes = group.flatMap((batch) => this.#writesOf(batch));
     const startedMs = clock.monotonic();
     let lost = false;
     while (!this.#closed) {
       const sentMs = clock.monotonic();
-      const result = await store.commit([condition], writes);
+      const result = await store.commit(conditions, writes);
       if (this.#closed) break;
-      if (result.isErr()) {
-        this.#refused(lane, { failure: result.error, startedMs });
-        lost ||= result.error.type === "storeAnswerLost";
-        if (!lost) return { type: "untouched" };
-        await sleep(clock, RETRY_MS);
-        continue;
-      }
-      const fate = this.#fateOf(result.value, { lane, sequence });
-      if (fate.type === "deposed") onDeposed("another holder has the lane");
-      else {
-        lane.stuckSinceMs = undefined;
-        metrics.observe("commit_ms", clock.monotonic() - startedMs);
-        onConfirmed(sentMs);
+      if (result.isOk()) {
+        const fate = this.#fateOf(result.value, group);
+        this.#answered(group, { fate, startedMs, sentMs });
+        return fate;
       }
-      return fate;
+      this.#refused(group, { failure: result.error, startedMs });
+      lost ||= result.error.type === "storeAnswerLost";
+      if (!lost) return { type: "untouched" };
+      await sleep(clock, RETRY_MS);
     }
     return { type: "deposed" };
   }
 
-  #fateOf(
-    commit: Commit,
-    { lane, sequence }: { readonly lane: Lane; readonly sequence: number },
-  ): Fate {
+  #writesOf({ lane, writes }: Batch): readonly Write[] {
+    const record: LaneRecord = {
+      fence: this.#options.fence,
+      sequence: lane.sequence + 1,
+    };
+    const value = JSON.stringify(record);
+    return [{ type: "put", key: lane.key, value }, ...writes];
+  }
+
+  #answered(
+    group: readonly Batch[],
+    { fate, startedMs, sentMs }: {
+      readonly fate: Fate;
+      readonly startedMs: number;
+      readonly sentMs: number;
+    },
+  ): void {
+    const { clock, metrics, onConfirmed, onDeposed } = this.#options;
+    if (fate.type === "deposed") return onDeposed("another holder has a lane");
+    for (const { lane } of group) lane.stuckSinceMs = undefined;
+    const tookMs = clock.monotonic() - startedMs;
+    this.#commits++;
+    this.#slowestMs = Math.max(this.#slowestMs, tookMs);
+    metrics.observe("commit_ms", tookMs);
+    onConfirmed(sentMs);
+  }
+
+  #fateOf(commit: Commit, group: readonly Batch[]): Fate {
     if (commit.type === "committed") {
       return { type: "written", revision: commit.revision };
     }
-    const found = commit.entries?.find((entry) => entry.key === lane.key);
-    const record = found && laneRecordOf(found);
-    if (found === undefined || record === undefined) return { type: "deposed" };
-    if (record.fence !== this.#options.fence) return { type: "deposed" };
-    // An earlier sending got through and its answer was lost.
-    if (record.sequence === sequence) {
-      return { type: "written", revision: found.revision };
-    }
-    return { type: "deposed" };
+    // An earlier sending got through and its answer was lost: then every lane shows it.
+    const shown = group.map(({ lane }) =>
+      commit.entries?.find((entry) =>
+        entry.key === lane.key && this.#isOurs(entry, lane)
+      )
+    );
+    const [first] = shown;
+    return first !== undefined && shown.every((entry) => entry !== undefined)
+      ? { type: "written", revision: first.revision }
+      : { type: "deposed" };
+  }
+
+  /** Whether an entry is what a transaction under way writes to a lane. */
+  #isOurs(entry: Entry, lane: Lane): boolean {
+    const record = laneRecordOf(entry);
+    return record?.fence === this.#options.fence &&
+      record.sequence === lane.sequence + 1;
   }
 
   #refused(
-    lane: Lane,
+    group: readonly Batch[],
     { failure, startedMs }: {
       readonly failure: StoreFailure;
       readonly startedMs: number;
     },
   ): void {
-    lane.stuckSinceMs ??= startedMs;
+    for (const { lane } of group) lane.stuckSinceMs ??= startedMs;
     const { log, clock, fence } = this.#options;
     log.warn("joblog.retry", {
-      lane: lane.key,
+      lanes: group.map(({ lane }) => lane.key).join(","),
       fence,
       failure: failure.type,
       reason: failure.message,
@@ -311,11 +313,3 @@
   | { readonly type: "written"; readonly revision: number }
   | { readonly type: "untouched" }
   | { readonly type: "deposed" };
-
-function hasWork(lane: Lane): boolean {
-  return lane.dirty.size > 0 || lane.forgotten.length > 0;
-}
-
-function settle(pending: Pending, saved: Saved): void {
-  for (const waiter of pending.waiters) waiter(saved);
-}
--- a/src/cell/lane_record.ts
+++ b/src/cell/lane_record.ts
@@ -5,8 +5,8 @@
  */
 import type { Entry } from "../ports/store.ts";
 
-/** Independent sequences of transactions of one cell. */
-export const LANES = 2;
+/** Independent sequences of transactions of one cell: so many may be under way while the store takes a quarter of a second for each. */
+export const LANES = 8;
 /** Value of a lane's key. */
 export interface LaneRecord {
   readonly fence: number;
--- a/src/cell/order.ts
+++ b/src/cell/order.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { StepRun } from "./job.ts";
-import type { Queue } from "./types.ts";
+import type { JobSpec, Queue } from "./types.ts";
 
 /** Weight of a new duration in the running mean of a queue. */
 const LEARNING_RATE = 0.1;
@@ -52,10 +52,10 @@
 ): Rank {
   const { job, spec } = step;
   const taskMs = durations.of(job.queue, spec.estimateMs);
-  const chain = longestChain(step);
-  const objectiveMs = (queue?.stretch ?? 1) * chain.whole * taskMs +
+  const chains = chainsOf(job.spec);
+  const objectiveMs = (queue?.stretch ?? 1) * chains.whole * taskMs +
     (queue?.objectiveMs ?? 0);
-  const restMs = chain.rest * taskMs;
+  const restMs = (chains.rest[step.index] ?? 1) * taskMs;
   const startByMs = dueMs + objectiveMs - restMs;
   const lastMs = dueMs + WORTHLESS_AFTER * objectiveMs - restMs;
   return {
@@ -84,19 +84,36 @@
   return nowMs <= lastMs ? 1 : 3;
 }
 
-/** Steps on the longest chain of the job, and on the longest from this step on. */
-function longestChain(step: StepRun): { whole: number; rest: number } {
-  const { steps } = step.job.spec;
+/** Steps on the longest chains of a submission. */
+interface Chains {
+  /** On the longest chain of all. */
+  readonly whole: number;
+  /** On the longest chain from each step on. */
+  readonly rest: readonly number[];
+}
+
+/** Chains by submission: they never change, and each pass asks for all of them. */
+const CHAINS = new WeakMap<JobSpec, Chains>();
+
+function chainsOf(spec: JobSpec): Chains {
+  const known = CHAINS.get(spec);
+  if (known !== undefined) return known;
+  const chains = measureChains(spec);
+  CHAINS.set(spec, chains);
+  return chains;
+}
+
+function measureChains({ steps }: JobSpec): Chains {
   const before: number[] = [];
   for (const [index, spec] of steps.entries()) {
     before[index] = 1 + Math.max(0, ...spec.after.map((i) => before[i] ?? 0));
   }
-  const behind: number[] = [];
+  const rest: number[] = [];
   for (let index = steps.length - 1; index >= 0; index--) {
     const next = steps.flatMap((spec, other) =>
-      spec.after.includes(index) ? [behind[other] ?? 0] : []
+      spec.after.includes(index) ? [rest[other] ?? 0] : []
     );
-    behind[index] = 1 + Math.max(0, ...next);
+    rest[index] = 1 + Math.max(0, ...next);
   }
-  return { whole: Math.max(...before), rest: behind[step.index] ?? 1 };
+  return { whole: Math.max(...before), rest };
 }
--- a/src/cell/placement.ts
+++ b/src/cell/placement.ts
@@ -63,10 +63,14 @@
   if (allowance < needed) return nothing("teamLimit");
   const suited = suitedWorkers(step, context);
   if (suited.length === 0) return nothing("noRoom");
-  const ready = suited.filter((worker) => isAdvised(step, worker, context));
-  const unadvised = suited.filter((worker) =>
-    !ready.includes(worker) && step.advice.verdicts.get(worker.id) !== false
-  );
+  const ready: FleetWorker[] = [];
+  const unadvised: FleetWorker[] = [];
+  for (const worker of suited) {
+    if (isAdvised(step, worker, context)) ready.push(worker);
+    else if (step.advice.verdicts.get(worker.id) !== false) {
+      unadvised.push(worker);
+    }
+  }
   const most = Math.min(waiting.length, allowance);
   const places = fill(step, {
     waiting: waiting.slice(0, most),
@@ -108,7 +112,7 @@
 ): readonly FleetWorker[] {
   const { spec } = step;
   const amounts = weighsOn(step);
-  const suited: FleetWorker[] = [];
+  const suited: Suited[] = [];
   for (const worker of context.fleet.workers.values()) {
     if (!takesWork(worker, context.nowMs)) continue;
     const entry = worker.entry;
@@ -120,23 +124,28 @@
     ) continue;
     if (!fits(amounts, openRoom(worker, context))) continue;
     if (perWorkerLeft(step, worker) < 1) continue;
-    suited.push(worker);
+    suited.push({
+      worker,
+      far: spec.dataRack !== "" && !entry.labels.includes(spec.dataRack),
+      freeMillis: entry.capacity.cpuMillis - worker.used.cpuMillis,
+    });
   }
-  return inOrder(step, suited);
+  return suited.sort(compareSuited).map(({ worker }) => worker);
+}
+
+/** A worker that could take a task, with what it is ordered by. */
+interface Suited {
+  readonly worker: FleetWorker;
+  /** Whether it is on another rack than the data. */
+  readonly far: boolean;
+  readonly freeMillis: number;
 }
 
 /** Near the data first, then the fullest, which leaves large room in one piece. */
-function inOrder(
-  step: StepRun,
-  workers: readonly FleetWorker[],
-): readonly FleetWorker[] {
-  const { dataRack } = step.spec;
-  const far = (worker: FleetWorker) =>
-    dataRack !== "" && !worker.entry?.labels.includes(dataRack) ? 1 : 0;
-  return [...workers].sort((a, b) =>
-    far(a) - far(b) || a.failureShare - b.failureShare ||
-    roomOn(a).cpuMillis - roomOn(b).cpuMillis
-  );
+function compareSuited(a: Suited, b: Suited): number {
+  return Number(a.far) - Number(b.far) ||
+    a.worker.failureShare - b.worker.failureShare ||
+    a.freeMillis - b.freeMillis;
 }
 
 function isAdvised(
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -52,6 +52,7 @@
   readonly #holds = new Map<StepRun, ReadonlyMap<string, Amounts>>();
   #timer: Timer | undefined;
   #closed = false;
+  #passMs = 0;
 
   constructor(
     context: CellContext,
@@ -71,6 +72,13 @@
     });
   }
 
+  /** Tells and forgets the time that passes took, milliseconds. */
+  takePassMs(): number {
+    const tookMs = this.#passMs;
+    this.#passMs = 0;
+    return tookMs;
+  }
+
   /** No pass any more. */
   close(): void {
     this.#closed = true;
@@ -83,6 +91,7 @@
     const startedMs = this.#context.clock.monotonic();
     for (const { step } of this.#line()) this.#place(step);
     const tookMs = this.#context.clock.monotonic() - startedMs;
+    this.#passMs += tookMs;
     this.#context.metrics.observe("pass_ms", tookMs);
   }
 
