--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -35,6 +35,8 @@
 const TICK_MS = 50;
 /** A hold that was not confirmed for so long is confirmed by a write, milliseconds. */
 const CONFIRM_AFTER_MS = 700;
+/** A weak machine keeps a cell that it had to take for so long at least, milliseconds: the strong ones come up. */
+const WEAK_HOLD_MS = 2_000;
 /** Longest wait for a successor, milliseconds. */
 const YIELD_TIMEOUT_MS = 1_500;
 /** Longest wait for a greeting's answer, milliseconds. */
@@ -82,8 +84,13 @@
   #holding: Hold | undefined;
   #trying = false;
   #retryAtMs = 0;
+  #gainedMs = 0;
   #leaving = false;
   readonly #replaced = new Set<() => void>();
+  /** Which members were told last, and by which process. */
+  #membersKnown:
+    | { readonly boot: string; readonly membersVersion: number }
+    | undefined;
 
   constructor(options: LeadershipOptions) {
     this.#options = options;
@@ -103,7 +110,7 @@
       everyMs: () => statusEveryMs(this.#roster.members.length),
       waiting: () => options.listener.waiting(),
       replaced: () => void this.#readRecord(),
-      setWanted: (peer) => this.onSetWanted(peer),
+      setWanted: (peer, version) => this.onSetWanted(peer, version),
     });
   }
 
@@ -195,9 +202,14 @@
   /** Hands the cell to another instance; `false` if none took it. */
   async yield(): Promise<boolean> {
     this.#leaving = true;
+    return await this.#offer(this.#ranked());
+  }
+
+  /** Asks instances to take the cell, one after the other; `false` if none took it. */
+  async #offer(names: readonly string[]): Promise<boolean> {
     const hold = this.#holding;
     if (hold === undefined) return true;
-    for (const name of this.#ranked()) {
+    for (const name of names) {
       const answer = await this.#options.peers.call(name, yieldCall, {
         params: { fence: hold.fence },
         timeoutMs: YIELD_TIMEOUT_MS,
@@ -224,13 +236,19 @@
       if (status.fence >= this.fence) {
         this.#note({ record, revision: status.revision });
         this.#news.told(status.waiting);
-        this.#roster.replace(status.members);
-        if (status.setVersion > set.version) this.onSetWanted(from);
+        if (status.members !== null) {
+          this.#roster.replace(status.members);
+          this.#membersKnown = status;
+        }
+        if (status.setVersion > set.version) {
+          this.onSetWanted(from, status.setVersion);
+        }
       }
       return {
         fence: this.fence,
         setVersion: set.version,
         reachesStore: reachesStore(),
+        membersVersion: this.#membersVersionOf(status),
       };
     });
     peers.serve(helloCall, (member) => {
@@ -253,8 +271,14 @@
     });
   }
 
-  /** Set by the process: fetches the set from a peer. */
-  onSetWanted: (peer: string) => void = () => {};
+  /** Version of the members that this holder has told; 0 if it has told none. */
+  #membersVersionOf(status: { readonly boot: string }): number {
+    const known = this.#membersKnown;
+    return known?.boot === status.boot ? known.membersVersion : 0;
+  }
+
+  /** Set by the process: fetches a version of the set from a peer. */
+  onSetWanted: (peer: string, version: number) => void = () => {};
 
   async #readRecord(): Promise<void> {
     const known = await this.#writer.read();
@@ -354,7 +378,10 @@
     this.#trying = true;
     try {
       const own = this.#known?.record.name === this.#options.self.name;
-      if (asked || own || await this.#isSilentForAll()) await this.#tryTake();
+      const { fence } = this;
+      const may = asked || own || await this.#isSilentForAll();
+      // A doubt about one holder says nothing of the one that came meanwhile.
+      if (may && this.fence === fence) await this.#tryTake();
     } finally {
       this.#trying = false;
       const { clock, random } = this.#options;
@@ -417,6 +444,7 @@
     const { fence } = known.record;
     const hold = { fence, revision: known.revision };
     this.#holding = hold;
+    this.#gainedMs = clock.monotonic();
     this.#confirmation.confirm(clock.monotonic());
     log.info("hold.gained", {
       fence,
@@ -429,11 +457,26 @@
   }
 
   #watchHold(): void {
-    const { ageMs, wasSuspended } = this.#confirmation;
-    if (ageMs < CONFIRM_AFTER_MS && !wasSuspended) return;
     if (this.#trying) return;
+    const { ageMs, wasSuspended } = this.#confirmation;
+    const stale = ageMs >= CONFIRM_AFTER_MS || wasSuspended;
+    const stronger = stale ? [] : this.#strongerThanThis();
+    if (!stale && stronger.length === 0) return;
     this.#trying = true;
-    void this.#confirm().finally(() => this.#trying = false);
+    const work = stale ? this.#confirm() : this.#offer(stronger);
+    void work.finally(() => this.#trying = false);
+  }
+
+  /** Strong machines that a weak holder should give the cell to. */
+  #strongerThanThis(): readonly string[] {
+    const { self, clock } = this.#options;
+    if (!this.#isWeak()) return [];
+    if (clock.monotonic() - this.#gainedMs < WEAK_HOLD_MS) return [];
+    const reachable = new Set(this.#roster.reachable());
+    const strong = this.#roster.members.filter((member) =>
+      member.cores >= WEAK_FACTOR * self.cores && reachable.has(member.name)
+    );
+    return strong.map((member) => member.name);
   }
 
   async #confirm(): Promise<void> {
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -14,6 +14,8 @@
 class Network {
   readonly handlers = new Map<string, Map<string, Handler>>();
   readonly cut = new Set<string>();
+  /** Told of every call before it is carried out. */
+  onCall: (method: string, from: string) => void = () => {};
 
   peersOf(self: string): Peers {
     const mine = new Map<string, Handler>();
@@ -24,6 +26,7 @@
         call: Call<P, R>,
         { params }: { readonly params: P },
       ) => {
+        this.onCall(call.method, self);
         const handler = this.handlers.get(peer)?.get(call.method);
         if (handler === undefined || this.cut.has(peer) || this.cut.has(self)) {
           return errAsync({ type: "peerSilent", message: "cut" } as const);
@@ -184,3 +187,72 @@
   await world.clock.run(3_500);
   t.deepEqual(world.fences, [1, 2]);
 });
+
+test("a doubt about one holder does not overthrow the next", async (t) => {
+  const world = new Instances();
+  world.start("a");
+  await world.clock.run(1_000);
+  world.start("b");
+  world.start("c");
+  await world.clock.run(1_000);
+  world.network.cut.add("a");
+  // While the others are asked about fence 1, somebody takes the cell.
+  const record = { name: "z", address: "z:1", cores: 1, boot: "z", fence: 2 };
+  let taken = 0;
+  world.network.onCall = (method, from) => {
+    if (method !== "cell.hello" || from === "a" || taken > 0) return;
+    taken = world.store.revision + 1;
+    const value = JSON.stringify(record);
+    void world.store.commit([], [{ type: "put", key: "cell/0/holder", value }]);
+    // Only the one that asks has heard of it.
+    world.network.handlers.get(from)?.get("cell.status")?.({
+      holder: record,
+      boot: "z",
+      fence: 2,
+      revision: taken,
+      setVersion: 0,
+      waiting: [],
+      membersVersion: 1,
+      members: [],
+    }, "z");
+  };
+  await world.clock.run(700);
+  t.true(taken > 0);
+  t.deepEqual(world.fences, [1]);
+});
+
+test("a weak holder gives the cell to a strong machine that has come", async (t) => {
+  const world = new Instances();
+  const weak = world.start("b", { cores: 0.3 });
+  await world.clock.run(1_500);
+  t.true(weak.holds());
+  world.start("a", { cores: 1.35 });
+  await world.clock.run(4_000);
+  t.deepEqual([...world.holding], ["a"]);
+  t.is(weak.holder?.name, "a");
+});
+
+test("members are told to each instance once, and again to one that has forgotten", async (t) => {
+  const world = new Instances();
+  world.start("a");
+  await world.clock.run(1_000);
+  const b = world.start("b");
+  const lists: number[] = [];
+  const note = (name: string) => {
+    const mine = world.network.handlers.get(name)!;
+    const handler = mine.get("cell.status")!;
+    mine.set("cell.status", (params, from) => {
+      if ((params as { members: unknown }).members !== null) lists.push(1);
+      return handler(params, from);
+    });
+  };
+  note("b");
+  await world.clock.run(2_000);
+  t.is(b.holder?.name, "a");
+  t.true(lists.length >= 1 && lists.length <= 3, String(lists.length));
+  lists.length = 0;
+  world.start("b", { boot: "b-2" });
+  note("b");
+  await world.clock.run(1_500);
+  t.true(lists.length >= 1 && lists.length <= 3, String(lists.length));
+});
--- a/src/cell/node.ts
+++ b/src/cell/node.ts
@@ -27,13 +27,14 @@
   storeCall,
 } from "./protocol.ts";
 import { RelayedStore, serveStore } from "./relayed_store.ts";
+import { SetFetch } from "./set_fetch.ts";
 import { SetInForce } from "./set_in_force.ts";
 import type { Advice, ClusterSet } from "./types.ts";
 
 /** The one cell of today's sizes. */
 const CELL = "cell/0";
-/** Longest wait for the set of another instance, milliseconds. */
-const SET_TIMEOUT_MS = 500;
+/** Longest wait for the set of another instance, milliseconds: half a megabyte over a slow link. */
+const SET_TIMEOUT_MS = 1_500;
 /** Longest wait for the last writes when the process leaves, milliseconds. */
 const DRAIN_MS = 800;
 /** A recovery that failed is tried again after this, milliseconds. */
@@ -121,7 +122,14 @@
         waiting: () => [...(this.#cell?.waiting() ?? [])],
       },
     });
-    this.#leadership.onSetWanted = (peer) => void this.#fetchSet(peer);
+    const fetches = new SetFetch({
+      set: this.set,
+      fetch: (instance) => this.#fetchSet(instance),
+      clock,
+      log,
+    });
+    this.#leadership.onSetWanted = (peer, version) =>
+      void fetches.wanted(peer, version);
     this.#desk = new AdviceDesk(
       (instance, question, call) => this.#askThrough(instance, question, call),
       () => [...this.#leadership.reachable(), self.name].sort(),
@@ -206,13 +214,12 @@
       : answer.value;
   }
 
-  async #fetchSet(peer: string): Promise<void> {
+  async #fetchSet(peer: string): Promise<ClusterSet | undefined> {
     const answer = await this.#peers.call(peer, setCall, {
       params: {},
       timeoutMs: SET_TIMEOUT_MS,
     });
-    const set = answer.unwrapOr(null);
-    if (set !== null) this.set.offer(set, peer);
+    return answer.unwrapOr(null) ?? undefined;
   }
 
   #gained(hold: Hold): void {
--- a/src/cell/protocol.ts
+++ b/src/cell/protocol.ts
@@ -38,13 +38,18 @@
   setVersion: t.number,
   /** Accepted jobs by queue that have not begun. */
   waiting: t.array(t.tuple([t.string, t.number])),
-  members: t.array(Member),
+  /** Grows with each change of the members at this process. */
+  membersVersion: t.number,
+  /** `null`: as told before. */
+  members: t.union([t.array(Member), t.null]),
 });
 const StatusReply = t.type({
   /** Highest fence that the member knows. */
   fence: t.number,
   setVersion: t.number,
   reachesStore: t.boolean,
+  /** Version of the members that it has from this holder; 0 for none. */
+  membersVersion: t.number,
 });
 
 /** The holder tells all members where it stands. */
--- a/src/cell/roster.ts
+++ b/src/cell/roster.ts
@@ -37,6 +37,7 @@
   readonly #members = new Map<string, Member>();
   readonly #repliedMs = new Map<string, number>();
   readonly #reaching = new Set<string>();
+  #version = 1;
 
   constructor(options: RosterOptions) {
     this.#options = options;
@@ -47,13 +48,18 @@
     return [...this.#members.values()];
   }
 
-  /** Members that replied lately. */
+  /** Grows with each change of the members. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Members that replied lately, the strongest first. */
   reachable(): readonly string[] {
     const since = this.#options.clock.monotonic() - REACHABLE_MS;
     return [...this.#repliedMs]
       .filter(([, atMs]) => atMs >= since)
       .map(([name]) => name)
-      .sort();
+      .sort((a, b) => this.#coresOf(b) - this.#coresOf(a) || (a < b ? -1 : 1));
   }
 
   /** Those of them that the store answers. */
@@ -63,6 +69,7 @@
 
   /** Takes the members over from the holder's news. */
   replace(members: readonly Member[]): void {
+    this.#version++;
     this.#members.clear();
     for (const member of members) this.#remember(member);
   }
@@ -118,12 +125,17 @@
       member: name,
       silentMs: Math.round(silentMs),
     });
+    this.#version++;
     this.#members.delete(name);
     this.#repliedMs.delete(name);
     this.#options.link(this.members);
     void this.#write({ type: "delete", key: MEMBERS_PREFIX + name });
   }
 
+  #coresOf(name: string): number {
+    return this.#members.get(name)?.cores ?? 0;
+  }
+
   async #stored(): Promise<readonly Member[]> {
     const result = await this.#options.store.list(MEMBERS_PREFIX);
     if (result.isOk()) {
@@ -145,15 +157,16 @@
       member: member.name,
       address: member.address,
     });
+    this.#version++;
     this.#members.set(member.name, member);
     this.#options.link(this.members);
     return true;
   }
 
   #remember(member: Member): void {
-    if (member.name !== this.#options.self.name) {
-      this.#members.set(member.name, member);
-    }
+    if (member.name === this.#options.self.name) return;
+    this.#version++;
+    this.#members.set(member.name, member);
   }
 
   async #write(write: Write): Promise<void> {
--- /dev/null
+++ b/src/cell/set_fetch_test.ts
@@ -0,0 +1,61 @@
+import test from "ava";
+import { okAsync } from "neverthrow";
+import { ManualClock } from "../clock.ts";
+import { silentLog } from "../logger.ts";
+import { SetFetch } from "./set_fetch.ts";
+import { SetInForce } from "./set_in_force.ts";
+import type { ClusterSet } from "./types.ts";
+
+function setOf(version: number): ClusterSet {
+  return { version, queues: [], teams: [], maxBodyBytes: 1 };
+}
+
+function open(fetched: ClusterSet | undefined) {
+  const clock = new ManualClock();
+  const asked: string[] = [];
+  const set = new SetInForce(
+    {
+      workers: () => okAsync({ workers: [], foreign: 0 }),
+      configuration: () => okAsync(undefined),
+      nextConfiguration: () => okAsync({ set: undefined, revision: 0 }),
+    },
+    { clock, log: silentLog },
+  );
+  const fetches = new SetFetch({
+    set,
+    fetch: (instance) => {
+      asked.push(instance);
+      return Promise.resolve(fetched);
+    },
+    clock,
+    log: silentLog,
+  });
+  return { clock, asked, set, fetches };
+}
+
+test("the store is waited for first", async (t) => {
+  const { clock, asked, set, fetches } = open(setOf(2));
+  void fetches.wanted("a", 2);
+  await clock.run(200);
+  set.offer(setOf(2), "store");
+  await clock.run(500);
+  t.deepEqual(asked, []);
+});
+
+test("a set that the store does not bring is asked for once", async (t) => {
+  const { clock, asked, set, fetches } = open(setOf(2));
+  for (const instance of ["a", "b", "c"]) void fetches.wanted(instance, 2);
+  await clock.run(500);
+  t.deepEqual(asked, ["a"]);
+  t.is(set.version, 2);
+});
+
+test("a fetch that failed leaves the set and may be tried again", async (t) => {
+  const { clock, asked, set, fetches } = open(undefined);
+  void fetches.wanted("a", 2);
+  await clock.run(500);
+  void fetches.wanted("b", 2);
+  await clock.run(500);
+  t.deepEqual(asked, ["a", "b"]);
+  t.is(set.version, 0);
+});
--- a/src/cell/status_teller.ts
+++ b/src/cell/status_teller.ts
@@ -35,12 +35,14 @@
   /** A member knows of a later holder. */
   readonly replaced: () => void;
   /** A member has a newer set. */
-  readonly setWanted: (member: string) => void;
+  readonly setWanted: (member: string, version: number) => void;
 }
 
 /** Tells members where the holder stands, while there is a hold. */
 export class StatusTeller {
   readonly #options: StatusTellerOptions;
+  /** Version of the members that each instance has. */
+  readonly #toldMembers = new Map<string, number>();
 
   constructor(options: StatusTellerOptions) {
     this.#options = options;
@@ -88,17 +90,24 @@
           queue,
           count,
         ]),
-        members: [...roster.members, self],
+        membersVersion: roster.version,
+        members: this.#toldMembers.get(name) === roster.version
+          ? null
+          : [...roster.members, self],
       },
       timeoutMs: STATUS_TIMEOUT_MS,
     });
     if (answer.isErr()) {
+      this.#toldMembers.delete(name);
       roster.unreplied(name);
       return false;
     }
     const reply = answer.value;
     roster.replied(name, reply);
-    if (reply.setVersion > set.version) this.#options.setWanted(name);
+    this.#toldMembers.set(name, reply.membersVersion);
+    if (reply.setVersion > set.version) {
+      this.#options.setWanted(name, reply.setVersion);
+    }
     if (reply.fence <= hold.fence) return true;
     this.#options.replaced();
     return false;
