--- a/src/cell/relayed_store.ts
+++ b/src/cell/relayed_store.ts
@@ -15,6 +15,8 @@
 
 /** After a failure of the direct way others are asked first for so long, milliseconds. */
 const DETOUR_MS = 1_000;
+/** A direct answer of so long ago, milliseconds, tells that the way is open: one call failed, not the way. Below the shortest wait for an answer, so that a cut is noticed by the first call that fails. */
+const FRESH_ANSWER_MS = 250;
 /** Longest wait for an answer through another instance, milliseconds. */
 const RELAY_TIMEOUT_MS = 1_500;
 
@@ -32,6 +34,7 @@
 export class RelayedStore implements CellStore {
   readonly #options: RelayedStoreOptions;
   #detourUntilMs = 0;
+  #answeredMs = -Infinity;
   #reached = true;
 
   constructor(options: RelayedStoreOptions) {
@@ -44,21 +47,44 @@
   }
 
   /** Takes note of the outcome of a direct call. */
-  observe(failure: StoreFailure | undefined): void {
+  observe(
+    call: string,
+    { failure, tookMs }: {
+      readonly failure: StoreFailure | undefined;
+      readonly tookMs: number;
+    },
+  ): void {
     const { clock, log } = this.#options;
     const reached = failure === undefined || failure.type === "storeProtocol";
-    if (!reached) this.#detourUntilMs = clock.monotonic() + DETOUR_MS;
+    if (reached) this.#answeredMs = clock.monotonic();
+    else if (this.#isOpen()) {
+      log.info("store.callFailed", {
+        call,
+        failure: failure.type,
+        reason: failure.message,
+        tookMs: Math.round(tookMs),
+      });
+      return;
+    } else this.#detourUntilMs = clock.monotonic() + DETOUR_MS;
     if (reached === this.#reached) return;
     this.#reached = reached;
-    if (reached) log.info("store.regained");
+    if (reached) log.info("store.regained", { call });
     else {
       log.warn("store.lost", {
+        call,
         failure: failure.type,
         reason: failure.message,
+        tookMs: Math.round(tookMs),
       });
     }
   }
 
+  /** Whether the direct way has answered just now. */
+  #isOpen(): boolean {
+    const ageMs = this.#options.clock.monotonic() - this.#answeredMs;
+    return ageMs < FRESH_ANSWER_MS;
+  }
+
   get(key: string): ResultAsync<Entry | undefined, StoreFailure> {
     return this.#through(
       () => this.#options.direct.get(key),
@@ -120,6 +146,7 @@
     if (first === undefined) return await direct();
     if (first.isOk()) return first;
     if (!detour && first.error.type === "storeProtocol") return first;
+    if (!detour && this.#isOpen()) return first;
     const second = detour ? await direct() : await this.#relay(request, read);
     if (second === undefined) return first;
     if (second.isOk()) return second;
--- a/src/cell/relayed_store_test.ts
+++ b/src/cell/relayed_store_test.ts
@@ -33,16 +33,23 @@
 function open(
   direct: FakeStore,
   answer: StoreAnswer | "silent",
-): { readonly store: RelayedStore; readonly calls: string[] } {
+): {
+  readonly store: RelayedStore;
+  readonly calls: string[];
+  readonly clock: ManualClock;
+} {
   const calls: string[] = [];
+  const clock = new ManualClock();
+  // Long after the start of the process.
+  clock.advance(10_000);
   const store = new RelayedStore({
     direct,
     peers: peersThat(answer, calls),
     relays: () => ["peer-1"],
-    clock: new ManualClock(),
+    clock,
     log: silentLog,
   });
-  return { store, calls };
+  return { store, calls, clock };
 }
 
 const COMMITTED: StoreAnswer = { type: "committed", revision: 9 };
@@ -63,6 +70,31 @@
   t.deepEqual(calls, ["peer-1"]);
 });
 
+test("one failure beside fresh answers takes no detour", async (t) => {
+  const direct = failing("storeAnswerLost");
+  const { store, calls } = open(direct, COMMITTED);
+  store.observe("get", { failure: undefined, tookMs: 5 });
+  const failure = (await store.commit([], []))._unsafeUnwrapErr();
+  t.is(failure.type, "storeAnswerLost");
+  store.observe("commit", { failure, tookMs: 300 });
+  t.true((await store.get("key")).isOk());
+  t.deepEqual(calls, []);
+});
+
+test("failures without a fresh answer take the detour for a while", async (t) => {
+  const direct = failing("storeAnswerLost");
+  const { store, calls, clock } = open(direct, {
+    type: "entry",
+    entry: null,
+  });
+  store.observe("get", { failure: undefined, tookMs: 5 });
+  clock.advance(400);
+  const failure = { type: "storeAnswerLost", message: "silent" } as const;
+  store.observe("commit", { failure, tookMs: 300 });
+  t.true((await store.get("key")).isOk());
+  t.deepEqual(calls, ["peer-1"]);
+});
+
 test("an answer that was lost is never told as nothing done", async (t) => {
   for (const relayed of [BUSY, "silent"] as const) {
     const { store } = open(failing("storeAnswerLost"), relayed);
