--- a/src/cell/line_sink.ts
+++ b/src/cell/line_sink.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import { write } from "node:fs";
+import { type Clock, systemClock } from "../clock.ts";
 
 /** Lines that wait for the reader; more are dropped, bytes. */
 const MAX_BACKLOG_BYTES = 512 * 1024;
@@ -12,12 +14,21 @@
 /** Length of the window of that budget, milliseconds. */
 const WINDOW_MS = 1_000;
 
-/** Writes to a file descriptor; gives the error and the number of bytes written. */
+/** A full pipe is tried again after this, milliseconds. */
+const FULL_PIPE_MS = 5;
+
+/** Writes all of a text to a file descriptor, or gives the error. */
 export type WriteDescriptor = (
   text: string,
   done: (error: Error | null) => void,
 ) => void;
 
+/** {@linkcode write} of `node:fs`: it may write a part. */
+export type WritePart = (
+  bytes: Buffer,
+  done: (error: NodeJS.ErrnoException | null, written: number) => void,
+) => void;
+
 /** A bounded queue of lines in front of a descriptor. */
 export class LineSink {
   readonly #write: WriteDescriptor;
@@ -90,5 +101,20 @@
 
 /** Writes to a descriptor of this process from a thread of the runtime. */
 export function descriptorWriter(descriptor: number): WriteDescriptor {
-  return (text, done) => write(descriptor, text, (error) => done(error));
+  return wholeWriter((bytes, done) => write(descriptor, bytes, done));
+}
+
+/** Writes part after part until all is written; a reader that is slow is waited for. */
+export function wholeWriter(
+  writePart: WritePart,
+  clock: Clock = systemClock,
+): WriteDescriptor {
+  const writeAll = (bytes: Buffer, done: (error: Error | null) => void) =>
+    writePart(bytes, (error, written) => {
+      if (error?.code === "EAGAIN") {
+        clock.after(FULL_PIPE_MS, () => writeAll(bytes, done));
+      } else if (error !== null || written >= bytes.length) done(error);
+      else writeAll(bytes.subarray(written), done);
+    });
+  return (text, done) => writeAll(Buffer.from(text), done);
 }
--- a/src/cell/line_sink_test.ts
+++ b/src/cell/line_sink_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
-import { LineSink } from "./line_sink.ts";
+import { ManualClock } from "../clock.ts";
+import { LineSink, wholeWriter, type WritePart } from "./line_sink.ts";
 
 /** A reader that takes nothing until it is let go. */
 class SlowReader {
@@ -46,3 +47,24 @@
   t.regex(reader.texts[1] ?? "", /event=log\.dropped of=noise lines=50/);
   t.regex(reader.texts[1] ?? "", /quiet\n/);
 });
+
+test("a pipe that takes parts, or nothing for a while, gets every byte", async (t) => {
+  const clock = new ManualClock();
+  const taken: string[] = [];
+  let calls = 0;
+  const part: WritePart = (bytes, done) => {
+    calls++;
+    if (calls === 2) {
+      done(Object.assign(new Error("full"), { code: "EAGAIN" }), 0);
+      return;
+    }
+    taken.push(bytes.subarray(0, 4).toString());
+    done(null, Math.min(4, bytes.length));
+  };
+  const written = new Promise((resolve) =>
+    wholeWriter(part, clock)("a=1\nb=2\nc=3\n", resolve)
+  );
+  await clock.run(10);
+  t.is(await written, null);
+  t.is(taken.join(""), "a=1\nb=2\nc=3\n");
+});
