Refuse a submission that was never sent to a holder as not run

Cause: a call over a link that was not open counted as unknown, which its client may not repeat, and now would also be held until its deadline. Such a call counts like one that met no holder. Test: 'a submission that was never sent is refused, not unknown'.

--- a/src/cell/gateway.ts
+++ b/src/cell/gateway.ts
@@ -6,7 +6,9 @@
  *
  * @module
  */
+import type { ResultAsync } from "neverthrow";
 import { type Clock, sleep } from "../clock.ts";
+import type { PeerFailure } from "../errors.ts";
 import type { Metrics } from "../metrics.ts";
 import type { Peers } from "../ports/peers.ts";
 import type { Cell, Submission } from "./cell.ts";
@@ -40,6 +42,13 @@
 /** Why nothing was done. */
 export type RefusalReason = "noHolder" | "storeAway" | "overload";
 
+/** The call did not get to a holder. */
+interface NoHolder {
+  readonly type: "notHolder";
+}
+
+const NO_HOLDER: NoHolder = { type: "notHolder" };
+
 /** What the gateway needs. */
 export interface GatewayOptions {
   readonly peers: Peers;
@@ -81,7 +90,7 @@
             },
           },
           timeoutMs,
-        }).unwrapOr({ type: "unknown" } as SubmitAnswer),
+        }),
     });
     if (answer === undefined) return { type: "refused", reason: "noHolder" };
     switch (answer.type) {
@@ -107,7 +116,7 @@
         this.#options.peers.call(holder, stateCall, {
           params: { id },
           timeoutMs,
-        }).unwrapOr({ type: "unknown" } as Silence),
+        }),
     });
     switch (answer?.type) {
       case "found":
@@ -134,7 +143,7 @@
         this.#options.peers.call(holder, cancelCall, {
           params: { id },
           timeoutMs,
-        }).unwrapOr({ type: "unknown" } as CancelAnswer),
+        }),
     });
     if (answer === undefined) return { type: "refused", reason: "noHolder" };
     switch (answer.type) {
@@ -199,7 +208,10 @@
     deadlineMs: number,
     call: {
       readonly here: (cell: Cell) => Promise<A>;
-      readonly there: (holder: string, timeoutMs: number) => Promise<A>;
+      readonly there: (
+        holder: string,
+        timeoutMs: number,
+      ) => ResultAsync<A, PeerFailure>;
       /** What is told when the call was sent and no answer came. */
       readonly unknown: A;
     },
@@ -216,14 +228,16 @@
         const timeoutMs = Math.min(CALL_TIMEOUT_MS, deadlineMs - now);
         const answer = cell !== undefined
           ? await call.here(cell)
-          : await this.#unlessReplaced(call.there(holder!.name, timeoutMs));
-        if (answer !== undefined && isFinal(answer)) {
+          : await this.#unlessReplaced(
+            answerOf(call.there(holder!.name, timeoutMs), call.unknown),
+          );
+        // A lost answer says as little as one that knows nothing.
+        if (answer === undefined || answer.type === "unknown") {
+          last = call.unknown;
+        } else if (reachedHolder(answer)) {
           metrics.observe("holder_answer_ms", clock.monotonic() - startedMs);
           return answer;
         }
-        if (answer === undefined || answer.type === "unknown") {
-          last = answer ?? call.unknown;
-        }
       }
       // One that may have been stored is made again: its client could not.
       const sinceMs = clock.monotonic() - startedMs;
@@ -238,8 +252,21 @@
   readonly type: "unknown";
 }
 
-function isFinal(answer: { readonly type: string }): boolean {
-  return answer.type !== "unknown" && answer.type !== "notHolder";
+/** What a peer answers; a call that was never sent has met no holder. */
+function answerOf<A extends { readonly type: string }>(
+  call: ResultAsync<A, PeerFailure>,
+  unknown: A,
+): Promise<A | NoHolder> {
+  return call.match(
+    (answer): A | NoHolder => answer,
+    (failure) => failure.type === "peerUnreached" ? NO_HOLDER : unknown,
+  );
+}
+
+function reachedHolder<A extends { readonly type: string }>(
+  answer: A | NoHolder,
+): answer is A {
+  return answer.type !== "notHolder";
 }
 
 function stateAnswer(cell: Cell, id: string): StateAnswer {
--- a/src/cell/gateway_test.ts
+++ b/src/cell/gateway_test.ts
@@ -20,6 +20,8 @@
   const world = {
     holder: "a" as string | undefined,
     living: new Set<string>(),
+    /** Why calls to others fail. */
+    failure: "peerSilent" as "peerSilent" | "peerUnreached",
     calls: [] as string[],
   };
   const peers = {
@@ -27,7 +29,7 @@
       world.calls.push(peer);
       return world.living.has(peer)
         ? okAsync({ type: "accepted" })
-        : errAsync({ type: "peerSilent", message: "gone" });
+        : errAsync({ type: world.failure, message: "gone" });
     },
     serve() {},
   } as unknown as Peers;
@@ -78,3 +80,11 @@
   await clock.run(2_900);
   t.deepEqual(await answer, { type: "unknown" });
 });
+
+test("a submission that was never sent is refused, not unknown", async (t) => {
+  const { clock, world, gateway } = open();
+  world.failure = "peerUnreached";
+  const answer = gateway.submit(SUBMISSION, 2_800);
+  await clock.run(1_000);
+  t.deepEqual(await answer, { type: "refused", reason: "noHolder" });
+});
