Free a gang's room with its end; keep to the detour until the direct way answers

A gang's room is free with the end of the first member (they end together); a probe that nobody waits for finds out whether the direct way is open again. A weak holder offers its cell every 2 s at most. Ruled out: shorter waits for direct answers (slow stores). Tests fail first for the gang's room; the detour's test counts direct calls.

--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -110,6 +110,8 @@
   >();
   /** Acknowledgements are lost on their way. */
   keepsEnds = false;
+  /** How long a report waits for an end, milliseconds. */
+  reportMs = 50;
   /** Its tasks stand still. */
   stalled = false;
   readonly starts: StartOrder[] = [];
@@ -261,7 +263,9 @@
     there.fence = order.fence;
     const fresh = there.ended.some((end) => end.number > order.acknowledged);
     if (order.waitMs > 0 && !fresh) {
-      await new Promise<void>((resolve) => this.#clock.after(50, resolve));
+      await new Promise<void>((resolve) =>
+        this.#clock.after(there.reportMs, resolve)
+      );
     }
     if (there.silent) {
       return await errAsync({ type: "lost", message: "silent" });
--- a/src/cell/cell_test.ts
+++ b/src/cell/cell_test.ts
@@ -367,3 +367,23 @@
   await world.clock.run(300);
   t.deepEqual(worker.starts.map(({ task }) => task), [`${other}.0.0.0`]);
 });
+
+test("the room of a whole gang is free once one member tells of its end", async (t) => {
+  const world = new World();
+  const workers = ["w1", "w2"].map((id) => world.addWorker(id));
+  const cell = await world.open();
+  const amounts = { cpuMillis: 4_000, memoryMib: 100, accelerators: 0 };
+  await world.submit(cell, [testStep({ tasks: 2, amounts, gang: true })]);
+  await world.clock.run(300);
+  t.deepEqual(workers.map(({ starts }) => starts.length), [1, 1]);
+  const other = "00000000000000b1";
+  await world.submit(cell, [testStep({ tasks: 2, amounts })], other);
+  // The second worker's next report is a while away.
+  workers[1]!.reportMs = 1_000;
+  await world.clock.run(100);
+  workers[1]!.running.clear();
+  workers[0]!.end(workers[0]!.starts[0]!.task, "done");
+  await world.clock.run(200);
+  t.is(cell.state(JOB), "done");
+  t.deepEqual(workers.map(({ starts }) => starts.length), [2, 2]);
+});
--- a/src/cell/endings.ts
+++ b/src/cell/endings.ts
@@ -59,7 +59,7 @@
     const attempts = queueOf(this.#context, job).attempts;
     if (ended.kind === "done" && !step.spec.longRunning) {
       const finished = step.spec.gang ? step.tasks : [task];
-      for (const done of finished) markDone(step, done);
+      for (const done of finished) this.#finish(step, done);
     } else {
       if (task.phase === "assigned") task.phase = "waiting";
       if (ended.kind === "failed" && !step.spec.longRunning) {
@@ -74,6 +74,15 @@
     this.#runs.settle(step);
   }
 
+  /** A gang ends everywhere at once: its members leave their room with the first that tells. */
+  #finish(step: StepRun, task: Task): void {
+    const run = this.#context.fleet.workers.get(task.worker)?.runs.get(task.id);
+    if (run !== undefined) this.#context.fleet.release(run);
+    if (task.phase === "done") return;
+    task.phase = "done";
+    step.left--;
+  }
+
   #fail(
     job: Job,
     { task, failures, attempts }: {
@@ -142,9 +151,3 @@
   }
   return step.gangFailures;
 }
-
-function markDone(step: StepRun, task: Task): void {
-  if (task.phase === "done") return;
-  task.phase = "done";
-  step.left--;
-}
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -86,7 +86,8 @@
   #holding: Hold | undefined;
   #trying = false;
   #retryAtMs = 0;
-  #gainedMs = 0;
+  /** A weak holder offers the cell to strong machines from then on, monotonic milliseconds. */
+  #offerFromMs = 0;
   #leaving = false;
   readonly #replaced = new Set<() => void>();
   /** Which members were told last, and by which process. */
@@ -454,7 +455,7 @@
     const { fence } = known.record;
     const hold = { fence, revision: known.revision };
     this.#holding = hold;
-    this.#gainedMs = clock.monotonic();
+    this.#offerFromMs = clock.monotonic() + WEAK_HOLD_MS;
     this.#confirmation.confirm(clock.monotonic());
     log.info("hold.gained", {
       fence,
@@ -470,18 +471,26 @@
     if (this.#trying) return;
     const { ageMs, wasSuspended } = this.#confirmation;
     const stale = ageMs >= CONFIRM_AFTER_MS || wasSuspended;
-    const stronger = stale ? [] : this.#strongerThanThis();
-    if (!stale && stronger.length === 0) return;
+    const work = stale ? this.#confirm() : this.#offerToStronger();
+    if (work === undefined) return;
     this.#trying = true;
-    const work = stale ? this.#confirm() : this.#offer(stronger);
     void work.finally(() => this.#trying = false);
   }
 
+  /** Offers the cell of a weak machine to strong ones, now and then. */
+  #offerToStronger(): Promise<boolean> | undefined {
+    const { clock } = this.#options;
+    if (clock.monotonic() < this.#offerFromMs) return undefined;
+    const stronger = this.#strongerThanThis();
+    if (stronger.length === 0) return undefined;
+    this.#offerFromMs = clock.monotonic() + WEAK_HOLD_MS;
+    return this.#offer(stronger);
+  }
+
   /** Strong machines that a weak holder should give the cell to. */
   #strongerThanThis(): readonly string[] {
-    const { self, clock } = this.#options;
+    const { self } = this.#options;
     if (!this.#isWeak()) return [];
-    if (clock.monotonic() - this.#gainedMs < WEAK_HOLD_MS) return [];
     const reachable = new Set(this.#roster.reachable());
     const strong = this.#roster.members.filter((member) =>
       member.cores >= WEAK_FACTOR * self.cores && reachable.has(member.name)
--- a/src/cell/relayed_store.ts
+++ b/src/cell/relayed_store.ts
@@ -13,8 +13,10 @@
 import type { CellStore } from "./ports.ts";
 import { type StoreAnswer, storeCall, type StoreRequest } from "./protocol.ts";
 
-/** After a failure of the direct way others are asked first for so long, milliseconds. */
-const DETOUR_MS = 1_000;
+/** While others are asked the direct way is tried this often, milliseconds, by a call that nobody waits for. */
+const PROBE_EVERY_MS = 500;
+/** Key that such a call asks for; it need not exist. */
+const PROBE_KEY = "probe";
 /** A direct answer of so long ago, milliseconds, tells that the way is open: one call failed, not the way. Below the shortest wait for an answer, so that a cut is noticed by the first call that fails. */
 const FRESH_ANSWER_MS = 250;
 /** Longest wait for an answer through another instance, milliseconds. */
@@ -33,8 +35,8 @@
 /** {@linkcode CellStore} that takes a detour when it must. */
 export class RelayedStore implements CellStore {
   readonly #options: RelayedStoreOptions;
-  #detourUntilMs = 0;
   #answeredMs = -Infinity;
+  #probedMs = -Infinity;
   #reached = true;
 
   constructor(options: RelayedStoreOptions) {
@@ -65,7 +67,7 @@
         tookMs: Math.round(tookMs),
       });
       return;
-    } else this.#detourUntilMs = clock.monotonic() + DETOUR_MS;
+    }
     if (reached === this.#reached) return;
     this.#reached = reached;
     if (reached) log.info("store.regained", { call });
@@ -141,7 +143,8 @@
     request: StoreRequest,
     read: (answer: StoreAnswer) => Result<A, StoreFailure>,
   ): Promise<Result<A, StoreFailure>> {
-    const detour = this.#options.clock.monotonic() < this.#detourUntilMs;
+    const detour = !this.#reached;
+    if (detour) this.#probe();
     const first = detour ? await this.#relay(request, read) : await direct();
     if (first === undefined) return await direct();
     if (first.isOk()) return first;
@@ -154,6 +157,14 @@
     return first.error.type === "storeAnswerLost" ? first : second;
   }
 
+  /** Finds out whether the direct way is open again; the outcome is observed like any other. */
+  #probe(): void {
+    const now = this.#options.clock.monotonic();
+    if (now - this.#probedMs < PROBE_EVERY_MS) return;
+    this.#probedMs = now;
+    void this.#options.direct.get(PROBE_KEY);
+  }
+
   async #relay<A>(
     request: StoreRequest,
     read: (answer: StoreAnswer) => Result<A, StoreFailure>,
--- a/src/cell/relayed_store_test.ts
+++ b/src/cell/relayed_store_test.ts
@@ -81,7 +81,31 @@
   t.deepEqual(calls, []);
 });
 
-test("failures without a fresh answer take the detour for a while", async (t) => {
+test("the detour ends with the first direct answer, which nobody waits for", async (t) => {
+  const direct = new FakeStore();
+  const { store, calls, clock } = open(direct, { type: "entry", entry: null });
+  const failure = { type: "storeAnswerLost", message: "silent" } as const;
+  store.observe("commit", { failure, tookMs: 300 });
+  const asked: string[] = [];
+  direct.get = (key) => {
+    asked.push(key);
+    return errAsync(failure);
+  };
+  for (let i = 0; i < 10; i++) {
+    clock.advance(200);
+    await store.get("key");
+  }
+  // Every call takes the detour, however long it lasts; probes are few.
+  t.is(calls.length, 10);
+  t.deepEqual([...new Set(asked)], ["probe"]);
+  t.is(asked.length, 4);
+  store.observe("get", { failure: undefined, tookMs: 5 });
+  direct.get = () => okAsync(undefined);
+  await store.get("key");
+  t.is(calls.length, 10);
+});
+
+test("failures without a fresh answer take the detour", async (t) => {
   const direct = failing("storeAnswerLost");
   const { store, calls, clock } = open(direct, {
     type: "entry",
