--- /dev/null
+++ b/src/cell/candidates.ts
@@ -0,0 +1,47 @@
+/**
+ * Which instances should hold the cell.
+ *
+ * @module
+ */
+import type { Member } from "./cell_record.ts";
+
+/** A machine is weak beside one of so many times its power. */
+const WEAK_FACTOR = 2;
+
+/** What the order of candidates depends on. */
+export interface Candidacy {
+  /** This instance, if it is a candidate itself. */
+  readonly self: Member | undefined;
+  /** The last holder, which is none. */
+  readonly holder: string | undefined;
+  readonly fence: number;
+}
+
+/**
+ * Candidates in the order in which they try: the strong machines first, as
+ * the holder does the work of all; among equals it changes with each holder.
+ */
+export function rankCandidates(
+  members: readonly Member[],
+  { self, holder, fence }: Candidacy,
+): readonly string[] {
+  const others = members.filter((member) => member.name !== self?.name);
+  const all = self === undefined ? others : [self, ...others];
+  const candidates = all
+    .filter((member) => member.name !== holder)
+    .sort((a, b) => a.name < b.name ? -1 : 1);
+  const turn = fence % Math.max(1, candidates.length);
+  return [...candidates.slice(turn), ...candidates.slice(0, turn)]
+    .sort((a, b) => b.cores - a.cores)
+    .map((member) => member.name);
+}
+
+/** Members on machines so much stronger that they should hold the cell in place of `self`. */
+export function strongerThan(
+  self: Member,
+  members: readonly Member[],
+): readonly string[] {
+  return members
+    .filter((member) => member.cores >= WEAK_FACTOR * self.cores)
+    .map((member) => member.name);
+}
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -17,8 +17,8 @@
 import { JobLog } from "./job_log.ts";
 import { Durations } from "./order.ts";
 import type { CellStore, PlatformDirectory, WorkerOrders } from "./ports.ts";
-import { type Legacy, readLegacy } from "./recovery.ts";
-import { leaseBoundMs, newRun, Runs } from "./runs.ts";
+import { adopt, readLegacy } from "./recovery.ts";
+import { Runs } from "./runs.ts";
 import { Scheduler } from "./scheduler.ts";
 import { queueNamed, teamNamed } from "./set_index.ts";
 import type { ClusterSet, JobSpec, JobState } from "./types.ts";
@@ -149,7 +149,7 @@
     return readLegacy(store, log)
       .andThen((legacy) =>
         this.#options.directory.workers().map(({ workers }) => {
-          this.#adopt(legacy);
+          adopt(this.#context, legacy, { holdLimitMs: HOLD_LIMIT_MS });
           return workers;
         })
       )
@@ -310,27 +310,4 @@
       ageMs: clock.now().getTime() - (job?.acceptedMs ?? end.endedMs),
     });
   }
-
-  #adopt(legacy: Legacy): void {
-    const { fleet, clock, jobs, ended, maxLeaseMs } = this.#context;
-    const nowMs = clock.monotonic();
-    for (const [id, end] of legacy.ended) ended.set(id, end);
-    for (const [id, job] of legacy.jobs) {
-      jobs.set(id, job);
-      job.shown = stateOf(job);
-      for (const step of [...job.occurrences.values()].flat()) {
-        for (const task of step.tasks) {
-          if (task.phase !== "assigned") continue;
-          const worker = fleet.open(task.worker);
-          // The former holder may have renewed until it stopped for lack of news.
-          worker.leaseBoundMs = nowMs + HOLD_LIMIT_MS +
-            leaseBoundMs(maxLeaseMs);
-          const run = newRun(step, { task, worker, nowMs });
-          // It was recorded before: a report under this fence settles it.
-          run.provableAfterMs = nowMs;
-          fleet.take(run);
-        }
-      }
-    }
-  }
 }
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -8,25 +8,22 @@
  *
  * @module
  */
-import { type Clock, sleep } from "../clock.ts";
-import type { Log } from "../logger.ts";
-import type { Peers } from "../ports/peers.ts";
+import { sleep } from "../clock.ts";
 import { HOLD_LIMIT_MS } from "./cell.ts";
+import { rankCandidates, strongerThan } from "./candidates.ts";
 import type { CellRecord, Hold, Member } from "./cell_record.ts";
 import { Confirmation } from "./confirmation.ts";
 import { Doubt } from "./doubt.ts";
 import { HolderNews, statusEveryMs } from "./holder_news.ts";
 import { HoldWriter, type KnownRecord } from "./hold_writer.ts";
-import type { CellStore } from "./ports.ts";
+import type { LeadershipOptions } from "./leadership_options.ts";
 import { helloCall, statusCall, yieldCall } from "./protocol.ts";
 import { Roster } from "./roster.ts";
-import type { SetInForce } from "./set_in_force.ts";
 import { StatusTeller } from "./status_teller.ts";
+import { Succession } from "./succession.ts";
 
 /** Each further candidate waits so much longer, milliseconds: a takeover's write and its news. */
 const RANK_MS = 100;
-/** A machine is weak beside one of so many times its power. */
-const WEAK_FACTOR = 2;
 /** Weak candidates wait so much longer, milliseconds: the restart of a strong one. */
 const WEAK_MS = 1_500;
 /** Pause after a failed try, milliseconds. */
@@ -35,44 +32,9 @@
 const TICK_MS = 50;
 /** A hold that was not confirmed for so long is confirmed by a write, milliseconds. */
 const CONFIRM_AFTER_MS = 700;
-/** A weak machine keeps a cell that it had to take for so long at least, milliseconds: the strong ones come up. */
-const WEAK_HOLD_MS = 2_000;
-/** Longest wait for a successor, milliseconds. */
-const YIELD_TIMEOUT_MS = 1_500;
-/** A leaving holder looks for a successor for so long, milliseconds: a third of the shortest grace. */
-const YIELD_FOR_MS = 2_000;
 /** Longest wait for a greeting's answer, milliseconds. */
 const HELLO_TIMEOUT_MS = 500;
 
-/** What becomes of the cell in this process. */
-export interface HoldListener {
-  /** The hold is this process's. */
-  gained(hold: Hold): void;
-  /** The hold is another's now. */
-  lost(fence: number, why: string): void;
-  /** Accepted jobs that have not begun, told to all members. */
-  waiting(): readonly (readonly [string, number])[];
-}
-
-/** What the leadership needs. */
-export interface LeadershipOptions {
-  readonly cell: string;
-  readonly self: Member;
-  /** Unique to this start of the process. */
-  readonly boot: string;
-  readonly store: CellStore;
-  /** Whether the store answers this process itself. */
-  readonly reachesStore: () => boolean;
-  readonly peers: Peers;
-  /** Opens links to these instances and drops others. */
-  readonly link: (members: readonly Member[]) => void;
-  readonly set: SetInForce;
-  readonly clock: Clock;
-  readonly log: Log;
-  readonly random: () => number;
-  readonly listener: HoldListener;
-}
-
 /** Follows the holder, and takes the cell when it is silent. */
 export class Leadership {
   readonly #options: LeadershipOptions;
@@ -82,18 +44,13 @@
   readonly #doubt: Doubt;
   readonly #teller: StatusTeller;
   readonly #writer: HoldWriter;
+  readonly #succession: Succession;
   #known: KnownRecord | undefined;
   #holding: Hold | undefined;
   #trying = false;
   #retryAtMs = 0;
-  /** A weak holder offers the cell to strong machines from then on, monotonic milliseconds. */
-  #offerFromMs = 0;
   #leaving = false;
   readonly #replaced = new Set<() => void>();
-  /** Which members were told last, and by which process. */
-  #membersKnown:
-    | { readonly boot: string; readonly membersVersion: number }
-    | undefined;
 
   constructor(options: LeadershipOptions) {
     this.#options = options;
@@ -105,6 +62,12 @@
     this.#confirmation = new Confirmation(options.clock);
     this.#doubt = new Doubt(options);
     this.#writer = new HoldWriter(options);
+    this.#succession = new Succession({
+      ...options,
+      roster: this.#roster,
+      hold: () => this.#holding,
+      ranked: () => this.#ranked(),
+    });
     this.#teller = new StatusTeller({
       ...options,
       roster: this.#roster,
@@ -203,37 +166,9 @@
   }
 
   /** Hands the cell to another instance; `false` if none took it. */
-  async yield(): Promise<boolean> {
+  yield(): Promise<boolean> {
     this.#leaving = true;
-    const { clock } = this.#options;
-    const endMs = clock.monotonic() + YIELD_FOR_MS;
-    // A candidate may be busy with a doubt of its own.
-    while (!await this.#offer(this.#ranked())) {
-      const alone = this.#roster.members.length === 0;
-      if (alone || clock.monotonic() > endMs) return false;
-      await sleep(clock, AGAIN_MS);
-    }
-    return true;
-  }
-
-  /** Asks instances to take the cell, one after the other; `false` if none took it. */
-  async #offer(names: readonly string[]): Promise<boolean> {
-    const hold = this.#holding;
-    if (hold === undefined) return true;
-    for (const name of names) {
-      const answer = await this.#options.peers.call(name, yieldCall, {
-        params: { fence: hold.fence },
-        timeoutMs: YIELD_TIMEOUT_MS,
-      });
-      const taken = answer.unwrapOr(false);
-      this.#options.log.info("hold.yielded", {
-        fence: hold.fence,
-        to: name,
-        taken,
-      });
-      if (taken) return true;
-    }
-    return false;
+    return this.#succession.leave();
   }
 
   #serve(): void {
@@ -248,8 +183,7 @@
         this.#note({ record, revision: status.revision });
         this.#news.told(status.waiting);
         if (status.members !== null) {
-          this.#roster.replace(status.members);
-          this.#membersKnown = status;
+          this.#roster.replace(status.members, status);
         }
         if (status.setVersion > set.version) {
           this.onSetWanted(from, status.setVersion);
@@ -259,7 +193,7 @@
         fence: this.fence,
         setVersion: set.version,
         reachesStore: reachesStore(),
-        membersVersion: this.#membersVersionOf(status),
+        membersVersion: this.#roster.versionFrom(status.boot),
       };
     });
     peers.serve(helloCall, (member) => {
@@ -282,12 +216,6 @@
     });
   }
 
-  /** Version of the members that this holder has told; 0 if it has told none. */
-  #membersVersionOf(status: { readonly boot: string }): number {
-    const known = this.#membersKnown;
-    return known?.boot === status.boot ? known.membersVersion : 0;
-  }
-
   /** Set by the process: fetches a version of the set from a peer. */
   onSetWanted: (peer: string, version: number) => void = () => {};
 
@@ -355,33 +283,21 @@
     return this.#news.isSilent(Math.max(0, delay));
   }
 
-  /**
-   * Candidates in the order in which they try: the strong machines first, as
-   * the holder does the work of all; among equals it changes with each holder.
-   */
   #ranked(): readonly string[] {
     const { self } = this.#options;
-    const others = this.#roster.members.filter((member) =>
-      member.name !== self.name
-    );
-    const all = this.#holding === undefined ? [self, ...others] : others;
-    const candidates = all
-      .filter((member) => member.name !== this.#known?.record.name)
-      .sort((a, b) => a.name < b.name ? -1 : 1);
-    const turn = this.fence % Math.max(1, candidates.length);
-    return [...candidates.slice(turn), ...candidates.slice(0, turn)]
-      .sort((a, b) => b.cores - a.cores)
-      .map((member) => member.name);
+    const holder = this.#known?.record.name;
+    return rankCandidates(this.#roster.members, {
+      // A holder looks for its successor among the others.
+      self: this.#holding === undefined ? self : undefined,
+      holder,
+      fence: this.fence,
+    });
   }
 
   /** Whether a machine of at least twice the power takes part. */
   #isWeak(): boolean {
     const { self } = this.#options;
-    const strongest = Math.max(
-      self.cores,
-      ...this.#roster.members.map((member) => member.cores),
-    );
-    return WEAK_FACTOR * self.cores <= strongest;
+    return strongerThan(self, this.#roster.members).length > 0;
   }
 
   async #take({ asked }: { readonly asked: boolean }): Promise<void> {
@@ -455,7 +371,7 @@
     const { fence } = known.record;
     const hold = { fence, revision: known.revision };
     this.#holding = hold;
-    this.#offerFromMs = clock.monotonic() + WEAK_HOLD_MS;
+    this.#succession.gained();
     this.#confirmation.confirm(clock.monotonic());
     log.info("hold.gained", {
       fence,
@@ -471,33 +387,12 @@
     if (this.#trying) return;
     const { ageMs, wasSuspended } = this.#confirmation;
     const stale = ageMs >= CONFIRM_AFTER_MS || wasSuspended;
-    const work = stale ? this.#confirm() : this.#offerToStronger();
+    const work = stale ? this.#confirm() : this.#succession.offerToStronger();
     if (work === undefined) return;
     this.#trying = true;
     void work.finally(() => this.#trying = false);
   }
 
-  /** Offers the cell of a weak machine to strong ones, now and then. */
-  #offerToStronger(): Promise<boolean> | undefined {
-    const { clock } = this.#options;
-    if (clock.monotonic() < this.#offerFromMs) return undefined;
-    const stronger = this.#strongerThanThis();
-    if (stronger.length === 0) return undefined;
-    this.#offerFromMs = clock.monotonic() + WEAK_HOLD_MS;
-    return this.#offer(stronger);
-  }
-
-  /** Strong machines that a weak holder should give the cell to. */
-  #strongerThanThis(): readonly string[] {
-    const { self } = this.#options;
-    if (!this.#isWeak()) return [];
-    const reachable = new Set(this.#roster.reachable());
-    const strong = this.#roster.members.filter((member) =>
-      member.cores >= WEAK_FACTOR * self.cores && reachable.has(member.name)
-    );
-    return strong.map((member) => member.name);
-  }
-
   async #confirm(): Promise<void> {
     const hold = this.#holding;
     if (hold === undefined) return;
--- a/src/cell/recovery.ts
+++ b/src/cell/recovery.ts
@@ -7,7 +7,8 @@
 import type { StoreFailure } from "../errors.ts";
 import type { Log } from "../logger.ts";
 import type { Entry } from "../ports/store.ts";
-import type { EndedJob, Job } from "./job.ts";
+import type { CellContext } from "./context.ts";
+import { type EndedJob, type Job, stateOf } from "./job.ts";
 import type { CellStore } from "./ports.ts";
 import {
   decodeEnd,
@@ -16,6 +17,7 @@
   PROGRESS_PREFIX,
   restoreProgress,
 } from "./records.ts";
+import { leaseBoundMs, newRun } from "./run.ts";
 
 /** What a former holder left. */
 export interface Legacy {
@@ -36,6 +38,34 @@
   );
 }
 
+/** Takes jobs over, with the room of their runs until reports settle them. */
+export function adopt(
+  { fleet, clock, jobs, ended, maxLeaseMs }: CellContext,
+  legacy: Legacy,
+  { holdLimitMs }: {
+    /** Longest time for which a former holder that hears nobody renews leases, milliseconds. */
+    readonly holdLimitMs: number;
+  },
+): void {
+  const nowMs = clock.monotonic();
+  for (const [id, end] of legacy.ended) ended.set(id, end);
+  for (const [id, job] of legacy.jobs) {
+    jobs.set(id, job);
+    job.shown = stateOf(job);
+    for (const step of [...job.occurrences.values()].flat()) {
+      for (const task of step.tasks) {
+        if (task.phase !== "assigned") continue;
+        const worker = fleet.open(task.worker);
+        worker.leaseBoundMs = nowMs + holdLimitMs + leaseBoundMs(maxLeaseMs);
+        const run = newRun(step, { task, worker, nowMs });
+        // It was recorded before: a report under this fence settles it.
+        run.provableAfterMs = nowMs;
+        fleet.take(run);
+      }
+    }
+  }
+}
+
 function assemble(
   submissions: readonly Entry[],
   { progress, log }: { readonly progress: readonly Entry[]; readonly log: Log },
--- a/src/cell/roster.ts
+++ b/src/cell/roster.ts
@@ -31,6 +31,12 @@
   readonly log: Log;
 }
 
+/** Which version of the members was told, and by which process. */
+export interface MembersTold {
+  readonly boot: string;
+  readonly membersVersion: number;
+}
+
 /** Members without this instance itself. */
 export class Roster {
   readonly #options: RosterOptions;
@@ -38,6 +44,7 @@
   readonly #repliedMs = new Map<string, number>();
   readonly #reaching = new Set<string>();
   #version = 1;
+  #told: MembersTold | undefined;
 
   constructor(options: RosterOptions) {
     this.#options = options;
@@ -53,6 +60,11 @@
     return this.#version;
   }
 
+  /** Version of the members that a holder's process has told; 0 if it has told none. */
+  versionFrom(boot: string): number {
+    return this.#told?.boot === boot ? this.#told.membersVersion : 0;
+  }
+
   /** Members that replied lately, the strongest first. */
   reachable(): readonly string[] {
     const since = this.#options.clock.monotonic() - REACHABLE_MS;
@@ -68,7 +80,8 @@
   }
 
   /** Takes the members over from the holder's news. */
-  replace(members: readonly Member[]): void {
+  replace(members: readonly Member[], told: MembersTold): void {
+    this.#told = told;
     this.#version++;
     this.#members.clear();
     for (const member of members) this.#remember(member);
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -11,16 +11,13 @@
   reviewStep,
 } from "./context.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
-import { isOver, type Job, type StepRun, type Task } from "./job.ts";
+import { isOver, type Job, type StepRun } from "./job.ts";
 import type { Place } from "./placement.ts";
 import type { StartAnswer } from "./ports.ts";
+import { addressOf, gangCheckpoint, leaseBoundMs, newRun } from "./run.ts";
 
 /** Leases stay below the longest by this, milliseconds, so that a clock read a moment ago does. */
 const LEASE_SLACK_MS = 50;
-/** How much slower a worker's clock may run; source: the platform's pages. */
-const CLOCK_DRIFT = 0.02;
-/** Time after a lease's end by our clock until everything on the worker has surely ended, milliseconds. */
-const LEASE_END_SLACK_MS = 300;
 /** A stop that is not confirmed or not seen is sent again after this, milliseconds. */
 const STOP_AGAIN_MS = 400;
 /** A worker that refused as unhealthy or could not be reached is left alone so long, milliseconds. */
@@ -278,48 +275,3 @@
     });
   }
 }
-
-/** Time after which a lease given now has surely ended on the slowest clock, milliseconds. */
-export function leaseBoundMs(maxLeaseMs: number): number {
-  return maxLeaseMs * (1 + CLOCK_DRIFT) + LEASE_END_SLACK_MS;
-}
-
-/** A run that has just been decided. */
-export function newRun(
-  step: StepRun,
-  { task, worker, nowMs }: {
-    readonly task: Task;
-    readonly worker: FleetWorker;
-    readonly nowMs: number;
-  },
-): Run {
-  return {
-    step,
-    task,
-    number: task.run,
-    worker,
-    amounts: step.spec.amounts,
-    placedMs: nowMs,
-    provableAfterMs: undefined,
-    seen: false,
-    stopping: false,
-    stopSentMs: 0,
-    percent: 0,
-    progressMs: nowMs,
-  };
-}
-
-function addressOf(
-  worker: FleetWorker,
-): { readonly id: string; readonly address: string } | undefined {
-  const address = worker.entry?.address;
-  return address === undefined ? undefined : { id: worker.id, address };
-}
-
-/** One checkpoint for all members; any member's holds for the gang. */
-function gangCheckpoint(step: StepRun): string {
-  const newest = [...step.tasks]
-    .filter((task) => task.checkpoint !== "")
-    .sort((a, b) => b.run - a.run)[0];
-  return newest?.checkpoint ?? "";
-}
