Reach the store through a holder only while it is heard

A follower has no way round now while the holder is silent; it asks the store itself. Ruled out: a shorter wait for relays (the living ones may be slow). The test fails with the former rule.

--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -115,8 +115,9 @@
 
   /** Instances through which the store can be reached. */
   relays(): readonly string[] {
-    if (this.#holding === undefined) return this.reachable();
-    return this.#roster.reachingStore();
+    if (this.#holding !== undefined) return this.#roster.reachingStore();
+    // A holder that is silent would cost a takeover the time of its answer.
+    return this.#news.hears ? this.reachable() : [];
   }
 
   /** Waiting jobs by queue as the holder told them, and the age of that. */
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -184,6 +184,20 @@
   t.true(first.holds());
 });
 
+test("nobody reaches the store through a holder that is silent", async (t) => {
+  const world = new Instances();
+  world.start("a");
+  await world.clock.run(1_000);
+  const follower = world.start("b");
+  world.start("c");
+  await world.clock.run(1_000);
+  t.deepEqual(follower.relays(), ["a"]);
+  world.network.cut.add("a");
+  world.store.away = true;
+  await world.clock.run(600);
+  t.deepEqual(follower.relays(), []);
+});
+
 test("a strong machine takes the cell before many weak ones", async (t) => {
   const world = new Instances();
   world.start("a", { cores: 1.35 });
