--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -10,10 +10,8 @@
  */
 import { sleep } from "../clock.ts";
 import { HOLD_LIMIT_MS } from "./cell.ts";
-import { rankCandidates, strongerThan } from "./candidates.ts";
 import type { CellRecord, Hold, Member } from "./cell_record.ts";
 import { Confirmation } from "./confirmation.ts";
-import { Doubt } from "./doubt.ts";
 import { HolderNews, statusEveryMs } from "./holder_news.ts";
 import { HoldWriter, type KnownRecord } from "./hold_writer.ts";
 import type { LeadershipOptions } from "./leadership_options.ts";
@@ -21,13 +19,8 @@
 import { Roster } from "./roster.ts";
 import { StatusTeller } from "./status_teller.ts";
 import { Succession } from "./succession.ts";
+import { Takeover } from "./takeover.ts";
 
-/** Each further candidate waits so much longer, milliseconds: a takeover's write and its news. */
-const RANK_MS = 100;
-/** Weak candidates wait so much longer, milliseconds: the restart of a strong one. */
-const WEAK_MS = 1_500;
-/** Pause after a failed try, milliseconds. */
-const AGAIN_MS = 300;
 /** State is looked at this often, milliseconds. */
 const TICK_MS = 50;
 /** A hold that was not confirmed for so long is confirmed by a write, milliseconds. */
@@ -41,14 +34,12 @@
   readonly #roster: Roster;
   readonly #news: HolderNews;
   readonly #confirmation: Confirmation;
-  readonly #doubt: Doubt;
   readonly #teller: StatusTeller;
   readonly #writer: HoldWriter;
   readonly #succession: Succession;
+  readonly #takeover: Takeover;
   #known: KnownRecord | undefined;
   #holding: Hold | undefined;
-  #trying = false;
-  #retryAtMs = 0;
   #leaving = false;
   readonly #replaced = new Set<() => void>();
 
@@ -60,13 +51,24 @@
       () => this.#roster.members.length,
     );
     this.#confirmation = new Confirmation(options.clock);
-    this.#doubt = new Doubt(options);
     this.#writer = new HoldWriter(options);
     this.#succession = new Succession({
       ...options,
       roster: this.#roster,
       hold: () => this.#holding,
-      ranked: () => this.#ranked(),
+      ranked: () => this.#takeover.ranked(),
+    });
+    this.#takeover = new Takeover({
+      ...options,
+      roster: this.#roster,
+      news: this.#news,
+      writer: this.#writer,
+      known: () => this.#known,
+      holds: () => this.#holding !== undefined,
+      greet: (record) => void this.#greet(record),
+      readRecord: () => this.#readRecord(),
+      noted: (known) => this.#note(known),
+      gained: (known) => this.#gain(known),
     });
     this.#teller = new StatusTeller({
       ...options,
@@ -162,7 +164,9 @@
     for (;;) {
       await sleep(clock, TICK_MS);
       if (this.#holding !== undefined) this.#watchHold();
-      else if (this.#isSuspicious()) await this.#take({ asked: false });
+      else if (!this.#leaving && this.#takeover.isDue()) {
+        await this.#takeover.attempt({ asked: false });
+      }
     }
   }
 
@@ -209,7 +213,7 @@
     });
     peers.serve(yieldCall, async ({ fence }) => {
       if (this.#leaving || fence < this.fence) return false;
-      await this.#take({ asked: true });
+      await this.#takeover.attempt({ asked: true });
       return this.#holding !== undefined;
     });
     peers.onLost((peer) => {
@@ -272,99 +276,6 @@
     for (const listener of [...this.#replaced]) listener();
   }
 
-  #isSuspicious(): boolean {
-    if (this.#leaving || this.#trying) return false;
-    const { clock, self } = this.#options;
-    if (clock.monotonic() < this.#retryAtMs) return false;
-    const rank = this.#ranked().indexOf(self.name);
-    const delay = rank * RANK_MS + (this.#isWeak() ? WEAK_MS : 0);
-    // A weak machine that held the cell before its restart waits like any other.
-    const own = this.#known?.record.name === self.name;
-    if (own && !this.#isWeak()) return true;
-    return this.#news.isSilent(Math.max(0, delay));
-  }
-
-  #ranked(): readonly string[] {
-    const { self } = this.#options;
-    const holder = this.#known?.record.name;
-    return rankCandidates(this.#roster.members, {
-      // A holder looks for its successor among the others.
-      self: this.#holding === undefined ? self : undefined,
-      holder,
-      fence: this.fence,
-    });
-  }
-
-  /** Whether a machine of at least twice the power takes part. */
-  #isWeak(): boolean {
-    const { self } = this.#options;
-    return strongerThan(self, this.#roster.members).length > 0;
-  }
-
-  async #take({ asked }: { readonly asked: boolean }): Promise<void> {
-    if (this.#trying || this.#holding !== undefined) return;
-    this.#trying = true;
-    try {
-      const own = this.#known?.record.name === this.#options.self.name;
-      const { fence } = this;
-      const may = asked || own || await this.#isSilentForAll();
-      // A doubt about one holder says nothing of the one that came meanwhile.
-      if (may && this.fence === fence) await this.#tryTake();
-    } finally {
-      this.#trying = false;
-      const { clock, random } = this.#options;
-      this.#retryAtMs = clock.monotonic() + AGAIN_MS * (0.5 + random());
-    }
-  }
-
-  /** Whether the other instances miss the holder too. */
-  async #isSilentForAll(): Promise<boolean> {
-    const { self, link } = this.#options;
-    const holder = this.#known?.record;
-    if (holder === undefined) return true;
-    const others = this.#roster.members.filter((member) =>
-      member.name !== self.name && member.name !== holder.name
-    );
-    link([holder, ...others]);
-    const { silenceMs } = this;
-    const verdict = await this.#doubt.settle(holder, others, { silenceMs });
-    switch (verdict) {
-      case "silent":
-        return true;
-      case "heard":
-        // It may have dropped this instance.
-        void this.#greet(holder);
-        return false;
-      case "replaced":
-        await this.#readRecord();
-        return false;
-    }
-  }
-
-  async #tryTake(): Promise<void> {
-    if (this.#known === undefined) {
-      await this.#readRecord();
-      // Somebody was quicker: its news is on its way.
-      if (this.#known !== undefined) return;
-    }
-    const revision = this.#knownRevision();
-    const outcome = await this.#writer.take(this.fence + 1, revision);
-    switch (outcome.type) {
-      case "held":
-        return this.#gain(outcome.known);
-      case "replaced":
-        this.#note(outcome.known);
-        this.#news.heardOf();
-        return;
-      case "failed":
-        return await this.#readRecord();
-    }
-  }
-
-  #knownRevision(): number {
-    return this.#known?.revision ?? 0;
-  }
-
   #gain(known: KnownRecord): void {
     const { log, listener, clock } = this.#options;
     this.#known = known;
@@ -385,13 +296,11 @@
   }
 
   #watchHold(): void {
-    if (this.#trying) return;
+    if (this.#takeover.isBusy) return;
     const { ageMs, wasSuspended } = this.#confirmation;
     const stale = ageMs >= CONFIRM_AFTER_MS || wasSuspended;
     const work = stale ? this.#confirm() : this.#succession.offerToStronger();
-    if (work === undefined) return;
-    this.#trying = true;
-    void work.finally(() => this.#trying = false);
+    if (work !== undefined) this.#takeover.wait(work);
   }
 
   async #confirm(): Promise<void> {
