Leave no daemon of a soak behind that is ended early

Cause: two soaks that were ended by a signal left 14 daemons running. The site ends its daemons at the exit of its process, and the soak exits on SIGINT and SIGTERM. Checked by types only so far: the soak is running.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -19,6 +19,11 @@
   .option("--keep <folder>", "where logs of findings go", "soak-findings")
   .parse(process.argv);
 
+// The daemons of the run under way end with this process.
+for (const signal of ["SIGINT", "SIGTERM"]) {
+  process.once(signal, () => process.exit(1));
+}
+
 const given = program.opts<Record<string, string>>();
 const first = Number(given.first);
 let broken = 0;
