--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -15,7 +15,7 @@
   readonly handlers = new Map<string, Map<string, Handler>>();
   readonly cut = new Set<string>();
   /** Told of every call before it is carried out. */
-  onCall: (method: string, from: string) => void = () => {};
+  onCall: (method: string, from: string, to: string) => void = () => {};
 
   peersOf(self: string): Peers {
     const mine = new Map<string, Handler>();
@@ -26,7 +26,7 @@
         call: Call<P, R>,
         { params }: { readonly params: P },
       ) => {
-        this.onCall(call.method, self);
+        this.onCall(call.method, self, peer);
         const handler = this.handlers.get(peer)?.get(call.method);
         if (handler === undefined || this.cut.has(peer) || this.cut.has(self)) {
           return errAsync({ type: "peerSilent", message: "cut" } as const);
@@ -140,6 +140,25 @@
   t.true(world.holding.has("b"));
 });
 
+test("a leaving holder does not wait for a successor that is dead", async (t) => {
+  const world = new Instances();
+  const first = world.start("a");
+  await world.clock.run(1_000);
+  world.start("b", { cores: 2 });
+  world.start("c");
+  await world.clock.run(1_000);
+  world.network.cut.add("b");
+  await world.clock.run(1_600);
+  const asked: string[] = [];
+  world.network.onCall = (method, _from, peer) => {
+    if (method === "cell.yield") asked.push(peer);
+  };
+  const yielded = first.yield();
+  await world.clock.run(300);
+  t.true(await yielded);
+  t.deepEqual(asked, ["c"]);
+});
+
 test("a successor that is busy is asked again", async (t) => {
   const world = new Instances();
   const first = world.start("a");
--- a/src/cell/succession.ts
+++ b/src/cell/succession.ts
@@ -50,10 +50,10 @@
 
   /** Hands the cell over before the process ends; `false` if none took it. */
   async leave(): Promise<boolean> {
-    const { clock, ranked, roster } = this.#options;
+    const { clock, roster } = this.#options;
     const endMs = clock.monotonic() + YIELD_FOR_MS;
     // A candidate may be busy with a doubt of its own.
-    while (!await this.#offer(ranked())) {
+    while (!await this.#offer(this.#living())) {
       const alone = roster.members.length === 0;
       if (alone || clock.monotonic() > endMs) return false;
       await sleep(clock, AGAIN_MS);
@@ -73,6 +73,13 @@
     return this.#offer(stronger);
   }
 
+  /** Candidates that replied lately: a dead one would cost the longest wait. */
+  #living(): readonly string[] {
+    const { ranked, roster } = this.#options;
+    const reachable = new Set(roster.reachable());
+    return ranked().filter((name) => reachable.has(name));
+  }
+
   /** Asks instances to take the cell, one after the other; `false` if none took it. */
   async #offer(names: readonly string[]): Promise<boolean> {
     const { peers, log } = this.#options;
