Do not stop members of a gang that ends in the same report

Such members are left alone until their job is gone; anything that runs on after that is stopped as before. The test fails without the change.

--- a/src/cell/cell_test.ts
+++ b/src/cell/cell_test.ts
@@ -387,3 +387,18 @@
   t.is(cell.state(JOB), "done");
   t.deepEqual(workers.map(({ starts }) => starts.length), [2, 2]);
 });
+
+test("a gang's members that a report still shows with its end are not stopped", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const cell = await world.open();
+  await world.submit(cell, [testStep({ tasks: 2, gang: true })]);
+  await world.clock.run(300);
+  t.is(worker.starts.length, 2);
+  worker.end(TASK, "done");
+  await world.clock.run(60);
+  worker.running.clear();
+  await world.clock.run(300);
+  t.is(cell.state(JOB), "done");
+  t.deepEqual(worker.stops, []);
+});
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -221,7 +221,8 @@
   #takeRunning(worker: FleetWorker, reported: ReportedRun): void {
     const run = worker.runs.get(reported.task);
     if (run === undefined || run.number !== reported.run) {
-      return this.#stopStray(worker, reported);
+      if (!this.#endsWithItsGang(reported)) this.#stopStray(worker, reported);
+      return;
     }
     run.seen = true;
     run.provableAfterMs ??= this.#context.clock.monotonic();
@@ -233,6 +234,13 @@
     if (isOver(run.step.job)) this.#runs.stop(run);
   }
 
+  /** Whether a run belongs to a gang that is done: reports show its members for some milliseconds more. */
+  #endsWithItsGang(reported: ReportedRun): boolean {
+    const found = findTask(this.#context.jobs, reported.task);
+    return found !== undefined && found.step.spec.gang &&
+      found.task.phase === "done" && found.task.run === reported.run;
+  }
+
   /** Ends a run that nobody counts on: an order that was carried out late, or one of a job that is over. */
   #stopStray(worker: FleetWorker, reported: ReportedRun): void {
     const { orders, fence, log, holds } = this.#context;
