--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -10,7 +10,7 @@
 import { Metrics } from "../metrics.ts";
 import type { Commit, Condition, Entry, Write } from "../ports/store.ts";
 import { AdviceDesk } from "./advice_desk.ts";
-import { Cell } from "./cell.ts";
+import { Cell, type SubmitOutcome } from "./cell.ts";
 import { laneKey, LANES } from "./lane_record.ts";
 import type {
   CellStore,
@@ -401,18 +401,23 @@
     return cell;
   }
 
+  /** Hands a job of one queue in. */
+  offer(
+    cell: Cell,
+    steps: readonly StepSpec[],
+    id = "00000000000000aa",
+  ): Promise<SubmitOutcome> {
+    const spec = { payload: "text", steps };
+    return cell.submit({ id, queue: "receipts", team: "", spec });
+  }
+
   /** Hands a job of one queue in and waits for its acceptance. */
   async submit(
     cell: Cell,
     steps: readonly StepSpec[],
     id = "00000000000000aa",
   ): Promise<string> {
-    const outcome = cell.submit({
-      id,
-      queue: "receipts",
-      team: "",
-      spec: { payload: "text", steps },
-    });
+    const outcome = this.offer(cell, steps, id);
     await this.clock.run(100);
     return (await outcome).type;
   }
--- a/src/cell/cell_test.ts
+++ b/src/cell/cell_test.ts
@@ -66,12 +66,7 @@
   const worker = world.addWorker("w1");
   const first = await world.open();
   await world.open();
-  const outcome = first.submit({
-    id: JOB,
-    queue: "receipts",
-    team: "",
-    spec: { payload: "", steps: [testStep()] },
-  });
+  const outcome = world.offer(first, [testStep()]);
   await world.clock.run(1_000);
   t.is((await outcome).type, "unknown");
   t.true(world.deposed.length > 0);
@@ -226,13 +221,7 @@
   const worker = world.addWorker("w1");
   const cell = await world.open();
   world.store.away = true;
-  const submit = (id: string) =>
-    cell.submit({
-      id,
-      queue: "receipts",
-      team: "",
-      spec: { payload: "", steps: [testStep()] },
-    });
+  const submit = (id: string) => world.offer(cell, [testStep()], id);
   const first = submit("00000000000000b2");
   await world.clock.run(700);
   const second = submit(JOB);
@@ -252,12 +241,7 @@
   world.addWorker("w1");
   const cell = await world.open();
   world.store.loseAnswers = 1;
-  const outcome = cell.submit({
-    id: JOB,
-    queue: "receipts",
-    team: "",
-    spec: { payload: "", steps: [testStep()] },
-  });
+  const outcome = world.offer(cell, [testStep()]);
   await world.clock.run(40);
   world.store.away = true;
   await world.clock.run(1_500);
@@ -272,12 +256,7 @@
   world.addWorker("w1");
   const cell = await world.open();
   world.store.loseAnswers = 1;
-  const outcome = cell.submit({
-    id: JOB,
-    queue: "receipts",
-    team: "",
-    spec: { payload: "", steps: [testStep()] },
-  });
+  const outcome = world.offer(cell, [testStep()]);
   await world.clock.run(500);
   t.is((await outcome).type, "accepted");
   t.deepEqual(world.deposed, []);
@@ -351,12 +330,7 @@
     amounts: { cpuMillis: 4_000, memoryMib: 100, accelerators: 0 },
   });
   world.store.away = true;
-  const refused = cell.submit({
-    id: JOB,
-    queue: "receipts",
-    team: "",
-    spec: { payload: "text", steps: [whole] },
-  });
+  const refused = world.offer(cell, [whole]);
   await world.clock.run(700);
   t.deepEqual(await refused, { type: "refused", reason: "storeAway" });
   t.is(cell.state(JOB), undefined);
