Send nothing more to a store that has fallen silent

What is in a transaction when the store goes away has an unknown fate: its client waits to the end and gets 504. Every lane sent its next transaction into the silence, so an outage cost up to eight transactions of submissions.

While an answer is overdue (60 ms, or twice the usual answer of late) and none has come for anything sent since, the job log now sends one empty transaction only; what waits can be taken back and is refused at once. A single lost answer holds nobody up: the empty transaction is answered.

Tests: a silent store gets no further submissions (failed before); one answer that does not come, and answers that are all slow, hold nobody up.

--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -6,7 +6,8 @@
  * carried out late finds its condition broken, and so does everything that a
  * former holder of the cell still has under way, since a takeover writes all
  * lanes. While the store is quick the lanes share a transaction; while it is
- * slow each has one under way.
+ * slow each has one under way; while an answer is overdue nothing that could
+ * still be taken back is sent, but one empty transaction.
  *
  * @module
  */
@@ -16,6 +17,7 @@
 import type { Metrics } from "../metrics.ts";
 import type { Write } from "../ports/store.ts";
 import type { EndedJob, Job } from "./job.ts";
+import { AnswerWatch } from "./answer_watch.ts";
 import { type Fate, fateOf } from "./lane_fate.ts";
 import { laneKey, type LaneRecord, LANES } from "./lane_record.ts";
 import type { CellStore } from "./ports.ts";
@@ -25,6 +27,7 @@
   type Lane,
   newLane,
   packLanes,
+  probeOf,
   putBack,
   type Saved,
   settle,
@@ -66,6 +69,8 @@
 export class JobLog {
   readonly #options: JobLogOptions;
   readonly #lanes: readonly Lane[];
+  readonly #watch: AnswerWatch;
+  #probing = false;
   #timer: Timer | undefined;
   #closed = false;
   #commits = 0;
@@ -73,6 +78,7 @@
 
   constructor(options: JobLogOptions) {
     this.#options = options;
+    this.#watch = new AnswerWatch(options.clock);
     this.#lanes = Array.from(
       { length: LANES },
       (_, lane) => newLane(laneKey(options.cell, lane), options.revision),
@@ -164,7 +170,7 @@
 
   /** Writes what waits in lanes without a transaction under way. */
   #flush(): void {
-    const { clock, log } = this.#options;
+    const { clock } = this.#options;
     const nowMs = clock.monotonic();
     // A lane that got stuck goes on trying, or nobody would notice the store's return.
     const wanted = this.#lanes.filter((lane) =>
@@ -172,17 +178,38 @@
     );
     const due = wanted.filter((lane) => lane.retryAtMs <= nowMs);
     if (due.length < wanted.length) this.#schedule(RETRY_MS);
+    if (this.#watch.isOverdue) {
+      this.#probe(due);
+      return;
+    }
     for (const group of packLanes(due, clock.now().getTime())) {
-      for (const { lane } of group) lane.busy = true;
-      this.#write(group).catch((error) =>
-        log.error("joblog.failed", { reason: String(error) })
-      );
+      void this.#send(group);
+    }
+  }
+
+  /** Finds out by one empty transaction whether the store is there. */
+  #probe(due: readonly Lane[]): void {
+    this.#schedule();
+    const [lane] = due;
+    if (lane === undefined || this.#probing) return;
+    this.#probing = true;
+    void this.#send([probeOf(lane)]).then(() => this.#probing = false);
+  }
+
+  async #send(group: readonly Batch[]): Promise<void> {
+    for (const { lane } of group) lane.busy = true;
+    const sent = this.#watch.sent();
+    try {
+      this.#settle(group, await this.#persist(group));
+    } catch (error) {
+      this.#options.log.error("joblog.failed", { reason: String(error) });
+    } finally {
+      this.#watch.ended(sent);
     }
   }
 
-  async #write(group: readonly Batch[]): Promise<void> {
+  #settle(group: readonly Batch[], fate: Fate): void {
     const { clock } = this.#options;
-    const fate = await this.#persist(group);
     for (const batch of group) {
       const { lane } = batch;
       lane.busy = false;
@@ -260,6 +287,7 @@
     const tookMs = clock.monotonic() - startedMs;
     this.#commits++;
     this.#slowestMs = Math.max(this.#slowestMs, tookMs);
+    this.#watch.answered(sentMs);
     metrics.observe("commit_ms", tookMs);
     onConfirmed(sentMs);
   }
--- a/src/cell/job_log_test.ts
+++ b/src/cell/job_log_test.ts
@@ -136,3 +136,44 @@
   t.deepEqual([await first, await second], ["saved", "saved"]);
   log.close();
 });
+
+test("a store that has fallen silent gets no further submissions", async (t) => {
+  const { clock, store, log } = await open();
+  const [first, second, third] = jobs(3);
+  store.answerMs = 60_000;
+  void log.save(first!, { submission: true });
+  await clock.run(150);
+  void log.save(second!, { submission: true });
+  void log.save(third!, { submission: true });
+  await clock.run(500);
+  t.true(log.withdraw(second!));
+  t.true(log.withdraw(third!));
+  t.is(store.underWay, 2, "the first one and an empty one");
+  log.close();
+});
+
+test("one answer that does not come holds nobody else up", async (t) => {
+  const { clock, store, log } = await open();
+  const [first, second] = jobs(2);
+  store.answerMs = 60_000;
+  void log.save(first!, { submission: true });
+  await clock.run(150);
+  store.answerMs = 5;
+  const saved = log.save(second!, { submission: true });
+  await clock.run(100);
+  t.is(await Promise.race([saved, "waits"]), "saved");
+  log.close();
+});
+
+test("answers that are all slow hold nobody up", async (t) => {
+  const { clock, store, log } = await open();
+  store.answerMs = 250;
+  await Promise.all([saveAll(log, jobs(1)), clock.run(400)]);
+  const [first, second] = jobs(2);
+  const saved = [log.save(first!), Promise.resolve("")];
+  await clock.run(150);
+  saved[1] = log.save(second!);
+  await clock.run(300);
+  t.is(await Promise.race([saved[1], "waits"]), "saved");
+  log.close();
+});
--- a/src/cell/write_lane.ts
+++ b/src/cell/write_lane.ts
@@ -98,6 +98,11 @@
   return group.length === 0 ? groups : [...groups, group];
 }
 
+/** A transaction that renews a lane and carries nothing: its answer tells that the store is there. */
+export function probeOf(lane: Lane): Batch {
+  return collect(lane, { room: LANE_ENTRIES, endedMs: 0 });
+}
+
 /** Lets jobs wait again that no transaction has carried. */
 export function putBack({ lane, pending, forgotten }: Batch): void {
   lane.forgotten.push(...forgotten);
