Let a new holder find the advice that others have carried

Ruled out: handing verdicts over with the hold, which leaves out holders that were killed; writing them to the store, which costs a write each.

Tests: a new holder starts with a remembered ticket and asks nothing (failed before); a step nobody remembers and a ticket that has run out are asked about.

--- a/bench/cell.ts
+++ b/bench/cell.ts
@@ -163,6 +163,7 @@
     },
     orders: workers,
     desk: new AdviceDesk(ask, () => lanes, { clock: systemClock, metrics }),
+    recall: () => Promise.resolve([]),
     clock: systemClock,
     log: silentLog,
     metrics,
--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -24,7 +24,13 @@
   WorkerOrders,
   WorkerReport,
 } from "./ports.ts";
-import type { ClusterSet, Queue, StepSpec, WorkerEntry } from "./types.ts";
+import type {
+  ClusterSet,
+  Queue,
+  RecalledAdvice,
+  StepSpec,
+  WorkerEntry,
+} from "./types.ts";
 
 /** Longest lease in the tests, milliseconds. */
 export const MAX_LEASE_MS = 6_000;
@@ -339,6 +345,10 @@
     maxBodyBytes: 1_000,
   };
   deposed: string[] = [];
+  /** Steps about which the advice service was asked. */
+  readonly questions: string[] = [];
+  /** What other instances remember of advice. */
+  recalled: readonly RecalledAdvice[] = [];
   fence = 0;
   confirmed = true;
 
@@ -378,10 +388,14 @@
       directory,
       orders: this.orders,
       desk: new AdviceDesk(
-        () => Promise.resolve({ type: "failed", message: "none" }),
+        (_instance, question) => {
+          this.questions.push(question.step);
+          return Promise.resolve({ type: "failed", message: "none" });
+        },
         () => ["self"],
         { clock: this.clock, metrics },
       ),
+      recall: () => Promise.resolve(this.recalled),
       clock: this.clock,
       log: silentLog,
       metrics,
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -6,6 +6,7 @@
 import type { ResultAsync } from "neverthrow";
 import { sleep } from "../clock.ts";
 import type { StoreFailure } from "../errors.ts";
+import { recallAdvice } from "./advice_recall.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { type CellContext, persist, reviewJob } from "./context.ts";
 import { Fleet } from "./fleet.ts";
@@ -138,6 +139,7 @@
             void persist(this.#context, job);
           }
         }
+        void recallAdvice(this.#context, this.#options.recall);
         void this.#list.run();
         void this.#housekeeping.run();
         this.#scheduler.kick();
--- a/src/cell/cell_options.ts
+++ b/src/cell/cell_options.ts
@@ -7,6 +7,7 @@
 import type { Log } from "../logger.ts";
 import type { Metrics } from "../metrics.ts";
 import type { AdviceDesk } from "./advice_desk.ts";
+import type { Recall } from "./advice_recall.ts";
 import type { CellStore, PlatformDirectory, WorkerOrders } from "./ports.ts";
 import type { ClusterSet } from "./types.ts";
 
@@ -20,6 +21,8 @@
   readonly directory: PlatformDirectory;
   readonly orders: WorkerOrders;
   readonly desk: AdviceDesk;
+  /** What other instances remember of advice. */
+  readonly recall: Recall;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -143,6 +143,11 @@
   return steps;
 }
 
+/** Name of a step to the advice service. */
+export function stepKey({ job, occurrence, index }: StepRun): string {
+  return `${job.id}.${occurrence}.${index}`;
+}
+
 /** Occurrences that a job has in all. */
 export function occurrencesOf(job: Job): number {
   return job.spec.recurrence?.times ?? 1;
--- a/src/cell/node.ts
+++ b/src/cell/node.ts
@@ -9,7 +9,8 @@
 import type { Metrics } from "../metrics.ts";
 import { TcpPeers } from "../peers/tcp_peers.ts";
 import type { Instance } from "../types.ts";
-import { AdviceDesk, type Question } from "./advice_desk.ts";
+import { AdviceCarrier } from "./advice_carrier.ts";
+import { AdviceDesk } from "./advice_desk.ts";
 import { Cell } from "./cell.ts";
 import type { Hold, Member } from "./cell_record.ts";
 import { Gateway } from "./gateway.ts";
@@ -20,16 +21,11 @@
   PlatformDirectory,
   WorkerOrders,
 } from "./ports.ts";
-import {
-  adviceCall,
-  type AdviceMessage,
-  setCall,
-  storeCall,
-} from "./protocol.ts";
+import { setCall, storeCall } from "./protocol.ts";
 import { RelayedStore, serveStore } from "./relayed_store.ts";
 import { SetFetch } from "./set_fetch.ts";
 import { SetInForce } from "./set_in_force.ts";
-import type { Advice, ClusterSet } from "./types.ts";
+import type { ClusterSet } from "./types.ts";
 
 /** The one cell of today's sizes. */
 const CELL = "cell/0";
@@ -77,6 +73,7 @@
   readonly #peers: TcpPeers;
   readonly #directory: PlatformDirectory;
   readonly #leadership: Leadership;
+  readonly #carrier: AdviceCarrier;
   readonly #desk: AdviceDesk;
   #cell: Cell | undefined;
   #recovering: Cell | undefined;
@@ -130,8 +127,15 @@
     });
     this.#leadership.onSetWanted = (peer, version) =>
       void fetches.wanted(peer, version);
+    this.#carrier = new AdviceCarrier({
+      self: self.name,
+      service: options.advice,
+      peers: this.#peers,
+      reachable: () => this.#leadership.reachable(),
+      clock,
+    });
     this.#desk = new AdviceDesk(
-      (instance, question, call) => this.#askThrough(instance, question, call),
+      (instance, question, call) => this.#carrier.ask(instance, question, call),
       () => [...this.#leadership.reachable(), self.name].sort(),
       { clock, metrics },
     );
@@ -173,12 +177,6 @@
   }
 
   #serve(): void {
-    this.#peers.serve(adviceCall, async ({ step, workers, timeoutMs }) => {
-      const advice = await this.#options.advice.ask(step, workers, {
-        timeoutMs,
-      });
-      return messageOf(advice);
-    });
     this.#peers.serve(
       storeCall,
       (request) => serveStore(this.#options.store, request),
@@ -193,27 +191,6 @@
     });
   }
 
-  async #askThrough(
-    instance: string,
-    question: Question,
-    { timeoutMs }: { readonly timeoutMs: number },
-  ): Promise<Advice> {
-    const { step, workers } = question;
-    if (instance === this.#options.self.name) {
-      return await this.#options.advice.ask(step, workers, { timeoutMs });
-    }
-    const answer = await this.#peers.call(instance, adviceCall, {
-      params: { step, workers: [...workers], timeoutMs },
-      timeoutMs,
-    });
-    if (answer.isErr()) {
-      return { type: "failed", message: answer.error.message };
-    }
-    return answer.value.type === "advised"
-      ? { type: "advised", tickets: new Map(answer.value.tickets) }
-      : answer.value;
-  }
-
   async #fetchSet(peer: string): Promise<ClusterSet | undefined> {
     const answer = await this.#peers.call(peer, setCall, {
       params: {},
@@ -233,6 +210,7 @@
       directory: this.#directory,
       orders,
       desk: this.#desk,
+      recall: (steps) => this.#carrier.recall(steps),
       clock,
       log,
       metrics,
@@ -273,12 +251,6 @@
   }
 }
 
-function messageOf(advice: Advice): AdviceMessage {
-  return advice.type === "advised"
-    ? { type: "advised", tickets: [...advice.tickets] }
-    : advice;
-}
-
 function instanceOf(member: Member, zone: string): Instance {
   return {
     id: member.name,
--- a/src/cell/protocol.ts
+++ b/src/cell/protocol.ts
@@ -195,6 +195,26 @@
   result: AdviceMessage,
 };
 
+const Recalled = t.type({
+  step: t.string,
+  bad: t.array(t.string),
+  /** Worker, ticket, age of the ticket in milliseconds. */
+  good: t.array(t.tuple([t.string, t.string, t.number])),
+});
+
+/** What an instance tells of the advice that it has carried. */
+export type RecalledMessage = typeof Recalled._A;
+
+/** A new holder asks what an instance remembers of the advice on steps. */
+export const recallCall: Call<
+  { readonly steps: string[] },
+  RecalledMessage[]
+> = {
+  method: "advice.recall",
+  params: t.type({ steps: t.array(t.string) }),
+  result: t.array(Recalled),
+};
+
 const StoredEntry = t.type({
   key: t.string,
   value: t.string,
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -8,7 +8,7 @@
 import type { AdviceDesk } from "./advice_desk.ts";
 import { type CellContext, queueOf, teamOf } from "./context.ts";
 import { type FleetWorker, roomOn, tasksIn, weighsOn } from "./fleet.ts";
-import { dueMs, type StepRun } from "./job.ts";
+import { dueMs, stepKey, type StepRun } from "./job.ts";
 import { compareRanks, type Rank, rankOf } from "./order.ts";
 import { capacityFor, findPlaces, type SearchContext } from "./placement.ts";
 import { adviceMayHelp, cheaply, MAX_ASKED } from "./questions.ts";
@@ -166,9 +166,9 @@
     const expectedMs = queue.advice.baseMs +
       asked.length * queue.advice.perWorkerMs;
     if (expectedMs > HOLD_ABOVE_MS) this.#hold(step, asked);
-    const { job, occurrence, index } = step;
+    const { job, index } = step;
     const question = {
-      step: `${job.id}.${occurrence}.${index}`,
+      step: stepKey(step),
       workers: asked.map((worker) => worker.id),
       expectedMs,
     };
--- a/src/cell/types.ts
+++ b/src/cell/types.ts
@@ -120,6 +120,19 @@
   | { readonly type: "busy" }
   | { readonly type: "failed"; readonly message: string };
 
+/** What an instance remembers of the advice on a step. */
+export interface RecalledAdvice {
+  readonly step: string;
+  /** Workers that may not run it. */
+  readonly bad: readonly string[];
+  readonly good: readonly {
+    readonly worker: string;
+    readonly ticket: string;
+    /** Age of the ticket, milliseconds. */
+    readonly ageMs: number;
+  }[];
+}
+
 /** What a client can see of a job. */
 export type JobState = "pending" | "running" | "done" | "failed" | "canceled";
 
