Write jobs on condition of their own progress, without lanes

While the store took 230 ms an answer, a job waited for its lane's transaction before its own was sent (half a lane's time on average, at its start and again at its end). Transactions now depend on the record of the hold and on the progress of each of their jobs: different jobs do not wait for each other, a takeover writes one record in place of nine, and a copy that is carried out late still finds its condition broken. Up to 32 are under way, over 40 connections.

A job that could not be written goes alone, so that it holds no other up.

Tests: a job does not wait for others' transactions (fails with lanes), one transaction a job at a time, a late copy has no effect, another holder's take deposes, a detour's conflict is a success, a job that cannot be written holds no other up. The two tests on lanes are replaced by these.

--- /dev/null
+++ b/src/cell/_fake_store_test.ts
@@ -0,0 +1,74 @@
+/**
+ * The platform's store in memory, for tests of the cell.
+ *
+ * @module
+ */
+import { errAsync, okAsync, type ResultAsync } from "neverthrow";
+import type { StoreFailure } from "../errors.ts";
+import type { Commit, Condition, Entry, Write } from "../ports/store.ts";
+import type { CellStore } from "./ports.ts";
+
+/** A store in memory that can be away or lose answers. */
+export class FakeStore implements CellStore {
+  readonly entries = new Map<string, Entry>();
+  away = false;
+  /** Transactions with a condition on one of these keys are not carried out. */
+  readonly stuckKeys = new Set<string>();
+  /** Transactions that take effect and are not answered. */
+  loseAnswers = 0;
+  revision = 1;
+  commits = 0;
+
+  get(key: string): ResultAsync<Entry | undefined, StoreFailure> {
+    return this.away ? this.#away() : okAsync(this.entries.get(key));
+  }
+
+  list(prefix: string): ReturnType<CellStore["list"]> {
+    if (this.away) return this.#away();
+    const entries = [...this.entries.values()]
+      .filter((entry) => entry.key.startsWith(prefix));
+    return okAsync({ entries, revision: this.revision });
+  }
+
+  commit(
+    conditions: readonly Condition[],
+    writes: readonly Write[],
+  ): ResultAsync<Commit, StoreFailure> {
+    const stuck = conditions.some(({ key }) => this.stuckKeys.has(key));
+    if (this.away || stuck) return this.#away();
+    this.commits++;
+    const broken = conditions.some((condition) =>
+      (this.entries.get(condition.key)?.revision ?? 0) !== condition.revision
+    );
+    if (broken) {
+      const entries = conditions.flatMap((condition) =>
+        this.entries.get(condition.key) ?? []
+      );
+      return okAsync({ type: "conflict", revision: this.revision, entries });
+    }
+    this.revision++;
+    for (const write of writes) {
+      if (write.type === "delete") this.entries.delete(write.key);
+      else {
+        this.entries.set(write.key, {
+          key: write.key,
+          value: write.value,
+          revision: this.revision,
+        });
+      }
+    }
+    if (this.loseAnswers > 0) {
+      this.loseAnswers--;
+      return errAsync({ type: "storeAnswerLost", message: "lost" });
+    }
+    return okAsync({ type: "committed", revision: this.revision });
+  }
+
+  changes(): ReturnType<CellStore["changes"]> {
+    return okAsync({ changes: [], revision: this.revision });
+  }
+
+  #away<A>(): ResultAsync<A, StoreFailure> {
+    return errAsync({ type: "storeUnreachable", message: "away" });
+  }
+}
--- a/src/cell/answer_watch.ts
+++ b/src/cell/answer_watch.ts
@@ -45,6 +45,11 @@
     this.#usualMs = Math.max(tookMs, DECAY * this.#usualMs);
   }
 
+  /** Whether a transaction was answered after a time, monotonic milliseconds. */
+  hasAnsweredSince(atMs: number): boolean {
+    return this.#answeredMs >= atMs;
+  }
+
   /** Nobody waits for a transaction any more. */
   ended(sent: Sent): void {
     this.#underWay.delete(sent);
--- a/src/cell/cell_record.ts
+++ b/src/cell/cell_record.ts
@@ -6,7 +6,6 @@
 import * as either from "fp-ts/lib/Either.js";
 import * as t from "io-ts";
 import type { Entry, Write } from "../ports/store.ts";
-import { laneKey, type LaneRecord, LANES } from "./lane_record.ts";
 
 const Record = t.type({
   name: t.string,
@@ -72,16 +71,7 @@
   return { name, address: parts[1] ?? "", cores: Number(parts[2]) };
 }
 
-/** The writes that make an instance the holder. */
-export function takeover(cell: string, record: CellRecord): readonly Write[] {
-  const lane: LaneRecord = { fence: record.fence, sequence: 0 };
-  const lanes = Array.from({ length: LANES }, (_, index): Write => ({
-    type: "put",
-    key: laneKey(cell, index),
-    value: JSON.stringify(lane),
-  }));
-  return [
-    { type: "put", key: recordKey(cell), value: JSON.stringify(record) },
-    ...lanes,
-  ];
+/** The write that makes an instance the holder; it breaks the condition of all that a former one has under way. */
+export function takeover(cell: string, record: CellRecord): Write {
+  return { type: "put", key: recordKey(cell), value: JSON.stringify(record) };
 }
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -18,7 +18,7 @@
 import type { JobLog } from "./job_log.ts";
 import type { Durations } from "./order.ts";
 import type { WorkerOrders } from "./ports.ts";
-import type { Saved } from "./write_lane.ts";
+import type { Saved } from "./write_batch.ts";
 import { queueNamed, teamNamed } from "./set_index.ts";
 import type { ClusterSet, Queue, Team } from "./types.ts";
 
--- a/src/cell/doubt_test.ts
+++ b/src/cell/doubt_test.ts
@@ -3,7 +3,7 @@
 import { ManualClock, sleep } from "../clock.ts";
 import { silentLog } from "../logger.ts";
 import type { Peers } from "../ports/peers.ts";
-import { FakeStore } from "./_fixtures_test.ts";
+import { FakeStore } from "./_fake_store_test.ts";
 import { Doubt, type Verdict } from "./doubt.ts";
 
 /** How an instance answers: hears the holder or not, knows a later one, or is dead. */
--- a/src/cell/hold_writer.ts
+++ b/src/cell/hold_writer.ts
@@ -61,7 +61,7 @@
   async take(fence: number, revision: number): Promise<HoldOutcome> {
     const { cell, self, boot } = this.#options;
     const record: CellRecord = { ...self, boot, fence };
-    return await this.#write(takeover(cell, record), { revision, record });
+    return await this.#write([takeover(cell, record)], { revision, record });
   }
 
   /** Writes a sign of life if the hold is still this process's. */
--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -1,42 +1,37 @@
 /**
  * Writes jobs to the store in group commits.
  *
- * Every transaction is conditional on the last revision of its lanes and
- * writes these lanes anew. So an order of writes that was given up and is
- * carried out late finds its condition broken, and so does everything that a
- * former holder of the cell still has under way, since a takeover writes all
- * lanes. While the store is quick the lanes share a transaction; while it is
- * slow each has one under way; while an answer is overdue nothing that could
- * still be taken back is sent, but one empty transaction.
+ * Every transaction is conditional on the record of the hold, so nothing that a
+ * former holder still has under way takes effect after a takeover, and on the
+ * progress of each of its jobs being as it was last written. So a transaction
+ * that was given up and is carried out late finds its condition broken, a job
+ * has one under way at a time, and different jobs do not wait for each other.
+ * While an answer is overdue nothing is sent but a transaction without jobs:
+ * what is under way when the store falls silent can no longer be taken back.
  *
  * @module
  */
-import { type Clock, sleep, type Timer } from "../clock.ts";
-import type { StoreFailure } from "../errors.ts";
-import type { Log } from "../logger.ts";
-import type { Metrics } from "../metrics.ts";
-import type { Write } from "../ports/store.ts";
+import { sleep, type Timer } from "../clock.ts";
+import type { Condition } from "../ports/store.ts";
+import { aliveKey, recordKey } from "./cell_record.ts";
+import { Commits, type CommitsOptions, type Fate } from "./commits.ts";
 import type { EndedJob, Job } from "./job.ts";
-import { AnswerWatch } from "./answer_watch.ts";
-import { type Fate, fateOf } from "./lane_fate.ts";
-import { laneKey, type LaneRecord, LANES } from "./lane_record.ts";
-import type { CellStore } from "./ports.ts";
 import {
   type Batch,
-  hasWork,
-  type Lane,
-  newLane,
-  packLanes,
+  packBatches,
+  type Pending,
   probeOf,
-  putBack,
+  progressKey,
   type Saved,
   settle,
-} from "./write_lane.ts";
+} from "./write_batch.ts";
 
 /** Changes gather for so long before they are written, milliseconds: a fifth of the wait that a human notices. */
 const GATHER_MS = 20;
-/** Delay before a transaction is sent again that was refused or lost, milliseconds. */
+/** Delay before a job is written again that no transaction carried, and between looks for a store that is away, milliseconds. */
 const RETRY_MS = 60;
+/** Most transactions under way: those of half a second at the largest rate that gathering gives. */
+const MAX_UNDER_WAY = 32;
 
 /** What the log has done since it was last asked. */
 export interface JobLogWork {
@@ -48,19 +43,10 @@
 }
 
 /** What the log needs. */
-export interface JobLogOptions {
+export interface JobLogOptions extends CommitsOptions {
   readonly cell: string;
-  readonly fence: number;
-  /** Revision at which the takeover wrote the lanes. */
+  /** Revision of the record of the hold. */
   readonly revision: number;
-  readonly store: CellStore;
-  readonly clock: Clock;
-  readonly log: Log;
-  readonly metrics: Metrics;
-  /** Another holder has written the lanes. */
-  readonly onDeposed: (why: string) => void;
-  /** A transaction went through: the store says that this holder is the last. */
-  readonly onConfirmed: (sentMs: number) => void;
   /** A job whose end the store holds. */
   readonly onEnded: (ended: EndedJob) => void;
 }
@@ -68,31 +54,37 @@
 /** The writer of one holder's jobs. */
 export class JobLog {
   readonly #options: JobLogOptions;
-  readonly #lanes: readonly Lane[];
-  readonly #watch: AnswerWatch;
+  readonly #hold: Condition;
+  readonly #commits: Commits;
+  readonly #pending = new Map<string, Pending>();
+  readonly #forgotten = new Set<string>();
+  /** Jobs with a transaction under way. */
+  readonly #busy = new Set<string>();
+  /** Revisions of the progress of jobs. */
+  readonly #revisions = new Map<string, number>();
   #probing = false;
   #timer: Timer | undefined;
   #closed = false;
-  #commits = 0;
-  #slowestMs = 0;
 
   constructor(options: JobLogOptions) {
+    const { cell, revision } = options;
     this.#options = options;
-    this.#watch = new AnswerWatch(options.clock);
-    this.#lanes = Array.from(
-      { length: LANES },
-      (_, lane) => newLane(laneKey(options.cell, lane), options.revision),
-    );
+    this.#hold = { key: recordKey(cell), revision };
+    this.#commits = new Commits(options);
+  }
+
+  /** Takes note of a job's progress that a former holder wrote. */
+  know(id: string, revision: number): void {
+    this.#revisions.set(id, revision);
   }
 
   /** Writes a job as it is at the next commit; resolves once the store holds that. */
   save(job: Job, { submission = false } = {}): Promise<Saved> {
     if (this.#closed) return Promise.resolve("deposed");
-    const lane = this.#laneOf(job.id);
-    const pending = lane.dirty.get(job.id) ??
-      { job, submission: false, waiters: [] };
+    const pending = this.#pending.get(job.id) ??
+      { job, submission: false, retryAtMs: 0, waiters: [] };
     pending.submission ||= submission;
-    lane.dirty.set(job.id, pending);
+    this.#pending.set(job.id, pending);
     const saved = new Promise<Saved>((resolve) =>
       pending.waiters.push(resolve)
     );
@@ -101,63 +93,46 @@
   }
 
   /** Takes back a submission that no transaction has carried yet; `false` if one may have. */
-  withdraw(job: Job): boolean {
-    const { dirty } = this.#laneOf(job.id);
+  withdraw({ id }: Job): boolean {
     // Without its submission it is a later change: the submission is under way.
-    return dirty.get(job.id)?.submission === true && dirty.delete(job.id);
+    return this.#pending.get(id)?.submission === true &&
+      this.#pending.delete(id);
   }
 
   /** Removes the note of a job's end. */
   forget(id: string): void {
-    this.#laneOf(id).forgotten.push(id);
+    this.#forgotten.add(id);
     this.#schedule();
   }
 
-  /** Longest time for which a transaction has not got through, milliseconds. */
+  /** Time for which nothing has got through, milliseconds. */
   stuckMs(): number {
-    const now = this.#options.clock.monotonic();
-    return Math.max(
-      ...this.#lanes.map((lane) => now - (lane.stuckSinceMs ?? now)),
-    );
+    return this.#commits.stuckMs();
   }
 
   /** Tells and forgets what was done. */
   takeWork(): JobLogWork {
-    const work = {
-      commits: this.#commits,
-      slowestMs: this.#slowestMs,
-      waiting: this.#lanes.reduce((sum, lane) => sum + lane.dirty.size, 0),
-    };
-    this.#commits = 0;
-    this.#slowestMs = 0;
-    return work;
+    const { answered, slowestMs } = this.#commits.takeWork();
+    return { commits: answered, slowestMs, waiting: this.#pending.size };
   }
 
   /** Resolves once nothing waits to be written, or after `timeoutMs`. */
   async drained(timeoutMs: number): Promise<void> {
     const { clock } = this.#options;
     const end = clock.monotonic() + timeoutMs;
-    const idle = () =>
-      this.#lanes.every((lane) => !lane.busy && lane.dirty.size === 0);
-    while (!idle() && !this.#closed && clock.monotonic() < end) {
-      await new Promise<void>((resolve) => clock.after(GATHER_MS, resolve));
+    const isIdle = () => this.#busy.size === 0 && this.#pending.size === 0;
+    while (!isIdle() && !this.#closed && clock.monotonic() < end) {
+      await sleep(clock, GATHER_MS);
     }
   }
 
   /** Stops writing; whoever waits is told that the holder is deposed. */
   close(): void {
     this.#closed = true;
+    this.#commits.close();
     this.#timer?.cancel();
-    for (const lane of this.#lanes) {
-      for (const pending of lane.dirty.values()) settle(pending, "deposed");
-      lane.dirty.clear();
-    }
-  }
-
-  #laneOf(id: string): Lane {
-    // Ids are hexadecimal and random; their last digit spreads them evenly.
-    const digit = parseInt(id.slice(-1), 16) || 0;
-    return this.#lanes[digit % LANES]!;
+    for (const pending of this.#pending.values()) settle(pending, "deposed");
+    this.#pending.clear();
   }
 
   #schedule(delayMs = GATHER_MS): void {
@@ -168,145 +143,115 @@
     });
   }
 
-  /** Writes what waits in lanes without a transaction under way. */
   #flush(): void {
-    const { clock } = this.#options;
-    const nowMs = clock.monotonic();
-    // A lane that got stuck goes on trying, or nobody would notice the store's return.
-    const wanted = this.#lanes.filter((lane) =>
-      !lane.busy && (hasWork(lane) || lane.stuckSinceMs !== undefined)
-    );
-    const due = wanted.filter((lane) => lane.retryAtMs <= nowMs);
-    if (due.length < wanted.length) this.#schedule(RETRY_MS);
-    if (this.#watch.isOverdue) {
-      this.#probe(due);
+    if (this.#commits.isDoubtful) {
+      this.#probe();
+      this.#schedule(RETRY_MS);
       return;
     }
-    for (const group of packLanes(due, clock.now().getTime())) {
-      void this.#send(group);
+    const { clock } = this.#options;
+    const isFree = (id: string) => !this.#busy.has(id);
+    const free = [...this.#pending.values()].filter(({ job }) =>
+      isFree(job.id)
+    );
+    const due = free.filter(({ retryAtMs }) => retryAtMs <= clock.monotonic());
+    if (due.length < free.length) this.#schedule(RETRY_MS);
+    const batches = packBatches(
+      {
+        pending: due,
+        forgotten: [...this.#forgotten].filter(isFree),
+        revisionOf: (id) => this.#revisions.get(id) ?? 0,
+      },
+      this.#hold,
+      clock.now().getTime(),
+    );
+    const open = Math.max(0, MAX_UNDER_WAY - this.#commits.underWay);
+    for (const batch of batches.slice(0, open)) {
+      this.#take(batch);
+      void this.#send(batch);
     }
   }
 
-  /** Finds out by one empty transaction whether the store is there. */
-  #probe(due: readonly Lane[]): void {
-    this.#schedule();
-    const [lane] = due;
-    if (lane === undefined || this.#probing) return;
+  /** Finds out whether the store is there. */
+  #probe(): void {
+    if (this.#probing) return;
     this.#probing = true;
-    void this.#send([probeOf(lane)]).then(() => this.#probing = false);
+    const { cell, fence } = this.#options;
+    const key = aliveKey(cell);
+    const batch = probeOf(this.#hold, {
+      type: "put",
+      key,
+      value: String(fence),
+    });
+    void this.#send(batch).then(() => {
+      this.#probing = false;
+      this.#timer?.cancel();
+      this.#timer = undefined;
+      this.#schedule(0);
+    });
   }
 
-  async #send(group: readonly Batch[]): Promise<void> {
-    for (const { lane } of group) lane.busy = true;
-    const sent = this.#watch.sent();
+  #take({ pending, forgotten }: Batch): void {
+    for (const { job } of pending) {
+      this.#pending.delete(job.id);
+      this.#busy.add(job.id);
+    }
+    for (const id of forgotten) {
+      this.#forgotten.delete(id);
+      this.#busy.add(id);
+    }
+  }
+
+  async #send(batch: Batch): Promise<void> {
     try {
-      this.#settle(group, await this.#persist(group));
+      this.#settle(batch, await this.#commits.send(batch));
     } catch (error) {
       this.#options.log.error("joblog.failed", { reason: String(error) });
-    } finally {
-      this.#watch.ended(sent);
     }
   }
 
-  #settle(group: readonly Batch[], fate: Fate): void {
-    const { clock } = this.#options;
-    for (const batch of group) {
-      const { lane } = batch;
-      lane.busy = false;
-      switch (fate.type) {
-        case "written":
-          lane.revision = fate.revision;
-          lane.sequence++;
-          for (const pending of batch.pending) settle(pending, "saved");
-          for (const ended of batch.ended) this.#options.onEnded(ended);
-          break;
-        case "untouched":
-          putBack(batch);
-          lane.retryAtMs = clock.monotonic() + RETRY_MS;
-          break;
-        case "deposed":
-          for (const pending of batch.pending) settle(pending, "deposed");
-      }
-    }
-    if (fate.type === "untouched") this.#schedule(RETRY_MS);
-    else if (this.#lanes.some((lane) => !lane.busy && hasWork(lane))) {
-      this.#schedule();
+  #settle(batch: Batch, fate: Fate): void {
+    for (const { job } of batch.pending) this.#busy.delete(job.id);
+    for (const id of batch.forgotten) this.#busy.delete(id);
+    switch (fate.type) {
+      case "written":
+        this.#written(batch, fate.revision);
+        break;
+      case "untouched":
+        this.#putBack(batch);
+        break;
+      case "deposed":
+        for (const pending of batch.pending) settle(pending, "deposed");
+        return;
     }
+    if (this.#pending.size > 0 || this.#forgotten.size > 0) this.#schedule();
   }
 
-  /**
-   * Sends a transaction until its fate is known. One whose answer was lost is
-   * repeated as it is; one that was certainly not carried out is given up.
-   */
-  async #persist(group: readonly Batch[]): Promise<Fate> {
-    const { store, clock, fence } = this.#options;
-    const conditions = group.map(({ lane }) => ({
-      key: lane.key,
-      revision: lane.revision,
-    }));
-    const writes = group.flatMap((batch) => this.#writesOf(batch));
-    const startedMs = clock.monotonic();
-    let lost = false;
-    while (!this.#closed) {
-      const sentMs = clock.monotonic();
-      const result = await store.commit(conditions, writes);
-      if (this.#closed) break;
-      if (result.isOk()) {
-        const fate = fateOf(result.value, group, fence);
-        this.#answered(group, { fate, startedMs, sentMs });
-        return fate;
-      }
-      this.#refused(group, { failure: result.error, startedMs });
-      lost ||= result.error.type === "storeAnswerLost";
-      if (!lost) return { type: "untouched" };
-      await sleep(clock, RETRY_MS);
+  #written({ pending, forgotten, writes, ended }: Batch, revision: number) {
+    const put = new Set(
+      writes.flatMap((write) => write.type === "put" ? [write.key] : []),
+    );
+    for (const { job: { id } } of pending) {
+      if (put.has(progressKey(id))) this.#revisions.set(id, revision);
     }
-    return { type: "deposed" };
-  }
-
-  #writesOf({ lane, writes }: Batch): readonly Write[] {
-    const record: LaneRecord = {
-      fence: this.#options.fence,
-      sequence: lane.sequence + 1,
-    };
-    const value = JSON.stringify(record);
-    return [{ type: "put", key: lane.key, value }, ...writes];
-  }
-
-  #answered(
-    group: readonly Batch[],
-    { fate, startedMs, sentMs }: {
-      readonly fate: Fate;
-      readonly startedMs: number;
-      readonly sentMs: number;
-    },
-  ): void {
-    const { clock, metrics, onConfirmed, onDeposed } = this.#options;
-    if (fate.type === "deposed") return onDeposed("another holder has a lane");
-    for (const { lane } of group) lane.stuckSinceMs = undefined;
-    const tookMs = clock.monotonic() - startedMs;
-    this.#commits++;
-    this.#slowestMs = Math.max(this.#slowestMs, tookMs);
-    this.#watch.answered(sentMs);
-    metrics.observe("commit_ms", tookMs);
-    onConfirmed(sentMs);
+    for (const id of forgotten) this.#revisions.delete(id);
+    for (const entry of pending) settle(entry, "saved");
+    for (const end of ended) this.#options.onEnded(end);
   }
 
-  #refused(
-    group: readonly Batch[],
-    { failure, startedMs }: {
-      readonly failure: StoreFailure;
-      readonly startedMs: number;
-    },
-  ): void {
-    for (const { lane } of group) lane.stuckSinceMs ??= startedMs;
-    const { log, clock, fence } = this.#options;
-    log.warn("joblog.retry", {
-      lanes: group.map(({ lane }) => lane.key).join(","),
-      fence,
-      failure: failure.type,
-      reason: failure.message,
-      stuckMs: Math.round(clock.monotonic() - startedMs),
-    });
+  /** Lets jobs wait again that no transaction has carried. */
+  #putBack({ pending, forgotten }: Batch): void {
+    for (const id of forgotten) this.#forgotten.add(id);
+    const retryAtMs = this.#options.clock.monotonic() + RETRY_MS;
+    for (const entry of pending) {
+      entry.retryAtMs = retryAtMs;
+      const newer = this.#pending.get(entry.job.id);
+      if (newer === undefined) this.#pending.set(entry.job.id, entry);
+      else {
+        newer.submission ||= entry.submission;
+        newer.retryAtMs = retryAtMs;
+        newer.waiters.push(...entry.waiters);
+      }
+    }
   }
 }
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -2,9 +2,9 @@
  * Which instance holds the cell.
  *
  * The hold is a record in the store that is taken by a conditional write, on
- * suspicion alone: the write also renews the lanes of the job log, which
- * stops every write of the former holder, and raises the fence, which stops
- * its orders at every worker that the new one reaches.
+ * suspicion alone: the write changes the record that every write of the former
+ * holder depends on, and raises the fence, which stops its orders at every
+ * worker that the new one reaches.
  *
  * @module
  */
@@ -14,6 +14,7 @@
 import { Confirmation } from "./confirmation.ts";
 import { HolderNews, statusEveryMs } from "./holder_news.ts";
 import { HoldWriter, type KnownRecord } from "./hold_writer.ts";
+import { KnownHolder } from "./known_holder.ts";
 import type { LeadershipOptions } from "./leadership_options.ts";
 import { helloCall, statusCall, yieldCall } from "./protocol.ts";
 import { Roster } from "./roster.ts";
@@ -25,8 +26,6 @@
 const TICK_MS = 50;
 /** A hold that was not confirmed for so long is confirmed by a write, milliseconds. */
 const CONFIRM_AFTER_MS = 700;
-/** Longest wait for a greeting's answer, milliseconds. */
-const HELLO_TIMEOUT_MS = 500;
 
 /** Follows the holder, and takes the cell when it is silent. */
 export class Leadership {
@@ -38,10 +37,9 @@
   readonly #writer: HoldWriter;
   readonly #succession: Succession;
   readonly #takeover: Takeover;
-  #known: KnownRecord | undefined;
+  readonly #record: KnownHolder;
   #holding: Hold | undefined;
   #leaving = false;
-  readonly #replaced = new Set<() => void>();
 
   constructor(options: LeadershipOptions) {
     this.#options = options;
@@ -52,6 +50,13 @@
     );
     this.#confirmation = new Confirmation(options.clock);
     this.#writer = new HoldWriter(options);
+    this.#record = new KnownHolder({
+      ...options,
+      writer: this.#writer,
+      news: this.#news,
+      holds: () => this.#holding !== undefined,
+      deposed: (why) => this.deposed(why),
+    });
     this.#succession = new Succession({
       ...options,
       roster: this.#roster,
@@ -63,11 +68,11 @@
       roster: this.#roster,
       news: this.#news,
       writer: this.#writer,
-      known: () => this.#known,
+      known: () => this.#record.known,
       holds: () => this.#holding !== undefined,
-      greet: (record) => void this.#greet(record),
-      readRecord: () => this.#readRecord(),
-      noted: (known) => this.#note(known),
+      greet: (record) => void this.#record.greet(record),
+      readRecord: () => this.#record.read(),
+      noted: (known) => this.#record.note(known),
       gained: (known) => this.#gain(known),
     });
     this.#teller = new StatusTeller({
@@ -77,17 +82,16 @@
       hold: () => this.#holding,
       everyMs: () => statusEveryMs(this.#roster.members.length),
       waiting: () => options.listener.waiting(),
-      replaced: () => void this.#readRecord(),
+      replaced: () => void this.#record.read(),
       setWanted: (peer, version) => this.onSetWanted(peer, version),
     });
   }
 
   /** The holder, if one is known and this process is not it. */
   get holder(): Member | undefined {
-    if (this.#holding !== undefined || this.#known === undefined) {
-      return undefined;
-    }
-    const { name, address, cores } = this.#known.record;
+    const { known } = this.#record;
+    if (this.#holding !== undefined || known === undefined) return undefined;
+    const { name, address, cores } = known.record;
     return { name, address, cores };
   }
 
@@ -96,15 +100,14 @@
     return this.#news.silenceMs;
   }
 
-  /** Calls `listener` when somebody else becomes the holder; gives a function that ends that. */
+  /** Calls `listener` when another process becomes the holder; gives a function that ends that. */
   onReplaced(listener: () => void): () => void {
-    this.#replaced.add(listener);
-    return () => void this.#replaced.delete(listener);
+    return this.#record.onReplaced(listener);
   }
 
   /** Highest fence that is known. */
   get fence(): number {
-    return this.#known?.record.fence ?? 0;
+    return this.#record.fence;
   }
 
   /** Instances that answered lately, for the holder; the holder, for the others. */
@@ -150,7 +153,7 @@
     this.#holding = undefined;
     this.#news.heardOf();
     this.#options.listener.lost(fence, why);
-    void this.#readRecord();
+    void this.#record.read();
   }
 
   /** Takes part until the process ends. */
@@ -159,7 +162,7 @@
     const { clock } = this.#options;
     await this.#roster.register();
     await this.#roster.learn();
-    await this.#readRecord();
+    await this.#record.read();
     void this.#teller.run();
     for (;;) {
       await sleep(clock, TICK_MS);
@@ -185,7 +188,7 @@
         fence: status.fence,
       };
       if (status.fence >= this.fence) {
-        this.#note({ record, revision: status.revision });
+        this.#record.note({ record, revision: status.revision });
         this.#news.told(status.waiting);
         if (status.members !== null) {
           this.#roster.replace(status.members, status);
@@ -224,62 +227,9 @@
   /** Set by the process: fetches a version of the set from a peer. */
   onSetWanted: (peer: string, version: number) => void = () => {};
 
-  async #readRecord(): Promise<void> {
-    const known = await this.#writer.read();
-    if (known === undefined) return;
-    const { record } = known;
-    this.#note(known);
-    const own = record.name === this.#options.self.name;
-    if (own || this.#holding !== undefined) return;
-    void this.#greet(record);
-  }
-
-  /** Tells the holder of this instance, and finds out whether it still is the holder. */
-  async #greet(record: CellRecord): Promise<void> {
-    const { peers, self } = this.#options;
-    const answer = await peers.call(record.name, helloCall, {
-      params: self,
-      timeoutMs: HELLO_TIMEOUT_MS,
-    });
-    if (answer.isErr()) return;
-    if (answer.value.boot === record.boot && answer.value.holds) {
-      this.#news.answered();
-    } else if (this.#known?.record === record) {
-      this.#news.forgotten();
-    }
-  }
-
-  #note(known: KnownRecord): void {
-    const before = this.#known;
-    if (before !== undefined && known.record.fence < before.record.fence) {
-      return;
-    }
-    this.#known = known;
-    if (known.record.fence === before?.record.fence) return;
-    const { self, log, boot } = this.#options;
-    const mine = known.record.name === self.name && known.record.boot === boot;
-    if (mine) return;
-    log.info("hold.noted", {
-      holder: known.record.name,
-      fence: known.record.fence,
-      revision: known.revision,
-    });
-    this.#news.heardOf();
-    this.#tellReplaced();
-    if (this.#holding !== undefined) {
-      this.deposed(`${known.record.name} took the cell`);
-    }
-    if (known.record.name !== self.name) this.#options.link([known.record]);
-  }
-
-  #tellReplaced(): void {
-    for (const listener of [...this.#replaced]) listener();
-  }
-
   #gain(known: KnownRecord): void {
     const { log, listener, clock } = this.#options;
-    this.#known = known;
-    this.#tellReplaced();
+    this.#record.take(known);
     const { fence } = known.record;
     const hold = { fence, revision: known.revision };
     this.#holding = hold;
@@ -309,7 +259,7 @@
     const sentMs = this.#options.clock.monotonic();
     const skewMs = this.#confirmation.skewMs();
     const outcome = await this.#writer.confirm(hold);
-    if (outcome.type === "replaced") this.#note(outcome.known);
+    if (outcome.type === "replaced") this.#record.note(outcome.known);
     if (outcome.type !== "held") return;
     this.#confirmation.confirm(sentMs, skewMs);
   }
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -3,7 +3,7 @@
 import { ManualClock } from "../clock.ts";
 import { silentLog } from "../logger.ts";
 import type { Call, Peers } from "../ports/peers.ts";
-import { FakeStore } from "./_fixtures_test.ts";
+import { FakeStore } from "./_fake_store_test.ts";
 import type { Member } from "./cell_record.ts";
 import { Leadership } from "./leadership.ts";
 import { SetInForce } from "./set_in_force.ts";
--- a/src/cell/recovery.ts
+++ b/src/cell/recovery.ts
@@ -23,9 +23,11 @@
 export interface Legacy {
   readonly jobs: ReadonlyMap<string, Job>;
   readonly ended: ReadonlyMap<string, EndedJob>;
+  /** Revisions of the progress of jobs, ended ones too. */
+  readonly revisions: ReadonlyMap<string, number>;
 }
 
-/** Reads all jobs. The lanes must be taken before, so that nobody writes meanwhile. */
+/** Reads all jobs. The cell must be taken before, so that nobody writes meanwhile. */
 export function readLegacy(
   store: CellStore,
   log: Log,
@@ -40,7 +42,7 @@
 
 /** Takes jobs over, with the room of their runs until reports settle them. */
 export function adopt(
-  { fleet, clock, jobs, ended, maxLeaseMs }: CellContext,
+  { fleet, clock, jobs, ended, jobLog, maxLeaseMs }: CellContext,
   legacy: Legacy,
   { holdLimitMs }: {
     /** Longest time for which a former holder that hears nobody renews leases, milliseconds. */
@@ -48,6 +50,7 @@
   },
 ): void {
   const nowMs = clock.monotonic();
+  for (const [id, revision] of legacy.revisions) jobLog.know(id, revision);
   for (const [id, end] of legacy.ended) ended.set(id, end);
   for (const [id, job] of legacy.jobs) {
     jobs.set(id, job);
@@ -72,6 +75,7 @@
 ): Legacy {
   const jobs = new Map<string, Job>();
   const ended = new Map<string, EndedJob>();
+  const revisions = new Map<string, number>();
   for (const entry of submissions) {
     const id = entry.key.slice(JOBS_PREFIX.length);
     const job = decodeSubmission(id, entry.value);
@@ -80,6 +84,7 @@
   }
   for (const entry of progress) {
     const id = entry.key.slice(PROGRESS_PREFIX.length);
+    revisions.set(id, entry.revision);
     const job = jobs.get(id);
     const end = decodeEnd(id, entry.value);
     if (end !== undefined) {
@@ -89,5 +94,5 @@
       log.error("recovery.unreadable", { key: entry.key });
     }
   }
-  return { jobs, ended };
+  return { jobs, ended, revisions };
 }
--- a/src/cell/relayed_store_test.ts
+++ b/src/cell/relayed_store_test.ts
@@ -4,7 +4,7 @@
 import type { StoreFailure } from "../errors.ts";
 import { silentLog } from "../logger.ts";
 import type { Peers } from "../ports/peers.ts";
-import { FakeStore } from "./_fixtures_test.ts";
+import { FakeStore } from "./_fake_store_test.ts";
 import type { StoreAnswer } from "./protocol.ts";
 import { RelayedStore } from "./relayed_store.ts";
 
