Let gangs reserve room in a busy fleet

Gangs asked the advice service again and again (4 questions a step), each a second long.

Gangs in line now reserve room on workers known to be good, free or not yet; those behind them leave it alone, urgent and lasting steps take it last. Room is waited for only where more than 55 % of a service is in use, so that whatever has room starts at once below.

Ruled out: holding room for all workers of a question, three quarters of which turn out bad.

Tests: a gang gets its room though smaller tasks wait (failed before), reservations_test, questions_test.

--- a/bench/cell.ts
+++ b/bench/cell.ts
@@ -86,13 +86,16 @@
 interface Size {
   readonly workers: number;
   readonly queues: number;
+  /** Of the sheets' traffic. */
+  readonly load: number;
 }
 
 const SIZES: readonly Size[] = [
-  { workers: 33, queues: 45 },
-  { workers: 245, queues: 45 },
-  { workers: 245, queues: 1_600 },
-  { workers: 490, queues: 45 },
+  { workers: 33, queues: 45, load: 1 },
+  { workers: 245, queues: 45, load: 1 },
+  { workers: 245, queues: 45, load: 1.3 },
+  { workers: 245, queues: 1_600, load: 1 },
+  { workers: 490, queues: 45, load: 1 },
 ];
 
 /** Runs all sizes. */
@@ -124,11 +127,15 @@
   load.stop();
   cell.close();
   const seconds = RUN_MS / 1_000;
-  const label = `w${size.workers}_q${size.queues}`;
+  const label = `w${size.workers}_q${size.queues}_l${size.load}`;
   results.line(
     `${label}_starts_per_s`,
     (workers.starts - before.starts) / seconds,
   );
+  for (const { queue } of KINDS) {
+    const p90 = metrics.percentile("first_start_ms", 90, { queue });
+    results.line(`${label}_${queue}_first_start_p90_ms`, p90 ?? NaN);
+  }
   results.line(`${label}_cores`, (cpu.user + cpu.system) / 1e6 / seconds);
 }
 
@@ -182,7 +189,7 @@
 ): { stop(): void } {
   let stopped = false;
   let number = 0;
-  const meanMs = 1_000 / (RATE_AT_245 * size.workers / 245);
+  const meanMs = 1_000 / (RATE_AT_245 * size.load * size.workers / 245);
   const next = () => {
     if (stopped) return;
     const index = random.weighted(KINDS.map((kind) => kind.share));
--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -41,6 +41,8 @@
   entry: WorkerEntry | undefined;
   readonly runs: Map<string, Run>;
   used: Amounts;
+  /** Part of `used` that does not come free: tasks that last. */
+  lasting: Amounts;
   /** The worker's clock less ours, milliseconds; `undefined` before its first report. */
   clockOffsetMs: number | undefined;
   /** When all leases given so far have surely ended, monotonic milliseconds. */
@@ -78,6 +80,7 @@
       entry: undefined,
       runs: new Map(),
       used: NO_AMOUNTS,
+      lasting: NO_AMOUNTS,
       clockOffsetMs: undefined,
       leaseBoundMs: 0,
       acknowledged: 0,
@@ -97,7 +100,7 @@
   /** Takes room for a run. */
   take(run: Run): void {
     run.worker.runs.set(run.task.id, run);
-    run.worker.used = plus(run.worker.used, onWorker(run));
+    change(run, 1);
     const team = run.step.job.team;
     this.#teams.set(team, plus(this.usedBy(team), run.amounts));
   }
@@ -106,7 +109,7 @@
   release(run: Run): boolean {
     if (run.worker.runs.get(run.task.id) !== run) return false;
     run.worker.runs.delete(run.task.id);
-    run.worker.used = plus(run.worker.used, onWorker(run), -1);
+    change(run, -1);
     const team = run.step.job.team;
     this.#teams.set(team, plus(this.usedBy(team), run.amounts, -1));
     return true;
@@ -162,8 +165,11 @@
   return backfill ? { ...amounts, cpuMillis: 0 } : amounts;
 }
 
-function onWorker(run: Run): Amounts {
-  return weighsOn(run.step);
+function change({ worker, step }: Run, times: 1 | -1): void {
+  const amounts = weighsOn(step);
+  worker.used = plus(worker.used, amounts, times);
+  if (!step.spec.longRunning) return;
+  worker.lasting = plus(worker.lasting, amounts, times);
 }
 
 function share(limit: number, used: number, each: number): number {
--- a/src/cell/placement.ts
+++ b/src/cell/placement.ts
@@ -35,6 +35,8 @@
   readonly reason: NoPlace | undefined;
   /** Workers with room whose advice is missing or stale, the best first. */
   readonly unadvised: readonly FleetWorker[];
+  /** Workers with room and a ticket. */
+  readonly ready: readonly FleetWorker[];
 }
 
 /** What a search goes by. */
@@ -45,9 +47,16 @@
   /** Monotonic milliseconds. */
   readonly nowMs: number;
   /** Room held for others, by worker. */
-  readonly held: ReadonlyMap<string, Amounts>;
+  readonly held: Held;
+  /** Room that others wait for, by worker: taken last. */
+  readonly wanted: Held;
+  /** Whether workers without a ticket matter: a question about them may be asked now. */
+  readonly mayAsk: boolean;
 }
 
+/** Room by worker. */
+export type Held = ReadonlyMap<string, Amounts>;
+
 /** A ticket is not used in the last part of its life, milliseconds: commit and order take time. */
 const TICKET_MARGIN_MS = 120;
 
@@ -78,14 +87,14 @@
     context,
   });
   if (step.spec.gang && places.length < waiting.length) {
-    return { places: [], reason: "gangIncomplete", unadvised };
+    return { places: [], reason: "gangIncomplete", unadvised, ready };
   }
   const reason = places.length > 0
     ? undefined
     : unadvised.length > 0
     ? "noAdvice"
     : "noRoom";
-  return { places, reason, unadvised };
+  return { places, reason, unadvised, ready };
 }
 
 /** How many tasks of a step workers could take, each at most as its rules allow. */
@@ -106,28 +115,46 @@
   );
 }
 
+/** Whether a worker may run a step by the queue's and the step's rules, with room or without. */
+export function isEligible(
+  step: StepRun,
+  worker: FleetWorker,
+  { queue, nowMs }: Pick<SearchContext, "queue" | "nowMs">,
+): boolean {
+  const { entry } = worker;
+  const label = step.spec.requiredLabel;
+  return entry !== undefined && entry.service === queue.service &&
+    takesWork(worker, nowMs) &&
+    (label === "" || entry.labels.includes(label));
+}
+
+/** All workers, or those with a ticket: far fewer, and each pass looks at them. */
+function candidates(
+  step: StepRun,
+  { fleet, queue, mayAsk }: SearchContext,
+): Iterable<FleetWorker> {
+  if (mayAsk || queue.advice === undefined) return fleet.workers.values();
+  return [...step.advice.tickets.keys()].flatMap((id) =>
+    fleet.workers.get(id) ?? []
+  );
+}
+
 function suitedWorkers(
   step: StepRun,
   context: SearchContext,
 ): readonly FleetWorker[] {
-  const { spec } = step;
+  const { dataRack } = step.spec;
   const amounts = weighsOn(step);
   const suited: Suited[] = [];
-  for (const worker of context.fleet.workers.values()) {
-    if (!takesWork(worker, context.nowMs)) continue;
-    const entry = worker.entry;
-    if (entry === undefined || entry.service !== context.queue.service) {
-      continue;
-    }
-    if (
-      spec.requiredLabel !== "" && !entry.labels.includes(spec.requiredLabel)
-    ) continue;
+  for (const worker of candidates(step, context)) {
+    if (!isEligible(step, worker, context)) continue;
     if (!fits(amounts, openRoom(worker, context))) continue;
     if (perWorkerLeft(step, worker) < 1) continue;
     suited.push({
       worker,
-      far: spec.dataRack !== "" && !entry.labels.includes(spec.dataRack),
-      freeMillis: entry.capacity.cpuMillis - worker.used.cpuMillis,
+      far: dataRack !== "" && !worker.entry?.labels.includes(dataRack),
+      wanted: context.wanted.has(worker.id),
+      freeMillis: roomOn(worker).cpuMillis,
     });
   }
   return suited.sort(compareSuited).map(({ worker }) => worker);
@@ -138,12 +165,15 @@
   readonly worker: FleetWorker;
   /** Whether it is on another rack than the data. */
   readonly far: boolean;
+  /** Whether others wait for its room. */
+  readonly wanted: boolean;
   readonly freeMillis: number;
 }
 
 /** Near the data first, then the fullest, which leaves large room in one piece. */
 function compareSuited(a: Suited, b: Suited): number {
   return Number(a.far) - Number(b.far) ||
+    Number(a.wanted) - Number(b.wanted) ||
     a.worker.failureShare - b.worker.failureShare ||
     a.freeMillis - b.freeMillis;
 }
@@ -210,7 +240,8 @@
   return places;
 }
 
-function openRoom(
+/** Room on a worker that is not held for others. */
+export function openRoom(
   worker: FleetWorker,
   { held }: Pick<SearchContext, "held">,
 ): Amounts {
@@ -219,7 +250,8 @@
   return kept === undefined ? room : plus(room, kept, -1);
 }
 
-function perWorkerLeft(step: StepRun, worker: FleetWorker): number {
+/** How many more tasks of a step may be on a worker at the same time. */
+export function perWorkerLeft(step: StepRun, worker: FleetWorker): number {
   const most = step.spec.maxPerWorker;
   if (most === 0) return Infinity;
   let there = 0;
@@ -228,10 +260,10 @@
 }
 
 /** The rack is the label that names it; a worker has its kind and its rack as labels. */
-function rackOf(worker: FleetWorker): string {
+export function rackOf(worker: FleetWorker): string {
   return worker.entry?.labels.at(-1) ?? "";
 }
 
 function nothing(reason: NoPlace): Search {
-  return { places: [], reason, unadvised: [] };
+  return { places: [], reason, unadvised: [], ready: [] };
 }
--- /dev/null
+++ b/src/cell/reservations.ts
@@ -0,0 +1,187 @@
+/**
+ * Room that gangs wait for.
+ *
+ * A gang starts as a whole or not at all. Without a claim on room it would wait
+ * until by chance enough workers have some at once, while smaller tasks take
+ * each piece that comes free. So the first gangs in line reserve room on
+ * workers, free or not yet, and whoever stands behind them leaves it alone.
+ *
+ * @module
+ */
+import { type FleetWorker, roomOn, tasksIn, weighsOn } from "./fleet.ts";
+import type { StepRun } from "./job.ts";
+import { type Held, openRoom, perWorkerLeft } from "./placement.ts";
+import { type Amounts, NO_AMOUNTS, plus } from "./types.ts";
+
+/** Part of all processors that may be kept from others until it is free. */
+const MOST_SHARE = 0.5;
+/** Part of all processors above which room is waited for: below, gangs find some, and whatever has room must start at once by the platform's rules. */
+const BUSY_SHARE = 0.55;
+
+const NO_ROOMS: Held = new Map();
+
+/** A gang's choice of room stands for so long, milliseconds: what a task takes to end. */
+const STANDS_MS = 60;
+
+/** What one gang has reserved. */
+interface Reservation {
+  /** Place of the gang in the line. */
+  readonly place: number;
+  readonly rooms: Held;
+  /** Room that is not free yet, thousandths of processors. */
+  readonly waitedMillis: number;
+  /** When the room was chosen, monotonic milliseconds. */
+  readonly chosenMs: number;
+}
+
+/** Processors of the workers of one service that take work, thousandths. */
+export interface FleetSize {
+  readonly cpuMillis: number;
+  readonly usedMillis: number;
+}
+
+/** The reservations of one pass over the line. */
+export class Reservations {
+  #byStep = new Map<StepRun, Reservation>();
+  #before = new Map<StepRun, Reservation>();
+  /** Processors of each service that may still be waited for, thousandths. */
+  readonly #leftMillis = new Map<string, number>();
+
+  /** Whether room of a service's workers may still be waited for. */
+  isOpen(service: string): boolean {
+    return this.#leftOf(service) > 0;
+  }
+
+  /** Begins a pass over the workers of services. */
+  begin(sizes: ReadonlyMap<string, FleetSize>): void {
+    this.#before = this.#byStep;
+    this.#byStep = new Map();
+    this.#leftMillis.clear();
+    for (const [service, { cpuMillis, usedMillis }] of sizes) {
+      const busy = usedMillis > BUSY_SHARE * cpuMillis;
+      this.#leftMillis.set(service, busy ? MOST_SHARE * cpuMillis : 0);
+    }
+  }
+
+  /** Keeps room for a step in this pass. */
+  keep(step: StepRun, place: number, rooms: Held): void {
+    const reservation = { place, rooms, waitedMillis: 0, chosenMs: -Infinity };
+    this.#byStep.set(step, reservation);
+  }
+
+  /** Lets a choice of a pass just before stand; `false` if there is none or it is old. */
+  renew(
+    step: StepRun,
+    place: number,
+    { service, nowMs }: { readonly service: string; readonly nowMs: number },
+  ): boolean {
+    const before = this.#before.get(step);
+    if (before === undefined || nowMs - before.chosenMs > STANDS_MS) {
+      return false;
+    }
+    this.#wait(service, before.waitedMillis);
+    this.#byStep.set(step, { ...before, place });
+    return true;
+  }
+
+  /** Reserves room for a gang on some of these workers, the best first; `false` if there is not enough. */
+  reserve(
+    step: StepRun,
+    workers: readonly FleetWorker[],
+    { place, service, held, nowMs }: {
+      readonly place: number;
+      readonly service: string;
+      readonly held: Held;
+      readonly nowMs: number;
+    },
+  ): boolean {
+    const amounts = weighsOn(step);
+    const counts = chooseRooms(step, workers, held);
+    if (counts.size === 0) return false;
+    let waitedMillis = 0;
+    for (const [worker, count] of counts) {
+      const free = tasksIn(openRoom(worker, { held }), amounts);
+      waitedMillis += Math.max(0, count - free) * amounts.cpuMillis;
+    }
+    if (waitedMillis > this.#leftOf(service)) return false;
+    this.#wait(service, waitedMillis);
+    const rooms = new Map<string, Amounts>();
+    for (const [{ id }, count] of counts) {
+      rooms.set(id, plus(NO_AMOUNTS, amounts, count));
+    }
+    const reservation = { place, rooms, waitedMillis, chosenMs: nowMs };
+    this.#byStep.set(step, reservation);
+    return true;
+  }
+
+  /** What a gang has reserved in this pass. */
+  of(step: StepRun): Held {
+    return this.#byStep.get(step)?.rooms ?? NO_ROOMS;
+  }
+
+  #leftOf(service: string): number {
+    return this.#leftMillis.get(service) ?? 0;
+  }
+
+  #wait(service: string, cpuMillis: number): void {
+    this.#leftMillis.set(service, this.#leftOf(service) - cpuMillis);
+  }
+
+  /** Room that gangs other than `step` have reserved before a place in the line. */
+  before(place: number, step: StepRun): Held {
+    const sum = new Map<string, Amounts>();
+    for (const [holder, reservation] of this.#byStep) {
+      if (holder === step || reservation.place >= place) continue;
+      addTo(sum, reservation.rooms);
+    }
+    return sum;
+  }
+}
+
+/** Adds rooms to a sum. */
+export function addTo(sum: Map<string, Amounts>, rooms: Held): void {
+  for (const [worker, amounts] of rooms) {
+    sum.set(worker, plus(sum.get(worker) ?? NO_AMOUNTS, amounts));
+  }
+}
+
+/** Tasks of a step that a worker could hold once its other tasks have ended, but those that last. */
+export function mostOn(step: StepRun, worker: FleetWorker): number {
+  const capacity = worker.entry?.capacity ?? NO_AMOUNTS;
+  return Math.min(
+    tasksIn(plus(capacity, worker.lasting, -1), weighsOn(step)),
+    perWorkerLeft(step, worker),
+  );
+}
+
+/** What is free now, then one task more on each worker, the emptiest first, until the gang has its room. */
+function chooseRooms(
+  step: StepRun,
+  workers: readonly FleetWorker[],
+  held: Held,
+): ReadonlyMap<FleetWorker, number> {
+  const amounts = weighsOn(step);
+  const counts = new Map<FleetWorker, number>();
+  let left = step.tasks.filter((task) => task.phase === "waiting").length;
+  for (const worker of workers) {
+    const free = tasksIn(openRoom(worker, { held }), amounts);
+    const count = Math.min(left, free, perWorkerLeft(step, worker));
+    if (count <= 0) continue;
+    counts.set(worker, count);
+    left -= count;
+  }
+  const freeAfter = (worker: FleetWorker) =>
+    roomOn(worker).cpuMillis - (counts.get(worker) ?? 0) * amounts.cpuMillis;
+  const emptiest = [...workers].sort((a, b) => freeAfter(b) - freeAfter(a));
+  while (left > 0) {
+    const open = emptiest.filter((worker) =>
+      (counts.get(worker) ?? 0) < mostOn(step, worker)
+    );
+    if (open.length === 0) return new Map();
+    for (const worker of open.slice(0, left)) {
+      counts.set(worker, (counts.get(worker) ?? 0) + 1);
+    }
+    left -= Math.min(left, open.length);
+  }
+  return counts;
+}
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -11,7 +11,7 @@
   reviewStep,
 } from "./context.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
-import { isOver, type Job, type StepRun } from "./job.ts";
+import { dueMs, isOver, type Job, type StepRun } from "./job.ts";
 import type { Place } from "./placement.ts";
 import type { StartAnswer } from "./ports.ts";
 import { addressOf, gangCheckpoint, leaseBoundMs, newRun } from "./run.ts";
@@ -54,7 +54,7 @@
       fleet.take(run);
       return { run, ticket };
     });
-    step.job.begun = true;
+    this.#begin(step.job);
     reviewStep(this.#context, step);
     persist(this.#context, step.job).then((saved) => {
       if (saved !== "saved") return;
@@ -98,6 +98,14 @@
     this.settle(step);
   }
 
+  #begin(job: Job): void {
+    if (job.begun) return;
+    job.begun = true;
+    const { clock, metrics } = this.#context;
+    const waitedMs = clock.now().getTime() - dueMs(job, 0);
+    metrics.observe("first_start_ms", waitedMs, { queue: job.queue });
+  }
+
   /** Gives up everything on a worker. */
   loseAll(worker: FleetWorker, why: string): void {
     for (const run of [...worker.runs.values()]) this.lose(run, why);
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -6,42 +6,46 @@
  */
 import type { Timer } from "../clock.ts";
 import type { AdviceDesk } from "./advice_desk.ts";
+import { Asker } from "./asker.ts";
 import { type CellContext, queueOf, teamOf } from "./context.ts";
-import { type FleetWorker, roomOn, tasksIn, weighsOn } from "./fleet.ts";
-import { dueMs, stepKey, type StepRun } from "./job.ts";
+import { type FleetWorker, takesWork, teamAllowance } from "./fleet.ts";
+import { dueMs, type StepRun } from "./job.ts";
 import { compareRanks, type Rank, rankOf } from "./order.ts";
-import { capacityFor, findPlaces, type SearchContext } from "./placement.ts";
-import { adviceMayHelp, cheaply, MAX_ASKED } from "./questions.ts";
+import {
+  findPlaces,
+  type Held,
+  isEligible,
+  rackOf,
+  type SearchContext,
+} from "./placement.ts";
+import { adviceMayHelp } from "./questions.ts";
+import { addTo, type FleetSize, mostOn, Reservations } from "./reservations.ts";
 import type { Runs } from "./runs.ts";
-import { type Amounts, NO_AMOUNTS, plus, type Queue } from "./types.ts";
 
 /** Changes gather for so long before a pass, milliseconds. */
 const PASS_DELAY_MS = 10;
 /** The same when a lane to the advice service has come free, milliseconds. */
 const LANE_DELAY_MS = 2;
-/** A question that failed is asked again after this, milliseconds. */
-const ASK_AGAIN_MS = 200;
-/** Share of workers that may run a step, before any advice. */
-const FIRST_GOOD_SHARE = 0.4;
-/** Weight of new advice in the share of workers that may run a queue's steps. */
-const GOOD_WEIGHT = 0.1;
-/** Workers asked about beyond the number that should do. */
-const ASK_SPARE = 2;
 /** Nothing is started while the store has not answered for so long, milliseconds: starts are recorded first. */
 const STORE_STUCK_MS = 250;
-/** Factor by which more workers are asked about than should do. */
-const ASK_FACTOR = 1.6;
-/** Questions above this cost hold the room that they ask about, milliseconds. */
-const HOLD_ABOVE_MS = 200;
+/** Gangs that are later than this reserve nothing; source: {@linkcode Rank}. */
+const RESERVING_LATENESS = 1;
+const NO_ROOMS: Held = new Map();
+
+/** A step in the line. */
+interface Standing {
+  readonly step: StepRun;
+  readonly rank: Rank;
+}
 
 /** Schedules the work of one holder. */
 export class Scheduler {
   readonly #context: CellContext;
   readonly #runs: Runs;
-  readonly #desk: AdviceDesk;
-  readonly #goodShares = new Map<string, number>();
-  /** Room held while a question about it is under way. */
-  readonly #holds = new Map<StepRun, ReadonlyMap<string, Amounts>>();
+  readonly #asker: Asker;
+  readonly #reservations = new Reservations();
+  /** Places in the line of the last pass. */
+  #places = new Map<StepRun, number>();
   #timer: Timer | undefined;
   #closed = false;
   #passMs = 0;
@@ -52,7 +56,10 @@
   ) {
     this.#context = context;
     this.#runs = runs;
-    this.#desk = desk;
+    this.#asker = new Asker(context, desk, (step) => {
+      this.#place(step, this.#heldOutside(step));
+      this.kick(LANE_DELAY_MS);
+    });
   }
 
   /** Asks for a pass soon. */
@@ -81,13 +88,31 @@
     const { holds, jobLog } = this.#context;
     if (!holds() || jobLog.stuckMs() > STORE_STUCK_MS) return;
     const startedMs = this.#context.clock.monotonic();
-    for (const { step } of this.#line()) this.#place(step);
+    this.#goOverLine(this.#line());
     const tookMs = this.#context.clock.monotonic() - startedMs;
     this.#passMs += tookMs;
     this.#context.metrics.observe("pass_ms", tookMs);
   }
 
-  #line(): readonly { readonly step: StepRun; readonly rank: Rank }[] {
+  #goOverLine(line: readonly Standing[]): void {
+    this.#places = new Map(line.map(({ step }, place) => [step, place]));
+    this.#reservations.begin(this.#sizes());
+    const held = this.#asker.heldBeside(undefined);
+    for (const [place, { step, rank }] of line.entries()) {
+      const own = this.#asker.heldFor(step).size > 0 && !step.spec.gang;
+      const beside = own ? this.#heldOutside(step) : held;
+      this.#place(step, beside);
+      if (!step.spec.gang || !this.#context.open.has(step)) continue;
+      const reserved = rank.lateness <= RESERVING_LATENESS &&
+        this.#reserve(step, { place, held: beside });
+      if (!reserved) {
+        this.#reservations.keep(step, place, this.#asker.heldFor(step));
+      }
+      addTo(held, this.#reservations.of(step));
+    }
+  }
+
+  #line(): readonly Standing[] {
     const { clock, durations, open } = this.#context;
     const nowMs = clock.now().getTime();
     return [...open]
@@ -102,172 +127,118 @@
       .sort((a, b) => compareRanks(a.rank, b.rank));
   }
 
-  #place(step: StepRun): void {
+  #sizes(): ReadonlyMap<string, FleetSize> {
+    const { fleet, clock } = this.#context;
+    const nowMs = clock.monotonic();
+    const sizes = new Map<string, FleetSize>();
+    for (const worker of fleet.workers.values()) {
+      const { entry, used } = worker;
+      if (entry === undefined || !takesWork(worker, nowMs)) continue;
+      const before = sizes.get(entry.service);
+      sizes.set(entry.service, {
+        cpuMillis: (before?.cpuMillis ?? 0) + entry.capacity.cpuMillis,
+        usedMillis: (before?.usedMillis ?? 0) + used.cpuMillis,
+      });
+    }
+    return sizes;
+  }
+
+  /** Places what has room; `held` is kept for others. */
+  #place(step: StepRun, held: Held): void {
     if (!this.#context.open.has(step)) return;
-    if (this.#mustWaitForAdvice(step)) return;
-    const context = this.#searchContext(step);
+    if (this.#asker.mustWait(step)) return;
+    const context = this.#searchContext(step, held);
     const search = findPlaces(step, context);
     if (search.places.length > 0) {
-      this.#holds.delete(step);
+      this.#asker.release(step);
       this.#runs.start(step, search.places);
       if (!this.#context.open.has(step)) return;
     } else {
       const reason = search.reason ?? "none";
       this.#context.metrics.count("passes_without_place", { reason });
     }
-    if (adviceMayHelp(search.reason)) {
-      this.#ask(step, search.unadvised, context);
+    if (adviceMayHelp(search.reason, step.spec.gang)) {
+      this.#asker.ask(step, search, context);
     }
   }
 
-  /** Whether a step has no ticket and cannot ask for one now. */
-  #mustWaitForAdvice(step: StepRun): boolean {
-    const advice = queueOf(this.#context, step.job).advice;
-    if (advice === undefined || step.advice.tickets.size > 0) return false;
-    return step.advice.asking || !this.#desk.isFree(advice.baseMs);
-  }
-
-  #searchContext(step: StepRun): SearchContext {
+  /** Steps of the first priority are short and urgent, and tasks that last must run: they heed no room of others but take it last. */
+  #searchContext(step: StepRun, held: Held): SearchContext {
+    const queue = queueOf(this.#context, step.job);
+    const urgent = queue.priority === 0 || step.spec.longRunning;
     return {
       fleet: this.#context.fleet,
-      queue: queueOf(this.#context, step.job),
+      queue,
       team: teamOf(this.#context, step.job),
       nowMs: this.#context.clock.monotonic(),
-      held: this.#heldBeside(step),
+      held: urgent ? NO_ROOMS : held,
+      wanted: urgent ? held : NO_ROOMS,
+      mayAsk: this.#asker.mayAsk(step),
     };
   }
 
-  /** Room that is held for other steps. Steps of the first priority need not heed it. */
-  #heldBeside(step: StepRun): ReadonlyMap<string, Amounts> {
-    const held = new Map<string, Amounts>();
-    if (queueOf(this.#context, step.job).priority === 0) return held;
-    for (const [holder, rooms] of this.#holds) {
-      if (holder === step) continue;
-      for (const [worker, amounts] of rooms) {
-        held.set(worker, plus(held.get(worker) ?? NO_AMOUNTS, amounts));
-      }
-    }
+  /** Room held for others than a step, outside of a pass. */
+  #heldOutside(step: StepRun): Held {
+    const held = this.#asker.heldBeside(step);
+    const place = this.#places.get(step) ?? Infinity;
+    addTo(held, this.#reservations.before(place, step));
     return held;
   }
 
-  #ask(
+  /** Reserves room for a gang on the workers that are known to be good; `false` if there is not enough. */
+  #reserve(
     step: StepRun,
-    unadvised: readonly FleetWorker[],
-    context: SearchContext,
-  ): void {
-    const { queue, nowMs } = context;
-    const { advice } = step;
-    if (queue.advice === undefined || advice.asking) return;
-    if (nowMs < advice.retryAtMs) return;
-    if (!this.#desk.isFree(queue.advice.baseMs)) return;
-    const asked = this.#chooseAsked(step, { unadvised, context });
-    if (asked.length === 0) return;
-    advice.asking = true;
-    const expectedMs = queue.advice.baseMs +
-      asked.length * queue.advice.perWorkerMs;
-    if (expectedMs > HOLD_ABOVE_MS) this.#hold(step, asked);
-    const { job, index } = step;
-    const question = {
-      step: stepKey(step),
-      workers: asked.map((worker) => worker.id),
-      expectedMs,
-    };
-    this.#desk.ask(question).then((answer) => {
-      advice.asking = false;
-      const now = this.#context.clock.monotonic();
-      this.#context.log.info("advice.answered", {
-        job: job.id,
-        step: index,
-        queue: job.queue,
-        asked: asked.length,
-        good: answer.type === "advised" ? answer.tickets.size : 0,
-        tookMs: Math.round(now - nowMs),
-        expectedMs: Math.round(expectedMs),
-        outcome: answer.type,
-        reason: answer.type === "failed" ? answer.message : undefined,
-      });
-      if (answer.type === "advised") {
-        this.#learn(step, { queue, asked, tickets: answer.tickets });
-      } else {
-        advice.retryAtMs = now + ASK_AGAIN_MS;
-      }
-      this.#place(step);
-      this.#holds.delete(step);
-      this.kick(LANE_DELAY_MS);
-    });
-  }
-
-  /** Workers known to be good go first; of the others as many as should give enough good ones. */
-  #chooseAsked(
-    step: StepRun,
-    { unadvised, context }: {
-      readonly unadvised: readonly FleetWorker[];
-      readonly context: SearchContext;
-    },
-  ): readonly FleetWorker[] {
-    const { verdicts } = step.advice;
-    const waiting =
-      step.tasks.filter((task) => task.phase === "waiting").length;
-    const good = unadvised.filter((worker) => verdicts.get(worker.id) === true);
-    const goodRoom = capacityFor(step, good, context);
-    if (goodRoom >= waiting) return good.slice(0, MAX_ASKED);
-    const unknown = unadvised.filter((worker) => !verdicts.has(worker.id));
-    const share = this.#goodShares.get(context.queue.name) ?? FIRST_GOOD_SHARE;
-    const unknownRoom = capacityFor(step, unknown, context);
-    if (step.spec.gang && goodRoom + unknownRoom * share < waiting) {
-      // The room would not do; the verdicts still help if none is known yet.
-      if (verdicts.size > 0 || goodRoom + unknownRoom < waiting) return [];
-    }
-    const perWorker = Math.max(1, unknownRoom / Math.max(1, unknown.length));
-    const missing = (waiting - goodRoom) / perWorker / share;
-    const number = Math.max(
-      Math.ceil(ASK_FACTOR * missing) + ASK_SPARE,
-      cheaply(context.queue),
+    { place, held }: { readonly place: number; readonly held: Held },
+  ): boolean {
+    const nowMs = this.#context.clock.monotonic();
+    const { service } = queueOf(this.#context, step.job);
+    if (!this.#reservations.isOpen(service)) return false;
+    if (this.#reservations.renew(step, place, { service, nowMs })) return true;
+    const context = this.#searchContext(step, held);
+    const { spec, job } = step;
+    const used = this.#context.fleet.usedBy(job.team);
+    const allowance = teamAllowance(context.team, used, spec.amounts);
+    if (allowance < step.left) return false;
+    const good = this.#goodFor(step, context);
+    const asked = this.#asker.heldFor(step);
+    // Workers whose tickets are on their way stay chosen.
+    const workers = [...inOneRack(step, good)].sort((a, b) =>
+      Number(asked.has(b.id)) - Number(asked.has(a.id)) ||
+      b.used.cpuMillis - a.used.cpuMillis
     );
-    // The emptiest are the likeliest to have room still when the answer comes.
-    const asked = [...unknown].reverse().slice(0, number);
-    return [...good, ...asked].slice(0, MAX_ASKED);
+    return this.#reservations.reserve(step, workers, {
+      place,
+      service,
+      held: context.held,
+      nowMs,
+    });
   }
 
-  #hold(step: StepRun, asked: readonly FleetWorker[]): void {
-    const { verdicts } = step.advice;
-    const amounts = weighsOn(step);
-    const held = new Map<string, Amounts>();
-    let left = step.tasks.filter((task) => task.phase === "waiting").length;
-    for (const worker of asked) {
-      if (verdicts.get(worker.id) !== true) continue;
-      const most = Math.min(left, tasksIn(roomOn(worker), amounts));
-      left -= most;
-      held.set(worker.id, plus(NO_AMOUNTS, amounts, most));
+  /** Workers that a step could run on and that the advice service allows, as far as is known. */
+  #goodFor(step: StepRun, context: SearchContext): readonly FleetWorker[] {
+    const advised = context.queue.advice !== undefined;
+    const good: FleetWorker[] = [];
+    for (const worker of this.#context.fleet.workers.values()) {
+      if (advised && step.advice.verdicts.get(worker.id) !== true) continue;
+      if (!isEligible(step, worker, context)) continue;
+      if (mostOn(step, worker) > 0) good.push(worker);
     }
-    this.#holds.set(step, held);
+    return good;
   }
+}
 
-  #learn(
-    step: StepRun,
-    { queue, asked, tickets }: {
-      readonly queue: Queue;
-      readonly asked: readonly FleetWorker[];
-      readonly tickets: ReadonlyMap<string, string>;
-    },
-  ): void {
-    const atMs = this.#context.clock.monotonic();
-    let fresh = 0;
-    let good = 0;
-    for (const worker of asked) {
-      const ticket = tickets.get(worker.id);
-      if (!step.advice.verdicts.has(worker.id)) {
-        fresh++;
-        if (ticket !== undefined) good++;
-      }
-      step.advice.verdicts.set(worker.id, ticket !== undefined);
-      if (ticket !== undefined) {
-        step.advice.tickets.set(worker.id, { ticket, atMs });
-      }
-    }
-    if (fresh === 0) return;
-    const share = this.#goodShares.get(queue.name) ?? FIRST_GOOD_SHARE;
-    const next = share + GOOD_WEIGHT * (good / fresh - share);
-    this.#goodShares.set(queue.name, Math.max(0.05, next));
+/** All workers, or where a step must be in one rack those of the rack with most of them. */
+function inOneRack(
+  step: StepRun,
+  workers: readonly FleetWorker[],
+): readonly FleetWorker[] {
+  if (!step.spec.sameRack) return workers;
+  const racks = new Map<string, FleetWorker[]>();
+  for (const worker of workers) {
+    const there = racks.get(rackOf(worker)) ?? [];
+    there.push(worker);
+    racks.set(rackOf(worker), there);
   }
+  const all = [...racks.values()];
+  return all.sort((a, b) => b.length - a.length)[0] ?? [];
 }
