Say at once that an instance holds no cell

It now answers first that it holds nothing.

Test: gateway_test "an instance that holds no cell says so ..." (failed before).

--- a/src/cell/gateway.ts
+++ b/src/cell/gateway.ts
@@ -179,6 +179,8 @@
   #serve(): void {
     const { peers, set } = this.#options;
     peers.serve(submitCall, async (params): Promise<SubmitAnswer> => {
+      // A process that has just started may have no set for a while.
+      if (this.#options.cell() === undefined) return { type: "notHolder" };
       await set.reaches(params.setVersion, CALL_TIMEOUT_MS);
       const cell = this.#options.cell();
       if (cell === undefined) return { type: "notHolder" };
--- a/src/cell/gateway_test.ts
+++ b/src/cell/gateway_test.ts
@@ -1,10 +1,11 @@
 import test from "ava";
 import { errAsync, okAsync } from "neverthrow";
-import { ManualClock } from "../clock.ts";
+import { ManualClock, sleep } from "../clock.ts";
 import { Metrics } from "../metrics.ts";
 import type { Peers } from "../ports/peers.ts";
 import { Gateway } from "./gateway.ts";
 import type { Leadership } from "./leadership.ts";
+import { submitCall } from "./protocol.ts";
 import type { SetInForce } from "./set_in_force.ts";
 
 const SUBMISSION = {
@@ -14,6 +15,8 @@
   spec: { payload: "", steps: [] },
 };
 
+type Handler = (params: unknown) => unknown;
+
 /** An entry beside a holder that may be gone, and its successor. */
 function open() {
   const clock = new ManualClock();
@@ -23,6 +26,7 @@
     /** Why calls to others fail. */
     failure: "peerSilent" as "peerSilent" | "peerUnreached",
     calls: [] as string[],
+    served: new Map<string, Handler>(),
   };
   const peers = {
     call(peer: string) {
@@ -31,7 +35,9 @@
         ? okAsync({ type: "accepted" })
         : errAsync({ type: world.failure, message: "gone" });
     },
-    serve() {},
+    serve(call: { readonly method: string }, handler: Handler) {
+      world.served.set(call.method, handler);
+    },
   } as unknown as Peers;
   const leadership = {
     get holder() {
@@ -46,7 +52,10 @@
     peers,
     leadership,
     cell: () => undefined,
-    set: { version: 1 } as SetInForce,
+    set: {
+      version: 1,
+      reaches: () => sleep(clock, 60_000),
+    } as unknown as SetInForce,
     clock,
     metrics: new Metrics(),
   });
@@ -88,3 +97,11 @@
   await clock.run(1_000);
   t.deepEqual(await answer, { type: "refused", reason: "noHolder" });
 });
+
+test("an instance that holds no cell says so before it has its caller's set", async (t) => {
+  const { clock, world } = open();
+  const submit = world.served.get(submitCall.method)!;
+  const answer = submit({ ...SUBMISSION, setVersion: 2 });
+  await clock.run(10);
+  t.deepEqual(await Promise.race([answer, "waits"]), { type: "notHolder" });
+});
