--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -6,13 +6,9 @@
  */
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
-import {
-  PlatformSite,
-  type SiteDaemon,
-  submissionBody,
-  until,
-} from "../platform/standins/site.ts";
-import { check, type ClientJob, type Finding } from "./checks.ts";
+import { PlatformSite, type SiteDaemon } from "../platform/standins/site.ts";
+import { check, type Finding } from "./checks.ts";
+import { Clients, pause, type Random } from "./clients.ts";
 import { Proxy, type ProxyMood } from "./proxy.ts";
 
 /** Size and length of a run. */
@@ -35,21 +31,9 @@
   readonly logs: readonly string[];
 }
 
-/** Pause between two submissions, milliseconds. */
-const SUBMIT_EVERY_MS = 60;
-/** Tries of one submission. */
-const TRIES = 5;
-/** Pause before a try is repeated, milliseconds. */
-const TRY_AGAIN_MS = 400;
-/** Longest wait for all jobs once everything is healed, milliseconds: two leases, and their work. */
-const SETTLE_MS = 40_000;
-/** One job in so many is canceled. */
-const CANCEL_ONE_IN = 12;
 /** Runs that fit on a worker at once: its cores by a task's. */
 const ROOM = 8;
 
-type Random = (from: number, to: number) => number;
-
 /** Carries out one run. */
 export async function soak(options: SoakOptions): Promise<SoakResult> {
   const generator = xoroshiro128plus(options.seed);
@@ -78,10 +62,8 @@
   readonly #proxies: ReadonlyMap<string, Proxy>;
   readonly #options: SoakOptions;
   readonly #random: Random;
-  readonly #jobs: ClientJob[] = [];
-  readonly #canceledMs = new Map<string, number>();
+  readonly #clients: Clients;
   readonly #faults: string[] = [];
-  readonly #clients: Promise<void>[] = [];
   readonly #replacing = new Set<SiteDaemon>();
   #endMs = 0;
 
@@ -97,6 +79,7 @@
     this.#proxies = proxies;
     this.#options = options;
     this.#random = random;
+    this.#clients = new Clients(site, random);
   }
 
   async play(): Promise<SoakResult> {
@@ -104,68 +87,22 @@
     for (const worker of this.#site.workers) {
       worker.workMs = this.#random(100, 900);
     }
-    await Promise.all([this.#submitAll(), this.#harm(), this.#harm()]);
-    await Promise.all(this.#clients);
-    await this.#settle();
-    const findings = check(this.#jobs, this.#site.record, {
-      room: ROOM,
-      canceledMs: this.#canceledMs,
-    });
+    const submitted = this.#clients.submitUntil(this.#endMs);
+    await Promise.all([submitted, this.#harm(), this.#harm()]);
+    await this.#clients.settle();
+    const { jobs, canceledMs } = this.#clients;
+    const record = this.#site.record;
+    const findings = check(jobs, record, { room: ROOM, canceledMs });
     return {
       findings,
       faults: this.#faults,
-      jobs: this.#jobs.length,
-      accepted: this.#jobs.filter((job) => job.tries.includes(200)).length,
-      runs: this.#site.record.length,
+      jobs: jobs.length,
+      accepted: jobs.filter((job) => job.tries.includes(200)).length,
+      runs: record.length,
       logs: this.#site.daemons.flatMap((daemon) => daemon.log),
     };
   }
 
-  async #submitAll(): Promise<void> {
-    while (Date.now() < this.#endMs) {
-      this.#clients.push(this.#client(this.#jobs.length + 1));
-      await pause(SUBMIT_EVERY_MS);
-    }
-  }
-
-  async #client(number: number): Promise<void> {
-    const id = number.toString(16).padStart(16, "0");
-    const width = this.#random(1, 3);
-    const gang = this.#random(1, 4) === 1;
-    const body = submissionBody({ payload: id, steps: 2, tasks: width, gang });
-    const job: ClientJob = {
-      id,
-      tasks: 2 * width,
-      tries: [],
-      canceled: false,
-      state: "",
-    };
-    this.#jobs.push(job);
-    while (job.tries.length < TRIES && !job.tries.includes(200)) {
-      const { status } = await this.#site.call(
-        this.#anyDaemon(),
-        "POST",
-        id,
-        body,
-      );
-      job.tries.push(status);
-      if (status !== 200) await pause(TRY_AGAIN_MS);
-    }
-    if (number % CANCEL_ONE_IN === 0 && job.tries.includes(200)) {
-      await this.#cancel(job);
-    }
-  }
-
-  async #cancel(job: ClientJob): Promise<void> {
-    job.canceled = true;
-    const { status } = await this.#site.call(
-      this.#anyDaemon(),
-      "DELETE",
-      job.id,
-    );
-    if (status === 200) this.#canceledMs.set(job.id, Date.now());
-  }
-
   /** One fault after the other; two of these overlap. */
   async #harm(): Promise<void> {
     while (Date.now() < this.#endMs) {
@@ -277,25 +214,6 @@
     worker.losesAnswers = false;
   }
 
-  /** Waits until every accepted job has ended, with nothing harmed any more. */
-  async #settle(): Promise<void> {
-    const open = this.#jobs.filter((job) => job.tries.includes(200));
-    const end = Date.now() + SETTLE_MS;
-    for (const job of open) {
-      await until(async () => {
-        const { body } = await this.#site.call(
-          this.#anyDaemon(),
-          "GET",
-          job.id,
-        );
-        job.state = body.state ?? job.state;
-        return ["done", "failed", "canceled"].includes(job.state)
-          ? true
-          : undefined;
-      }, end - Date.now());
-    }
-  }
-
   #anyDaemon(): SiteDaemon {
     const { daemons } = this.#site;
     return daemons[this.#random(0, daemons.length - 1)]!;
@@ -311,7 +229,3 @@
     this.#faults.push(`${this.#options.lengthMs - leftMs} ms ${fault}`);
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
