Heed the rooms of questions whatever the place in line

Room held for a gang's question was heeded only by steps behind it, so a gang before it took the room and a second of advice was lost; and gangs asked widely in calm services too, which takes longer.

--- a/src/cell/asker.ts
+++ b/src/cell/asker.ts
@@ -75,11 +75,11 @@
     return this.#holds.get(step) ?? NO_ROOMS;
   }
 
-  /** Room that is held for steps other than this one and than gangs, which reserve theirs. */
+  /** Room that is held for steps other than this one. */
   heldBeside(step: StepRun | undefined): Map<string, Amounts> {
     const held = new Map<string, Amounts>();
     for (const [holder, rooms] of this.#holds) {
-      if (holder !== step && !holder.spec.gang) addTo(held, rooms);
+      if (holder !== step) addTo(held, rooms);
     }
     return held;
   }
@@ -89,13 +89,21 @@
     this.#holds.delete(step);
   }
 
-  /** Asks about a step if that may help. */
-  ask(step: StepRun, search: Search, context: SearchContext): void {
+  /** Asks about a step if that may help; `busy`: its service has little room. */
+  ask(
+    step: StepRun,
+    search: Search,
+    { busy, ...context }: SearchContext & { readonly busy: boolean },
+  ): void {
     const { queue, nowMs } = context;
     const { advice } = step;
     if (queue.advice === undefined || !this.mayAsk(step)) return;
     const goodShare = this.#goodShareOf(queue);
-    const asked = chooseAsked(step, search, { ...context, goodShare });
+    const asked = chooseAsked(step, search, {
+      ...context,
+      goodShare,
+      busy,
+    });
     if (asked.length === 0) {
       if (step.spec.gang) this.#lookAgain(step, nowMs);
       return;
--- a/src/cell/questions.ts
+++ b/src/cell/questions.ts
@@ -21,6 +21,8 @@
 const MAX_ASKED = 100;
 /** Workers asked about beyond the number that should do. */
 const ASK_SPARE = 2;
+/** Part of the good workers needed that is asked about beyond them, as room goes meanwhile. */
+const TICKETS_SPARE = 0.25;
 /** Factor by which more workers are asked about than should do. */
 const ASK_FACTOR = 1.6;
 /** Part of a busy worker that a gang may hope to get soon. */
@@ -32,6 +34,8 @@
 export interface ChoiceContext extends SearchContext {
   /** Share of workers that the service usually allows. */
   readonly goodShare: number;
+  /** Whether gangs of the service wait for room that is not free yet. */
+  readonly busy: boolean;
 }
 
 /** Workers that a call may name at little extra cost. */
@@ -74,11 +78,15 @@
   const unknown = unadvised.filter((worker) => !verdicts.has(worker.id));
   const unknownRoom = capacityFor(step, unknown, context);
   const hoped = goodRoom + unknownRoom * context.goodShare;
-  if (step.spec.gang && hoped < PLENTY * waiting) {
+  if (step.spec.gang && context.busy && hoped < PLENTY * waiting) {
     const more = chooseWidely(step, waiting, context);
     if (hoped < waiting) return more;
     if (more.length > 0) return [...good, ...more].slice(0, MAX_ASKED);
   }
+  if (step.spec.gang && hoped < waiting) {
+    // The room would not do; the verdicts still help if none is known yet.
+    if (verdicts.size > 0 || goodRoom + unknownRoom < waiting) return [];
+  }
   const perWorker = Math.max(1, unknownRoom / Math.max(1, unknown.length));
   const missing = (waiting - goodRoom) / perWorker / context.goodShare;
   const number = Math.max(
@@ -103,7 +111,10 @@
   for (let room = 0; room < waiting && number < good.length; number++) {
     room += capacityFor(step, [good[number]!], context);
   }
-  const spare = Math.max(ASK_SPARE, cheaply(context.queue) - number);
+  const spare = Math.max(
+    ASK_SPARE + Math.ceil(TICKETS_SPARE * number),
+    cheaply(context.queue) - number,
+  );
   return good.slice(0, Math.min(MAX_ASKED, number + spare));
 }
 
--- a/src/cell/reservations.ts
+++ b/src/cell/reservations.ts
@@ -63,12 +63,6 @@
     }
   }
 
-  /** Keeps room for a step in this pass. */
-  keep(step: StepRun, place: number, rooms: Held): void {
-    const reservation = { place, rooms, waitedMillis: 0, chosenMs: -Infinity };
-    this.#byStep.set(step, reservation);
-  }
-
   /** Lets a choice of a pass just before stand; `false` if there is none or it is old. */
   renew(
     step: StepRun,
@@ -88,8 +82,10 @@
   reserve(
     step: StepRun,
     workers: readonly FleetWorker[],
-    { place, service, held, nowMs }: {
+    { place, service, held, asked, nowMs }: {
       readonly place: number;
+      /** Room that is held for the gang while a question is under way. */
+      readonly asked: Held;
       readonly service: string;
       readonly held: Held;
       readonly nowMs: number;
@@ -107,14 +103,19 @@
     this.#wait(service, waitedMillis);
     const rooms = new Map<string, Amounts>();
     for (const [{ id }, count] of counts) {
-      rooms.set(id, plus(NO_AMOUNTS, amounts, count));
+      const room = plus(NO_AMOUNTS, amounts, count);
+      const kept = asked.get(id);
+      if (kept === undefined) rooms.set(id, room);
+      else if (kept.cpuMillis < room.cpuMillis) {
+        rooms.set(id, plus(room, kept, -1));
+      }
     }
     const reservation = { place, rooms, waitedMillis, chosenMs: nowMs };
     this.#byStep.set(step, reservation);
     return true;
   }
 
-  /** What a gang has reserved in this pass. */
+  /** What a gang has reserved in this pass beyond what is held for its question. */
   of(step: StepRun): Held {
     return this.#byStep.get(step)?.rooms ?? NO_ROOMS;
   }
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -26,6 +26,8 @@
 const PASS_DELAY_MS = 10;
 /** The same when a lane to the advice service has come free, milliseconds. */
 const LANE_DELAY_MS = 2;
+/** Rest after a pass, in times of what it took: a third of the processor at most goes into passes. */
+const PASS_REST = 2;
 /** Nothing is started while the store has not answered for so long, milliseconds: starts are recorded first. */
 const STORE_STUCK_MS = 250;
 /** Gangs that are later than this reserve nothing; source: {@linkcode Rank}. */
@@ -49,6 +51,7 @@
   #timer: Timer | undefined;
   #closed = false;
   #passMs = 0;
+  #lastPassMs = 0;
 
   constructor(
     context: CellContext,
@@ -65,7 +68,8 @@
   /** Asks for a pass soon. */
   kick(delayMs = PASS_DELAY_MS): void {
     if (this.#closed) return;
-    this.#timer ??= this.#context.clock.after(delayMs, () => {
+    const restMs = Math.max(delayMs, PASS_REST * this.#lastPassMs);
+    this.#timer ??= this.#context.clock.after(restMs, () => {
       this.#timer = undefined;
       this.#pass();
     });
@@ -91,6 +95,7 @@
     this.#goOverLine(this.#line());
     const tookMs = this.#context.clock.monotonic() - startedMs;
     this.#passMs += tookMs;
+    this.#lastPassMs = tookMs;
     this.#context.metrics.observe("pass_ms", tookMs);
   }
 
@@ -99,16 +104,13 @@
     this.#reservations.begin(this.#sizes());
     const held = this.#asker.heldBeside(undefined);
     for (const [place, { step, rank }] of line.entries()) {
-      const own = this.#asker.heldFor(step).size > 0 && !step.spec.gang;
+      const own = this.#asker.heldFor(step).size > 0;
       const beside = own ? this.#heldOutside(step) : held;
       this.#place(step, beside);
       if (!step.spec.gang || !this.#context.open.has(step)) continue;
-      const reserved = rank.lateness <= RESERVING_LATENESS &&
-        this.#reserve(step, { place, held: beside });
-      if (!reserved) {
-        this.#reservations.keep(step, place, this.#asker.heldFor(step));
-      }
-      addTo(held, this.#reservations.of(step));
+      if (rank.lateness > RESERVING_LATENESS) continue;
+      const reserved = this.#reserve(step, { place, held: beside });
+      if (reserved) addTo(held, this.#reservations.of(step));
     }
   }
 
@@ -158,7 +160,8 @@
       this.#context.metrics.count("passes_without_place", { reason });
     }
     if (adviceMayHelp(search.reason, step.spec.gang)) {
-      this.#asker.ask(step, search, context);
+      const busy = this.#reservations.isOpen(context.queue.service);
+      this.#asker.ask(step, search, { ...context, busy });
     }
   }
 
@@ -210,6 +213,7 @@
       place,
       service,
       held: context.held,
+      asked,
       nowMs,
     });
   }
