Acknowledge no member's end before the store holds its gang's

The first member's end finishes the gang and its write waits for the store; the second member's end then changes nothing, so nothing was waited for and it was acknowledged at once. The holder died in the outage; the next one found the gang unfinished, the first member's worker gone and the second's end forgotten.

Every end of a job that is not over for the store now waits for the job's write. An end that is written again is told once.

Test: no member's end is acknowledged before the store holds the gang's (failed before).

--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -277,6 +277,8 @@
   #ended(end: EndedJob): void {
     const { jobs, ended, log, metrics, clock, fence } = this.#context;
     const job = jobs.get(end.id);
+    // An end that was written again.
+    if (job === undefined && ended.has(end.id)) return;
     jobs.delete(end.id);
     ended.set(end.id, end);
     metrics.count("jobs_ended", { state: end.state, queue: end.queue });
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -185,7 +185,8 @@
       if (ended.number <= worker.handled) continue;
       const found = findTask(this.#context.jobs, ended.task);
       const job = found && this.#endings.end(worker, ended, found);
-      if (job !== undefined) changed.add(job);
+      // Another member may have ended a gang: this end waits for that to be held.
+      if (found !== undefined) changed.add(found.step.job);
       this.#logEnd(worker, ended, job !== undefined);
     }
     const numbers = report.ended.map((ended) => ended.number);
--- a/src/cell/gangs_test.ts
+++ b/src/cell/gangs_test.ts
@@ -83,3 +83,24 @@
   t.is(ofGang.length, 3);
   t.is(starts.length, 12 + 3, "no small task went before");
 });
+
+test("no member's end is acknowledged before the store holds the gang's", async (t) => {
+  const world = new World();
+  const workers = ["w1", "w2"].map((id) => world.addWorker(id));
+  const cell = await world.open();
+  const amounts = { cpuMillis: 3_000, memoryMib: 100, accelerators: 0 };
+  await world.submit(cell, [testStep({ gang: true, tasks: 2, amounts })]);
+  await world.clock.run(300);
+  t.deepEqual(workers.map((worker) => worker.running.size), [1, 1]);
+  world.store.stuckKeys.add(`progress/${JOB}`);
+  for (const worker of workers) {
+    const [task] = worker.running.keys();
+    worker.end(task!, "done");
+    await world.clock.run(500);
+  }
+  await world.clock.run(2_000);
+  t.deepEqual(workers.map((worker) => worker.acknowledged), [0, 0]);
+  world.store.stuckKeys.clear();
+  await world.clock.run(2_000);
+  t.deepEqual(workers.map((worker) => worker.acknowledged), [1, 1]);
+});
