--- a/bench/cell.ts
+++ b/bench/cell.ts
@@ -6,18 +6,25 @@
  * @module
  */
 import process from "node:process";
-import { AdviceDesk } from "../src/cell/advice_desk.ts";
-import { Cell } from "../src/cell/cell.ts";
-import type { JobSpec, Queue, StepSpec } from "../src/cell/types.ts";
+import type { Cell } from "../src/cell/cell.ts";
 import { sleep, systemClock } from "../src/clock.ts";
-import { silentLog } from "../src/logger.ts";
+import { type Fields, type Log, silentLog } from "../src/logger.ts";
 import { Metrics } from "../src/metrics.ts";
 import {
+  cellOver,
+  ModelStore,
   ModelWorkers,
   slowAdvice,
-  slowStore,
   workerEntries,
 } from "./model/cell_world.ts";
+import {
+  GROWN,
+  type Kind,
+  LARGE,
+  meanStep,
+  queuesOf,
+  type Sheet,
+} from "./model/sheets.ts";
 import { Random } from "./random.ts";
 import type { Results } from "./results.ts";
 
@@ -25,65 +32,8 @@
 const RUN_MS = 8_000;
 /** Time before it in which the cell fills, milliseconds. */
 const WARM_MS = 4_000;
-/** Instances that carry questions for advice. */
-const LANES = 39;
-/** Submissions a second of the sheet with 245 workers. */
-const RATE_AT_245 = 96;
-
-/** One kind of submission; source: the sheets of the grown sites. */
-interface Kind {
-  readonly queue: string;
-  readonly share: number;
-  readonly tasks: number;
-  readonly cpuMillis: number;
-  readonly runMs: number;
-  readonly gang: boolean;
-  readonly priority: number;
-  readonly baseMs: number;
-  readonly perWorkerMs: number;
-  readonly goodShare: number;
-}
-
-const KINDS: readonly Kind[] = [
-  {
-    queue: "billing",
-    share: 0.025,
-    tasks: 20,
-    cpuMillis: 18_000,
-    runMs: 6_200,
-    gang: true,
-    priority: 1,
-    baseMs: 540,
-    perWorkerMs: 7.7,
-    goodShare: 0.25,
-  },
-  {
-    queue: "reconciliation",
-    share: 0.065,
-    tasks: 25,
-    cpuMillis: 6_900,
-    runMs: 2_700,
-    gang: false,
-    priority: 2,
-    baseMs: 100,
-    perWorkerMs: 1.4,
-    goodShare: 0.45,
-  },
-  {
-    queue: "receipts",
-    share: 0.91,
-    tasks: 3,
-    cpuMillis: 9_900,
-    runMs: 640,
-    gang: false,
-    priority: 0,
-    baseMs: 7.2,
-    perWorkerMs: 0.1,
-    goodShare: 0.7,
-  },
-];
-
 interface Size {
+  readonly sheet: Sheet;
   readonly workers: number;
   readonly queues: number;
   /** Of the sheets' traffic. */
@@ -91,11 +41,14 @@
 }
 
 const SIZES: readonly Size[] = [
-  { workers: 33, queues: 45, load: 1 },
-  { workers: 245, queues: 45, load: 1 },
-  { workers: 245, queues: 45, load: 1.3 },
-  { workers: 245, queues: 1_600, load: 1 },
-  { workers: 490, queues: 45, load: 1 },
+  { sheet: GROWN, workers: 33, queues: 45, load: 1 },
+  { sheet: GROWN, workers: 245, queues: 45, load: 1 },
+  { sheet: GROWN, workers: 245, queues: 45, load: 1.3 },
+  { sheet: GROWN, workers: 245, queues: 1_600, load: 1 },
+  { sheet: GROWN, workers: 490, queues: 45, load: 1 },
+  { sheet: LARGE, workers: 380, queues: 45, load: 1 },
+  { sheet: LARGE, workers: 380, queues: 45, load: 1.3 },
+  { sheet: LARGE, workers: 2_000, queues: 45, load: 1 },
 ];
 
 /** Runs all sizes. */
@@ -106,80 +59,87 @@
   clearInterval(alive);
 }
 
+/** Sums up the time of passes that the cell tells of. */
+class PassLog implements Log {
+  passMs = 0;
+
+  info(event: string, fields: Fields = {}): void {
+    if (event === "cell.load") this.passMs += Number(fields.passMs);
+  }
+
+  readonly debug = silentLog.debug;
+  readonly warn = silentLog.warn;
+  readonly error = silentLog.error;
+}
+
 async function runSize(
   results: Results,
   size: Size,
   random: Random,
 ): Promise<void> {
   const metrics = new Metrics();
-  const workers = new ModelWorkers(
-    systemClock,
-    (order) => kindOf(order.spec).runMs * random.between(0.5, 1.5),
-  );
-  const cell = openCell(size, { metrics, workers, random });
+  const log = new PassLog();
+  const workers = new ModelWorkers(systemClock, {
+    durationOf: ({ spec }) =>
+      kindOf(size.sheet, spec).runMs * random.between(0.5, 1.5),
+    cpuMillisOf: ({ spec }) => kindOf(size.sheet, spec).cpuMillis,
+    isGang: ({ spec }) => kindOf(size.sheet, spec).gangShare === 1,
+  });
+  const cell = openCell(size, { log, metrics, workers });
   const opened = await cell.recover();
   opened._unsafeUnwrap();
   const load = submitUntil(cell, { size, random });
   await sleep(systemClock, WARM_MS);
-  const before = { cpu: process.cpuUsage(), starts: workers.starts };
+  const before = {
+    cpu: process.cpuUsage(),
+    starts: workers.starts,
+    passMs: log.passMs,
+  };
   await sleep(systemClock, RUN_MS);
   const cpu = process.cpuUsage(before.cpu);
+  const passMs = log.passMs - before.passMs;
   load.stop();
   cell.close();
   const seconds = RUN_MS / 1_000;
-  const label = `w${size.workers}_q${size.queues}_l${size.load}`;
+  const traffic = size.sheet === LARGE ? "large" : "grown";
+  const label = `${traffic}_w${size.workers}_q${size.queues}_l${size.load}`;
   results.line(
     `${label}_starts_per_s`,
     (workers.starts - before.starts) / seconds,
   );
-  for (const { queue } of KINDS) {
+  for (const { queue } of size.sheet.kinds) {
     const p90 = metrics.percentile("first_start_ms", 90, { queue });
     results.line(`${label}_${queue}_first_start_p90_ms`, p90 ?? NaN);
   }
   results.line(`${label}_cores`, (cpu.user + cpu.system) / 1e6 / seconds);
+  results.line(`${label}_pass_ms_per_s`, passMs / seconds);
 }
 
 function openCell(
   size: Size,
-  { metrics, workers, random }: {
+  { log, metrics, workers }: {
+    readonly log: Log;
     readonly metrics: Metrics;
     readonly workers: ModelWorkers;
-    readonly random: Random;
   },
 ): Cell {
-  const store = slowStore(systemClock);
-  const entries = workerEntries(size.workers);
-  const lanes = Array.from({ length: LANES }, (_, index) => `i${index}`);
-  const queues = queuesOf(size.queues);
-  const set = { version: 1, queues, teams: [], maxBodyBytes: 10_000 };
-  const ask = slowAdvice(systemClock, {
-    random,
-    goodShare: (step) => KINDS[Number(step[0])]?.goodShare ?? 1,
-  });
-  return new Cell({
-    name: "cell/0",
-    fence: 1,
-    revision: 1,
-    store,
-    directory: {
-      workers: () =>
-        store.list("none/").map(() => ({ workers: entries, foreign: 0 })),
-      configuration: () => store.get("none").map(() => undefined),
-      nextConfiguration: () =>
-        store.get("none").map(() => ({ set: undefined, revision: 0 })),
-    },
-    orders: workers,
-    desk: new AdviceDesk(ask, () => lanes, { clock: systemClock, metrics }),
-    recall: () => Promise.resolve([]),
+  const { sheet } = size;
+  const lanes = Array.from({ length: sheet.lanes }, (_, index) => `i${index}`);
+  const queues = queuesOf(sheet, size.queues);
+  return cellOver({
     clock: systemClock,
-    log: silentLog,
+    log,
     metrics,
-    set: () => set,
-    maxLeaseMs: 6_000,
-    retentionMs: 120_000,
-    holds: () => true,
-    deposed: () => {},
-    confirmed: () => {},
+    store: new ModelStore(systemClock),
+    workers: workerEntries(size.workers),
+    orders: workers,
+    ask: slowAdvice(
+      systemClock,
+      (step) => sheet.kinds[Number(step[0])]?.goodShare ?? 1,
+    ),
+    lanes,
+    set: { version: 1, queues, teams: [], maxBodyBytes: 10_000 },
+    fence: 1,
   });
 }
 
@@ -189,70 +149,22 @@
 ): { stop(): void } {
   let stopped = false;
   let number = 0;
-  const meanMs = 1_000 / (RATE_AT_245 * size.load * size.workers / 245);
+  const { kinds, ratePerWorker } = size.sheet;
+  const meanMs = 1_000 / (ratePerWorker * size.load * size.workers);
   const next = () => {
     if (stopped) return;
-    const index = random.weighted(KINDS.map((kind) => kind.share));
-    const kind = KINDS[index]!;
+    const index = random.weighted(kinds.map((kind) => kind.share));
+    const kind = kinds[index]!;
     // The first digit tells the advice service of the kind.
     const id = `${index}${(number++).toString(16).padStart(15, "0")}`;
-    void cell.submit({ id, queue: kind.queue, team: "", spec: specOf(kind) });
+    const spec = { payload: kind.queue, steps: [meanStep(kind)] };
+    void cell.submit({ id, queue: kind.queue, team: "", spec });
     systemClock.after(random.exponential(meanMs), next);
   };
   next();
   return { stop: () => stopped = true };
 }
 
-function kindOf(payload: string): Kind {
-  return KINDS.find((kind) => kind.queue === payload) ?? KINDS[0]!;
-}
-
-function specOf(kind: Kind): JobSpec {
-  const step: StepSpec = {
-    tasks: kind.tasks,
-    amounts: {
-      cpuMillis: kind.cpuMillis,
-      memoryMib: 14_000,
-      accelerators: 0,
-    },
-    estimateMs: kind.runMs,
-    after: [],
-    gang: kind.gang,
-    requiredLabel: "",
-    dataRack: "",
-    sameRack: false,
-    maxPerWorker: 0,
-    longRunning: false,
-    backfill: false,
-  };
-  return { payload: kind.queue, steps: [step] };
-}
-
-/** The queues of the kinds, the last ones among `count`. */
-function queuesOf(count: number): readonly Queue[] {
-  const used = KINDS.map((kind) => queue(kind.queue, kind));
-  const idle = Array.from(
-    { length: count - used.length },
-    (_, index) => queue(`idle-${index}`, KINDS[0]!),
-  );
-  return [...idle, ...used];
-}
-
-function queue(name: string, kind: Kind): Queue {
-  return {
-    name,
-    host: "shop.example",
-    pathPrefix: `/${name}/`,
-    service: "copier",
-    priority: kind.priority,
-    attempts: 4,
-    stretch: 2,
-    objectiveMs: 1_000,
-    open: true,
-    advice: {
-      baseMs: kind.baseMs,
-      perWorkerMs: kind.perWorkerMs,
-      ticketMs: 1_500,
-    },
-  };
+function kindOf({ kinds }: Sheet, payload: string): Kind {
+  return kinds.find((kind) => kind.queue === payload) ?? kinds[0]!;
 }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -14,6 +14,7 @@
 import { benchJournal } from "./journal.ts";
 import { benchPacking } from "./packing.ts";
 import { benchRecovery } from "./recovery.ts";
+import { benchReplay } from "./replay.ts";
 import { Results } from "./results.ts";
 import { benchRequests } from "./requests.ts";
 import { benchRoles } from "./roles.ts";
@@ -33,6 +34,7 @@
   journal: benchJournal,
   packing: benchPacking,
   recovery: benchRecovery,
+  replay: benchReplay,
   requests: benchRequests,
   roles: benchRoles,
   shares: benchShares,
--- a/bench/model/cell_world.ts
+++ b/bench/model/cell_world.ts
@@ -5,56 +5,94 @@
  * @module
  */
 import { errAsync, okAsync, ResultAsync } from "neverthrow";
-import type { Clock } from "../../src/clock.ts";
+import type { Clock, Timer } from "../../src/clock.ts";
 import { sleep } from "../../src/clock.ts";
-import type { Question } from "../../src/cell/advice_desk.ts";
+import { AdviceDesk, type AskThrough } from "../../src/cell/advice_desk.ts";
+import { Cell } from "../../src/cell/cell.ts";
 import type {
   CellStore,
   LookFailure,
   ReportedEnd,
+  StartAnswer,
   StartOrder,
   WorkerAddress,
   WorkerOrders,
   WorkerReport,
 } from "../../src/cell/ports.ts";
-import type { Advice, WorkerEntry } from "../../src/cell/types.ts";
-import type { Entry } from "../../src/ports/store.ts";
-import type { Random } from "../random.ts";
+import type { ClusterSet, WorkerEntry } from "../../src/cell/types.ts";
+import type { StoreFailure } from "../../src/errors.ts";
+import type { Log } from "../../src/logger.ts";
+import type { Metrics } from "../../src/metrics.ts";
+import type { Commit, Condition, Entry, Write } from "../../src/ports/store.ts";
 
+/** Answer of a store that is away. */
+const AWAY: StoreFailure = { type: "storeUnreachable", message: "away" };
 /** Time that the store takes for an answer, milliseconds. */
 const STORE_MS = 5;
+/** Life of a ticket, milliseconds. */
+export const TICKET_MS = 1_500;
+/** A run of this length is shown as half done, milliseconds. */
+const LONG_RUN_MS = 5_000;
+/** Longest lease of a worker, milliseconds. */
+const MAX_LEASE_MS = 6_000;
+/** How long ends of jobs are told, milliseconds. */
+const RETENTION_MS = 120_000;
 /** Workers of one rack. */
 const RACK = 12;
 /** Capacity of a worker of the users' platform. */
 const CAPACITY = { cpuMillis: 64_000, memoryMib: 262_144, accelerators: 0 };
 
-/** A store that holds what is written and answers after {@linkcode STORE_MS}. */
-export function slowStore(clock: Clock): CellStore {
-  const entries = new Map<string, Entry>();
-  let revision = 1;
-  const after = <A>(value: () => A) =>
-    ResultAsync.fromSafePromise(sleep(clock, STORE_MS).then(value));
-  return {
-    get: (key) => after(() => entries.get(key)),
-    list: (prefix) =>
-      after(() => ({
-        entries: [...entries.values()].filter((one) =>
-          one.key.startsWith(prefix)
-        ),
-        revision,
-      })),
-    commit: (_conditions, writes) =>
-      after(() => {
-        revision++;
-        for (const write of writes) {
-          const { key } = write;
-          if (write.type === "delete") entries.delete(key);
-          else entries.set(key, { key, value: write.value, revision });
-        }
-        return { type: "committed", revision };
-      }),
-    changes: () => after(() => ({ changes: [], revision })),
-  };
+/** A store that holds what is written and answers after {@linkcode STORE_MS}, unless it is away. */
+export class ModelStore implements CellStore {
+  readonly #clock: Clock;
+  readonly #entries = new Map<string, Entry>();
+  #revision = 1;
+  away = false;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  get(key: string) {
+    return this.#answer(() => this.#entries.get(key));
+  }
+
+  list(prefix: string) {
+    return this.#answer(() => ({
+      entries: [...this.#entries.values()].filter((one) =>
+        one.key.startsWith(prefix)
+      ),
+      revision: this.#revision,
+    }));
+  }
+
+  commit(_conditions: readonly Condition[], writes: readonly Write[]) {
+    return this.#answer((): Commit => {
+      this.#revision++;
+      for (const write of writes) this.#write(write);
+      return { type: "committed", revision: this.#revision };
+    });
+  }
+
+  changes() {
+    return this.#answer(() => ({ changes: [], revision: this.#revision }));
+  }
+
+  #write(write: Write): void {
+    const { key } = write;
+    if (write.type === "delete") this.#entries.delete(key);
+    else {
+      const { value } = write;
+      this.#entries.set(key, { key, value, revision: this.#revision });
+    }
+  }
+
+  #answer<A>(value: () => A): ResultAsync<A, StoreFailure> {
+    const answered = sleep(this.#clock, STORE_MS);
+    return ResultAsync.fromSafePromise(answered).andThen(() =>
+      this.away ? errAsync(AWAY) : okAsync(value())
+    );
+  }
 }
 
 /** Entries of `count` workers in racks. */
@@ -71,37 +109,76 @@
   }));
 }
 
+interface ModelRun {
+  readonly run: number;
+  readonly startedMs: number;
+  readonly cpuMillis: number;
+}
+
 interface ModelWorker {
   fence: number;
   ends: number;
-  readonly running: Map<string, number>;
+  readonly running: Map<string, ModelRun>;
+  usedMillis: number;
   ended: ReportedEnd[];
   wake: () => void;
 }
 
-/** Workers that run what they are told for as long as `durationOf` says. */
+interface ModelGang {
+  readonly members: { readonly worker: ModelWorker; readonly task: string }[];
+  timer: Timer | undefined;
+}
+
+/** What model workers run. */
+export interface ModelTasks {
+  /** How long a task runs, milliseconds. */
+  durationOf(order: StartOrder): number;
+  /** Processors that it takes, thousandths. */
+  cpuMillisOf(order: StartOrder): number;
+  /** Whether it ends together with the other tasks of its step and run. */
+  isGang(order: StartOrder): boolean;
+}
+
+/** Workers that run what they are told; they refuse tickets that are too old. */
 export class ModelWorkers implements WorkerOrders {
   readonly #clock: Clock;
-  readonly #durationOf: (order: StartOrder) => number;
+  readonly #tasks: ModelTasks;
   readonly #workers = new Map<string, ModelWorker>();
+  readonly #gangs = new Map<string, ModelGang>();
   /** Starts that were taken. */
   starts = 0;
+  /** Starts that brought a worker over its processors. */
+  overfilled = 0;
   /** Reports that were given. */
   looks = 0;
 
-  constructor(clock: Clock, durationOf: (order: StartOrder) => number) {
+  constructor(clock: Clock, tasks: ModelTasks) {
     this.#clock = clock;
-    this.#durationOf = durationOf;
+    this.#tasks = tasks;
   }
 
-  start(worker: WorkerAddress, order: StartOrder) {
+  start(
+    worker: WorkerAddress,
+    order: StartOrder,
+  ): Promise<StartAnswer> {
     const there = this.#open(worker.id);
+    const givenMs = Number(order.ticket ?? this.#clock.monotonic());
+    if (this.#clock.monotonic() > givenMs + TICKET_MS) {
+      return Promise.resolve({ type: "rejected", reason: "ticket" });
+    }
     this.starts++;
-    there.running.set(order.task, order.run);
-    this.#clock.after(
-      this.#durationOf(order),
-      () => this.#end(there, order.task, "done"),
-    );
+    const cpuMillis = this.#tasks.cpuMillisOf(order);
+    there.usedMillis += cpuMillis;
+    if (there.usedMillis > CAPACITY.cpuMillis) this.overfilled++;
+    const startedMs = this.#clock.monotonic();
+    there.running.set(order.task, { run: order.run, startedMs, cpuMillis });
+    if (this.#tasks.isGang(order)) this.#join(there, order);
+    else {
+      this.#clock.after(
+        this.#tasks.durationOf(order),
+        () => this.#end(there, order.task, "done"),
+      );
+    }
     const clockMs = this.#clock.monotonic();
     return Promise.resolve({ type: "started", clockMs } as const);
   }
@@ -136,16 +213,41 @@
   forget(): void {}
 
   #open(id: string): ModelWorker {
-    const known = this.#workers.get(id) ??
-      { fence: 0, ends: 0, running: new Map(), ended: [], wake: () => {} };
+    const known = this.#workers.get(id) ?? {
+      fence: 0,
+      ends: 0,
+      running: new Map(),
+      usedMillis: 0,
+      ended: [],
+      wake: () => {},
+    };
     this.#workers.set(id, known);
     return known;
   }
 
+  /** A gang works from the start of its last member on, and ends as one. */
+  #join(worker: ModelWorker, order: StartOrder): void {
+    const name = `${
+      order.task.slice(0, order.task.lastIndexOf("."))
+    } ${order.run}`;
+    const gang = this.#gangs.get(name) ?? { members: [], timer: undefined };
+    this.#gangs.set(name, gang);
+    gang.members.push({ worker, task: order.task });
+    gang.timer?.cancel();
+    gang.timer = this.#clock.after(this.#tasks.durationOf(order), () => {
+      this.#gangs.delete(name);
+      for (const member of gang.members) {
+        this.#end(member.worker, member.task, "done");
+      }
+    });
+  }
+
   #end(worker: ModelWorker, task: string, kind: ReportedEnd["kind"]): void {
-    const run = worker.running.get(task);
-    if (run === undefined) return;
+    const running = worker.running.get(task);
+    if (running === undefined) return;
+    const { run, cpuMillis } = running;
     worker.running.delete(task);
+    worker.usedMillis -= cpuMillis;
     const number = ++worker.ends;
     worker.ended.push({ number, task, run, kind, checkpoint: "" });
     worker.wake();
@@ -155,36 +257,88 @@
     return {
       clockMs: this.#clock.monotonic(),
       bornMs: 1,
-      running: [...worker.running].map(([task, run]) => ({
+      running: [...worker.running].map(([task, { run, startedMs }]) => ({
         task,
         run,
         checkpoint: "",
-        percent: 50,
+        percent: progressOf(this.#clock.monotonic() - startedMs),
       })),
       ended: [...worker.ended],
     };
   }
 }
 
-/** Advice that takes its expected time and finds a share of the workers good. */
+/** Percent that only ever rises, whatever the run time. */
+function progressOf(elapsedMs: number): number {
+  return 99 * elapsedMs / (elapsedMs + LONG_RUN_MS);
+}
+
+/** Advice that takes its expected time and finds a share of the workers good, always the same for a step. */
 export function slowAdvice(
   clock: Clock,
-  { random, goodShare }: {
-    readonly random: Random;
-    readonly goodShare: (step: string) => number;
-  },
-): (instance: string, question: Question) => Promise<Advice> {
-  const verdicts = new Map<string, boolean>();
-  const isGood = (step: string, worker: string) => {
-    const key = `${step} ${worker}`;
-    const known = verdicts.get(key) ?? random.unit() < goodShare(step);
-    verdicts.set(key, known);
-    return known;
-  };
+  goodShare: (step: string) => number,
+): AskThrough {
   return async (_instance, { step, workers, expectedMs }) => {
     await sleep(clock, expectedMs);
-    const good = workers.filter((worker) => isGood(step, worker));
-    const tickets = new Map(good.map((worker) => [worker, "ticket"]));
+    const good = workers.filter((worker) =>
+      shareOf(`${step} ${worker}`) < goodShare(step)
+    );
+    const ticket = String(clock.monotonic());
+    const tickets = new Map(good.map((worker) => [worker, ticket]));
     return { type: "advised", tickets };
   };
 }
+
+/** A number in [0, 1) that looks random and depends on the text alone; source: the FNV-1a hash. */
+function shareOf(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let at = 0; at < text.length; at++) {
+    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
+  }
+  // The last characters would hardly reach the high bits.
+  hash = Math.imul(hash ^ (hash >>> 15), 0x85ebca6b);
+  return ((hash ^ (hash >>> 13)) >>> 0) / 2 ** 32;
+}
+
+/** What a cell of a model is made of. */
+export interface CellWorld {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly store: CellStore;
+  readonly workers: readonly WorkerEntry[];
+  readonly orders: WorkerOrders;
+  readonly ask: AskThrough;
+  /** Instances that carry questions for advice. */
+  readonly lanes: readonly string[];
+  readonly set: ClusterSet;
+  readonly fence: number;
+}
+
+/** A cell in a world of models. */
+export function cellOver(world: CellWorld): Cell {
+  const { clock, log, metrics, store, orders, set, fence } = world;
+  return new Cell({
+    name: "cell/0",
+    fence,
+    revision: 1,
+    store,
+    directory: {
+      workers: () => okAsync({ workers: world.workers, foreign: 0 }),
+      configuration: () => okAsync(undefined),
+      nextConfiguration: () => okAsync({ set: undefined, revision: 0 }),
+    },
+    orders,
+    desk: new AdviceDesk(world.ask, () => world.lanes, { clock, metrics }),
+    recall: () => Promise.resolve([]),
+    clock,
+    log,
+    metrics,
+    set: () => set,
+    maxLeaseMs: MAX_LEASE_MS,
+    retentionMs: RETENTION_MS,
+    holds: () => true,
+    deposed: () => {},
+    confirmed: () => {},
+  });
+}
--- /dev/null
+++ b/bench/model/drawn_jobs.ts
@@ -0,0 +1,230 @@
+/**
+ * Submissions drawn from a sheet, and the credit that they earn.
+ *
+ * @module
+ */
+import type { JobSpec, StepSpec } from "../../src/cell/types.ts";
+import type { Clock } from "../../src/clock.ts";
+import { type Fields, type Log, silentLog } from "../../src/logger.ts";
+import type { Random } from "../random.ts";
+import type { Load } from "./loads.ts";
+import { type Kind, meanStep, type Sheet } from "./sheets.ts";
+
+/** Spread of the number of tasks of a step, as the deviation of its logarithm. */
+const WIDTH_SPREAD = 0.7;
+/** The same of run times and sizes. */
+const SIZE_SPREAD = 0.45;
+/** Most tasks of a step. */
+const MOST_TASKS = 120;
+/** Largest task of a kind, in times of its mean. */
+const MOST_TIMES = 2.2;
+/** Workers that the objective's call for advice names; source: the platform's rules. */
+const OBJECTIVE_ASKED = 30;
+/** A submission that ends after this many objectives earns nothing; source: the same. */
+const WORTHLESS_AFTER = 3;
+/** Part of the credit for one that is late; source: the users' sheets. */
+const LATE_PART = 0.2;
+const NOT_HOT = { fromMs: 0, toMs: 0, times: 1 };
+/** Part of a kind's worth that does not depend on the work; source: the platform's rules. */
+const FIXED_PART = 0.3;
+
+/** Teams of a deployment; the first is the largest. */
+export const TEAMS = 29;
+/** Part of all submissions that the largest team sends. */
+const LARGEST_SHARE = 0.14;
+/** Times its usual that a team may send before others go first; source: the users' sheets. */
+const WEIGHT_TIMES = 1.9;
+
+/** One submission. */
+export interface DrawnJob {
+  readonly atMs: number;
+  readonly id: string;
+  readonly queue: string;
+  readonly team: string;
+  readonly spec: JobSpec;
+  /** Run time of the tasks of each step, milliseconds. */
+  readonly runMs: readonly number[];
+  /** Time in which it should be done, milliseconds. */
+  readonly objectiveMs: number;
+  readonly worth: number;
+}
+
+/** Name of a team by its size, from 0. */
+export function teamName(index: number): string {
+  return `team-${index}`;
+}
+
+/** Submissions a second that are owed to a team. */
+export function weightOf(
+  index: number,
+  { sheet, workers }: { readonly sheet: Sheet; readonly workers: number },
+): number {
+  const others = (1 - LARGEST_SHARE) / (TEAMS - 1);
+  const share = index === 0 ? LARGEST_SHARE : others;
+  return WEIGHT_TIMES * share * sheet.ratePerWorker * workers;
+}
+
+/** Draws the submissions of a load, in the order of their times. */
+export function drawJobs(
+  sheet: Sheet,
+  { load, workers }: { readonly load: Load; readonly workers: number },
+  random: Random,
+): readonly DrawnJob[] {
+  const jobs: DrawnJob[] = [];
+  for (const [index, kind] of sheet.kinds.entries()) {
+    const usual = sheet.ratePerWorker * workers * kind.share / 1_000;
+    let number = 0;
+    const draw = (atMs: number, team: number) => {
+      // The first digit tells the advice service of the kind.
+      const id = `${index}${(number++).toString(16).padStart(15, "0")}`;
+      jobs.push(drawJob(kind, { atMs, id, team: teamName(team) }, random));
+    };
+    for (let atMs = 0; atMs < load.lengthMs;) {
+      const rate = usual * load.factor(kind.queue, atMs);
+      atMs += random.exponential(1 / rate);
+      const largest = random.unit() < LARGEST_SHARE;
+      draw(atMs, largest ? 0 : 1 + random.below(TEAMS - 1));
+    }
+    const { fromMs, toMs, times } = load.hot ?? NOT_HOT;
+    const more = usual * LARGEST_SHARE * (times - 1);
+    for (let atMs = fromMs; atMs < toMs;) {
+      atMs += random.exponential(1 / more);
+      draw(atMs, 0);
+    }
+  }
+  return jobs.sort((a, b) => a.atMs - b.atMs);
+}
+
+function drawJob(
+  kind: Kind,
+  { atMs, id, team }: {
+    readonly atMs: number;
+    readonly id: string;
+    readonly team: string;
+  },
+  random: Random,
+): DrawnJob {
+  const count = 1 + Number(random.unit() < kind.steps - 1);
+  const gang = random.unit() < kind.gangShare;
+  const times = Math.min(MOST_TIMES, spread(random, SIZE_SPREAD));
+  const steps = Array.from({ length: count }, (_, index): StepSpec => ({
+    ...meanStep(kind),
+    tasks: Math.min(
+      MOST_TASKS,
+      Math.max(1, Math.round(kind.tasks * spread(random, WIDTH_SPREAD))),
+    ),
+    amounts: {
+      cpuMillis: Math.round(kind.cpuMillis * times),
+      memoryMib: Math.round(kind.memoryMib * times),
+      accelerators: 0,
+    },
+    after: index === 0 ? [] : [index - 1],
+    gang,
+  }));
+  const runMs = steps.map(() => kind.runMs * spread(random, SIZE_SPREAD));
+  const adviceMs = kind.baseMs + OBJECTIVE_ASKED * kind.perWorkerMs;
+  const chainMs = runMs.reduce((sum, ms) => sum + ms + adviceMs, 0);
+  const work = steps.reduce(
+    (sum, step, index) =>
+      sum + step.tasks * step.amounts.cpuMillis * runMs[index]!,
+    0,
+  );
+  const mean = kind.steps * kind.tasks * kind.cpuMillis * kind.runMs;
+  return {
+    atMs,
+    id,
+    queue: kind.queue,
+    team,
+    spec: { payload: kind.queue, steps },
+    runMs,
+    objectiveMs: kind.stretch * chainMs + kind.objectiveMs,
+    worth: kind.worth * (FIXED_PART + (1 - FIXED_PART) * work / mean),
+  };
+}
+
+/** A factor around one: the exponential of a normal deviate, which is made of twelve uniform ones. */
+function spread(random: Random, deviation: number): number {
+  let normal = -6;
+  for (let i = 0; i < 12; i++) normal += random.unit();
+  return Math.exp(deviation * normal - deviation * deviation / 2);
+}
+
+interface Sum {
+  earned: number;
+  owed: number;
+}
+
+/** Reads from the lines of a cell which submissions were in time. */
+export class CreditLog implements Log {
+  readonly debug = silentLog.debug;
+  readonly warn = silentLog.warn;
+  readonly error = silentLog.error;
+  readonly #clock: Clock;
+  readonly #jobs: ReadonlyMap<string, DrawnJob>;
+  readonly #sums = new Map<string, Sum>();
+  readonly #ended = new Set<string>();
+  readonly #others: Sum = { earned: 0, owed: 0 };
+
+  constructor(jobs: readonly DrawnJob[], clock: Clock) {
+    this.#clock = clock;
+    this.#jobs = new Map(jobs.map((job) => [job.id, job]));
+    for (const job of jobs) {
+      for (const sum of this.#sumsOf(job)) sum.owed += job.worth;
+    }
+  }
+
+  info(event: string, fields: Fields = {}): void {
+    if (event === "job.ended") this.#end(String(fields.job));
+  }
+
+  /** Credit earned of what is owed for a queue. */
+  shareOf(queue: string): number {
+    const { earned, owed } = this.#sumOf(queue);
+    return earned / owed;
+  }
+
+  /** Credit earned of all that is owed. */
+  get share(): number {
+    const sums = [...this.#sums.values()];
+    const total = (of: (sum: Sum) => number) =>
+      sums.reduce((all, sum) => all + of(sum), 0);
+    return total((sum) => sum.earned) / total((sum) => sum.owed);
+  }
+
+  /** Credit earned of what is owed to all teams but the largest. */
+  get shareOfOthers(): number {
+    return this.#others.earned / this.#others.owed;
+  }
+
+  /** Submissions that ended. */
+  get ended(): number {
+    return this.#ended.size;
+  }
+
+  #end(id: string): void {
+    const job = this.#jobs.get(id);
+    if (job === undefined || this.#ended.has(id)) return;
+    this.#ended.add(id);
+    // The first second of the clock belongs to the opening of the cell.
+    const tookMs = this.#clock.monotonic() - 1_000 - job.atMs;
+    const earned = job.worth * partOf(tookMs, job);
+    for (const sum of this.#sumsOf(job)) sum.earned += earned;
+  }
+
+  /** What a submission counts for. */
+  #sumsOf({ queue, team }: DrawnJob): readonly Sum[] {
+    const ofQueue = this.#sumOf(queue);
+    return team === teamName(0) ? [ofQueue] : [ofQueue, this.#others];
+  }
+
+  #sumOf(queue: string): Sum {
+    const known = this.#sums.get(queue) ?? { earned: 0, owed: 0 };
+    this.#sums.set(queue, known);
+    return known;
+  }
+}
+
+function partOf(tookMs: number, { objectiveMs }: DrawnJob): number {
+  if (tookMs <= objectiveMs) return 1;
+  return tookMs <= WORTHLESS_AFTER * objectiveMs ? LATE_PART : 0;
+}
--- /dev/null
+++ b/bench/model/loads.ts
@@ -0,0 +1,68 @@
+/**
+ * Load patterns of the worst seconds, as they were seen on the users' bench.
+ *
+ * @module
+ */
+
+/** One load pattern. */
+export interface Load {
+  readonly name: string;
+  /** Submissions come for so long, milliseconds. */
+  readonly lengthMs: number;
+  /** Times the usual traffic of a queue at a time. */
+  factor(queue: string, atMs: number): number;
+  /** One team sends many times its usual. */
+  readonly hot?: {
+    readonly fromMs: number;
+    readonly toMs: number;
+    readonly times: number;
+  };
+  /** From when to when the store does not answer, milliseconds. */
+  readonly storeAwayMs?: readonly [number, number];
+  /** When the holder dies, milliseconds. */
+  readonly killedMs?: number;
+}
+
+const LENGTH_MS = 20_000;
+/** When a burst comes, milliseconds. */
+const BURST_MS = 6_000;
+const BURST_FOR_MS = 4_000;
+
+/** All patterns. */
+export const LOADS: readonly Load[] = [
+  { name: "calm", lengthMs: LENGTH_MS, factor: () => 1 },
+  {
+    name: "receipts_burst",
+    lengthMs: LENGTH_MS,
+    factor: (queue, atMs) => queue === "receipts" && inBurst(atMs) ? 2.2 : 1,
+  },
+  {
+    name: "billing_burst",
+    lengthMs: LENGTH_MS,
+    factor: (queue, atMs) => queue === "billing" && inBurst(atMs) ? 1.8 : 1,
+  },
+  { name: "full_fleet", lengthMs: LENGTH_MS, factor: () => 1.25 },
+  { name: "overload", lengthMs: LENGTH_MS, factor: () => 1.6 },
+  {
+    name: "hot_team",
+    lengthMs: LENGTH_MS,
+    factor: () => 1,
+    hot: { fromMs: BURST_MS, toMs: BURST_MS + 8_000, times: 4.9 },
+  },
+  {
+    name: "store_away",
+    lengthMs: LENGTH_MS,
+    factor: () => 1,
+    storeAwayMs: [BURST_MS, BURST_MS + 4_200],
+  },
+  {
+    name: "all_killed",
+    lengthMs: LENGTH_MS,
+    factor: () => 1,
+    killedMs: BURST_MS,
+  },
+];
+
+function inBurst(atMs: number): boolean {
+  return atMs >= BURST_MS && atMs < BURST_MS + BURST_FOR_MS;
+}
--- /dev/null
+++ b/bench/model/sheets.ts
@@ -0,0 +1,208 @@
+/**
+ * Traffic of the users' deployments, for models of a cell.
+ *
+ * @module
+ */
+import type { Queue, StepSpec } from "../../src/cell/types.ts";
+import { TICKET_MS } from "./cell_world.ts";
+
+/** One kind of submission. */
+export interface Kind {
+  readonly queue: string;
+  readonly share: number;
+  readonly tasks: number;
+  readonly cpuMillis: number;
+  readonly memoryMib: number;
+  readonly runMs: number;
+  /** Part of the submissions whose steps are gangs. */
+  readonly gangShare: number;
+  /** Steps of a submission, on the mean. */
+  readonly steps: number;
+  readonly priority: number;
+  /** Latency objective as a factor of the longest chain of work. */
+  readonly stretch: number;
+  /** Constant part of the latency objective, milliseconds. */
+  readonly objectiveMs: number;
+  /** Credit for a submission of mean size that is in time. */
+  readonly worth: number;
+  readonly baseMs: number;
+  readonly perWorkerMs: number;
+  readonly goodShare: number;
+}
+
+/** Traffic of one deployment. */
+export interface Sheet {
+  readonly kinds: readonly Kind[];
+  /** Submissions a second for each worker. */
+  readonly ratePerWorker: number;
+  /** Instances that carry questions for advice. */
+  readonly lanes: number;
+}
+
+/** Source: the sheets of the deployments with 245 workers. */
+export const GROWN: Sheet = {
+  ratePerWorker: 96 / 245,
+  lanes: 39,
+  kinds: [
+    {
+      queue: "billing",
+      share: 0.025,
+      tasks: 20,
+      cpuMillis: 18_000,
+      memoryMib: 14_000,
+      runMs: 6_200,
+      gangShare: 1,
+      steps: 1.2,
+      priority: 1,
+      stretch: 2.2,
+      objectiveMs: 1_000,
+      worth: 8.53,
+      baseMs: 540,
+      perWorkerMs: 7.7,
+      goodShare: 0.25,
+    },
+    {
+      queue: "reconciliation",
+      share: 0.065,
+      tasks: 25,
+      cpuMillis: 6_900,
+      memoryMib: 14_000,
+      runMs: 2_700,
+      gangShare: 0,
+      steps: 1.5,
+      priority: 2,
+      stretch: 4,
+      objectiveMs: 3_000,
+      worth: 2.62,
+      baseMs: 100,
+      perWorkerMs: 1.4,
+      goodShare: 0.45,
+    },
+    {
+      queue: "receipts",
+      share: 0.91,
+      tasks: 3,
+      cpuMillis: 9_900,
+      memoryMib: 14_000,
+      runMs: 640,
+      gangShare: 0.3,
+      steps: 1,
+      priority: 0,
+      stretch: 1.5,
+      objectiveMs: 250,
+      worth: 0.413,
+      baseMs: 7.2,
+      perWorkerMs: 0.1,
+      goodShare: 0.7,
+    },
+  ],
+};
+
+/** Source: the sheet of the deployment with 380 workers. */
+export const LARGE: Sheet = {
+  ratePerWorker: 80.6 / 380,
+  lanes: 97,
+  kinds: [
+    {
+      queue: "billing",
+      share: 0.047,
+      tasks: 20,
+      cpuMillis: 18_000,
+      memoryMib: 37_000,
+      runMs: 6_200,
+      gangShare: 1,
+      steps: 1.2,
+      priority: 1,
+      stretch: 2.2,
+      objectiveMs: 1_000,
+      worth: 8.53,
+      baseMs: 857,
+      perWorkerMs: 8.6,
+      goodShare: 0.25,
+    },
+    {
+      queue: "reconciliation",
+      share: 0.096,
+      tasks: 24,
+      cpuMillis: 11_000,
+      memoryMib: 41_000,
+      runMs: 2_200,
+      gangShare: 0,
+      steps: 1.5,
+      priority: 2,
+      stretch: 4,
+      objectiveMs: 3_000,
+      worth: 2.62,
+      baseMs: 200,
+      perWorkerMs: 2,
+      goodShare: 0.45,
+    },
+    {
+      queue: "receipts",
+      share: 0.857,
+      tasks: 3,
+      cpuMillis: 16_000,
+      memoryMib: 58_000,
+      runMs: 800,
+      gangShare: 0.3,
+      steps: 1,
+      priority: 0,
+      stretch: 1.5,
+      objectiveMs: 250,
+      worth: 0.413,
+      baseMs: 22.9,
+      perWorkerMs: 0.23,
+      goodShare: 0.7,
+    },
+  ],
+};
+
+/** A step of the mean size of a kind. */
+export function meanStep(kind: Kind): StepSpec {
+  return {
+    tasks: kind.tasks,
+    amounts: {
+      cpuMillis: kind.cpuMillis,
+      memoryMib: kind.memoryMib,
+      accelerators: 0,
+    },
+    estimateMs: kind.runMs,
+    after: [],
+    gang: kind.gangShare === 1,
+    requiredLabel: "",
+    dataRack: "",
+    sameRack: false,
+    maxPerWorker: 0,
+    longRunning: false,
+    backfill: false,
+  };
+}
+
+/** The queues of the kinds, the last ones among `count`. */
+export function queuesOf({ kinds }: Sheet, count: number): readonly Queue[] {
+  const used = kinds.map((kind) => queue(kind.queue, kind));
+  const idle = Array.from(
+    { length: count - used.length },
+    (_, index) => queue(`idle-${index}`, kinds[0]!),
+  );
+  return [...idle, ...used];
+}
+
+function queue(name: string, kind: Kind): Queue {
+  return {
+    name,
+    host: "shop.example",
+    pathPrefix: `/${name}/`,
+    service: "copier",
+    priority: kind.priority,
+    attempts: 4,
+    stretch: kind.stretch,
+    objectiveMs: kind.objectiveMs,
+    open: true,
+    advice: {
+      baseMs: kind.baseMs,
+      perWorkerMs: kind.perWorkerMs,
+      ticketMs: TICKET_MS,
+    },
+  };
+}
--- /dev/null
+++ b/bench/replay.ts
@@ -0,0 +1,190 @@
+/**
+ * Plays load patterns through the decisions of a cell in virtual time and tells
+ * what its callers got: credit by kind of submission, and the processor time of
+ * it all. A change of a decision is weighed in seconds.
+ *
+ * @module
+ */
+import process from "node:process";
+import type { Cell } from "../src/cell/cell.ts";
+import type { StartOrder } from "../src/cell/ports.ts";
+import { NO_AMOUNTS } from "../src/cell/types.ts";
+import { ManualClock } from "../src/clock.ts";
+import { Metrics } from "../src/metrics.ts";
+import {
+  cellOver,
+  ModelStore,
+  type ModelTasks,
+  ModelWorkers,
+  slowAdvice,
+  workerEntries,
+} from "./model/cell_world.ts";
+import {
+  CreditLog,
+  drawJobs,
+  type DrawnJob,
+  teamName,
+  TEAMS,
+  weightOf,
+} from "./model/drawn_jobs.ts";
+import { LARGE, queuesOf } from "./model/sheets.ts";
+import { type Load, LOADS } from "./model/loads.ts";
+import { Random } from "./random.ts";
+import type { Results } from "./results.ts";
+
+/** Workers of a replay. */
+const WORKERS = 380;
+/** Queues of the operators' set, most of them idle. */
+const QUEUES = 45;
+/** Time after the last submission until the credit is counted, milliseconds. */
+const TAIL_MS = 30_000;
+/** Steps of the virtual clock, milliseconds. */
+const STEP_MS = 2;
+/** Time from the death of a holder until the next has the cell, milliseconds. */
+const TAKEOVER_MS = 1_500;
+
+/** Plays all load patterns. */
+export async function benchReplay(
+  results: Results,
+  seed: number,
+): Promise<void> {
+  for (const load of LOADS) {
+    const before = process.cpuUsage();
+    const { credit, world } = await replay(load, seed);
+    const cpu = process.cpuUsage(before);
+    for (const { queue } of LARGE.kinds) {
+      results.line(`${load.name}_${queue}`, credit.shareOf(queue));
+    }
+    results.line(`${load.name}_all`, credit.share);
+    results.line(`${load.name}_other_teams`, credit.shareOfOthers);
+    const cpuMs = (cpu.user + cpu.system) / 1e3;
+    const seconds = world.clock.monotonic() / 1e3;
+    results.line(`${load.name}_cpu_ms_per_s`, cpuMs / seconds);
+    results.atMost(`${load.name}_overfilled`, world.workers.overfilled, 0);
+  }
+}
+
+/** Plays one load pattern; gives what its callers got. */
+export async function replay(
+  load: Load,
+  seed: number,
+): Promise<{ readonly credit: CreditLog; readonly world: ReplayWorld }> {
+  const jobs = drawJobs(LARGE, { load, workers: WORKERS }, new Random(seed));
+  const world = new ReplayWorld(jobs);
+  await world.open();
+  let at = 0;
+  const endMs = load.lengthMs + TAIL_MS;
+  for (let nowMs = 0; nowMs < endMs; nowMs += STEP_MS) {
+    for (; at < jobs.length && jobs[at]!.atMs <= nowMs; at++) {
+      world.submit(jobs[at]!);
+    }
+    world.store.away = isWithin(load.storeAwayMs, nowMs);
+    if (load.killedMs === nowMs) world.kill();
+    if (load.killedMs !== undefined && nowMs === load.killedMs + TAKEOVER_MS) {
+      void world.open();
+    }
+    await world.clock.run(STEP_MS, STEP_MS);
+  }
+  return { credit: world.credit, world };
+}
+
+/** A cell among models, which may die and be taken over. */
+export class ReplayWorld {
+  readonly clock = new ManualClock();
+  readonly store = new ModelStore(this.clock);
+  readonly workers: ModelWorkers;
+  readonly credit: CreditLog;
+  #cell: Cell | undefined;
+  #fence = 0;
+  /** Submissions that came while nobody held the cell. */
+  #unserved: DrawnJob[] = [];
+
+  constructor(jobs: readonly DrawnJob[]) {
+    this.workers = new ModelWorkers(this.clock, tasksOf(jobs));
+    this.credit = new CreditLog(jobs, this.clock);
+  }
+
+  /** The next holder takes the cell. */
+  async open(): Promise<void> {
+    const cell = cellOver({
+      clock: this.clock,
+      log: this.credit,
+      metrics: new Metrics(),
+      store: this.store,
+      workers: workerEntries(WORKERS),
+      orders: this.workers,
+      ask: slowAdvice(
+        this.clock,
+        (step) => LARGE.kinds[Number(step[0])]?.goodShare ?? 1,
+      ),
+      lanes: Array.from({ length: LARGE.lanes }, (_, index) => `i${index}`),
+      set: {
+        version: 1,
+        queues: queuesOf(LARGE, QUEUES),
+        teams: Array.from({ length: TEAMS }, (_, index) => ({
+          name: teamName(index),
+          keys: [],
+          weight: weightOf(index, { sheet: LARGE, workers: WORKERS }),
+          limit: NO_AMOUNTS,
+        })),
+        maxBodyBytes: 10_000,
+      },
+      fence: ++this.#fence,
+    });
+    const recovered = cell.recover();
+    if (this.#fence === 1) await this.clock.run(1_000, STEP_MS);
+    (await recovered)._unsafeUnwrap();
+    this.#cell = cell;
+    for (const job of this.#unserved.splice(0)) this.submit(job);
+  }
+
+  /** The holder dies. */
+  kill(): void {
+    this.#cell?.close();
+    this.#cell = undefined;
+  }
+
+  /** Hands a submission in; one that is refused comes back after a second. */
+  submit(job: DrawnJob): void {
+    const { id, queue, team, spec } = job;
+    if (this.#cell === undefined) {
+      this.#unserved.push(job);
+      return;
+    }
+    this.#cell.submit({ id, queue, team, spec }).then((outcome) => {
+      if (outcome.type !== "accepted") {
+        this.clock.after(1_000, () => this.submit(job));
+      }
+    });
+  }
+}
+
+function isWithin(
+  span: readonly [number, number] | undefined,
+  nowMs: number,
+): boolean {
+  return span !== undefined && nowMs >= span[0] && nowMs < span[1];
+}
+
+function tasksOf(jobs: readonly DrawnJob[]): ModelTasks {
+  const byId = new Map(jobs.map((job) => [job.id, job]));
+  const stepOf = ({ task }: StartOrder) => {
+    const [id = "", , step = "0"] = task.split(".");
+    const job = byId.get(id);
+    return { job, index: Number(step) };
+  };
+  return {
+    durationOf(order) {
+      const { job, index } = stepOf(order);
+      return job?.runMs[index] ?? 0;
+    },
+    cpuMillisOf(order) {
+      const { job, index } = stepOf(order);
+      return job?.spec.steps[index]?.amounts.cpuMillis ?? 0;
+    },
+    isGang(order) {
+      const { job, index } = stepOf(order);
+      return job?.spec.steps[index]?.gang === true;
+    },
+  };
+}
--- /dev/null
+++ b/src/cell/decisions/order.ts
@@ -0,0 +1,122 @@
+/**
+ * Which step goes first.
+ *
+ * Load pattern: a burst in which more is in line than can be in time. What can
+ * still be in time goes before what is late, and what is worthless waits last.
+ *
+ * @module
+ */
+import type { StepRun } from "../job.ts";
+import type { JobSpec, Queue } from "../types.ts";
+
+/** Weight of a new duration in the running mean of a queue. */
+const LEARNING_RATE = 0.1;
+/** A job that ends after this many objectives earns nothing any more; source: the platform's rules. */
+const WORTHLESS_AFTER = 3;
+
+/** How long runs of each queue take. */
+export class Durations {
+  readonly #means = new Map<string, number>();
+
+  /** Records a run that was done. */
+  learn(queue: string, durationMs: number): void {
+    const mean = this.#means.get(queue);
+    const next = mean === undefined
+      ? durationMs
+      : mean + LEARNING_RATE * (durationMs - mean);
+    this.#means.set(queue, next);
+  }
+
+  /** Mean run time of a queue, milliseconds; the submitted estimate before the first run. */
+  of(queue: string, estimateMs: number): number {
+    return this.#means.get(queue) ?? estimateMs;
+  }
+}
+
+/** Place of a step in the line: lower goes first, field by field. */
+export interface Rank {
+  /** 0: in time; 1: late, still worth something; 2: beyond its team's weight; 3: worthless. */
+  readonly lateness: number;
+  readonly priority: number;
+  /** Latest start that is in time, Unix milliseconds. */
+  readonly startByMs: number;
+}
+
+/** Ranks a step at a time of the wall clock. */
+export function rankOf(
+  step: StepRun,
+  queue: Queue | undefined,
+  { durations, nowMs, dueMs }: {
+    readonly durations: Durations;
+    readonly nowMs: number;
+    /** When the step's occurrence was due, Unix milliseconds. */
+    readonly dueMs: number;
+  },
+): Rank {
+  const { job, spec } = step;
+  const taskMs = durations.of(job.queue, spec.estimateMs);
+  const chains = chainsOf(job.spec);
+  const objectiveMs = (queue?.stretch ?? 1) * chains.whole * taskMs +
+    (queue?.objectiveMs ?? 0);
+  const restMs = (chains.rest[step.index] ?? 1) * taskMs;
+  const startByMs = dueMs + objectiveMs - restMs;
+  const lastMs = dueMs + WORTHLESS_AFTER * objectiveMs - restMs;
+  return {
+    lateness: latenessOf(step, { nowMs, startByMs, lastMs }),
+    priority: queue?.priority ?? 0,
+    startByMs,
+  };
+}
+
+/** Orders ranks. */
+export function compareRanks(a: Rank, b: Rank): number {
+  return a.lateness - b.lateness || a.priority - b.priority ||
+    a.startByMs - b.startByMs;
+}
+
+function latenessOf(
+  step: StepRun,
+  { nowMs, startByMs, lastMs }: {
+    readonly nowMs: number;
+    readonly startByMs: number;
+    readonly lastMs: number;
+  },
+): number {
+  if (!step.job.owed) return 2;
+  if (step.spec.longRunning || nowMs <= startByMs) return 0;
+  return nowMs <= lastMs ? 1 : 3;
+}
+
+/** Steps on the longest chains of a submission. */
+interface Chains {
+  /** On the longest chain of all. */
+  readonly whole: number;
+  /** On the longest chain from each step on. */
+  readonly rest: readonly number[];
+}
+
+/** Chains by submission: they never change, and each pass asks for all of them. */
+const CHAINS = new WeakMap<JobSpec, Chains>();
+
+function chainsOf(spec: JobSpec): Chains {
+  const known = CHAINS.get(spec);
+  if (known !== undefined) return known;
+  const chains = measureChains(spec);
+  CHAINS.set(spec, chains);
+  return chains;
+}
+
+function measureChains({ steps }: JobSpec): Chains {
+  const before: number[] = [];
+  for (const [index, spec] of steps.entries()) {
+    before[index] = 1 + Math.max(0, ...spec.after.map((i) => before[i] ?? 0));
+  }
+  const rest: number[] = [];
+  for (let index = steps.length - 1; index >= 0; index--) {
+    const next = steps.flatMap((spec, other) =>
+      spec.after.includes(index) ? [rest[other] ?? 0] : []
+    );
+    rest[index] = 1 + Math.max(0, ...next);
+  }
+  return { whole: Math.max(...before), rest };
+}
--- /dev/null
+++ b/src/cell/decisions/placement.ts
@@ -0,0 +1,228 @@
+/**
+ * Finds workers for the waiting tasks of a step.
+ *
+ * Load pattern: a full fleet with hundreds of steps in line, of which each pass
+ * can place a few. A step that needs advice is placed on workers with a ticket
+ * alone, so that a look costs as much as there are tickets, not workers.
+ *
+ * @module
+ */
+import {
+  type Fleet,
+  type FleetWorker,
+  roomOn,
+  tasksIn,
+  teamAllowance,
+  weighsOn,
+} from "../fleet.ts";
+import type { StepRun, Task } from "../job.ts";
+import type { Queue, Team } from "../types.ts";
+import {
+  byRack,
+  hasRoom,
+  isEligible,
+  type Kept,
+  openRoom,
+  perWorkerLeft,
+  type RoomIndex,
+  waitingTasks,
+} from "./room.ts";
+
+/** Where a task goes. */
+export interface Place {
+  readonly task: Task;
+  readonly worker: FleetWorker;
+  readonly ticket?: string;
+}
+
+/** Why nothing was placed. */
+export type NoPlace =
+  | "teamLimit"
+  | "noRoom"
+  | "noAdvice"
+  | "gangIncomplete";
+
+/** What a look for places gives. */
+export interface Search {
+  readonly places: readonly Place[];
+  readonly reason: NoPlace | undefined;
+}
+
+/** What a search goes by. */
+export interface SearchContext {
+  readonly fleet: Fleet;
+  readonly index: RoomIndex;
+  readonly queue: Queue;
+  readonly team: Team | undefined;
+  /** Monotonic milliseconds. */
+  readonly nowMs: number;
+  /** Room held for others. */
+  readonly held: Kept;
+  /** Room that others wait for: taken last. */
+  readonly wanted: Kept;
+}
+
+/** A ticket is not used in the last part of its life, milliseconds: commit and order take time. */
+const TICKET_MARGIN_MS = 120;
+
+/** Looks for places for a step; a gang gets all or none. */
+export function findPlaces(step: StepRun, context: SearchContext): Search {
+  const { queue } = context;
+  const { gang, amounts } = step.spec;
+  if (!mayHaveTicket(step, context)) return nothing("noAdvice");
+  const waiting = waitingTasks(step);
+  const used = context.fleet.usedBy(step.job.team);
+  const allowance = teamAllowance(context.team, used, amounts);
+  const needed = gang ? waiting.length : 1;
+  if (allowance < needed) return nothing("teamLimit");
+  const ready = queue.advice === undefined
+    ? withRoom(step, context)
+    : suited(step, ticketed(step, context), context);
+  if (ready.length === 0) {
+    return nothing(queue.advice === undefined ? "noRoom" : "noAdvice");
+  }
+  const most = Math.min(waiting.length, allowance);
+  const places = fill(step, {
+    waiting: waiting.slice(0, most),
+    ready,
+    held: context.held,
+  });
+  return gang && places.length < waiting.length
+    ? nothing("gangIncomplete")
+    : { places, reason: undefined };
+}
+
+/** Workers with room for a task of a step, whatever the advice, the best first. */
+export function withRoom(
+  step: StepRun,
+  context: SearchContext,
+): readonly FleetWorker[] {
+  const { index, queue } = context;
+  const { cpuMillis } = weighsOn(step);
+  return suited(step, index.withFree(queue.service, cpuMillis), context);
+}
+
+/** Whether a worker has a ticket that can still be used. */
+export function isTicketed(
+  step: StepRun,
+  worker: FleetWorker,
+  { queue, nowMs }: Pick<SearchContext, "queue" | "nowMs">,
+): boolean {
+  const ticket = step.advice.tickets.get(worker.id);
+  return ticket !== undefined && isFresh(ticket.atMs, queue, nowMs);
+}
+
+/** Whether a ticket of this age can be used. */
+function isFresh(atMs: number, { advice }: Queue, nowMs: number): boolean {
+  return advice === undefined ||
+    nowMs < atMs + advice.ticketMs - TICKET_MARGIN_MS;
+}
+
+function mayHaveTicket(
+  { advice }: StepRun,
+  { queue, nowMs }: SearchContext,
+): boolean {
+  return queue.advice === undefined || isFresh(advice.ticketedMs, queue, nowMs);
+}
+
+function ticketed(
+  step: StepRun,
+  context: SearchContext,
+): readonly FleetWorker[] {
+  const { fleet, queue, nowMs } = context;
+  const found: FleetWorker[] = [];
+  for (const [id, { atMs }] of step.advice.tickets) {
+    if (!isFresh(atMs, queue, nowMs)) continue;
+    const worker = fleet.workers.get(id);
+    if (worker !== undefined) found.push(worker);
+  }
+  return found;
+}
+
+/** A worker that could take a task, with what it is ordered by. */
+interface Suited {
+  readonly worker: FleetWorker;
+  /** Whether it is on another rack than the data. */
+  readonly far: boolean;
+  /** Whether others wait for its room. */
+  readonly wanted: boolean;
+  readonly freeMillis: number;
+}
+
+/** Those workers that may run a step and have room for it, in order. */
+function suited(
+  step: StepRun,
+  workers: readonly FleetWorker[],
+  context: SearchContext,
+): readonly FleetWorker[] {
+  const { dataRack } = step.spec;
+  const found: Suited[] = [];
+  for (const worker of workers) {
+    if (!isEligible(step, worker, context)) continue;
+    if (!hasRoom(step, worker, context.held)) continue;
+    found.push({
+      worker,
+      far: dataRack !== "" && !worker.entry?.labels.includes(dataRack),
+      wanted: context.wanted.on(worker.id) !== undefined,
+      freeMillis: roomOn(worker).cpuMillis,
+    });
+  }
+  return found.sort(compareSuited).map(({ worker }) => worker);
+}
+
+/** Near the data first, then the fullest, which leaves large room in one piece. */
+function compareSuited(a: Suited, b: Suited): number {
+  return Number(a.far) - Number(b.far) ||
+    Number(a.wanted) - Number(b.wanted) ||
+    a.worker.failureShare - b.worker.failureShare ||
+    a.freeMillis - b.freeMillis;
+}
+
+/** What is to be filled, and with which workers. */
+interface Filling {
+  readonly waiting: readonly Task[];
+  readonly ready: readonly FleetWorker[];
+  readonly held: Kept;
+}
+
+function fill(step: StepRun, filling: Filling): readonly Place[] {
+  if (step.spec.sameRack) {
+    for (const ready of byRack(filling.ready)) {
+      const places = fillFrom(step, { ...filling, ready });
+      if (places.length === filling.waiting.length) return places;
+    }
+  }
+  return fillFrom(step, filling);
+}
+
+function fillFrom(
+  step: StepRun,
+  { waiting, ready, held }: Filling,
+): readonly Place[] {
+  const amounts = weighsOn(step);
+  const places: Place[] = [];
+  let next = 0;
+  for (const worker of ready) {
+    let most = Math.min(
+      tasksIn(openRoom(worker, held), amounts),
+      perWorkerLeft(step, worker),
+    );
+    const ticket = step.advice.tickets.get(worker.id)?.ticket;
+    while (most > 0 && next < waiting.length) {
+      const task = waiting[next]!;
+      places.push({
+        task,
+        worker,
+        ...(ticket === undefined ? {} : { ticket }),
+      });
+      next++;
+      most--;
+    }
+    if (next === waiting.length) break;
+  }
+  return places;
+}
+
+function nothing(reason: NoPlace): Search {
+  return { places: [], reason };
+}
--- a/src/clock.ts
+++ b/src/clock.ts
@@ -41,13 +41,14 @@
   readonly at: number;
   readonly order: number;
   readonly action: () => void;
+  cancelled: boolean;
 }
 
 /** A clock that moves only when told to; timers fire in order of their time. */
 export class ManualClock implements Clock {
   #elapsedMs = 0;
   #order = 0;
-  #alarms: Alarm[] = [];
+  readonly #alarms = new AlarmHeap();
   readonly #origin: number;
 
   constructor(origin: Date = new Date("2026-01-01T00:00:00Z")) {
@@ -63,28 +64,25 @@
   }
 
   after(delayMs: number, action: () => void): Timer {
-    const alarm = {
+    const alarm: Alarm = {
       at: this.#elapsedMs + Math.max(0, delayMs),
       order: this.#order++,
       action,
+      cancelled: false,
     };
     this.#alarms.push(alarm);
-    return {
-      cancel: () => {
-        this.#alarms = this.#alarms.filter((other) => other !== alarm);
-      },
-    };
+    return { cancel: () => void (alarm.cancelled = true) };
   }
 
   /** Moves time forward, firing every timer that falls due on the way. */
   advance(milliseconds: number): void {
     const end = this.#elapsedMs + milliseconds;
     for (
-      let due = this.#nextDue(end);
+      let due = this.#alarms.popUntil(end);
       due !== undefined;
-      due = this.#nextDue(end)
+      due = this.#alarms.popUntil(end)
     ) {
-      this.#alarms = this.#alarms.filter((other) => other !== due);
+      if (due.cancelled) continue;
       this.#elapsedMs = Math.max(this.#elapsedMs, due.at);
       due.action();
     }
@@ -98,10 +96,57 @@
       await new Promise((resolve) => setImmediate(resolve));
     }
   }
+}
+
+/** Alarms as a binary heap, the earliest first, those of one time in the order of their making. */
+class AlarmHeap {
+  readonly #heap: Alarm[] = [];
+
+  push(alarm: Alarm): void {
+    const heap = this.#heap;
+    let at = heap.push(alarm) - 1;
+    while (at > 0) {
+      const parent = (at - 1) >> 1;
+      if (!isBefore(heap[at]!, heap[parent]!)) return;
+      this.#swap(at, parent);
+      at = parent;
+    }
+  }
+
+  /** Takes the first alarm out if it is due by `endMs`. */
+  popUntil(endMs: number): Alarm | undefined {
+    const heap = this.#heap;
+    const [first] = heap;
+    if (first === undefined || first.at > endMs) return undefined;
+    const last = heap.pop()!;
+    if (heap.length > 0) {
+      heap[0] = last;
+      this.#sink();
+    }
+    return first;
+  }
 
-  #nextDue(end: number): Alarm | undefined {
-    return this.#alarms
-      .filter((alarm) => alarm.at <= end)
-      .sort((a, b) => a.at - b.at || a.order - b.order)[0];
+  #sink(): void {
+    const heap = this.#heap;
+    let at = 0;
+    for (;;) {
+      let least = at;
+      for (const child of [2 * at + 1, 2 * at + 2]) {
+        const alarm = heap[child];
+        if (alarm !== undefined && isBefore(alarm, heap[least]!)) least = child;
+      }
+      if (least === at) return;
+      this.#swap(at, least);
+      at = least;
+    }
   }
+
+  #swap(a: number, b: number): void {
+    const heap = this.#heap;
+    [heap[a], heap[b]] = [heap[b]!, heap[a]!];
+  }
+}
+
+function isBefore(a: Alarm, b: Alarm): boolean {
+  return a.at < b.at || a.at === b.at && a.order < b.order;
 }
