Let a few members watch the holder

Change: the first eight candidates are told each 100 ms and told that they watch; they ask each other alone. Protocol between instances is version 3. Ruled out: the short limit from the first status on.

--- /dev/null
+++ b/src/cell/_instances_test.ts
@@ -0,0 +1,96 @@
+/**
+ * Instances that follow one cell over links in memory, for tests of who holds
+ * it.
+ *
+ * @module
+ */
+import { errAsync, okAsync } from "neverthrow";
+import { ManualClock } from "../clock.ts";
+import { silentLog } from "../logger.ts";
+import type { Call, Peers } from "../ports/peers.ts";
+import { FakeStore } from "./_fake_store_test.ts";
+import type { Member } from "./cell_record.ts";
+import { Leadership } from "./leadership.ts";
+import { SetInForce } from "./set_in_force.ts";
+
+type Handler = (params: unknown, from: string) => unknown;
+
+/** Links between instances in memory; each may be cut. */
+class Network {
+  readonly handlers = new Map<string, Map<string, Handler>>();
+  readonly cut = new Set<string>();
+  /** Told of every call before it is carried out. */
+  onCall: (method: string, from: string, to: string) => void = () => {};
+
+  peersOf(self: string): Peers {
+    const mine = new Map<string, Handler>();
+    this.handlers.set(self, mine);
+    return {
+      call: <P, R>(
+        peer: string,
+        call: Call<P, R>,
+        { params }: { readonly params: P },
+      ) => {
+        this.onCall(call.method, self, peer);
+        const handler = this.handlers.get(peer)?.get(call.method);
+        if (handler === undefined || this.cut.has(peer) || this.cut.has(self)) {
+          return errAsync({ type: "peerSilent", message: "cut" } as const);
+        }
+        return okAsync(undefined).map(async () =>
+          await handler(params, self) as R
+        );
+      },
+      notify() {},
+      serve: (call: { readonly method: string }, handler: Handler) => {
+        mine.set(call.method, handler);
+      },
+      listen() {},
+      onLost() {},
+    } as unknown as Peers;
+  }
+}
+
+/** Instances, the store and the links between them. */
+export class Instances {
+  readonly clock = new ManualClock();
+  readonly store = new FakeStore();
+  readonly network = new Network();
+  readonly holding = new Set<string>();
+  readonly fences: number[] = [];
+
+  start(name: string, { boot = name, cores = 1 } = {}): Leadership {
+    const self: Member = { name, address: `${name}:1`, cores };
+    const { clock, store } = this;
+    const set = new SetInForce(
+      {
+        workers: () => okAsync({ workers: [], foreign: 0 }),
+        configuration: () => okAsync(undefined),
+        nextConfiguration: () => okAsync({ set: undefined, revision: 0 }),
+      },
+      { clock, log: silentLog },
+    );
+    const leadership = new Leadership({
+      cell: "cell/0",
+      self,
+      boot,
+      store,
+      reachesStore: () => true,
+      peers: this.network.peersOf(name),
+      link() {},
+      set,
+      clock,
+      log: silentLog,
+      random: () => 0.5,
+      listener: {
+        gained: ({ fence }) => {
+          this.holding.add(name);
+          this.fences.push(fence);
+        },
+        lost: () => void this.holding.delete(name),
+        waiting: () => [["receipts", 2]],
+      },
+    });
+    void leadership.run();
+    return leadership;
+  }
+}
--- a/src/cell/candidates.ts
+++ b/src/cell/candidates.ts
@@ -8,6 +8,14 @@
 /** A machine is weak beside one of so many times its power. */
 const WEAK_FACTOR = 2;
 
+/** Candidates that watch the holder: enough for a majority where some are lost with it, few enough to be told often. */
+const WATCHERS = 8;
+
+/** The first candidates watch the holder: it tells them more often than others, and they ask each other when they miss it. */
+export function watchersOf(ranked: readonly string[]): readonly string[] {
+  return ranked.slice(0, WATCHERS);
+}
+
 /** What the order of candidates depends on. */
 export interface Candidacy {
   /** This instance, if it is a candidate itself. */
--- a/src/cell/holder_news.ts
+++ b/src/cell/holder_news.ts
@@ -5,8 +5,8 @@
  */
 import type { Clock } from "../clock.ts";
 
-/** The holder tells where it stands this often at least, milliseconds. */
-const STATUS_EVERY_MS = 100;
+/** The holder tells its watchers where it stands this often, and the others not more often, milliseconds. */
+export const STATUS_EVERY_MS = 100;
 /** The same for each member, milliseconds: it bounds the holder's cost with many. */
 const STATUS_EVERY_MEMBER_MS = 4;
 /** Statuses that must fail to come before others try to take the cell. */
@@ -18,11 +18,19 @@
 /** Silence after the start of a process within which a holder makes itself known, milliseconds. */
 const FIRST_SILENCE_MS = 700;
 
-/** Time between two statuses to `members` instances, milliseconds. */
+/** Time between two statuses to each of `members` instances that is no watcher, milliseconds. */
 export function statusEveryMs(members: number): number {
   return Math.max(STATUS_EVERY_MS, STATUS_EVERY_MEMBER_MS * (members + 1));
 }
 
+/** What a holder tells with its status. */
+export interface Told {
+  /** Accepted jobs by queue that have not begun. */
+  readonly waiting: readonly (readonly [string, number])[];
+  /** Whether this instance is a watcher. */
+  readonly watches: boolean;
+}
+
 /** News of the holder. */
 export class HolderNews {
   readonly #clock: Clock;
@@ -30,6 +38,7 @@
   #heardMs: number;
   #hears = false;
   #linkLost = false;
+  #watches = false;
   #waiting: ReadonlyMap<string, number> = new Map();
   #waitingMs = -Infinity;
 
@@ -65,8 +74,14 @@
     return { counts: this.#waiting, ageMs };
   }
 
+  /** Whether the holder counts on this instance to miss it first. */
+  get watches(): boolean {
+    return this.#watches;
+  }
+
   /** The holder has told where it stands. */
-  told(waiting: readonly (readonly [string, number])[]): void {
+  told({ waiting, watches }: Told): void {
+    this.#watches = watches;
     this.#waiting = new Map(waiting);
     this.#waitingMs = this.#clock.monotonic();
     this.answered();
@@ -82,6 +97,7 @@
   /** Somebody is said to be the holder now. */
   heardOf(): void {
     this.#hears = false;
+    this.#watches = false;
     this.#linkLost = false;
     this.#heardMs = this.#clock.monotonic();
   }
@@ -100,6 +116,7 @@
   #limitMs(): number {
     const members = this.#members();
     if (members === 0) return FIRST_SILENCE_MS;
-    return MISSED_STATUSES * statusEveryMs(members) + LATE_STATUS_MS;
+    const everyMs = this.#watches ? STATUS_EVERY_MS : statusEveryMs(members);
+    return MISSED_STATUSES * everyMs + LATE_STATUS_MS;
   }
 }
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -10,9 +10,10 @@
  */
 import { sleep } from "../clock.ts";
 import { HOLD_LIMIT_MS } from "./cell.ts";
+import { watchersOf } from "./candidates.ts";
 import type { CellRecord, Hold, Member } from "./cell_record.ts";
 import { Confirmation } from "./confirmation.ts";
-import { HolderNews, statusEveryMs } from "./holder_news.ts";
+import { HolderNews } from "./holder_news.ts";
 import { HoldWriter, type KnownRecord } from "./hold_writer.ts";
 import { KnownHolder } from "./known_holder.ts";
 import type { LeadershipOptions } from "./leadership_options.ts";
@@ -80,7 +81,7 @@
       roster: this.#roster,
       confirmation: this.#confirmation,
       hold: () => this.#holding,
-      everyMs: () => statusEveryMs(this.#roster.members.length),
+      watchers: () => watchersOf(this.#takeover.ranked()),
       waiting: () => options.listener.waiting(),
       replaced: () => void this.#record.read(),
       setWanted: (peer, version) => this.onSetWanted(peer, version),
@@ -189,7 +190,7 @@
       };
       if (status.fence >= this.fence) {
         this.#record.note({ record, revision: status.revision });
-        this.#news.told(status.waiting);
+        this.#news.told(status);
         if (status.members !== null) {
           this.#roster.replace(status.members, status);
         }
@@ -241,7 +242,7 @@
       silenceMs: Math.round(this.silenceMs),
     });
     this.#roster.open();
-    void this.#teller.tellAll();
+    void this.#teller.gained();
     listener.gained(hold);
   }
 
--- a/src/cell/protocol.ts
+++ b/src/cell/protocol.ts
@@ -36,6 +36,8 @@
   /** Revision at which the hold was written. */
   revision: t.number,
   setVersion: t.number,
+  /** Whether the member is one of those that watch the holder. */
+  watches: t.boolean,
   /** Accepted jobs by queue that have not begun. */
   waiting: t.array(t.tuple([t.string, t.number])),
   /** Grows with each change of the members at this process. */
--- a/src/cell/takeover.ts
+++ b/src/cell/takeover.ts
@@ -7,7 +7,7 @@
 import type { Clock } from "../clock.ts";
 import type { Log } from "../logger.ts";
 import type { Peers } from "../ports/peers.ts";
-import { rankCandidates, strongerThan } from "./candidates.ts";
+import { rankCandidates, strongerThan, watchersOf } from "./candidates.ts";
 import type { CellRecord, Member } from "./cell_record.ts";
 import { Doubt } from "./doubt.ts";
 import type { HolderNews } from "./holder_news.ts";
@@ -128,12 +128,10 @@
   }
 
   async #isSilentForAll(): Promise<boolean> {
-    const { self, link, roster, news, known, greet } = this.#options;
+    const { link, news, known, greet } = this.#options;
     const holder = known()?.record;
     if (holder === undefined) return true;
-    const others = roster.members.filter((member) =>
-      member.name !== self.name && member.name !== holder.name
-    );
+    const others = this.#witnesses(holder);
     link([holder, ...others]);
     const { silenceMs } = news;
     const verdict = await this.#doubt.settle(holder, others, { silenceMs });
@@ -150,6 +148,17 @@
     }
   }
 
+  /** Who is asked about a silent holder: the other watchers, who miss it as soon as this one; all others where this is none. */
+  #witnesses(holder: CellRecord): readonly Member[] {
+    const { self, roster, news } = this.#options;
+    const others = roster.members.filter((member) =>
+      member.name !== self.name && member.name !== holder.name
+    );
+    if (!news.watches) return others;
+    const watchers = new Set(watchersOf(this.ranked()));
+    return others.filter(({ name }) => watchers.has(name));
+  }
+
   async #take(): Promise<void> {
     const { known, news, noted, gained, readRecord, writer } = this.#options;
     if (known() === undefined) {
--- a/src/peers/handshake.ts
+++ b/src/peers/handshake.ts
@@ -10,7 +10,7 @@
 import * as t from "io-ts";
 
 /** Version of the protocol between instances. */
-export const PROTOCOL_VERSION = 2;
+export const PROTOCOL_VERSION = 3;
 
 const CHALLENGE_BYTES = 16;
 
