--- a/bench/model/cell_world.ts
+++ b/bench/model/cell_world.ts
@@ -31,8 +31,8 @@
 const STORE_MS = 5;
 /** Life of a ticket, milliseconds. */
 export const TICKET_MS = 1_500;
-/** A run of this length is shown as half done, milliseconds. */
-const LONG_RUN_MS = 5_000;
+/** Percent of a run whose end has not been told. */
+const LAST_PERCENT = 99;
 /** Longest lease of a worker, milliseconds. */
 const MAX_LEASE_MS = 6_000;
 /** How long ends of jobs are told, milliseconds. */
@@ -112,6 +112,7 @@
 interface ModelRun {
   readonly run: number;
   readonly startedMs: number;
+  readonly durationMs: number;
   readonly cpuMillis: number;
 }
 
@@ -171,13 +172,16 @@
     there.usedMillis += cpuMillis;
     if (there.usedMillis > CAPACITY.cpuMillis) this.overfilled++;
     const startedMs = this.#clock.monotonic();
-    there.running.set(order.task, { run: order.run, startedMs, cpuMillis });
-    if (this.#tasks.isGang(order)) this.#join(there, order);
+    const durationMs = this.#tasks.durationOf(order);
+    there.running.set(order.task, {
+      run: order.run,
+      startedMs,
+      durationMs,
+      cpuMillis,
+    });
+    if (this.#tasks.isGang(order)) this.#join(there, order, durationMs);
     else {
-      this.#clock.after(
-        this.#tasks.durationOf(order),
-        () => this.#end(there, order.task, "done"),
-      );
+      this.#clock.after(durationMs, () => this.#end(there, order.task, "done"));
     }
     const clockMs = this.#clock.monotonic();
     return Promise.resolve({ type: "started", clockMs } as const);
@@ -226,7 +230,7 @@
   }
 
   /** A gang works from the start of its last member on, and ends as one. */
-  #join(worker: ModelWorker, order: StartOrder): void {
+  #join(worker: ModelWorker, order: StartOrder, durationMs: number): void {
     const name = `${
       order.task.slice(0, order.task.lastIndexOf("."))
     } ${order.run}`;
@@ -234,7 +238,7 @@
     this.#gangs.set(name, gang);
     gang.members.push({ worker, task: order.task });
     gang.timer?.cancel();
-    gang.timer = this.#clock.after(this.#tasks.durationOf(order), () => {
+    gang.timer = this.#clock.after(durationMs, () => {
       this.#gangs.delete(name);
       for (const member of gang.members) {
         this.#end(member.worker, member.task, "done");
@@ -257,22 +261,22 @@
     return {
       clockMs: this.#clock.monotonic(),
       bornMs: 1,
-      running: [...worker.running].map(([task, { run, startedMs }]) => ({
+      running: [...worker.running].map((
+        [task, { run, startedMs, durationMs }],
+      ) => ({
         task,
         run,
         checkpoint: "",
-        percent: progressOf(this.#clock.monotonic() - startedMs),
+        percent: Math.min(
+          LAST_PERCENT,
+          100 * (this.#clock.monotonic() - startedMs) / durationMs,
+        ),
       })),
       ended: [...worker.ended],
     };
   }
 }
 
-/** Percent that only ever rises, whatever the run time. */
-function progressOf(elapsedMs: number): number {
-  return 99 * elapsedMs / (elapsedMs + LONG_RUN_MS);
-}
-
 /** Advice that takes its expected time and finds a share of the workers good, always the same for a step. */
 export function slowAdvice(
   clock: Clock,
--- a/bench/model/loads.ts
+++ b/bench/model/loads.ts
@@ -42,7 +42,7 @@
     factor: (queue, atMs) => queue === "billing" && inBurst(atMs) ? 1.8 : 1,
   },
   { name: "full_fleet", lengthMs: LENGTH_MS, factor: () => 1.25 },
-  { name: "overload", lengthMs: LENGTH_MS, factor: () => 1.6 },
+  { name: "overload", lengthMs: LENGTH_MS, factor: () => 2 },
   {
     name: "hot_team",
     lengthMs: LENGTH_MS,
--- a/src/cell/advice_desk.ts
+++ b/src/cell/advice_desk.ts
@@ -1,29 +1,22 @@
 /**
  * Asks the advice service through all instances.
  *
- * The service answers one call at a time for each calling instance, and calls
- * take from ten milliseconds to a second. So each instance is a lane, and slow
- * calls keep to some of the lanes. Nothing waits here: a question is chosen
- * when a lane is free, by what is first in line and has room then.
+ * Nothing waits here: a question is chosen when a lane is free, by what is
+ * first in line and has room then.
  *
  * @module
  */
 import type { Clock } from "../clock.ts";
 import type { Metrics } from "../metrics.ts";
-import type { Advice } from "./types.ts";
+import { lanesFor, type Pace, paceOf, paceOfQueue } from "./decisions/lanes.ts";
+import type { Advice, AdvicePolicy } from "./types.ts";
 
-/** Calls that take longer keep to the first lanes, milliseconds. */
-const SLOW_CALL_MS = 250;
-/** Calls that take longer leave the last lanes to quick ones, milliseconds. */
-const MEDIUM_CALL_MS = 30;
-/** Share of the lanes that slow calls may use. */
-const SLOW_LANES = 0.45;
-/** Share of the lanes that medium calls may use. */
-const MEDIUM_LANES = 0.75;
 /** A call is given up after its expected time, twice, and this, milliseconds. */
 const TIMEOUT_SLACK_MS = 400;
 /** A lane that failed rests so long, milliseconds. */
 const LANE_REST_MS = 1_000;
+/** The instances are looked up anew after this, milliseconds: the line is gone over more often. */
+const LANES_FOR_MS = 25;
 
 /** One question. */
 export interface Question {
@@ -43,20 +36,24 @@
 /** The desk of one cell. */
 export class AdviceDesk {
   readonly #ask: AskThrough;
-  readonly #lanes: () => readonly string[];
+  readonly #instances: () => readonly string[];
   readonly #clock: Clock;
   readonly #metrics: Metrics;
   readonly #busy = new Set<string>();
   readonly #restUntilMs = new Map<string, number>();
+  #lanes: readonly string[] = [];
+  #lanesAtMs = -Infinity;
+  /** Free lanes by class of question, until one is taken or comes free. */
+  readonly #free = new Map<Pace, readonly string[]>();
 
-  /** `lanes`: the instances that carry questions now. */
+  /** `instances`: those that carry questions now. */
   constructor(
     ask: AskThrough,
-    lanes: () => readonly string[],
+    instances: () => readonly string[],
     { clock, metrics }: { readonly clock: Clock; readonly metrics: Metrics },
   ) {
     this.#ask = ask;
-    this.#lanes = lanes;
+    this.#instances = instances;
     this.#clock = clock;
     this.#metrics = metrics;
   }
@@ -66,20 +63,22 @@
     return this.#busy.size;
   }
 
-  /** Whether a question of this length would be asked at once. */
-  isFree(expectedMs: number): boolean {
-    return this.#freeLane(expectedMs) !== undefined;
+  /** Questions of a queue that could be asked at once. */
+  freeFor(advice: AdvicePolicy): number {
+    return this.#freeLanes(paceOfQueue(advice)).length;
   }
 
   /** Asks through a free lane; `busy` if there is none. */
   async ask(question: Question): Promise<Advice> {
-    const lane = this.#freeLane(question.expectedMs);
+    const [lane] = this.#freeLanes(paceOf(question.expectedMs));
     if (lane === undefined) return { type: "busy" };
     const startedMs = this.#clock.monotonic();
     const timeoutMs = 2 * question.expectedMs + TIMEOUT_SLACK_MS;
     this.#busy.add(lane);
+    this.#free.clear();
     const advice = await this.#ask(lane, question, { timeoutMs });
     this.#busy.delete(lane);
+    this.#free.clear();
     const now = this.#clock.monotonic();
     if (advice.type !== "advised") {
       this.#restUntilMs.set(lane, now + LANE_REST_MS);
@@ -89,26 +88,19 @@
     return advice;
   }
 
-  #freeLane(expectedMs: number): string | undefined {
+  #freeLanes(pace: Pace): readonly string[] {
     const now = this.#clock.monotonic();
-    const allowed = lanesFor(this.#lanes(), expectedMs);
-    return allowed.find((lane) =>
+    if (now - this.#lanesAtMs >= LANES_FOR_MS) {
+      this.#lanesAtMs = now;
+      this.#lanes = this.#instances();
+      this.#free.clear();
+    }
+    const known = this.#free.get(pace);
+    if (known !== undefined) return known;
+    const free = lanesFor(this.#lanes, pace).filter((lane) =>
       !this.#busy.has(lane) && (this.#restUntilMs.get(lane) ?? 0) <= now
     );
+    this.#free.set(pace, free);
+    return free;
   }
 }
-
-/** Lanes that a call may use, the preferred first: quick ones begin at the end. */
-function lanesFor(
-  lanes: readonly string[],
-  expectedMs: number,
-): readonly string[] {
-  if (expectedMs > SLOW_CALL_MS) {
-    return lanes.slice(0, Math.max(1, Math.floor(lanes.length * SLOW_LANES)));
-  }
-  if (expectedMs > MEDIUM_CALL_MS) {
-    const end = Math.max(1, Math.floor(lanes.length * MEDIUM_LANES));
-    return lanes.slice(0, end).reverse();
-  }
-  return [...lanes].reverse();
-}
--- a/src/cell/advice_recall.ts
+++ b/src/cell/advice_recall.ts
@@ -5,7 +5,7 @@
  */
 import type { CellContext } from "./context.ts";
 import { queueOf } from "./context.ts";
-import { stepKey, type StepRun } from "./job.ts";
+import { noteTicket, stepKey, type StepRun } from "./job.ts";
 import type { RecalledAdvice } from "./types.ts";
 
 /** Steps that are asked about at most: more are not started in the first second. */
@@ -27,10 +27,10 @@
     .slice(0, MAX_STEPS);
   if (steps.length === 0) return;
   const byKey = new Map(steps.map((step) => [stepKey(step), step]));
-  for (const step of steps) step.advice.asking = true;
+  for (const step of steps) step.advice.asking++;
   const startedMs = clock.monotonic();
   const answers = await recall([...byKey.keys()]);
-  for (const step of steps) step.advice.asking = false;
+  for (const step of steps) step.advice.asking--;
   let verdicts = 0;
   for (const answer of answers) {
     const step = byKey.get(answer.step);
@@ -47,16 +47,15 @@
 
 /** Gives the number of verdicts. */
 function take(
-  { advice }: StepRun,
+  step: StepRun,
   { bad, good }: RecalledAdvice,
   nowMs: number,
 ): number {
-  for (const worker of bad) advice.verdicts.set(worker, false);
+  const { verdicts } = step.advice;
+  for (const worker of bad) verdicts.set(worker, false);
   for (const { worker, ticket, ageMs } of good) {
-    advice.verdicts.set(worker, true);
-    const atMs = nowMs - ageMs;
-    const newer = (advice.tickets.get(worker)?.atMs ?? -Infinity) > atMs;
-    if (!newer) advice.tickets.set(worker, { ticket, atMs });
+    verdicts.set(worker, true);
+    noteTicket(step, worker, { ticket, atMs: nowMs - ageMs });
   }
   return bad.length + good.length;
 }
--- a/src/cell/answer_watch.ts
+++ b/src/cell/answer_watch.ts
@@ -31,6 +31,11 @@
     this.#clock = clock;
   }
 
+  /** Time that an answer usually takes, milliseconds. */
+  get usualMs(): number {
+    return this.#usualMs;
+  }
+
   /** A transaction is sent. */
   sent(): Sent {
     const sent = { atMs: this.#clock.monotonic() };
--- a/src/cell/asker.ts
+++ b/src/cell/asker.ts
@@ -6,13 +6,18 @@
 import type { Timer } from "../clock.ts";
 import type { AdviceDesk } from "./advice_desk.ts";
 import { type CellContext, queueOf } from "./context.ts";
+import { type ChoiceContext, planQuestions } from "./decisions/questions.ts";
+import {
+  Claims,
+  NO_ROOMS,
+  type Rooms,
+  waitingTasks,
+} from "./decisions/room.ts";
 import { type FleetWorker, roomOn, tasksIn, weighsOn } from "./fleet.ts";
-import { stepKey, type StepRun } from "./job.ts";
-import type { Held, Search, SearchContext } from "./placement.ts";
-import { chooseAsked } from "./questions.ts";
-import { addTo } from "./reservations.ts";
+import { noteTicket, stepKey, type StepRun } from "./job.ts";
 import {
   type Advice,
+  type AdvicePolicy,
   type Amounts,
   NO_AMOUNTS,
   plus,
@@ -22,7 +27,11 @@
 /** A question that failed is asked again after this, milliseconds. */
 const ASK_AGAIN_MS = 200;
 /** A gang that no question helps now is looked at again after this, milliseconds: what a task takes to end. */
-const LOOK_AGAIN_MS = 50;
+const GANG_AGAIN_MS = 50;
+/** The same for other steps, milliseconds. */
+const STEP_AGAIN_MS = 20;
+/** A step waits so much longer than expected for an answer before it asks others, milliseconds. */
+const OVERDUE_MS = 250;
 /** Share of workers that may run a step, before any advice. */
 const FIRST_GOOD_SHARE = 0.4;
 /** Weight of new advice in the share of workers that may run a queue's steps. */
@@ -31,7 +40,13 @@
 const LEAST_GOOD_SHARE = 0.05;
 /** Questions above this cost hold the room that they ask about, milliseconds. */
 const HOLD_ABOVE_MS = 200;
-const NO_ROOMS: Held = new Map();
+
+/** One question about a step. */
+interface Asked {
+  readonly queue: Queue;
+  readonly workers: readonly FleetWorker[];
+  readonly expectedMs: number;
+}
 
 /** The questions of one holder. */
 export class Asker {
@@ -39,8 +54,8 @@
   readonly #desk: AdviceDesk;
   readonly #answered: (step: StepRun) => void;
   readonly #goodShares = new Map<string, number>();
-  /** Room held while a question about it is under way. */
-  readonly #holds = new Map<StepRun, Held>();
+  /** Room held while questions about it are under way. */
+  readonly #holds = new Map<StepRun, Rooms>();
   #lookTimer: Timer | undefined;
 
   /** `answered` is told of each answer, when room is still held for it. */
@@ -56,32 +71,21 @@
 
   /** Whether a step has no ticket and cannot ask for one now. */
   mustWait(step: StepRun): boolean {
-    const advice = queueOf(this.#context, step.job).advice;
+    const { advice } = queueOf(this.#context, step.job);
     if (advice === undefined || step.advice.tickets.size > 0) return false;
-    return step.advice.asking || !this.#desk.isFree(advice.baseMs);
-  }
-
-  /** Whether a question about a step may be asked now. */
-  mayAsk(step: StepRun): boolean {
-    const advice = queueOf(this.#context, step.job).advice;
-    const { asking, retryAtMs } = step.advice;
-    return advice !== undefined && !asking &&
-      retryAtMs <= this.#context.clock.monotonic() &&
-      this.#desk.isFree(advice.baseMs);
+    return !this.#mayAsk(step, advice);
   }
 
   /** Room that is held for a step. */
-  heldFor(step: StepRun): Held {
+  heldFor(step: StepRun): Rooms {
     return this.#holds.get(step) ?? NO_ROOMS;
   }
 
-  /** Room that is held for steps other than this one. */
-  heldBeside(step: StepRun | undefined): Map<string, Amounts> {
-    const held = new Map<string, Amounts>();
-    for (const [holder, rooms] of this.#holds) {
-      if (holder !== step) addTo(held, rooms);
-    }
-    return held;
+  /** Room that is held for all steps. */
+  claims(): Claims {
+    const claims = new Claims();
+    for (const rooms of this.#holds.values()) claims.add(rooms);
+    return claims;
   }
 
   /** Nothing is held for a step any more. */
@@ -89,56 +93,76 @@
     this.#holds.delete(step);
   }
 
-  /** Asks about a step if that may help; `busy`: its service has little room. */
+  /** Asks about a step if that may help now. */
   ask(
     step: StepRun,
-    search: Search,
-    { busy, ...context }: SearchContext & { readonly busy: boolean },
+    context: Omit<ChoiceContext, "goodShare" | "lanes">,
   ): void {
     const { queue, nowMs } = context;
-    const { advice } = step;
-    if (queue.advice === undefined || !this.mayAsk(step)) return;
-    const goodShare = this.#goodShareOf(queue);
-    const asked = chooseAsked(step, search, {
+    if (queue.advice === undefined || !this.#mayAsk(step, queue.advice)) return;
+    const questions = planQuestions(step, {
       ...context,
-      goodShare,
-      busy,
+      goodShare: this.#goodShareOf(queue),
+      lanes: this.#desk.freeFor(queue.advice),
     });
-    if (asked.length === 0) {
-      if (step.spec.gang) this.#lookAgain(step, nowMs);
-      return;
-    }
-    advice.asking = true;
-    const expectedMs = queue.advice.baseMs +
-      asked.length * queue.advice.perWorkerMs;
-    if (expectedMs > HOLD_ABOVE_MS) this.#hold(step, asked);
-    const question = {
+    if (questions.length === 0) return this.#lookAgain(step, nowMs);
+    const { baseMs, perWorkerMs } = queue.advice;
+    const asked = questions.map((workers): Asked => ({
+      queue,
+      workers,
+      expectedMs: baseMs + workers.length * perWorkerMs,
+    }));
+    const slow = asked.some(({ expectedMs }) => expectedMs > HOLD_ABOVE_MS);
+    if (slow) this.#hold(step, questions.flat());
+    for (const question of asked) void this.#askOne(step, question);
+  }
+
+  #mayAsk(step: StepRun, advice: AdvicePolicy): boolean {
+    const { asking, retryAtMs } = step.advice;
+    return asking === 0 && retryAtMs <= this.#context.clock.monotonic() &&
+      this.#desk.freeFor(advice) > 0;
+  }
+
+  async #askOne(step: StepRun, asked: Asked): Promise<void> {
+    const { clock, kick } = this.#context;
+    const { workers, expectedMs } = asked;
+    const { advice } = step;
+    const askedMs = clock.monotonic();
+    let overdue = false;
+    const settle = () => {
+      advice.asking--;
+      if (advice.asking === 0) this.release(step);
+    };
+    advice.asking++;
+    const timer = clock.after(expectedMs + OVERDUE_MS, () => {
+      overdue = true;
+      settle();
+      kick();
+    });
+    const answer = await this.#desk.ask({
       step: stepKey(step),
-      workers: asked.map((worker) => worker.id),
+      workers: workers.map(({ id }) => id),
       expectedMs,
-    };
-    this.#desk.ask(question).then((answer) => {
-      advice.asking = false;
-      this.#tell(step, answer, {
-        asked: asked.length,
-        tookMs: Math.round(this.#context.clock.monotonic() - nowMs),
-        expectedMs: Math.round(expectedMs),
-      });
-      if (answer.type === "advised") {
-        this.#learn(step, { queue, asked, tickets: answer.tickets });
-      } else {
-        advice.retryAtMs = this.#context.clock.monotonic() + ASK_AGAIN_MS;
-      }
-      this.#answered(step);
-      this.release(step);
     });
+    timer.cancel();
+    this.#tell(step, answer, {
+      asked: workers.length,
+      tookMs: Math.round(clock.monotonic() - askedMs),
+      expectedMs: Math.round(expectedMs),
+    });
+    if (answer.type === "advised") {
+      this.#learn(step, { asked, tickets: answer.tickets });
+    } else advice.retryAtMs = clock.monotonic() + ASK_AGAIN_MS;
+    this.#answered(step);
+    if (!overdue) settle();
   }
 
   /** Spares the search for a while; room that comes free meanwhile is looked at then. */
   #lookAgain(step: StepRun, nowMs: number): void {
-    step.advice.retryAtMs = nowMs + LOOK_AGAIN_MS;
+    const againMs = step.spec.gang ? GANG_AGAIN_MS : STEP_AGAIN_MS;
+    step.advice.retryAtMs = nowMs + againMs;
     const { clock, kick } = this.#context;
-    this.#lookTimer ??= clock.after(LOOK_AGAIN_MS, () => {
+    this.#lookTimer ??= clock.after(againMs, () => {
       this.#lookTimer = undefined;
       kick();
     });
@@ -168,7 +192,7 @@
     const { verdicts } = step.advice;
     const amounts = weighsOn(step);
     const held = new Map<string, Amounts>();
-    let left = step.tasks.filter((task) => task.phase === "waiting").length;
+    let left = waitingTasks(step).length;
     for (const worker of asked) {
       if (verdicts.get(worker.id) !== true) continue;
       const most = Math.min(left, tasksIn(roomOn(worker), amounts));
@@ -180,25 +204,22 @@
 
   #learn(
     step: StepRun,
-    { queue, asked, tickets }: {
-      readonly queue: Queue;
-      readonly asked: readonly FleetWorker[];
+    { asked: { queue, workers }, tickets }: {
+      readonly asked: Asked;
       readonly tickets: ReadonlyMap<string, string>;
     },
   ): void {
     const atMs = this.#context.clock.monotonic();
     let fresh = 0;
     let good = 0;
-    for (const worker of asked) {
+    for (const worker of workers) {
       const ticket = tickets.get(worker.id);
       if (!step.advice.verdicts.has(worker.id)) {
         fresh++;
         if (ticket !== undefined) good++;
       }
       step.advice.verdicts.set(worker.id, ticket !== undefined);
-      if (ticket !== undefined) {
-        step.advice.tickets.set(worker.id, { ticket, atMs });
-      }
+      if (ticket !== undefined) noteTicket(step, worker.id, { ticket, atMs });
     }
     if (fresh === 0) return;
     const share = this.#goodShareOf(queue);
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ResultAsync } from "neverthrow";
+import { ResultAsync } from "neverthrow";
 import { sleep } from "../clock.ts";
 import type { StoreFailure } from "../errors.ts";
 import { recallAdvice } from "./advice_recall.ts";
@@ -14,21 +14,16 @@
 import { Housekeeping } from "./housekeeping.ts";
 import { type EndedJob, type Job, newJob, stateOf } from "./job.ts";
 import { JobLog } from "./job_log.ts";
-import { Durations } from "./order.ts";
+import { firstStartMs, isHopeless, patienceMs } from "./decisions/admission.ts";
+import { Durations } from "./decisions/order.ts";
 import { adopt, readLegacy } from "./recovery.ts";
 import { Runs } from "./runs.ts";
 import { Scheduler } from "./scheduler.ts";
 import { queueNamed, teamNamed } from "./set_index.ts";
 import type { JobSpec, JobState } from "./types.ts";
-import { WeightMeter } from "./weight_meter.ts";
+import { WeightMeter } from "./decisions/weight_meter.ts";
 import { WorkerList } from "./worker_list.ts";
 
-/** While the store does not answer a submission waits for this part of its queue's objective; source: the platform prices refusals that come later. */
-const PATIENCE = 0.25;
-/** Time that is left of that for the answer's way, milliseconds. */
-const PATIENCE_MARGIN_MS = 20;
-/** Longest such wait, milliseconds: clients come back after a second. */
-const MAX_PATIENCE_MS = 600;
 /** A waiting submission is looked at this often, milliseconds. */
 const LOOK_EVERY_MS = 40;
 /** A former holder that hears nobody stops within this time, milliseconds. */
@@ -109,7 +104,7 @@
     this.#list = new WorkerList(
       this.#context,
       options.directory,
-      (id) => void this.#follower.follow(this.#context.fleet.open(id)),
+      (id) => this.#follower.follow(this.#context.fleet.open(id)),
     );
     this.#housekeeping = new Housekeeping(this.#context, {
       runs: this.#runs,
@@ -123,14 +118,12 @@
   recover(): ResultAsync<void, StoreFailure> {
     const { store, log, clock } = this.#options;
     const startedMs = clock.monotonic();
-    return readLegacy(store, log)
-      .andThen((legacy) =>
-        this.#options.directory.workers().map(({ workers }) => {
-          adopt(this.#context, legacy, { holdLimitMs: HOLD_LIMIT_MS });
-          return workers;
-        })
-      )
-      .map((workers) => {
+    return ResultAsync.combine([
+      readLegacy(store, log),
+      this.#options.directory.workers(),
+    ])
+      .map(([legacy, { workers }]) => {
+        adopt(this.#context, legacy, { holdLimitMs: HOLD_LIMIT_MS });
         this.#list.take(workers);
         for (const job of this.#context.jobs.values()) {
           reviewJob(this.#context, job);
@@ -201,9 +194,15 @@
     return counts;
   }
 
-  /** Writes what is still to be written. */
-  drain(timeoutMs: number): Promise<void> {
-    return this.#context.jobLog.drained(timeoutMs);
+  /** Starts nothing more and waits until what waits now is written. Submissions are still accepted. */
+  async settle(timeoutMs: number): Promise<void> {
+    this.#scheduler.pause();
+    await this.#context.jobLog.drained(timeoutMs);
+  }
+
+  /** Starts tasks again: no other instance has taken the cell. */
+  resume(): void {
+    this.#scheduler.resume();
   }
 
   /** Ends all work of this holder without a trace at the workers. */
@@ -222,6 +221,19 @@
     if (policy === undefined) return { type: "unknown" };
     const startedMs = clock.monotonic();
     const team = teamNamed(set(), submission.team);
+    const stuckMs = this.#context.jobLog.stuckMs();
+    if (isHopeless(policy, stuckMs)) {
+      log.info("job.refused", {
+        job: submission.id,
+        queue: submission.queue,
+        team: submission.team,
+        set: set().version,
+        fence,
+        storeStuckMs: Math.round(stuckMs),
+        reason: "storeAway",
+      });
+      return { type: "refused", reason: "storeAway" };
+    }
     const job = newJob({
       ...submission,
       policy,
@@ -256,12 +268,9 @@
   /** Waits for the store; takes the job back if the store is away and no transaction carries it. */
   async #stored(job: Job): Promise<SubmitOutcome> {
     const { clock, jobLog } = this.#context;
-    const patienceMs = Math.min(
-      MAX_PATIENCE_MS,
-      PATIENCE * job.policy.objectiveMs - PATIENCE_MARGIN_MS,
-    );
-    const endMs = clock.monotonic() + patienceMs;
-    const saving = persist(this.#context, job, { submission: true });
+    const endMs = clock.monotonic() + patienceMs(job.policy);
+    const withinMs = firstStartMs(job.policy);
+    const saving = persist(this.#context, job, { submission: true, withinMs });
     for (;;) {
       const saved = await Promise.race([
         saving,
--- a/src/cell/commits.ts
+++ b/src/cell/commits.ts
@@ -58,6 +58,11 @@
     return this.#underWay;
   }
 
+  /** Time that an answer usually takes, milliseconds. */
+  get usualMs(): number {
+    return this.#watch.usualMs;
+  }
+
   /** Whether the store seems to be away: what is sent now may stay unknown. */
   get isDoubtful(): boolean {
     return this.#stuckSinceMs !== undefined || this.#watch.isOverdue;
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -16,7 +16,7 @@
   type StepRun,
 } from "./job.ts";
 import type { JobLog } from "./job_log.ts";
-import type { Durations } from "./order.ts";
+import type { Durations } from "./decisions/order.ts";
 import type { WorkerOrders } from "./ports.ts";
 import type { Saved } from "./write_batch.ts";
 import { queueNamed, teamNamed } from "./set_index.ts";
@@ -82,10 +82,10 @@
 export async function persist(
   context: CellContext,
   job: Job,
-  { submission = false } = {},
+  options: { readonly submission?: boolean; readonly withinMs?: number } = {},
 ): Promise<Saved> {
   const state = stateOf(job);
-  const saved = await context.jobLog.save(job, { submission });
+  const saved = await context.jobLog.save(job, options);
   if (saved === "saved" && !hasEnded(job)) job.shown = state;
   return saved;
 }
--- a/src/cell/decisions/order.ts
+++ b/src/cell/decisions/order.ts
@@ -35,9 +35,11 @@
 
 /** Place of a step in the line: lower goes first, field by field. */
 export interface Rank {
-  /** 0: in time; 1: late, still worth something; 2: beyond its team's weight; 3: worthless. */
+  /** 0: in time; 1: late, still worth something; 2: deferrable and beyond its team's weight; 3: worthless. */
   readonly lateness: number;
   readonly priority: number;
+  /** 1 for urgent work that its team sent beyond its weight: it goes behind its like. */
+  readonly excess: number;
   /** Latest start that is in time, Unix milliseconds. */
   readonly startByMs: number;
 }
@@ -54,6 +56,7 @@
   },
 ): Rank {
   const { job, spec } = step;
+  const priority = queue?.priority ?? 0;
   const taskMs = durations.of(job.queue, spec.estimateMs);
   const chains = chainsOf(job.spec);
   const objectiveMs = (queue?.stretch ?? 1) * chains.whole * taskMs +
@@ -62,8 +65,9 @@
   const startByMs = dueMs + objectiveMs - restMs;
   const lastMs = dueMs + WORTHLESS_AFTER * objectiveMs - restMs;
   return {
-    lateness: latenessOf(step, { nowMs, startByMs, lastMs }),
-    priority: queue?.priority ?? 0,
+    lateness: latenessOf(step, { priority, nowMs, startByMs, lastMs }),
+    priority,
+    excess: job.owed ? 0 : 1,
     startByMs,
   };
 }
@@ -71,18 +75,19 @@
 /** Orders ranks. */
 export function compareRanks(a: Rank, b: Rank): number {
   return a.lateness - b.lateness || a.priority - b.priority ||
-    a.startByMs - b.startByMs;
+    a.excess - b.excess || a.startByMs - b.startByMs;
 }
 
 function latenessOf(
   step: StepRun,
-  { nowMs, startByMs, lastMs }: {
+  { priority, nowMs, startByMs, lastMs }: {
+    readonly priority: number;
     readonly nowMs: number;
     readonly startByMs: number;
     readonly lastMs: number;
   },
 ): number {
-  if (!step.job.owed) return 2;
+  if (!step.job.owed && priority > 0) return 2;
   if (step.spec.longRunning || nowMs <= startByMs) return 0;
   return nowMs <= lastMs ? 1 : 3;
 }
--- /dev/null
+++ b/src/cell/decisions/placement_test.ts
@@ -0,0 +1,130 @@
+import test from "ava";
+import { testQueue } from "../_fixtures_test.ts";
+import { Fleet, roomOn } from "../fleet.ts";
+import { noteTicket, type StepRun } from "../job.ts";
+import { newRun } from "../run.ts";
+import type { Queue } from "../types.ts";
+import {
+  largeFleet,
+  openWorker,
+  searchIn,
+  SLOW_QUEUE,
+  stepOf,
+} from "./_fixtures_test.ts";
+import { findPlaces } from "./placement.ts";
+import { Claims, RoomIndex, waitingTasks } from "./room.ts";
+
+const PLAIN = testQueue();
+/** Sizes of tasks of the large deployment, in turn, thousandths of processors. */
+const TASK_MILLIS = [18_000, 11_000, 16_000, 24_000, 7_000];
+
+function place(step: StepRun, fleet: Fleet, queue: Queue): number {
+  const { places } = findPlaces(step, searchIn(fleet, queue));
+  for (const { task, worker } of places) {
+    task.phase = "assigned";
+    fleet.take(newRun(step, { task, worker, nowMs: 0 }));
+  }
+  return places.length;
+}
+
+function stepOfMillis(cpuMillis: number, tasks: number): StepRun {
+  const amounts = { cpuMillis, memoryMib: 1, accelerators: 0 };
+  return stepOf({ tasks, amounts });
+}
+
+test("a fleet fills up without a worker over its capacity, until nothing fits", (t) => {
+  const fleet = largeFleet(() => 0);
+  const steps = Array.from(
+    { length: 300 },
+    (_, index) => stepOfMillis(TASK_MILLIS[index % TASK_MILLIS.length]!, 10),
+  );
+  for (const step of steps) place(step, fleet, PLAIN);
+  const free = [...fleet.workers.values()].map((one) => roomOn(one).cpuMillis);
+  t.true(free.every((millis) => millis >= 0));
+  const waiting = steps.filter((step) => waitingTasks(step).length > 0);
+  t.true(waiting.length > 0);
+  const smallest = Math.min(
+    ...waiting.map(({ spec }) => spec.amounts.cpuMillis),
+  );
+  t.true(free.every((millis) => millis < smallest));
+});
+
+test("small tasks go to the fullest workers, so that large room stays whole", (t) => {
+  const fleet = largeFleet((index) => index < 100 ? 50_000 : 0);
+  place(stepOfMillis(11_000, 100), fleet, PLAIN);
+  const whole = [...fleet.workers.values()]
+    .filter(({ used }) => used.cpuMillis === 0);
+  t.is(whole.length, 280);
+});
+
+test("a step that needs advice is placed with fresh tickets alone", (t) => {
+  const fleet = largeFleet(() => 0);
+  const step = stepOf({ tasks: 2 }, { queue: SLOW_QUEUE });
+  const at = (nowMs: number) =>
+    findPlaces(step, searchIn(fleet, SLOW_QUEUE, { nowMs }));
+  t.is(at(0).reason, "noAdvice");
+  noteTicket(step, "w7", { ticket: "old", atMs: 0 });
+  noteTicket(step, "w9", { ticket: "new", atMs: 1_000 });
+  const { places } = at(1_600);
+  t.deepEqual(
+    places.map(({ worker, ticket }) => [worker.id, ticket]),
+    [["w9", "new"], ["w9", "new"]],
+  );
+  t.is(at(3_000).reason, "noAdvice");
+});
+
+test("a step without a fresh ticket looks at no worker", (t) => {
+  const fleet = largeFleet(() => 0);
+  const step = stepOf({}, { queue: SLOW_QUEUE });
+  for (const id of fleet.workers.keys()) {
+    noteTicket(step, id, { ticket: "old", atMs: 0 });
+  }
+  let looks = 0;
+  const { get } = fleet.workers;
+  fleet.workers.get = (id) => {
+    looks++;
+    return get.call(fleet.workers, id);
+  };
+  const context = searchIn(fleet, SLOW_QUEUE, { nowMs: 5_000 });
+  t.is(findPlaces(step, context).reason, "noAdvice");
+  t.is(looks, 0);
+});
+
+test("a gang is placed whole or not at all", (t) => {
+  const fleet = new Fleet();
+  openWorker(fleet, "w1");
+  const gang = stepOf({ gang: true, tasks: 5 });
+  const { places, reason } = findPlaces(gang, searchIn(fleet, PLAIN));
+  t.deepEqual([places.length, reason], [0, "gangIncomplete"]);
+  openWorker(fleet, "w2");
+  t.is(findPlaces(gang, searchIn(fleet, PLAIN)).places.length, 5);
+});
+
+test("a gang of one rack takes a rack that holds it", (t) => {
+  const fleet = new Fleet();
+  for (const id of ["w1", "w2", "w3"]) {
+    const rack = id === "w1" ? "rack-1" : "rack-2";
+    openWorker(fleet, id, { labels: ["kind", rack] });
+  }
+  const gang = stepOf({ gang: true, sameRack: true, tasks: 6 });
+  const { places } = findPlaces(gang, searchIn(fleet, PLAIN));
+  t.deepEqual(
+    new Set(places.map(({ worker }) => worker.id)),
+    new Set(["w2", "w3"]),
+  );
+});
+
+test("urgent steps take room that others wait for, but last", (t) => {
+  const fleet = new Fleet();
+  openWorker(fleet, "w1");
+  openWorker(fleet, "w2");
+  const wanted = new Claims();
+  wanted.add(new Map([["w1", openWorker(fleet, "w1").entry!.capacity]]));
+  const step = stepOf({ tasks: 5 });
+  const context = searchIn(fleet, PLAIN, {
+    wanted,
+    index: new RoomIndex(fleet, 0),
+  });
+  const ids = findPlaces(step, context).places.map(({ worker }) => worker.id);
+  t.deepEqual(ids, ["w2", "w2", "w2", "w2", "w1"]);
+});
--- a/src/cell/decisions/reservations.ts
+++ b/src/cell/decisions/reservations.ts
@@ -163,7 +163,9 @@
   const { verdicts } = step.advice;
   const good: FleetWorker[] = [];
   for (const worker of fleet.workers.values()) {
-    if (queue.advice !== undefined && verdicts.get(worker.id) !== true) continue;
+    if (queue.advice !== undefined && verdicts.get(worker.id) !== true) {
+      continue;
+    }
     if (!isEligible(step, worker, context)) continue;
     if (mostOn(step, worker) > 0) good.push(worker);
   }
--- a/src/cell/decisions/weight_meter.ts
+++ b/src/cell/decisions/weight_meter.ts
@@ -2,7 +2,8 @@
  * Tells which submissions are within the weight of their team.
  *
  * Load pattern: one team that sends many times its usual. What is beyond its
- * weight stands behind the work of the others.
+ * weight stands behind the work of the others: urgent work behind urgent work,
+ * deferrable work behind all that can be of use.
  *
  * @module
  */
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -14,6 +14,10 @@
 
 /** A report is asked for this often if nothing ends, milliseconds; leases last six times as long. */
 const LOOK_WAIT_MS = 1_000;
+/** First reports that are waited for at once. */
+const MEET_AT_ONCE = 24;
+/** Longest wait for a first report before the next worker is asked, milliseconds. */
+const MEET_FOR_MS = 40;
 /** Delay before a worker that did not answer is asked again, milliseconds. */
 const LOOK_AGAIN_MS = 250;
 /** Refused connections in a row after which the process is taken as dead. */
@@ -29,6 +33,10 @@
   readonly #runs: Runs;
   readonly #endings: Endings;
   readonly #followed = new Set<string>();
+  /** Workers that have not been asked yet. */
+  readonly #unmet: FleetWorker[] = [];
+  /** First reports that are waited for. */
+  #meeting = 0;
   #closed = false;
 
   constructor(context: CellContext, runs: Runs) {
@@ -37,18 +45,12 @@
     this.#endings = new Endings(context, runs);
   }
 
-  /** Follows a worker until it is forgotten. Resolves after its first answer or failure. */
-  follow(worker: FleetWorker): Promise<void> {
-    if (this.#followed.has(worker.id)) return Promise.resolve();
+  /** Follows a worker until it is forgotten. */
+  follow(worker: FleetWorker): void {
+    if (this.#followed.has(worker.id)) return;
     this.#followed.add(worker.id);
-    const first = this.#look(worker, { waitMs: 0 }).then(() => {});
-    first.then(() => this.#loop(worker)).catch((error) =>
-      this.#context.log.error("follower.failed", {
-        worker: worker.id,
-        reason: String((error as Error).stack ?? error),
-      })
-    );
-    return first;
+    this.#unmet.push(worker);
+    this.#meetNext();
   }
 
   /** Takes a report at once, besides the loop. */
@@ -61,6 +63,27 @@
     this.#closed = true;
   }
 
+  /** Asks the next workers for their first report: hundreds at once would keep clients waiting after a takeover. */
+  #meetNext(): void {
+    while (!this.#closed && this.#meeting < MEET_AT_ONCE) {
+      const worker = this.#unmet.shift();
+      if (worker === undefined) return;
+      this.#meeting++;
+      const met = this.#look(worker, { waitMs: 0 });
+      const limit = sleep(this.#context.clock, MEET_FOR_MS);
+      void Promise.race([met, limit]).then(() => {
+        this.#meeting--;
+        this.#meetNext();
+      });
+      met.then(() => this.#loop(worker)).catch((error) =>
+        this.#context.log.error("follower.failed", {
+          worker: worker.id,
+          reason: String((error as Error).stack ?? error),
+        })
+      );
+    }
+  }
+
   async #loop(worker: FleetWorker): Promise<void> {
     const { clock, fleet, orders } = this.#context;
     let refusals = 0;
@@ -114,13 +137,12 @@
       return "failed";
     }
     this.#noteLife(worker, report);
-    const unknownClock = worker.clockOffsetMs === undefined;
     worker.clockOffsetMs = report.clockMs - clock.monotonic();
+    const before = worker.reportedMs === 0 ? "unknown" : "silent";
     worker.reportedMs = sentMs;
-    if (!worker.reachable) this.#regained(worker);
+    if (!worker.reachable) this.#regained(worker, before);
     this.#take(worker, { report, sentMs });
-    // The first look could not name a time on the worker's clock.
-    return unknownClock ? await this.#look(worker, { waitMs: 0 }) : "report";
+    return "report";
   }
 
   #failed(worker: FleetWorker, failure: LookFailure): Look {
@@ -147,13 +169,16 @@
     return failure.type === "refused" ? "refused" : "failed";
   }
 
-  #regained(worker: FleetWorker): void {
+  #regained(worker: FleetWorker, before: "unknown" | "silent"): void {
     worker.reachable = true;
-    this.#context.log.info("worker.answers", {
-      worker: worker.id,
-      fence: this.#context.fence,
-      runs: worker.runs.size,
-    });
+    // All workers answer for the first time after a takeover: the load line counts them.
+    if (before === "silent") {
+      this.#context.log.info("worker.answers", {
+        worker: worker.id,
+        fence: this.#context.fence,
+        runs: worker.runs.size,
+      });
+    }
     this.#context.kick();
   }
 
@@ -210,7 +235,11 @@
   #acknowledgeOnceSaved(worker: FleetWorker, changed: Iterable<Job>): void {
     const upTo = worker.handled;
     const bornMs = worker.bornMs;
-    const saves = [...changed].map((job) => persist(this.#context, job));
+    // What is left of a job often ends soon after: one transaction does for both.
+    const withinMs = this.#context.jobLog.gatherEndsMs;
+    const saves = [...changed].map((job) =>
+      persist(this.#context, job, isOver(job) ? {} : { withinMs })
+    );
     const before = worker.saving;
     worker.saving = Promise.all([before, ...saves]).then(([, ...saved]) => {
       const held = saved.every((one) => one === "saved");
--- a/src/cell/gateway.ts
+++ b/src/cell/gateway.ts
@@ -12,6 +12,7 @@
 import type { Metrics } from "../metrics.ts";
 import type { Peers } from "../ports/peers.ts";
 import type { Cell, Submission } from "./cell.ts";
+import type { RefusalReason } from "./decisions/admission.ts";
 import type { Leadership } from "./leadership.ts";
 import {
   type CancelAnswer,
@@ -39,9 +40,6 @@
   | { readonly type: "refused"; readonly reason: RefusalReason }
   | { readonly type: "unknown" };
 
-/** Why nothing was done. */
-export type RefusalReason = "noHolder" | "storeAway" | "overload";
-
 /** The call did not get to a holder. */
 interface NoHolder {
   readonly type: "notHolder";
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -41,15 +41,22 @@
   readonly advice: StepAdvice;
 }
 
+/** Permission to run a step on a worker. */
+export interface Ticket {
+  readonly ticket: string;
+  /** When it was given, monotonic milliseconds. */
+  readonly atMs: number;
+}
+
 /** What the advice service said of a step. */
 export interface StepAdvice {
   /** Whether a worker may run the step; this never changes. */
   readonly verdicts: Map<string, boolean>;
-  readonly tickets: Map<
-    string,
-    { readonly ticket: string; readonly atMs: number }
-  >;
-  asking: boolean;
+  readonly tickets: Map<string, Ticket>;
+  /** When the newest ticket was given, monotonic milliseconds; -Infinity without one. */
+  ticketedMs: number;
+  /** Questions that are waited for. */
+  asking: number;
   /** No question before this time, milliseconds of the monotonic clock. */
   retryAtMs: number;
 }
@@ -135,7 +142,8 @@
     advice: {
       verdicts: new Map(),
       tickets: new Map(),
-      asking: false,
+      ticketedMs: -Infinity,
+      asking: 0,
       retryAtMs: 0,
     },
   }));
@@ -143,6 +151,18 @@
   return steps;
 }
 
+/** Takes note of a ticket for a worker unless a newer one is known. */
+export function noteTicket(
+  { advice }: StepRun,
+  worker: string,
+  ticket: Ticket,
+): void {
+  const before = advice.tickets.get(worker)?.atMs ?? -Infinity;
+  if (before > ticket.atMs) return;
+  advice.tickets.set(worker, ticket);
+  advice.ticketedMs = Math.max(advice.ticketedMs, ticket.atMs);
+}
+
 /** Name of a step to the advice service. */
 export function stepKey({ job, occurrence, index }: StepRun): string {
   return `${job.id}.${occurrence}.${index}`;
--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -28,10 +28,16 @@
 
 /** Changes gather for so long before they are written, milliseconds: a fifth of the wait that a human notices. */
 const GATHER_MS = 20;
+/** Whether all is written is looked at this often, milliseconds: a write of the store nearby. */
+const DRAIN_LOOK_MS = 5;
 /** Delay before a job is written again that no transaction carried, and between looks for a store that is away, milliseconds. */
 const RETRY_MS = 60;
 /** Most transactions under way: those of half a second at the largest rate that gathering gives. */
-const MAX_UNDER_WAY = 32;
+export const MAX_UNDER_WAY = 96;
+/** Part of the usual time of a transaction for which an end waits for the next of its job. */
+const GATHER_ENDS_PART = 0.3;
+/** Longest such wait, milliseconds: the worker is not asked meanwhile. */
+const GATHER_ENDS_MS = 100;
 
 /** What the log has done since it was last asked. */
 export interface JobLogWork {
@@ -78,12 +84,17 @@
     this.#revisions.set(id, revision);
   }
 
-  /** Writes a job as it is at the next commit; resolves once the store holds that. */
-  save(job: Job, { submission = false } = {}): Promise<Saved> {
+  /**
+   * Writes a job as it is at the next commit; resolves once the store holds
+   * that. With `withinMs` it waits so long for the job's next change, milliseconds.
+   */
+  save(job: Job, { submission = false, withinMs = 0 } = {}): Promise<Saved> {
     if (this.#closed) return Promise.resolve("deposed");
+    const nowMs = this.#options.clock.monotonic();
     const pending = this.#pending.get(job.id) ??
-      { job, submission: false, retryAtMs: 0, waiters: [] };
+      { job, submission: false, retryAtMs: 0, notBeforeMs: 0, waiters: [] };
     pending.submission ||= submission;
+    pending.notBeforeMs = withinMs === 0 ? 0 : nowMs + withinMs;
     this.#pending.set(job.id, pending);
     const saved = new Promise<Saved>((resolve) =>
       pending.waiters.push(resolve)
@@ -105,6 +116,11 @@
     this.#schedule();
   }
 
+  /** How long the end of a run waits for others of its job, milliseconds: a slow store makes the second wait for the first. */
+  get gatherEndsMs(): number {
+    return Math.min(GATHER_ENDS_MS, GATHER_ENDS_PART * this.#commits.usualMs);
+  }
+
   /** Time for which nothing has got through, milliseconds. */
   stuckMs(): number {
     return this.#commits.stuckMs();
@@ -116,13 +132,16 @@
     return { commits: answered, slowestMs, waiting: this.#pending.size };
   }
 
-  /** Resolves once nothing waits to be written, or after `timeoutMs`. */
+  /** Resolves once all that waits now is written, or after `timeoutMs`. */
   async drained(timeoutMs: number): Promise<void> {
     const { clock } = this.#options;
     const end = clock.monotonic() + timeoutMs;
-    const isIdle = () => this.#busy.size === 0 && this.#pending.size === 0;
-    while (!isIdle() && !this.#closed && clock.monotonic() < end) {
-      await sleep(clock, GATHER_MS);
+    const waiting = new Set([...this.#busy, ...this.#pending.keys()]);
+    while (waiting.size > 0 && !this.#closed && clock.monotonic() < end) {
+      await sleep(clock, DRAIN_LOOK_MS);
+      for (const id of waiting) {
+        if (!this.#busy.has(id) && !this.#pending.has(id)) waiting.delete(id);
+      }
     }
   }
 
@@ -154,8 +173,11 @@
     const free = [...this.#pending.values()].filter(({ job }) =>
       isFree(job.id)
     );
-    const due = free.filter(({ retryAtMs }) => retryAtMs <= clock.monotonic());
-    if (due.length < free.length) this.#schedule(RETRY_MS);
+    const nowMs = clock.monotonic();
+    const due = free.filter(({ retryAtMs, notBeforeMs }) =>
+      retryAtMs <= nowMs && notBeforeMs <= nowMs
+    );
+    if (due.length < free.length) this.#schedule();
     const batches = packBatches(
       {
         pending: due,
@@ -250,6 +272,7 @@
       else {
         newer.submission ||= entry.submission;
         newer.retryAtMs = retryAtMs;
+        newer.notBeforeMs = 0;
         newer.waiters.push(...entry.waiters);
       }
     }
--- a/src/cell/job_log_test.ts
+++ b/src/cell/job_log_test.ts
@@ -249,3 +249,40 @@
   t.is(await Promise.race([saved[1], "waits"]), "saved");
   log.close();
 });
+
+test("a submission under a slow store shares its transaction with its first starts", async (t) => {
+  const { clock, store, log } = await open();
+  store.answerMs = 340;
+  const [job] = jobs(1);
+  const accepted = log.save(job!, { submission: true, withinMs: 55 });
+  await clock.run(40);
+  t.is(store.underWay, 0);
+  const started = log.save(job!);
+  await clock.run(30);
+  t.is(store.underWay, 1);
+  await clock.run(340);
+  t.deepEqual(await Promise.all([accepted, started]), ["saved", "saved"]);
+  t.is(store.commits, 1);
+});
+
+test("a submission that finds no place is written all the same", async (t) => {
+  const { clock, store, log } = await open();
+  const [job] = jobs(1);
+  const accepted = log.save(job!, { submission: true, withinMs: 55 });
+  await clock.run(100);
+  t.is(await accepted, "saved");
+  t.is(store.commits, 1);
+});
+
+test("a drain waits for what waits now, not for what comes later", async (t) => {
+  const { clock, log } = await open();
+  const [first, ...later] = jobs(40);
+  void log.save(first!);
+  let drained = false;
+  void log.drained(10_000).then(() => drained = true);
+  for (const job of later) {
+    void log.save(job);
+    await clock.run(2, 2);
+  }
+  t.true(drained);
+});
--- a/src/cell/node.ts
+++ b/src/cell/node.ts
@@ -31,8 +31,8 @@
 const CELL = "cell/0";
 /** Longest wait for the set of another instance, milliseconds: half a megabyte over a slow link. */
 const SET_TIMEOUT_MS = 1_500;
-/** Longest wait for the last writes when the process leaves, milliseconds. */
-const DRAIN_MS = 800;
+/** Longest wait for the last writes before the cell is handed over, milliseconds: nothing is started meanwhile. */
+const SETTLE_MS = 300;
 /** A recovery that failed is tried again after this, milliseconds. */
 const RECOVER_AGAIN_MS = 200;
 /** What an empty deployment has in force. */
@@ -142,7 +142,7 @@
     this.gateway = new Gateway({
       peers: this.#peers,
       leadership: this.#leadership,
-      cell: () => this.#leaving ? undefined : this.#cell,
+      cell: () => this.#cell,
       set: this.set,
       clock,
       metrics,
@@ -162,12 +162,13 @@
     return !this.#leaving && this.gateway.ready;
   }
 
-  /** Writes what is to be written and hands the cell to another instance. */
+  /** Hands the cell to another instance; it serves clients until that has it. */
   async leave(): Promise<void> {
     const cell = this.#cell;
     this.#leaving = true;
-    await cell?.drain(DRAIN_MS);
-    await this.#leadership.yield();
+    await cell?.settle(SETTLE_MS);
+    const taken = await this.#leadership.yield();
+    if (!taken) cell?.resume();
   }
 
   /** Ends the links to other instances. */
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -12,7 +12,7 @@
 } from "./context.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
 import { dueMs, isOver, type Job, type StepRun } from "./job.ts";
-import type { Place } from "./placement.ts";
+import type { Place } from "./decisions/placement.ts";
 import type { StartAnswer } from "./ports.ts";
 import { addressOf, gangCheckpoint, leaseBoundMs, newRun } from "./run.ts";
 
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -8,31 +8,30 @@
 import type { AdviceDesk } from "./advice_desk.ts";
 import { Asker } from "./asker.ts";
 import { type CellContext, queueOf, teamOf } from "./context.ts";
-import { type FleetWorker, takesWork, teamAllowance } from "./fleet.ts";
-import { dueMs, type StepRun } from "./job.ts";
-import { compareRanks, type Rank, rankOf } from "./order.ts";
+import { compareRanks, type Rank, rankOf } from "./decisions/order.ts";
+import { findPlaces, type SearchContext } from "./decisions/placement.ts";
+import { adviceMayHelp } from "./decisions/questions.ts";
+import { reservableFor, Reservations } from "./decisions/reservations.ts";
 import {
-  findPlaces,
-  type Held,
-  isEligible,
-  rackOf,
-  type SearchContext,
-} from "./placement.ts";
-import { adviceMayHelp } from "./questions.ts";
-import { addTo, type FleetSize, mostOn, Reservations } from "./reservations.ts";
+  type Claims,
+  type Kept,
+  NOTHING_KEPT,
+  RoomIndex,
+} from "./decisions/room.ts";
+import { teamAllowance } from "./fleet.ts";
+import { dueMs, type StepRun } from "./job.ts";
 import type { Runs } from "./runs.ts";
 
 /** Changes gather for so long before a pass, milliseconds. */
 const PASS_DELAY_MS = 10;
 /** The same when a lane to the advice service has come free, milliseconds. */
 const LANE_DELAY_MS = 2;
-/** Rest after a pass, in times of what it took: a third of the processor at most goes into passes. */
-const PASS_REST = 2;
+/** Rest after a pass, in times of what it took: a fifth of the processor at most goes into passes. */
+const PASS_REST = 4;
 /** Nothing is started while the store has not answered for so long, milliseconds: starts are recorded first. */
 const STORE_STUCK_MS = 250;
 /** Gangs that are later than this reserve nothing; source: {@linkcode Rank}. */
 const RESERVING_LATENESS = 1;
-const NO_ROOMS: Held = new Map();
 
 /** A step in the line. */
 interface Standing {
@@ -40,6 +39,13 @@
   readonly rank: Rank;
 }
 
+/** What a step may use at one moment. */
+interface Room {
+  readonly index: RoomIndex;
+  /** Room that is kept for others. */
+  readonly held: Kept;
+}
+
 /** Schedules the work of one holder. */
 export class Scheduler {
   readonly #context: CellContext;
@@ -50,6 +56,7 @@
   #places = new Map<StepRun, number>();
   #timer: Timer | undefined;
   #closed = false;
+  #paused = false;
   #passMs = 0;
   #lastPassMs = 0;
 
@@ -60,7 +67,7 @@
     this.#context = context;
     this.#runs = runs;
     this.#asker = new Asker(context, desk, (step) => {
-      this.#place(step, this.#heldOutside(step));
+      this.#place(step, this.#roomOutside(step));
       this.kick(LANE_DELAY_MS);
     });
   }
@@ -82,6 +89,17 @@
     return tookMs;
   }
 
+  /** Starts nothing until {@linkcode resume}. */
+  pause(): void {
+    this.#paused = true;
+  }
+
+  /** Starts again what waits. */
+  resume(): void {
+    this.#paused = false;
+    this.kick();
+  }
+
   /** No pass any more. */
   close(): void {
     this.#closed = true;
@@ -100,20 +118,35 @@
   }
 
   #goOverLine(line: readonly Standing[]): void {
+    const { open } = this.#context;
+    const index = this.#index();
     this.#places = new Map(line.map(({ step }, place) => [step, place]));
-    this.#reservations.begin(this.#sizes());
-    const held = this.#asker.heldBeside(undefined);
+    this.#reservations.begin(index.sizes());
+    const claims = this.#asker.claims();
     for (const [place, { step, rank }] of line.entries()) {
-      const own = this.#asker.heldFor(step).size > 0;
-      const beside = own ? this.#heldOutside(step) : held;
-      this.#place(step, beside);
-      if (!step.spec.gang || !this.#context.open.has(step)) continue;
+      const room = { index, held: this.#placeInTurn(step, { index, claims }) };
+      if (!step.spec.gang || !open.has(step)) continue;
       if (rank.lateness > RESERVING_LATENESS) continue;
-      const reserved = this.#reserve(step, { place, held: beside });
-      if (reserved) addTo(held, this.#reservations.of(step));
+      const reserved = this.#reserve(step, place, room);
+      if (reserved) claims.add(this.#reservations.of(step));
     }
   }
 
+  /** Places a step in a pass and keeps the claims true; gives what is kept for others. */
+  #placeInTurn(
+    step: StepRun,
+    { index, claims }: { readonly index: RoomIndex; readonly claims: Claims },
+  ): Kept {
+    const own = this.#asker.heldFor(step);
+    this.#place(step, { index, held: claims.without(own) });
+    const after = this.#asker.heldFor(step);
+    if (after !== own) {
+      claims.remove(own);
+      claims.add(after);
+    }
+    return claims.without(after);
+  }
+
   #line(): readonly Standing[] {
     const { clock, durations, open } = this.#context;
     const nowMs = clock.now().getTime();
@@ -129,27 +162,16 @@
       .sort((a, b) => compareRanks(a.rank, b.rank));
   }
 
-  #sizes(): ReadonlyMap<string, FleetSize> {
+  #index(): RoomIndex {
     const { fleet, clock } = this.#context;
-    const nowMs = clock.monotonic();
-    const sizes = new Map<string, FleetSize>();
-    for (const worker of fleet.workers.values()) {
-      const { entry, used } = worker;
-      if (entry === undefined || !takesWork(worker, nowMs)) continue;
-      const before = sizes.get(entry.service);
-      sizes.set(entry.service, {
-        cpuMillis: (before?.cpuMillis ?? 0) + entry.capacity.cpuMillis,
-        usedMillis: (before?.usedMillis ?? 0) + used.cpuMillis,
-      });
-    }
-    return sizes;
+    return new RoomIndex(fleet, clock.monotonic());
   }
 
-  /** Places what has room; `held` is kept for others. */
-  #place(step: StepRun, held: Held): void {
-    if (!this.#context.open.has(step)) return;
+  /** Places what has room. */
+  #place(step: StepRun, room: Room): void {
+    if (this.#paused || !this.#context.open.has(step)) return;
     if (this.#asker.mustWait(step)) return;
-    const context = this.#searchContext(step, held);
+    const context = this.#searchContext(step, room);
     const search = findPlaces(step, context);
     if (search.places.length > 0) {
       this.#asker.release(step);
@@ -159,53 +181,52 @@
       const reason = search.reason ?? "none";
       this.#context.metrics.count("passes_without_place", { reason });
     }
-    if (adviceMayHelp(search.reason, step.spec.gang)) {
+    if (adviceMayHelp(search.reason)) {
       const busy = this.#reservations.isOpen(context.queue.service);
-      this.#asker.ask(step, search, { ...context, busy });
+      this.#asker.ask(step, { ...context, busy });
     }
   }
 
   /** Steps of the first priority are short and urgent, and tasks that last must run: they heed no room of others but take it last. */
-  #searchContext(step: StepRun, held: Held): SearchContext {
+  #searchContext(step: StepRun, { index, held }: Room): SearchContext {
     const queue = queueOf(this.#context, step.job);
     const urgent = queue.priority === 0 || step.spec.longRunning;
     return {
       fleet: this.#context.fleet,
+      index,
       queue,
       team: teamOf(this.#context, step.job),
       nowMs: this.#context.clock.monotonic(),
-      held: urgent ? NO_ROOMS : held,
-      wanted: urgent ? held : NO_ROOMS,
-      mayAsk: this.#asker.mayAsk(step),
+      held: urgent ? NOTHING_KEPT : held,
+      wanted: urgent ? held : NOTHING_KEPT,
     };
   }
 
-  /** Room held for others than a step, outside of a pass. */
-  #heldOutside(step: StepRun): Held {
-    const held = this.#asker.heldBeside(step);
+  /** What a step may use outside of a pass. */
+  #roomOutside(step: StepRun): Room {
+    const claims = this.#asker.claims();
     const place = this.#places.get(step) ?? Infinity;
-    addTo(held, this.#reservations.before(place, step));
-    return held;
+    for (const rooms of this.#reservations.before(place, step)) {
+      claims.add(rooms);
+    }
+    const held = claims.without(this.#asker.heldFor(step));
+    return { index: this.#index(), held };
   }
 
   /** Reserves room for a gang on the workers that are known to be good; `false` if there is not enough. */
-  #reserve(
-    step: StepRun,
-    { place, held }: { readonly place: number; readonly held: Held },
-  ): boolean {
+  #reserve(step: StepRun, place: number, room: Room): boolean {
     const nowMs = this.#context.clock.monotonic();
     const { service } = queueOf(this.#context, step.job);
     if (!this.#reservations.isOpen(service)) return false;
     if (this.#reservations.renew(step, place, { service, nowMs })) return true;
-    const context = this.#searchContext(step, held);
+    const context = this.#searchContext(step, room);
     const { spec, job } = step;
     const used = this.#context.fleet.usedBy(job.team);
     const allowance = teamAllowance(context.team, used, spec.amounts);
     if (allowance < step.left) return false;
-    const good = this.#goodFor(step, context);
     const asked = this.#asker.heldFor(step);
     // Workers whose tickets are on their way stay chosen.
-    const workers = [...inOneRack(step, good)].sort((a, b) =>
+    const workers = [...reservableFor(step, context)].sort((a, b) =>
       Number(asked.has(b.id)) - Number(asked.has(a.id)) ||
       b.used.cpuMillis - a.used.cpuMillis
     );
@@ -217,32 +238,4 @@
       nowMs,
     });
   }
-
-  /** Workers that a step could run on and that the advice service allows, as far as is known. */
-  #goodFor(step: StepRun, context: SearchContext): readonly FleetWorker[] {
-    const advised = context.queue.advice !== undefined;
-    const good: FleetWorker[] = [];
-    for (const worker of this.#context.fleet.workers.values()) {
-      if (advised && step.advice.verdicts.get(worker.id) !== true) continue;
-      if (!isEligible(step, worker, context)) continue;
-      if (mostOn(step, worker) > 0) good.push(worker);
-    }
-    return good;
-  }
-}
-
-/** All workers, or where a step must be in one rack those of the rack with most of them. */
-function inOneRack(
-  step: StepRun,
-  workers: readonly FleetWorker[],
-): readonly FleetWorker[] {
-  if (!step.spec.sameRack) return workers;
-  const racks = new Map<string, FleetWorker[]>();
-  for (const worker of workers) {
-    const there = racks.get(rackOf(worker)) ?? [];
-    there.push(worker);
-    racks.set(rackOf(worker), there);
-  }
-  const all = [...racks.values()];
-  return all.sort((a, b) => b.length - a.length)[0] ?? [];
 }
--- a/src/cell/worker_list.ts
+++ b/src/cell/worker_list.ts
@@ -19,6 +19,8 @@
   readonly #directory: PlatformDirectory;
   readonly #follow: (worker: string) => void;
   #failedMs: number | undefined;
+  /** Whether a list has been taken. */
+  #read = false;
   #closed = false;
 
   /** `follow` is called for each worker that is listed. */
@@ -57,6 +59,7 @@
   take(entries: readonly WorkerEntry[]): void {
     if (this.#closed) return;
     for (const entry of entries) this.#takeEntry(entry);
+    this.#read = true;
     if (this.#mayBeIncomplete()) return;
     const listed = new Set(entries.map((entry) => entry.id));
     for (const worker of this.#context.fleet.workers.values()) {
@@ -77,7 +80,10 @@
   #takeEntry(entry: WorkerEntry): void {
     const { fleet, log } = this.#context;
     const worker = fleet.open(entry.id);
-    if (!worker.listed || worker.entry?.draining !== entry.draining) {
+    const changed = !worker.listed ||
+      worker.entry?.draining !== entry.draining;
+    // The first list is told as a whole by the line of the takeover.
+    if (changed && this.#read) {
       log.info("worker.listed", {
         worker: entry.id,
         address: entry.address,
--- a/src/cell/write_batch.ts
+++ b/src/cell/write_batch.ts
@@ -24,6 +24,8 @@
   submission: boolean;
   /** No transaction before this time, monotonic milliseconds; 0 unless one has failed: then it goes alone. */
   retryAtMs: number;
+  /** No transaction before this time unless the job changes again, monotonic milliseconds. */
+  notBeforeMs: number;
   readonly waiters: ((saved: Saved) => void)[];
 }
 
