--- a/src/cell/run.ts
+++ b/src/cell/run.ts
@@ -32,6 +32,7 @@
     number: task.run,
     worker,
     amounts: step.spec.amounts,
+    resumes: task.checkpoint !== "",
     placedMs: nowMs,
     provableAfterMs: undefined,
     seen: false,
