--- a/src/cell/endings.ts
+++ b/src/cell/endings.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { type CellContext, queueOf } from "./context.ts";
-import { mayAvoidMore, paceOf } from "./decisions/suspicion.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
 import { isOver, type Job, type StepRun, type Task } from "./job.ts";
 import type { EndingKind, ReportedEnd } from "./ports.ts";
@@ -16,6 +15,8 @@
 const FAILURE_LIMIT = 0.6;
 /** How long such a worker gets nothing, milliseconds. */
 const QUARANTINE_MS = 3_000;
+/** Most of the workers that may be left alone for their failures at once. */
+const QUARANTINE_SHARE = 0.25;
 
 /** Takes ends of runs. */
 export class Endings {
@@ -115,12 +116,6 @@
     const { clock, durations, metrics } = this.#context;
     const { worker, step } = run;
     metrics.count("runs_ended", { how: kind });
-    if (kind === "done" && !run.resumes) {
-      const startedMs = run.provableAfterMs ?? run.placedMs;
-      const elapsedMs = clock.monotonic() - startedMs;
-      const pace = paceOf({ elapsedMs, percent: 100 });
-      step.bestPace = Math.max(step.bestPace, pace);
-    }
     if (kind === "done" && run.task.checkpoint === "") {
       durations.learn(step.job.queue, clock.monotonic() - run.placedMs);
     }
@@ -135,7 +130,9 @@
   #quarantine(worker: FleetWorker): void {
     const { clock, fleet, log } = this.#context;
     const now = clock.monotonic();
-    if (!mayAvoidMore(fleet, now)) return;
+    const all = [...fleet.workers.values()];
+    const avoided = all.filter((other) => other.avoidUntilMs > now).length;
+    if (avoided >= all.length * QUARANTINE_SHARE) return;
     worker.avoidUntilMs = now + QUARANTINE_MS;
     log.warn("worker.quarantined", {
       worker: worker.id,
--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -20,8 +20,6 @@
   readonly number: number;
   readonly worker: FleetWorker;
   readonly amounts: Amounts;
-  /** Whether it goes on from a checkpoint. */
-  readonly resumes: boolean;
   /** Monotonic milliseconds of the decision. */
   readonly placedMs: number;
   /** A report asked for after this time that does not show the run proves that it is not there. */
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -6,9 +6,8 @@
  */
 import { sleep } from "../clock.ts";
 import { type CellContext, persist } from "./context.ts";
-import { isSlow, mayAvoidMore, paceOf } from "./decisions/suspicion.ts";
 import { Endings } from "./endings.ts";
-import type { FleetWorker, Run } from "./fleet.ts";
+import type { FleetWorker } from "./fleet.ts";
 import { findTask, isOver, type Job } from "./job.ts";
 import type { LookFailure, ReportedRun, WorkerReport } from "./ports.ts";
 import type { Runs } from "./runs.ts";
@@ -25,8 +24,6 @@
 const REFUSALS_OF_THE_DEAD = 2;
 /** A worker that is unlisted, unreachable and empty for so long is dropped, milliseconds. */
 const FORGET_MS = 8_000;
-/** A worker with a task that hardly moves on gets nothing new for so long, milliseconds: two reports. */
-const SLOW_AVOID_MS = 2_000;
 /** Delay between looks while ends wait for the store, milliseconds. */
 const STORE_WAIT_MS = 1_000;
 
@@ -265,34 +262,6 @@
       run.progressMs = this.#context.clock.monotonic();
     }
     if (isOver(run.step.job)) this.#runs.stop(run);
-    else this.#watchPace(run);
-  }
-
-  /** Leaves a worker alone on which a task hardly moves on while others of its step do. */
-  #watchPace(run: Run): void {
-    const { clock, fleet, log, metrics, fence } = this.#context;
-    const { step, task, worker, percent, provableAfterMs } = run;
-    const { gang, longRunning, dataRack } = step.spec;
-    // Members of a gang wait for one another, and far data is slow to get.
-    if (gang || longRunning || dataRack !== "" || run.resumes) return;
-    const now = clock.monotonic();
-    const progress = { elapsedMs: now - (provableAfterMs ?? now), percent };
-    step.bestPace = Math.max(step.bestPace, paceOf(progress));
-    if (!isSlow(progress, step.bestPace)) return;
-    const isNews = worker.avoidUntilMs <= now;
-    if (isNews && !mayAvoidMore(fleet, now)) return;
-    worker.avoidUntilMs = Math.max(worker.avoidUntilMs, now + SLOW_AVOID_MS);
-    if (!isNews) return;
-    metrics.count("workers_slow");
-    log.warn("worker.slow", {
-      worker: worker.id,
-      task: task.id,
-      fence,
-      percent,
-      elapsedMs: Math.round(progress.elapsedMs),
-      bestMs: Math.round(100 / step.bestPace),
-      forMs: SLOW_AVOID_MS,
-    });
   }
 
   /** Whether a run belongs to a gang that is done: reports show its members for some milliseconds more. */
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -39,8 +39,6 @@
   /** Last run of the gang that counts as failed; several members may tell of it. */
   gangFailedRun: number;
   readonly advice: StepAdvice;
-  /** Best pace that a run of it has shown, percent a millisecond. */
-  bestPace: number;
 }
 
 /** Permission to run a step on a worker. */
@@ -141,7 +139,6 @@
     left: spec.tasks,
     gangFailures: 0,
     gangFailedRun: 0,
-    bestPace: 0,
     advice: {
       verdicts: new Map(),
       tickets: new Map(),
--- a/src/cell/run.ts
+++ b/src/cell/run.ts
@@ -32,7 +32,6 @@
     number: task.run,
     worker,
     amounts: step.spec.amounts,
-    resumes: task.checkpoint !== "",
     placedMs: nowMs,
     provableAfterMs: undefined,
     seen: false,
