Split the follower, the types of a submission, the models and tests of a cell

Change: first reports, the types of a submission, the model store and workers are modules of their own; what happens when the cell changes hands has a test file of its own. No behaviour and no assertion changed.

--- a/bench/cell.ts
+++ b/bench/cell.ts
@@ -10,13 +10,9 @@
 import { sleep, systemClock } from "../src/clock.ts";
 import { type Fields, type Log, silentLog } from "../src/logger.ts";
 import { Metrics } from "../src/metrics.ts";
-import {
-  cellOver,
-  ModelStore,
-  ModelWorkers,
-  slowAdvice,
-  workerEntries,
-} from "./model/cell_world.ts";
+import { cellOver, slowAdvice } from "./model/cell_world.ts";
+import { ModelStore } from "./model/model_store.ts";
+import { ModelWorkers, workerEntries } from "./model/model_workers.ts";
 import {
   GROWN,
   type Kind,
--- /dev/null
+++ b/bench/model/model_workers.ts
@@ -0,0 +1,208 @@
+/**
+ * Workers in memory that run what they are told.
+ *
+ * @module
+ */
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import type {
+  LookFailure,
+  ReportedEnd,
+  StartAnswer,
+  StartOrder,
+  WorkerAddress,
+  WorkerOrders,
+  WorkerReport,
+} from "../../src/cell/ports.ts";
+import type { WorkerEntry } from "../../src/cell/types.ts";
+import { type Clock, sleep, type Timer } from "../../src/clock.ts";
+
+/** Life of a ticket, milliseconds. */
+export const TICKET_MS = 1_500;
+/** Percent of a run whose end has not been told. */
+const LAST_PERCENT = 99;
+/** Workers of one rack. */
+const RACK = 12;
+/** Capacity of a worker of the users' platform. */
+const CAPACITY = { cpuMillis: 64_000, memoryMib: 262_144, accelerators: 0 };
+
+/** Entries of `count` workers in racks. */
+export function workerEntries(count: number): readonly WorkerEntry[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `w${index}`,
+    address: `w${index}:80`,
+    service: "copier",
+    zone: "a",
+    labels: ["kind", `r-${Math.floor(index / RACK)}`],
+    capacity: CAPACITY,
+    draining: false,
+    bornMs: 1,
+  }));
+}
+
+interface ModelRun {
+  readonly run: number;
+  readonly startedMs: number;
+  readonly durationMs: number;
+  readonly cpuMillis: number;
+}
+
+interface ModelWorker {
+  fence: number;
+  ends: number;
+  readonly running: Map<string, ModelRun>;
+  usedMillis: number;
+  ended: ReportedEnd[];
+  wake: () => void;
+}
+
+interface ModelGang {
+  readonly members: { readonly worker: ModelWorker; readonly task: string }[];
+  timer: Timer | undefined;
+}
+
+/** What model workers run. */
+export interface ModelTasks {
+  /** How long a task runs, milliseconds. */
+  durationOf(order: StartOrder): number;
+  /** Processors that it takes, thousandths. */
+  cpuMillisOf(order: StartOrder): number;
+  /** Whether it ends together with the other tasks of its step and run. */
+  isGang(order: StartOrder): boolean;
+}
+
+/** Workers that run what they are told; they refuse tickets that are too old. */
+export class ModelWorkers implements WorkerOrders {
+  readonly #clock: Clock;
+  readonly #tasks: ModelTasks;
+  readonly #workers = new Map<string, ModelWorker>();
+  readonly #gangs = new Map<string, ModelGang>();
+  /** Starts that were taken. */
+  starts = 0;
+  /** Starts that brought a worker over its processors. */
+  overfilled = 0;
+  /** Reports that were given. */
+  looks = 0;
+
+  constructor(clock: Clock, tasks: ModelTasks) {
+    this.#clock = clock;
+    this.#tasks = tasks;
+  }
+
+  start(
+    worker: WorkerAddress,
+    order: StartOrder,
+  ): Promise<StartAnswer> {
+    const there = this.#open(worker.id);
+    const givenMs = Number(order.ticket ?? this.#clock.monotonic());
+    if (this.#clock.monotonic() > givenMs + TICKET_MS) {
+      return Promise.resolve({ type: "rejected", reason: "ticket" });
+    }
+    this.starts++;
+    const cpuMillis = this.#tasks.cpuMillisOf(order);
+    there.usedMillis += cpuMillis;
+    if (there.usedMillis > CAPACITY.cpuMillis) this.overfilled++;
+    const startedMs = this.#clock.monotonic();
+    const durationMs = this.#tasks.durationOf(order);
+    there.running.set(order.task, {
+      run: order.run,
+      startedMs,
+      durationMs,
+      cpuMillis,
+    });
+    if (this.#tasks.isGang(order)) this.#join(there, order, durationMs);
+    else {
+      this.#clock.after(durationMs, () => this.#end(there, order.task, "done"));
+    }
+    const clockMs = this.#clock.monotonic();
+    return Promise.resolve({ type: "started", clockMs } as const);
+  }
+
+  stop(worker: WorkerAddress, order: { readonly task: string }) {
+    this.#end(this.#open(worker.id), order.task, "stopped");
+    return Promise.resolve(true);
+  }
+
+  look(
+    worker: WorkerAddress,
+    order: Parameters<WorkerOrders["look"]>[1],
+  ): ResultAsync<WorkerReport, LookFailure> {
+    this.looks++;
+    const there = this.#open(worker.id);
+    if (order.fence < there.fence) {
+      return errAsync({ type: "fenced", message: "higher fence" });
+    }
+    there.fence = order.fence;
+    there.ended = there.ended.filter((end) => end.number > order.acknowledged);
+    const report = () => this.#report(there);
+    if (order.waitMs === 0 || there.ended.length > 0) {
+      return okAsync(report());
+    }
+    const woken = new Promise<void>((resolve) => there.wake = resolve);
+    const limit = sleep(this.#clock, order.waitMs);
+    return ResultAsync.fromSafePromise(
+      Promise.race([woken, limit]).then(report),
+    );
+  }
+
+  forget(): void {}
+
+  #open(id: string): ModelWorker {
+    const known = this.#workers.get(id) ?? {
+      fence: 0,
+      ends: 0,
+      running: new Map(),
+      usedMillis: 0,
+      ended: [],
+      wake: () => {},
+    };
+    this.#workers.set(id, known);
+    return known;
+  }
+
+  /** A gang works from the start of its last member on, and ends as one. */
+  #join(worker: ModelWorker, order: StartOrder, durationMs: number): void {
+    const name = `${
+      order.task.slice(0, order.task.lastIndexOf("."))
+    } ${order.run}`;
+    const gang = this.#gangs.get(name) ?? { members: [], timer: undefined };
+    this.#gangs.set(name, gang);
+    gang.members.push({ worker, task: order.task });
+    gang.timer?.cancel();
+    gang.timer = this.#clock.after(durationMs, () => {
+      this.#gangs.delete(name);
+      for (const member of gang.members) {
+        this.#end(member.worker, member.task, "done");
+      }
+    });
+  }
+
+  #end(worker: ModelWorker, task: string, kind: ReportedEnd["kind"]): void {
+    const running = worker.running.get(task);
+    if (running === undefined) return;
+    const { run, cpuMillis } = running;
+    worker.running.delete(task);
+    worker.usedMillis -= cpuMillis;
+    const number = ++worker.ends;
+    worker.ended.push({ number, task, run, kind, checkpoint: "" });
+    worker.wake();
+  }
+
+  #report(worker: ModelWorker): WorkerReport {
+    return {
+      clockMs: this.#clock.monotonic(),
+      bornMs: 1,
+      running: [...worker.running].map((
+        [task, { run, startedMs, durationMs }],
+      ) => ({
+        task,
+        run,
+        checkpoint: "",
+        percent: Math.min(
+          LAST_PERCENT,
+          100 * (this.#clock.monotonic() - startedMs) / durationMs,
+        ),
+      })),
+      ended: [...worker.ended],
+    };
+  }
+}
--- a/bench/model/sheets.ts
+++ b/bench/model/sheets.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Queue, StepSpec } from "../../src/cell/types.ts";
-import { TICKET_MS } from "./cell_world.ts";
+import { TICKET_MS } from "./model_workers.ts";
 
 /** One kind of submission. */
 export interface Kind {
--- a/bench/replay.ts
+++ b/bench/replay.ts
@@ -11,14 +11,7 @@
 import { NO_AMOUNTS } from "../src/cell/types.ts";
 import { ManualClock } from "../src/clock.ts";
 import { Metrics } from "../src/metrics.ts";
-import {
-  cellOver,
-  ModelStore,
-  type ModelTasks,
-  ModelWorkers,
-  slowAdvice,
-  workerEntries,
-} from "./model/cell_world.ts";
+import { cellOver, slowAdvice } from "./model/cell_world.ts";
 import {
   CreditLog,
   drawJobs,
@@ -29,6 +22,12 @@
 } from "./model/drawn_jobs.ts";
 import { LARGE, queuesOf } from "./model/sheets.ts";
 import { type Load, LOADS } from "./model/loads.ts";
+import { ModelStore } from "./model/model_store.ts";
+import {
+  type ModelTasks,
+  ModelWorkers,
+  workerEntries,
+} from "./model/model_workers.ts";
 import { Random } from "./random.ts";
 import type { Results } from "./results.ts";
 
--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -10,9 +10,10 @@
 import { FakeStore } from "./_fake_store_test.ts";
 import { FakeOrders, FakeWorker } from "./_fake_workers_test.ts";
 import { AdviceDesk } from "./advice_desk.ts";
-import { Cell, type SubmitOutcome } from "./cell.ts";
+import { Cell } from "./cell.ts";
 import { recordKey } from "./cell_record.ts";
 import type { PlatformDirectory } from "./ports.ts";
+import type { SubmitOutcome } from "./submission.ts";
 import type {
   ClusterSet,
   Queue,
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -20,7 +20,8 @@
 import { Runs } from "./runs.ts";
 import { Scheduler } from "./scheduler.ts";
 import { queueNamed, teamNamed } from "./set_index.ts";
-import type { JobSpec, JobState } from "./types.ts";
+import type { Submission, SubmitOutcome } from "./submission.ts";
+import type { JobState } from "./types.ts";
 import { WeightMeter } from "./decisions/weight_meter.ts";
 import { WorkerList } from "./worker_list.ts";
 
@@ -29,21 +30,6 @@
 /** A former holder that hears nobody stops within this time, milliseconds. */
 export const HOLD_LIMIT_MS = 2_000;
 
-/** What became of a submission. */
-export type SubmitOutcome =
-  | { readonly type: "accepted" }
-  | { readonly type: "refused"; readonly reason: "storeAway" | "overload" }
-  /** The hold on the cell ended: it may have been stored. */
-  | { readonly type: "unknown" };
-
-/** A submission as an entry hands it in. */
-export interface Submission {
-  readonly id: string;
-  readonly queue: string;
-  readonly team: string;
-  readonly spec: JobSpec;
-}
-
 /** The cell in the hands of this process. */
 export class Cell {
   readonly #options: CellOptions;
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -7,6 +7,7 @@
 import { sleep } from "../clock.ts";
 import { type CellContext, persist } from "./context.ts";
 import { Endings } from "./endings.ts";
+import { FirstReports } from "./first_reports.ts";
 import type { FleetWorker } from "./fleet.ts";
 import { findTask, isOver, type Job } from "./job.ts";
 import type { LookFailure, ReportedRun, WorkerReport } from "./ports.ts";
@@ -14,10 +15,6 @@
 
 /** A report is asked for this often if nothing ends, milliseconds; leases last six times as long. */
 const LOOK_WAIT_MS = 1_000;
-/** First reports that are waited for at once. */
-const MEET_AT_ONCE = 24;
-/** Longest wait for a first report before the next worker is asked, milliseconds. */
-const MEET_FOR_MS = 40;
 /** Delay before a worker that did not answer is asked again, milliseconds. */
 const LOOK_AGAIN_MS = 250;
 /** Refused connections in a row after which the process is taken as dead. */
@@ -27,61 +24,53 @@
 /** Delay between looks while ends wait for the store, milliseconds. */
 const STORE_WAIT_MS = 1_000;
 
-/** The loops over all workers of one holder. */
+/** Follows all workers of one holder. */
 export class Follower {
   readonly #context: CellContext;
   readonly #runs: Runs;
   readonly #endings: Endings;
   readonly #followed = new Set<string>();
-  /** Workers that have not been asked yet. */
-  readonly #unmet: FleetWorker[] = [];
-  /** First reports that are waited for. */
-  #meeting = 0;
+  readonly #firstReports: FirstReports;
   #closed = false;
 
   constructor(context: CellContext, runs: Runs) {
     this.#context = context;
     this.#runs = runs;
     this.#endings = new Endings(context, runs);
+    this.#firstReports = new FirstReports(
+      context.clock,
+      (worker) => this.#meet(worker),
+    );
   }
 
   /** Follows a worker until it is forgotten. */
   follow(worker: FleetWorker): void {
     if (this.#followed.has(worker.id)) return;
     this.#followed.add(worker.id);
-    this.#unmet.push(worker);
-    this.#meetNext();
+    this.#firstReports.add(worker);
   }
 
   /** Takes a report at once, besides the loop. */
-  async lookNow(worker: FleetWorker): Promise<void> {
-    await this.#look(worker, { waitMs: 0 });
+  lookNow(worker: FleetWorker): Promise<unknown> {
+    return this.#look(worker, { waitMs: 0 });
   }
 
   /** Ends all loops. */
   close(): void {
     this.#closed = true;
+    this.#firstReports.close();
   }
 
-  /** Asks the next workers for their first report: hundreds at once would keep clients waiting after a takeover. */
-  #meetNext(): void {
-    while (!this.#closed && this.#meeting < MEET_AT_ONCE) {
-      const worker = this.#unmet.shift();
-      if (worker === undefined) return;
-      this.#meeting++;
-      const met = this.#look(worker, { waitMs: 0 });
-      const limit = sleep(this.#context.clock, MEET_FOR_MS);
-      void Promise.race([met, limit]).then(() => {
-        this.#meeting--;
-        this.#meetNext();
-      });
-      met.then(() => this.#loop(worker)).catch((error) =>
-        this.#context.log.error("follower.failed", {
-          worker: worker.id,
-          reason: String((error as Error).stack ?? error),
-        })
-      );
-    }
+  /** Takes the first report of a worker; the loop goes on from there. */
+  #meet(worker: FleetWorker): Promise<unknown> {
+    const met = this.#look(worker, { waitMs: 0 });
+    met.then(() => this.#loop(worker)).catch((error) =>
+      this.#context.log.error("follower.failed", {
+        worker: worker.id,
+        reason: String((error as Error).stack ?? error),
+      })
+    );
+    return met;
   }
 
   async #loop(worker: FleetWorker): Promise<void> {
--- a/src/cell/gateway.ts
+++ b/src/cell/gateway.ts
@@ -11,7 +11,7 @@
 import type { PeerFailure } from "../errors.ts";
 import type { Metrics } from "../metrics.ts";
 import type { Peers } from "../ports/peers.ts";
-import type { Cell, Submission } from "./cell.ts";
+import type { Cell } from "./cell.ts";
 import type { RefusalReason } from "./decisions/admission.ts";
 import type { Leadership } from "./leadership.ts";
 import {
@@ -23,6 +23,7 @@
   submitCall,
 } from "./protocol.ts";
 import type { SetInForce } from "./set_in_force.ts";
+import type { Submission } from "./submission.ts";
 import type { JobState, StepSpec } from "./types.ts";
 
 /** A call that no holder got waits for one so long at most, milliseconds: a takeover and its recovery. */
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -28,7 +28,7 @@
 const STALL_AVOID_MS = 5_000;
 
 /** Reports of a worker on demand, for a run whose order was not answered. */
-export type LookNow = (worker: FleetWorker) => Promise<void>;
+export type LookNow = (worker: FleetWorker) => Promise<unknown>;
 
 /** Starts and stops runs. */
 export class Runs {
