Let the tests of reservations use the steps of the other decisions' tests

Cause: reservations_test made its steps with a copy of the fixture that came with src/cell/decisions. Change: it imports that one; no assertion changed.

--- a/src/cell/decisions/reservations_test.ts
+++ b/src/cell/decisions/reservations_test.ts
@@ -1,8 +1,9 @@
 import test from "ava";
 import { ManualClock } from "../../clock.ts";
-import { testEntry, testQueue, testStep } from "../_fixtures_test.ts";
+import { testEntry } from "../_fixtures_test.ts";
 import { Fleet, type FleetWorker } from "../fleet.ts";
-import { newJob, openOccurrence, type StepRun } from "../job.ts";
+import type { StepRun } from "../job.ts";
+import { stepOf } from "./_fixtures_test.ts";
 import { Reservations } from "./reservations.ts";
 import { Claims, NO_ROOMS, NOTHING_KEPT } from "./room.ts";
 import { newRun } from "../run.ts";
@@ -11,19 +12,6 @@
 /** Processors of one worker of the fixtures, thousandths. */
 const WORKER_MILLIS = 4_000;
 
-function stepOf(change: Partial<StepSpec>): StepRun {
-  const job = newJob({
-    id: "00000000000000aa",
-    queue: "receipts",
-    policy: testQueue(),
-    team: "",
-    spec: { payload: "", steps: [testStep(change)] },
-    acceptedMs: 0,
-    owed: true,
-  });
-  return openOccurrence(job, 0)[0]!;
-}
-
 function gangOf(tasks: number, cpuMillis: number): StepRun {
   const amounts = { cpuMillis, memoryMib: 1, accelerators: 0 };
   return stepOf({ gang: true, tasks, amounts });
