Give testbeds beside each other different ports

Each process draws ports of 12,000 at random, closes them and starts a daemon that listens some 0.4 s later; another soak or test run beside may draw the same port meanwhile. The daemon then ends with process.failed on standard error, which the site did not keep. Two processes that take 400 ports each met on 14 of them (test, before).

Ruled out: ports of one process among themselves, which were told apart before, and the ports that the system hands out, which lie above.

--- a/testbed/processes.ts
+++ b/testbed/processes.ts
@@ -5,7 +5,7 @@
  */
 import { type ChildProcess, spawn } from "node:child_process";
 import { randomInt } from "node:crypto";
-import { createServer } from "node:net";
+import { createServer, type Server } from "node:net";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { LOOPBACK } from "./loopback.ts";
@@ -22,6 +22,8 @@
 /** Bounds of the ports of daemons, below those that the system hands out. */
 const FIRST_PORT = 20_000;
 const LAST_PORT = 32_000;
+/** Ports that one process claims at a time. */
+const BLOCK_PORTS = 100;
 
 /** Folder of the built files. */
 const built = new URL("../", import.meta.url);
@@ -80,19 +82,41 @@
 
 /** Ports that this process has handed out; their users may not listen yet. */
 const handedOut = new Set<number>();
+/** First ports of the blocks that this process has claimed. */
+const blocks: number[] = [];
 
-/** Ports of this machine that are free now, and that no socket is given unasked. */
+/** Ports of this machine that are free now, and that no socket and no other testbed is given unasked. */
 export async function freePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
   while (ports.length < count) {
-    const port = randomInt(FIRST_PORT, LAST_PORT);
-    if (handedOut.has(port) || !await isFree(port)) continue;
-    handedOut.add(port);
-    ports.push(port);
+    const block = blocks.at(-1) ?? await claimBlock();
+    for (let port = block + 1; port < block + BLOCK_PORTS; port++) {
+      if (ports.length === count) return ports;
+      if (handedOut.has(port) || !await isFree(port)) continue;
+      handedOut.add(port);
+      ports.push(port);
+    }
+    if (ports.length < count) await claimBlock();
   }
   return ports;
 }
 
+/**
+ * Claims ports for this process by listening on the first of them until it
+ * ends: a daemon listens only a while after its ports were chosen, and another
+ * testbed beside would find them free.
+ */
+async function claimBlock(): Promise<number> {
+  for (;;) {
+    const first = FIRST_PORT +
+      BLOCK_PORTS * randomInt((LAST_PORT - FIRST_PORT) / BLOCK_PORTS);
+    const guard = createServer().unref();
+    if (!await listens(guard, first)) continue;
+    blocks.push(first);
+    return first;
+  }
+}
+
 /** A process of the testbed did not start. */
 export class StartFailure extends Error {
   readonly type = "startFailure";
@@ -102,11 +126,17 @@
   }
 }
 
-function isFree(port: number): Promise<boolean> {
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
+  if (!await listens(server, port)) return false;
+  await new Promise((resolve) => server.close(resolve));
+  return true;
+}
+
+function listens(server: Server, port: number): Promise<boolean> {
   return new Promise((resolve) => {
     server.once("error", () => resolve(false));
-    server.listen(port, LOOPBACK, () => server.close(() => resolve(true)));
+    server.listen(port, LOOPBACK, () => resolve(true));
   });
 }
 
