Settle calls of workers whose answers are lost by making them again

A start was unknown after 200 ms and settled after two seconds by a report, a stop and another report; a report that was lost was missed after 1.7 s, in which no end on that worker was seen, and the worker took nothing for a quarter of a second more (39 workers told as silent, two were dark).

Change: an unanswered start is given again at once, which the worker answers with yes if it has carried it out; a refusal of the repetition tells nothing of the first sending, so that it is settled as before. A worker gets nothing new while an order of it is being repeated. A report that is lost is asked for once more before its worker counts as silent; while answers are being lost, reports wait for 250 ms in place of 1 s.

--- a/src/cell/_fake_workers_test.ts
+++ b/src/cell/_fake_workers_test.ts
@@ -26,6 +26,10 @@
   slowToStop = false;
   /** Starts that are not answered; kept for `carryOutLate`. */
   mute = false;
+  /** So many calls more are carried out without an answer. */
+  lostAnswers = 0;
+  /** Runs are done as they start. */
+  instant = false;
   readonly late: StartOrder[] = [];
   readonly running = new Map<
     string,
@@ -77,6 +81,13 @@
     this.bornMs++;
   }
 
+  /** Whether the answer to a call is lost. */
+  losesAnswer(): boolean {
+    if (this.lostAnswers === 0) return false;
+    this.lostAnswers--;
+    return true;
+  }
+
   /** Carries out orders that were left unanswered. */
   carryOutLate(): void {
     for (const order of this.late.splice(0)) this.start(order);
@@ -91,6 +102,9 @@
     if (order.leaseUntilMs < this.clock.monotonic()) {
       return { type: "rejected", reason: "tooLate" };
     }
+    if (this.running.get(order.task)?.run === order.run) {
+      return { type: "started", clockMs: this.clock.monotonic() };
+    }
     if (order.run <= (this.forbidden.get(order.task) ?? 0)) {
       return { type: "rejected", reason: "staleRun" };
     }
@@ -100,6 +114,10 @@
       checkpoint: order.checkpoint,
       percent: 0,
     });
+    if (this.instant) {
+      this.forbidden.set(order.task, order.run);
+      this.end(order.task, "done");
+    }
     return { type: "started", clockMs: this.clock.monotonic() };
   }
 
@@ -150,7 +168,11 @@
       there.late.push(order);
       return Promise.resolve({ type: "unknown", message: "no answer" });
     }
-    return Promise.resolve(there.start(order));
+    const answer = there.start(order);
+    if (there.losesAnswer()) {
+      return Promise.resolve({ type: "unknown", message: "lost" });
+    }
+    return Promise.resolve(answer);
   }
 
   stop(
@@ -190,7 +212,7 @@
         this.#clock.after(there.reportMs, resolve)
       );
     }
-    if (there.silent) {
+    if (there.silent || there.losesAnswer()) {
       return await errAsync({ type: "lost", message: "silent" });
     }
     return await okAsync(there.report(order.acknowledged));
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -15,6 +15,7 @@
 import { type EndedJob, type Job, newJob, stateOf } from "./job.ts";
 import { JobLog } from "./job_log.ts";
 import { firstStartMs, isHopeless, patienceMs } from "./decisions/admission.ts";
+import { LostAnswers } from "./decisions/looks.ts";
 import { Durations } from "./decisions/order.ts";
 import { adopt, readLegacy } from "./recovery.ts";
 import { Runs } from "./runs.ts";
@@ -69,6 +70,7 @@
       jobLog,
       fleet: new Fleet(),
       durations: new Durations(),
+      lostAnswers: new LostAnswers(),
       jobs,
       ended,
       open: new Set(),
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -16,6 +16,7 @@
   type StepRun,
 } from "./job.ts";
 import type { JobLog } from "./job_log.ts";
+import type { LostAnswers } from "./decisions/looks.ts";
 import type { Durations } from "./decisions/order.ts";
 import type { WorkerOrders } from "./ports.ts";
 import type { Saved } from "./write_batch.ts";
@@ -33,6 +34,7 @@
   readonly jobLog: JobLog;
   readonly fleet: Fleet;
   readonly durations: Durations;
+  readonly lostAnswers: LostAnswers;
   readonly jobs: Map<string, Job>;
   readonly ended: Map<string, EndedJob>;
   /** Steps with tasks that wait and may start. */
--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -62,6 +62,8 @@
   reportedMs: number;
   /** Nothing new before this time, monotonic milliseconds. */
   avoidUntilMs: number;
+  /** Orders without an answer that are being sent again; nothing new meanwhile. */
+  unanswered: number;
   /** Share of failed runs among the last ones, 0 to 1. */
   failureShare: number;
 }
@@ -91,6 +93,7 @@
       reachable: false,
       reportedMs: 0,
       avoidUntilMs: 0,
+      unanswered: 0,
       failureShare: 0,
     };
     this.workers.set(id, worker);
@@ -131,7 +134,7 @@
 export function takesWork(worker: FleetWorker, nowMs: number): boolean {
   return worker.listed && worker.reachable && worker.entry !== undefined &&
     !worker.entry.draining && worker.clockOffsetMs !== undefined &&
-    worker.avoidUntilMs <= nowMs;
+    worker.avoidUntilMs <= nowMs && worker.unanswered === 0;
 }
 
 /** How many more tasks of this size a team may have running. */
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { Result } from "neverthrow";
 import { sleep } from "../clock.ts";
 import { type CellContext, persist } from "./context.ts";
 import { Endings } from "./endings.ts";
@@ -13,8 +14,6 @@
 import type { LookFailure, ReportedRun, WorkerReport } from "./ports.ts";
 import type { Runs } from "./runs.ts";
 
-/** A report is asked for this often if nothing ends, milliseconds; leases last six times as long. */
-const LOOK_WAIT_MS = 1_000;
 /** Delay before a worker that did not answer is asked again, milliseconds. */
 const LOOK_AGAIN_MS = 250;
 /** Refused connections in a row after which the process is taken as dead. */
@@ -74,11 +73,12 @@
   }
 
   async #loop(worker: FleetWorker): Promise<void> {
-    const { clock, fleet, orders } = this.#context;
+    const { clock, fleet, orders, lostAnswers } = this.#context;
     let refusals = 0;
     while (!this.#closed) {
       if (this.#isForgotten(worker)) break;
-      const look = await this.#look(worker, { waitMs: LOOK_WAIT_MS });
+      const waitMs = lostAnswers.waitMs(clock.monotonic());
+      const look = await this.#look(worker, { waitMs });
       if (look === "report") {
         refusals = 0;
         if (worker.handled > worker.acknowledged) await this.#saved(worker);
@@ -102,26 +102,55 @@
     await Promise.race([worker.saving, limit]);
   }
 
+  /** Takes a report; where the answer to one that waits for an end is lost, the worker is asked once more before it counts as silent. */
   async #look(
     worker: FleetWorker,
     { waitMs }: { readonly waitMs: number },
   ): Promise<Look> {
+    const { clock, metrics, lostAnswers } = this.#context;
+    const first = await this.#ask(worker, {
+      waitMs,
+      trusted: worker.reachable,
+    });
+    const again = waitMs > 0 && worker.reachable && !this.#closed &&
+      first !== undefined && first.isErr() && first.error.type === "lost";
+    if (!again) return this.#settle(worker, first);
+    metrics.count("look_failures", { type: "repeated" });
+    const second = await this.#ask(worker, { waitMs: 0, trusted: false });
+    if (second?.isOk()) lostAnswers.note(clock.monotonic());
+    return this.#settle(worker, second);
+  }
+
+  /** Asks for a report; `undefined` if the worker has no address or no orders may be given. */
+  async #ask(
+    worker: FleetWorker,
+    { waitMs, trusted }: {
+      readonly waitMs: number;
+      /** Whether it answered the last call. */
+      readonly trusted: boolean;
+    },
+  ): Promise<Asked | undefined> {
     const { clock, orders, fence, holds } = this.#context;
     const address = worker.entry?.address;
-    if (address === undefined || !holds()) return "failed";
+    if (address === undefined || !holds()) return undefined;
     const sentMs = clock.monotonic();
     const order = {
       fence,
       // A worker that did not answer may have started anew, with other ends under the same numbers.
-      acknowledged: worker.reachable ? worker.acknowledged : 0,
+      acknowledged: trusted ? worker.acknowledged : 0,
       // Renewals that may or may not arrive would keep its runs from ever being given up.
-      leaseUntilMs: worker.reachable ? this.#runs.leaseFor(worker) : undefined,
+      leaseUntilMs: trusted ? this.#runs.leaseFor(worker) : undefined,
       waitMs,
     };
     const result = await orders.look({ id: worker.id, address }, order);
-    if (this.#closed) return "failed";
-    if (result.isErr()) return this.#failed(worker, result.error);
-    const report = result.value;
+    return result.map((report) => ({ report, sentMs }));
+  }
+
+  #settle(worker: FleetWorker, asked: Asked | undefined): Look {
+    const { clock } = this.#context;
+    if (asked === undefined || this.#closed) return "failed";
+    if (asked.isErr()) return this.#failed(worker, asked.error);
+    const { report, sentMs } = asked.value;
     if (worker.bornMs !== undefined && (report.bornMs ?? 0) < worker.bornMs) {
       return "failed";
     }
@@ -299,3 +328,8 @@
 
 /** What came of a look. */
 type Look = "report" | "refused" | "failed";
+/** What a worker said, and when it was asked, monotonic milliseconds. */
+type Asked = Result<
+  { readonly report: WorkerReport; readonly sentMs: number },
+  LookFailure
+>;
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -22,6 +22,8 @@
 const STOP_AGAIN_MS = 400;
 /** A worker that refused as unhealthy or could not be reached is left alone so long, milliseconds. */
 const AVOID_MS = 700;
+/** An order without an answer is sent again so often: of twenty answers one or two are lost on bad days. */
+const RESENDS = 2;
 /** A run that makes no progress for so long, though its worker answers, is started elsewhere, milliseconds. */
 const STALL_MS = 3_000;
 /** Its worker gets nothing new for so long, milliseconds. */
@@ -210,7 +212,7 @@
     // Asked for last: it counts as a renewal that the worker may get.
     const leaseUntilMs = this.leaseFor(worker);
     if (leaseUntilMs === undefined) return this.lose(run, "notOrdered");
-    const answer = await orders.start(address, {
+    const order = {
       task: task.id,
       run: run.number,
       spec: step.job.spec.payload,
@@ -218,11 +220,44 @@
       fence,
       checkpoint: task.checkpoint,
       ...(ticket === undefined ? {} : { ticket }),
-    });
+    };
+    const first = await orders.start(address, order);
+    const answer = first.type === "unknown"
+      ? await this.#sendAgain(run, () => orders.start(address, order))
+      : first;
     this.#logStart(run, answer, sentMs);
     this.#started(run, answer);
   }
 
+  /**
+   * Repeats an order whose answer was lost: a worker that has carried it out
+   * says so again. A refusal tells nothing of the first sending, which may
+   * still be carried out.
+   */
+  async #sendAgain(
+    run: Run,
+    start: () => Promise<StartAnswer>,
+  ): Promise<StartAnswer> {
+    const { clock, holds, lostAnswers } = this.#context;
+    const { worker, step, task } = run;
+    let answer: StartAnswer = { type: "unknown", message: "no answer" };
+    worker.unanswered++;
+    for (let sent = 0; sent < RESENDS; sent++) {
+      const wanted = worker.runs.get(task.id) === run && !run.stopping &&
+        !isOver(step.job) && holds();
+      if (!wanted) break;
+      answer = await start();
+      if (answer.type === "started" || answer.type === "rejected") {
+        lostAnswers.note(clock.monotonic());
+        break;
+      }
+    }
+    worker.unanswered--;
+    if (answer.type === "started") return answer;
+    if (answer.type === "rejected" && answer.reason === "fenced") return answer;
+    return { type: "unknown", message: "no answer to the first sending" };
+  }
+
   #started(run: Run, answer: StartAnswer): void {
     const { clock, deposed } = this.#context;
     const now = clock.monotonic();
