Let submissions with time to spare wait for a store that is away

Cause: a client tries a submission five times, 0.2 to 1.2 s apart. A map run of 6 s may take 17 s, but waited 230 ms for the store, and nothing once it had been silent for that long; so its client had used up its tries after some 3 s of an outage of 4 to 6 s, though the run could have been in time after it.

Change: a submission waits for a tenth of the time that its own work leaves it, a second at most, and is refused as it comes once the outage has lasted for longer than all of that time: an outage is expected to last as long again.

The lines job.submitted and job.ended tell the objective that the times are reckoned by.

--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -16,7 +16,7 @@
 import { JobLog } from "./job_log.ts";
 import { firstStartMs, isHopeless, patienceMs } from "./decisions/admission.ts";
 import { LostAnswers } from "./decisions/looks.ts";
-import { Durations } from "./decisions/order.ts";
+import { Durations, type Timing, timingOf } from "./decisions/order.ts";
 import { adopt, readLegacy } from "./recovery.ts";
 import { Runs } from "./runs.ts";
 import { Scheduler } from "./scheduler.ts";
@@ -210,7 +210,8 @@
     const startedMs = clock.monotonic();
     const team = teamNamed(set(), submission.team);
     const stuckMs = this.#context.jobLog.stuckMs();
-    if (isHopeless(policy, stuckMs)) {
+    const timing = this.#timingOf({ spec: submission.spec, policy });
+    if (isHopeless(timing, stuckMs)) {
       log.info("job.refused", {
         job: submission.id,
         queue: submission.queue,
@@ -229,7 +230,7 @@
       owed: this.#weights.withinWeight(team),
     });
     jobs.set(job.id, job);
-    const storing = this.#stored(job);
+    const storing = this.#stored(job, timing);
     // It is placed while it is written, often in the same transaction; orders wait for that.
     reviewJob(this.#context, job);
     const outcome = await storing;
@@ -245,6 +246,7 @@
       queue: job.queue,
       team: job.team,
       owed: job.owed,
+      objectiveMs: Math.round(timing.objectiveMs),
       set: set().version,
       fence,
       tookMs: Math.round(tookMs),
@@ -254,9 +256,9 @@
   }
 
   /** Waits for the store; takes the job back if the store is away and no transaction carries it. */
-  async #stored(job: Job): Promise<SubmitOutcome> {
+  async #stored(job: Job, timing: Timing): Promise<SubmitOutcome> {
     const { clock, jobLog } = this.#context;
-    const endMs = clock.monotonic() + patienceMs(job.policy);
+    const endMs = clock.monotonic() + patienceMs(timing);
     const withinMs = firstStartMs(job.policy);
     const saving = persist(this.#context, job, { submission: true, withinMs });
     for (;;) {
@@ -271,6 +273,10 @@
     }
   }
 
+  #timingOf({ spec, policy }: Pick<Job, "spec" | "policy">): Timing {
+    return timingOf(spec, policy, this.#context.durations);
+  }
+
   #ended(end: EndedJob): void {
     const { jobs, ended, log, metrics, clock, fence } = this.#context;
     const job = jobs.get(end.id);
@@ -284,6 +290,9 @@
       queue: end.queue,
       state: end.state,
       fence,
+      objectiveMs: job === undefined
+        ? undefined
+        : Math.round(this.#timingOf(job).objectiveMs),
       ageMs: clock.now().getTime() - (job?.acceptedMs ?? end.endedMs),
     });
   }
--- a/src/cell/decisions/admission.ts
+++ b/src/cell/decisions/admission.ts
@@ -4,19 +4,20 @@
  *
  * Load pattern: the seconds in which the store is slow or away. Nothing can be
  * accepted while it is away, and every client comes with all its submissions
- * again and again.
+ * again and again, a few times each. An urgent submission has no time to wait
+ * for the store; one with seconds to spare is better off if it waits than if it
+ * uses up its client's tries.
  *
  * @module
  */
 import type { Queue } from "../types.ts";
 import { paceOfQueue, TYPICAL_ASKED } from "./lanes.ts";
+import type { Timing } from "./order.ts";
 
-/** While the store does not answer a submission waits for this part of its queue's objective: a client that is told later is told late. */
-const PATIENCE = 0.25;
-/** Time that is left of that for the answer's way, milliseconds. */
-const PATIENCE_MARGIN_MS = 20;
-/** Longest such wait, milliseconds: clients come back after a second. */
-const MAX_PATIENCE_MS = 600;
+/** While the store does not answer a submission waits for this part of the time that its work leaves it: the rest is for its client's next tries. */
+const PATIENCE = 0.1;
+/** Longest such wait, milliseconds: a third of what clients wait for an answer. */
+const MAX_PATIENCE_MS = 1_000;
 /** Time beside the advice until a step is placed, milliseconds: a pass over the line and a busy processor. */
 const START_SLACK_MS = 25;
 /** Urgent clients come back after this, seconds. */
@@ -28,9 +29,8 @@
 export type RefusalReason = "noHolder" | "storeAway" | "overload";
 
 /** How long a submission waits for a store that is silent, milliseconds. */
-export function patienceMs({ objectiveMs }: Queue): number {
-  const ownMs = PATIENCE * objectiveMs - PATIENCE_MARGIN_MS;
-  return Math.min(MAX_PATIENCE_MS, Math.max(0, ownMs));
+export function patienceMs({ spareMs }: Timing): number {
+  return Math.min(MAX_PATIENCE_MS, PATIENCE * spareMs);
 }
 
 /**
@@ -43,9 +43,13 @@
   return advice.baseMs + TYPICAL_ASKED * advice.perWorkerMs + START_SLACK_MS;
 }
 
-/** Whether a submission is turned away as it comes: the store has been silent for longer than it would wait. */
-export function isHopeless(queue: Queue, stuckMs: number): boolean {
-  return stuckMs > 0 && stuckMs >= patienceMs(queue);
+/**
+ * Whether a submission is turned away as it comes. An outage that has lasted for
+ * some time is expected to last as long again: what cannot wait so long is not
+ * kept waiting.
+ */
+export function isHopeless({ spareMs }: Timing, stuckMs: number): boolean {
+  return stuckMs > spareMs;
 }
 
 /** Seconds after which the client of a refused call may come back. */
--- a/src/cell/decisions/order.ts
+++ b/src/cell/decisions/order.ts
@@ -59,8 +59,7 @@
   const priority = queue?.priority ?? 0;
   const taskMs = durations.of(job.queue, spec.estimateMs);
   const chains = chainsOf(job.spec);
-  const objectiveMs = (queue?.stretch ?? 1) * chains.whole * taskMs +
-    (queue?.objectiveMs ?? 0);
+  const objectiveMs = objectiveOf(queue, chains.whole * taskMs);
   const restMs = (chains.rest[step.index] ?? 1) * taskMs;
   const startByMs = dueMs + objectiveMs - restMs;
   const lastMs = dueMs + WORTHLESS_AFTER * objectiveMs - restMs;
@@ -72,12 +71,36 @@
   };
 }
 
+/** What a submission asks for in time, milliseconds. */
+export interface Timing {
+  /** Time from its first sending within which it is to be done. */
+  readonly objectiveMs: number;
+  /** Part of that which its own work leaves. */
+  readonly spareMs: number;
+}
+
+/** Reckons the times of a submission by the run times of its queue. */
+export function timingOf(
+  spec: JobSpec,
+  queue: Queue,
+  durations: Durations,
+): Timing {
+  const taskMs = durations.of(queue.name, spec.steps[0]?.estimateMs ?? 0);
+  const chainMs = chainsOf(spec).whole * taskMs;
+  const objectiveMs = objectiveOf(queue, chainMs);
+  return { objectiveMs, spareMs: Math.max(0, objectiveMs - chainMs) };
+}
+
 /** Orders ranks. */
 export function compareRanks(a: Rank, b: Rank): number {
   return a.lateness - b.lateness || a.priority - b.priority ||
     a.excess - b.excess || a.startByMs - b.startByMs;
 }
 
+function objectiveOf(queue: Queue | undefined, chainMs: number): number {
+  return (queue?.stretch ?? 1) * chainMs + (queue?.objectiveMs ?? 0);
+}
+
 function latenessOf(
   step: StepRun,
   { priority, nowMs, startByMs, lastMs }: {
