Serve sooner after a restart and after a change of the holder

Tried and not kept: register, list the members and read the record at once; a process then counts too few members and doubts a holder that has 300 to tell (test of 300 instances).

--- a/src/cell/first_reports.ts
+++ b/src/cell/first_reports.ts
@@ -1,9 +1,9 @@
 /**
  * The first reports of workers after a takeover.
  *
- * Hundreds of workers asked at once would keep clients waiting behind their
- * answers, so a few are asked at a time; one that is silent delays the others
- * but little.
+ * All workers asked at once would keep clients and the first starts waiting
+ * behind their answers, so a few are asked at a time; one that is silent delays
+ * the others but little.
  *
  * @module
  */
@@ -11,9 +11,9 @@
 import type { FleetWorker } from "./fleet.ts";
 
 /** Reports that are waited for at once. */
-const AT_ONCE = 24;
+const AT_ONCE = 6;
 /** Longest wait for one before the next worker is asked, milliseconds. */
-const WAIT_MS = 40;
+const WAIT_MS = 25;
 
 /** Asks workers for their first reports in the order in which they were added. */
 export class FirstReports {
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -166,11 +166,11 @@
     await this.#record.read();
     void this.#teller.run();
     for (;;) {
-      await sleep(clock, TICK_MS);
       if (this.#holding !== undefined) this.#watchHold();
       else if (!this.#leaving && this.#takeover.isDue()) {
         await this.#takeover.attempt({ asked: false });
       }
+      await sleep(clock, TICK_MS);
     }
   }
 
