Tell what steps wait for

A line step.waited tells of a step that waited for 100 ms or more how long it did for its turn, for the advice service, for room, for its team's limit and for the other places of its gang. cell.load counts the steps that wait by reason, the metric step_wait_ms sums the times. The counter passes_without_place goes: it cost a text for each step and pass.

Cause: 100 to 230 steps were open while half of the processors were free, and no line said why.

--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -69,6 +69,7 @@
       : step.tasks.some((task) => task.phase === "waiting"));
   if (wanted) {
     context.open.add(step);
+    step.waits.begin(context.clock.monotonic());
     context.kick();
   } else context.open.delete(step);
 }
--- a/src/cell/housekeeping.ts
+++ b/src/cell/housekeeping.ts
@@ -6,8 +6,9 @@
 import { sleep } from "../clock.ts";
 import { type CellContext, reviewJob } from "./context.ts";
 import { roomOn, takesWork } from "./fleet.ts";
-import { dueMs, occurrencesOf, openOccurrence } from "./job.ts";
+import { dueMs, occurrencesOf, openOccurrence, type StepRun } from "./job.ts";
 import type { Runs } from "./runs.ts";
+import { WAIT_REASONS, type WaitReason } from "./step_waits.ts";
 
 /** Stops, lapses and due times are looked at this often, milliseconds. */
 const TICK_MS = 100;
@@ -113,6 +114,7 @@
       fence,
       jobs: jobs.size,
       openSteps: open.size,
+      ...waitingByReason(open),
       runs: workers.reduce((sum, one) => sum + one.runs.size, 0),
       workers: workers.length,
       usable: usable.length,
@@ -128,3 +130,20 @@
     this.#lateMs = 0;
   }
 }
+
+/** Steps that wait, by reason: `waitNoRoom` and so on. */
+function waitingByReason(
+  open: Iterable<StepRun>,
+): Readonly<Record<string, number>> {
+  const counts = new Map<WaitReason, number>();
+  for (const { waits: { reason } } of open) {
+    if (reason !== undefined) {
+      counts.set(reason, (counts.get(reason) ?? 0) + 1);
+    }
+  }
+  return Object.fromEntries(WAIT_REASONS.flatMap((reason) => {
+    const count = counts.get(reason);
+    const name = `wait${reason[0]!.toUpperCase()}${reason.slice(1)}`;
+    return count === undefined ? [] : [[name, count]];
+  }));
+}
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { StepWaits } from "./step_waits.ts";
 import type { JobSpec, JobState, Queue, StepSpec, TaskId } from "./types.ts";
 
 /** Where a task stands. `assigned`: it holds room on a worker, started there or not yet. */
@@ -39,6 +40,7 @@
   /** Last run of the gang that counts as failed; several members may tell of it. */
   gangFailedRun: number;
   readonly advice: StepAdvice;
+  readonly waits: StepWaits;
 }
 
 /** Permission to run a step on a worker. */
@@ -146,6 +148,7 @@
       asking: 0,
       retryAtMs: 0,
     },
+    waits: new StepWaits(),
   }));
   job.occurrences.set(occurrence, steps);
   return steps;
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -30,6 +30,8 @@
 const PASS_REST = 4;
 /** Nothing is started while the store has not answered for so long, milliseconds: starts are recorded first. */
 const STORE_STUCK_MS = 250;
+/** Shorter waits are not told, milliseconds: a tenth of what an urgent submission may take. */
+const LONG_WAIT_MS = 100;
 /** Gangs that are later than this reserve nothing; source: {@linkcode Rank}. */
 const RESERVING_LATENESS = 1;
 
@@ -170,23 +172,44 @@
   /** Places what has room. */
   #place(step: StepRun, room: Room): void {
     if (this.#paused || !this.#context.open.has(step)) return;
-    if (this.#asker.mustWait(step)) return;
+    const nowMs = this.#context.clock.monotonic();
+    if (this.#asker.mustWait(step)) return step.waits.note("advice", nowMs);
     const context = this.#searchContext(step, room);
     const search = findPlaces(step, context);
     if (search.places.length > 0) {
       this.#asker.release(step);
+      this.#tellWait(step, search.places.length);
       this.#runs.start(step, search.places);
       if (!this.#context.open.has(step)) return;
-    } else {
-      const reason = search.reason ?? "none";
-      this.#context.metrics.count("passes_without_place", { reason });
     }
+    step.waits.note(search.reason ?? "noRoom", nowMs);
     if (adviceMayHelp(search.reason)) {
       const busy = this.#reservations.isOpen(context.queue.service);
       this.#asker.ask(step, { ...context, busy });
     }
   }
 
+  /** Tells what a step has waited for, if that took long. */
+  #tellWait(step: StepRun, placed: number): void {
+    const { clock, log, metrics, fence } = this.#context;
+    const sums = step.waits.end(clock.monotonic());
+    const waitedMs = [...sums.values()].reduce((all, sum) => all + sum, 0);
+    for (const [reason, sum] of sums) {
+      metrics.count("step_wait_ms", { reason }, sum);
+    }
+    if (waitedMs < LONG_WAIT_MS) return;
+    log.info("step.waited", {
+      job: step.job.id,
+      step: step.index,
+      tasks: placed,
+      fence,
+      waitedMs,
+      ...Object.fromEntries(
+        [...sums].map(([reason, sum]) => [`${reason}Ms`, sum]),
+      ),
+    });
+  }
+
   /** Steps of the first priority are short and urgent, and tasks that last must run: they heed no room of others but take it last. */
   #searchContext(step: StepRun, { index, held }: Room): SearchContext {
     const queue = queueOf(this.#context, step.job);
