--- a/bench/cell.ts
+++ b/bench/cell.ts
@@ -12,7 +12,11 @@
 import { Metrics } from "../src/metrics.ts";
 import { cellOver, slowAdvice } from "./model/cell_world.ts";
 import { ModelStore } from "./model/model_store.ts";
-import { ModelWorkers, workerEntries } from "./model/model_workers.ts";
+import {
+  type ModelTasks,
+  ModelWorkers,
+  workerEntries,
+} from "./model/model_workers.ts";
 import {
   GROWN,
   type Kind,
@@ -75,12 +79,14 @@
 ): Promise<void> {
   const metrics = new Metrics();
   const log = new PassLog();
-  const workers = new ModelWorkers(systemClock, {
+  const { sheet } = size;
+  const tasks: ModelTasks = {
     durationOf: ({ spec }) =>
-      kindOf(size.sheet, spec).runMs * random.between(0.5, 1.5),
-    cpuMillisOf: ({ spec }) => kindOf(size.sheet, spec).cpuMillis,
-    isGang: ({ spec }) => kindOf(size.sheet, spec).gangShare === 1,
-  });
+      kindOf(sheet, spec).runMs * random.between(0.5, 1.5),
+    cpuMillisOf: ({ spec }) => kindOf(sheet, spec).cpuMillis,
+    isGang: ({ spec }) => kindOf(sheet, spec).gangShare === 1,
+  };
+  const workers = new ModelWorkers(systemClock, tasks, sheet.capacity);
   const cell = openCell(size, { log, metrics, workers });
   const opened = await cell.recover();
   opened._unsafeUnwrap();
@@ -97,8 +103,8 @@
   load.stop();
   cell.close();
   const seconds = RUN_MS / 1_000;
-  const traffic = size.sheet === LARGE ? "large" : "grown";
-  const label = `${traffic}_w${size.workers}_q${size.queues}_l${size.load}`;
+  const label =
+    `${size.sheet.name}_w${size.workers}_q${size.queues}_l${size.load}`;
   results.line(
     `${label}_starts_per_s`,
     (workers.starts - before.starts) / seconds,
@@ -127,12 +133,12 @@
     log,
     metrics,
     store: new ModelStore(systemClock),
-    workers: workerEntries(size.workers),
+    workers: workerEntries(size.workers, size.sheet.capacity),
     orders: workers,
-    ask: slowAdvice(
-      systemClock,
-      (step) => sheet.kinds[Number(step[0])]?.goodShare ?? 1,
-    ),
+    ask: slowAdvice(systemClock, {
+      wayMs: sheet.wayMs,
+      goodShare: (step) => sheet.kinds[Number(step[0])]?.goodShare ?? 1,
+    }),
     lanes,
     set: { version: 1, queues, teams: [], maxBodyBytes: 10_000 },
     fence: 1,
--- a/bench/model/cell_world.ts
+++ b/bench/model/cell_world.ts
@@ -17,13 +17,24 @@
 /** How long ends of jobs are told, milliseconds. */
 const RETENTION_MS = 120_000;
 
-/** Advice that takes its expected time and finds a share of the workers good, always the same for a step. */
+/**
+ * Advice that takes its expected time, one question after the other in each
+ * lane, and finds a share of the workers good, always the same for a step.
+ */
 export function slowAdvice(
   clock: Clock,
-  goodShare: (step: string) => number,
+  { wayMs, goodShare }: {
+    /** Time of a question's way and back, milliseconds. */
+    readonly wayMs: number;
+    readonly goodShare: (step: string) => number;
+  },
 ): AskThrough {
-  return async (_instance, { step, workers, expectedMs }) => {
-    await sleep(clock, expectedMs);
+  const freeAtMs = new Map<string, number>();
+  return async (instance, { step, workers, expectedMs }) => {
+    const now = clock.monotonic();
+    const endMs = Math.max(now, freeAtMs.get(instance) ?? 0) + expectedMs;
+    freeAtMs.set(instance, endMs);
+    await sleep(clock, endMs + wayMs - now);
     const good = workers.filter((worker) =>
       shareOf(`${step} ${worker}`) < goodShare(step)
     );
--- a/bench/model/drawn_jobs.ts
+++ b/bench/model/drawn_jobs.ts
@@ -80,7 +80,7 @@
       jobs.push(drawJob(kind, { atMs, id, team: teamName(team) }, random));
     };
     for (let atMs = 0; atMs < load.lengthMs;) {
-      const rate = usual * load.factor(kind.queue, atMs);
+      const rate = usual * load.factor(kind, atMs);
       atMs += random.exponential(1 / rate);
       const largest = random.unit() < LARGEST_SHARE;
       draw(atMs, largest ? 0 : 1 + random.below(TEAMS - 1));
--- a/bench/model/loads.ts
+++ b/bench/model/loads.ts
@@ -4,13 +4,15 @@
  * @module
  */
 
+import type { Kind } from "./sheets.ts";
+
 /** One load pattern. */
 export interface Load {
   readonly name: string;
   /** Submissions come for so long, milliseconds. */
   readonly lengthMs: number;
-  /** Times the usual traffic of a queue at a time. */
-  factor(queue: string, atMs: number): number;
+  /** Times the usual traffic of a kind at a time. */
+  factor(kind: Kind, atMs: number): number;
   /** One team sends many times its usual. */
   readonly hot?: {
     readonly fromMs: number;
@@ -32,14 +34,14 @@
 export const LOADS: readonly Load[] = [
   { name: "calm", lengthMs: LENGTH_MS, factor: () => 1 },
   {
-    name: "receipts_burst",
+    name: "urgent_burst",
     lengthMs: LENGTH_MS,
-    factor: (queue, atMs) => queue === "receipts" && inBurst(atMs) ? 2.2 : 1,
+    factor: (kind, atMs) => isUrgent(kind) && inBurst(atMs) ? 2.2 : 1,
   },
   {
-    name: "billing_burst",
+    name: "gang_burst",
     lengthMs: LENGTH_MS,
-    factor: (queue, atMs) => queue === "billing" && inBurst(atMs) ? 1.8 : 1,
+    factor: (kind, atMs) => kind.gangShare === 1 && inBurst(atMs) ? 1.8 : 1,
   },
   { name: "full_fleet", lengthMs: LENGTH_MS, factor: () => 1.25 },
   { name: "overload", lengthMs: LENGTH_MS, factor: () => 2 },
@@ -63,6 +65,18 @@
   },
 ];
 
+/** A hot team and a burst of urgent work at once: four times the usual traffic. */
+export const HOT_BURST: Load = {
+  name: "hot_burst",
+  lengthMs: LENGTH_MS,
+  factor: (kind, atMs) => isUrgent(kind) && inBurst(atMs) ? 2.2 : 1,
+  hot: { fromMs: BURST_MS, toMs: BURST_MS + BURST_FOR_MS, times: 15 },
+};
+
+function isUrgent({ priority }: Kind): boolean {
+  return priority === 0;
+}
+
 function inBurst(atMs: number): boolean {
   return atMs >= BURST_MS && atMs < BURST_MS + BURST_FOR_MS;
 }
--- a/bench/model/model_workers.ts
+++ b/bench/model/model_workers.ts
@@ -13,7 +13,7 @@
   WorkerOrders,
   WorkerReport,
 } from "../../src/cell/ports.ts";
-import type { WorkerEntry } from "../../src/cell/types.ts";
+import type { Amounts, WorkerEntry } from "../../src/cell/types.ts";
 import { type Clock, sleep, type Timer } from "../../src/clock.ts";
 
 /** Life of a ticket, milliseconds. */
@@ -22,18 +22,19 @@
 const LAST_PERCENT = 99;
 /** Workers of one rack. */
 const RACK = 12;
-/** Capacity of a worker of the users' platform. */
-const CAPACITY = { cpuMillis: 64_000, memoryMib: 262_144, accelerators: 0 };
 
 /** Entries of `count` workers in racks. */
-export function workerEntries(count: number): readonly WorkerEntry[] {
+export function workerEntries(
+  count: number,
+  capacity: Amounts,
+): readonly WorkerEntry[] {
   return Array.from({ length: count }, (_, index) => ({
     id: `w${index}`,
     address: `w${index}:80`,
     service: "copier",
     zone: "a",
     labels: ["kind", `r-${Math.floor(index / RACK)}`],
-    capacity: CAPACITY,
+    capacity,
     draining: false,
     bornMs: 1,
   }));
@@ -74,6 +75,7 @@
 export class ModelWorkers implements WorkerOrders {
   readonly #clock: Clock;
   readonly #tasks: ModelTasks;
+  readonly #capacity: Amounts;
   readonly #workers = new Map<string, ModelWorker>();
   readonly #gangs = new Map<string, ModelGang>();
   /** Starts that were taken. */
@@ -83,9 +85,11 @@
   /** Reports that were given. */
   looks = 0;
 
-  constructor(clock: Clock, tasks: ModelTasks) {
+  /** `capacity`: what each worker offers. */
+  constructor(clock: Clock, tasks: ModelTasks, capacity: Amounts) {
     this.#clock = clock;
     this.#tasks = tasks;
+    this.#capacity = capacity;
   }
 
   start(
@@ -100,7 +104,7 @@
     this.starts++;
     const cpuMillis = this.#tasks.cpuMillisOf(order);
     there.usedMillis += cpuMillis;
-    if (there.usedMillis > CAPACITY.cpuMillis) this.overfilled++;
+    if (there.usedMillis > this.#capacity.cpuMillis) this.overfilled++;
     const startedMs = this.#clock.monotonic();
     const durationMs = this.#tasks.durationOf(order);
     there.running.set(order.task, {
--- a/bench/model/sheets.ts
+++ b/bench/model/sheets.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Queue, StepSpec } from "../../src/cell/types.ts";
+import type { Amounts, Queue, StepSpec } from "../../src/cell/types.ts";
 import { TICKET_MS } from "./model_workers.ts";
 
 /** One kind of submission. */
@@ -30,17 +30,40 @@
   readonly goodShare: number;
 }
 
-/** Traffic of one deployment. */
+/** Traffic and machines of one deployment. */
 export interface Sheet {
+  readonly name: string;
   readonly kinds: readonly Kind[];
+  readonly workers: number;
+  /** What each worker offers. */
+  readonly capacity: Amounts;
+  /** Time of a question's way to the advice service and back through another instance, milliseconds. */
+  readonly wayMs: number;
   /** Submissions a second for each worker. */
   readonly ratePerWorker: number;
   /** Instances that carry questions for advice. */
   readonly lanes: number;
 }
 
+const LARGE_WORKER: Amounts = {
+  cpuMillis: 64_000,
+  memoryMib: 262_144,
+  accelerators: 0,
+};
+const SMALL_WORKER: Amounts = {
+  cpuMillis: 32_000,
+  memoryMib: 65_536,
+  accelerators: 0,
+};
+/** A busy holder's way of a question, milliseconds; source: the lines of nevero-picos in its busiest seconds. */
+const BUSY_WAY_MS = 25;
+
 /** Source: the sheets of the deployments with 245 workers. */
 export const GROWN: Sheet = {
+  name: "grown",
+  workers: 245,
+  capacity: LARGE_WORKER,
+  wayMs: 0,
   ratePerWorker: 96 / 245,
   lanes: 39,
   kinds: [
@@ -100,6 +123,10 @@
 
 /** Source: the sheet of the deployment with 380 workers. */
 export const LARGE: Sheet = {
+  name: "large",
+  workers: 380,
+  capacity: LARGE_WORKER,
+  wayMs: 0,
   ratePerWorker: 80.6 / 380,
   lanes: 97,
   kinds: [
@@ -157,6 +184,69 @@
   ],
 };
 
+/** Source: the sheet of nevero-picos. */
+export const PICOS: Sheet = {
+  name: "picos",
+  workers: 33,
+  capacity: SMALL_WORKER,
+  wayMs: BUSY_WAY_MS,
+  ratePerWorker: 39.6 / 33,
+  lanes: 6,
+  kinds: [
+    {
+      queue: "maps",
+      share: 0.026,
+      tasks: 6,
+      cpuMillis: 9_000,
+      memoryMib: 9_000,
+      runMs: 6_200,
+      gangShare: 1,
+      steps: 1.2,
+      priority: 1,
+      stretch: 2.2,
+      objectiveMs: 1_000,
+      worth: 16,
+      baseMs: 390,
+      perWorkerMs: 5.5,
+      goodShare: 0.35,
+    },
+    {
+      queue: "intake",
+      share: 0.121,
+      tasks: 10,
+      cpuMillis: 2_000,
+      memoryMib: 2_800,
+      runMs: 2_200,
+      gangShare: 0,
+      steps: 1.5,
+      priority: 2,
+      stretch: 4,
+      objectiveMs: 3_000,
+      worth: 2.13,
+      baseMs: 42,
+      perWorkerMs: 0.6,
+      goodShare: 0.45,
+    },
+    {
+      queue: "lookups",
+      share: 0.853,
+      tasks: 2,
+      cpuMillis: 2_800,
+      memoryMib: 2_900,
+      runMs: 640,
+      gangShare: 0.3,
+      steps: 1,
+      priority: 0,
+      stretch: 1.5,
+      objectiveMs: 250,
+      worth: 0.42,
+      baseMs: 5.6,
+      perWorkerMs: 0.08,
+      goodShare: 0.7,
+    },
+  ],
+};
+
 /** A step of the mean size of a kind. */
 export function meanStep(kind: Kind): StepSpec {
   return {
--- a/bench/replay.ts
+++ b/bench/replay.ts
@@ -20,8 +20,8 @@
   TEAMS,
   weightOf,
 } from "./model/drawn_jobs.ts";
-import { LARGE, queuesOf } from "./model/sheets.ts";
-import { type Load, LOADS } from "./model/loads.ts";
+import { LARGE, PICOS, queuesOf, type Sheet } from "./model/sheets.ts";
+import { HOT_BURST, type Load, LOADS } from "./model/loads.ts";
 import { ModelStore } from "./model/model_store.ts";
 import {
   type ModelTasks,
@@ -31,8 +31,6 @@
 import { Random } from "./random.ts";
 import type { Results } from "./results.ts";
 
-/** Workers of a replay. */
-const WORKERS = 380;
 /** Queues of the operators' set, most of them idle. */
 const QUEUES = 45;
 /** Time after the last submission until the credit is counted, milliseconds. */
@@ -42,34 +40,49 @@
 /** Time from the death of a holder until the next has the cell, milliseconds. */
 const TAKEOVER_MS = 1_500;
 
+/** Load patterns, each with the sheet on which it is worst. */
+export const REPLAYS: readonly Replay[] = [
+  ...LOADS.map((load) => ({ sheet: LARGE, load })),
+  ...LOADS.map((load) => ({ sheet: PICOS, load })),
+  { sheet: PICOS, load: HOT_BURST },
+];
+
+/** A load pattern on a deployment. */
+export interface Replay {
+  readonly sheet: Sheet;
+  readonly load: Load;
+}
+
 /** Plays all load patterns. */
 export async function benchReplay(
   results: Results,
   seed: number,
 ): Promise<void> {
-  for (const load of LOADS) {
+  for (const { sheet, load } of REPLAYS) {
     const before = process.cpuUsage();
-    const { credit, world } = await replay(load, seed);
+    const { credit, world } = await replay({ sheet, load }, seed);
     const cpu = process.cpuUsage(before);
-    for (const { queue } of LARGE.kinds) {
-      results.line(`${load.name}_${queue}`, credit.shareOf(queue));
+    const label = `${sheet.name}_${load.name}`;
+    for (const { queue } of sheet.kinds) {
+      results.line(`${label}_${queue}`, credit.shareOf(queue));
     }
-    results.line(`${load.name}_all`, credit.share);
-    results.line(`${load.name}_other_teams`, credit.shareOfOthers);
+    results.line(`${label}_all`, credit.share);
+    results.line(`${label}_other_teams`, credit.shareOfOthers);
     const cpuMs = (cpu.user + cpu.system) / 1e3;
     const seconds = world.clock.monotonic() / 1e3;
-    results.line(`${load.name}_cpu_ms_per_s`, cpuMs / seconds);
-    results.atMost(`${load.name}_overfilled`, world.workers.overfilled, 0);
+    results.line(`${label}_cpu_ms_per_s`, cpuMs / seconds);
+    results.atMost(`${label}_overfilled`, world.workers.overfilled, 0);
   }
 }
 
 /** Plays one load pattern; gives what its callers got. */
 export async function replay(
-  load: Load,
+  { sheet, load }: Replay,
   seed: number,
 ): Promise<{ readonly credit: CreditLog; readonly world: ReplayWorld }> {
-  const jobs = drawJobs(LARGE, { load, workers: WORKERS }, new Random(seed));
-  const world = new ReplayWorld(jobs);
+  const { workers } = sheet;
+  const jobs = drawJobs(sheet, { load, workers }, new Random(seed));
+  const world = new ReplayWorld(sheet, jobs);
   await world.open();
   let at = 0;
   const endMs = load.lengthMs + TAIL_MS;
@@ -93,37 +106,42 @@
   readonly store = new ModelStore(this.clock);
   readonly workers: ModelWorkers;
   readonly credit: CreditLog;
+  readonly #sheet: Sheet;
   #cell: Cell | undefined;
   #fence = 0;
   /** Submissions that came while nobody held the cell. */
   #unserved: DrawnJob[] = [];
 
-  constructor(jobs: readonly DrawnJob[]) {
-    this.workers = new ModelWorkers(this.clock, tasksOf(jobs));
+  constructor(sheet: Sheet, jobs: readonly DrawnJob[]) {
+    this.#sheet = sheet;
+    const { capacity } = sheet;
+    this.workers = new ModelWorkers(this.clock, tasksOf(jobs), capacity);
     this.credit = new CreditLog(jobs, this.clock);
   }
 
   /** The next holder takes the cell. */
   async open(): Promise<void> {
+    const sheet = this.#sheet;
+    const { workers, capacity, lanes, kinds, wayMs } = sheet;
     const cell = cellOver({
       clock: this.clock,
       log: this.credit,
       metrics: new Metrics(),
       store: this.store,
-      workers: workerEntries(WORKERS),
+      workers: workerEntries(workers, capacity),
       orders: this.workers,
-      ask: slowAdvice(
-        this.clock,
-        (step) => LARGE.kinds[Number(step[0])]?.goodShare ?? 1,
-      ),
-      lanes: Array.from({ length: LARGE.lanes }, (_, index) => `i${index}`),
+      ask: slowAdvice(this.clock, {
+        wayMs,
+        goodShare: (step) => kinds[Number(step[0])]?.goodShare ?? 1,
+      }),
+      lanes: Array.from({ length: lanes }, (_, index) => `i${index}`),
       set: {
         version: 1,
-        queues: queuesOf(LARGE, QUEUES),
+        queues: queuesOf(sheet, QUEUES),
         teams: Array.from({ length: TEAMS }, (_, index) => ({
           name: teamName(index),
           keys: [],
-          weight: weightOf(index, { sheet: LARGE, workers: WORKERS }),
+          weight: weightOf(index, { sheet, workers }),
           limit: NO_AMOUNTS,
         })),
         maxBodyBytes: 10_000,
