Let lines between instances share calls of the system

Cause: 12 % of a busy holder's time go into writes of sockets, one for each answer to another instance, though the answers to all submissions of a transaction are due in the same turn of the event loop.

Change: the socket is corked for the rest of the turn.

--- a/src/peers/lines.ts
+++ b/src/peers/lines.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Socket } from "node:net";
+import process from "node:process";
 
 /** Longest line that a link takes, characters. */
 export const LINE_LIMIT_CHARS = 24 * 1024 * 1024;
@@ -45,6 +46,15 @@
   });
 }
 
+/** Writes a message as a line; lines of one turn of the event loop share a call of the system. */
+export function writeLine(socket: Socket, message: unknown): void {
+  if (socket.writableCorked === 0) {
+    socket.cork();
+    process.nextTick(() => socket.uncork());
+  }
+  socket.write(JSON.stringify(message) + "\n");
+}
+
 /** Parses a line; `undefined` if it is no JSON object. */
 export function parseLine(line: string): Record<string, unknown> | undefined {
   try {
--- a/src/peers/outbound.ts
+++ b/src/peers/outbound.ts
@@ -23,6 +23,7 @@
   LINE_LIMIT_CHARS,
   parseLine,
   readLines,
+  writeLine,
 } from "./lines.ts";
 
 /** Time between signs of life on a link, milliseconds. */
@@ -67,7 +68,7 @@
   constructor(options: OutboundOptions) {
     this.#options = options;
     this.#client = new JSONRPCClient((message) => {
-      this.#socket?.write(JSON.stringify(message) + "\n");
+      if (this.#socket !== undefined) writeLine(this.#socket, message);
     });
     this.#dial();
   }
--- a/src/peers/tcp_peers.ts
+++ b/src/peers/tcp_peers.ts
@@ -31,6 +31,7 @@
   LINE_LIMIT_CHARS,
   parseLine,
   readLines,
+  writeLine,
 } from "./lines.ts";
 import { BACKLOG_LIMIT_BYTES, Outbound, splitAddress } from "./outbound.ts";
 
@@ -238,7 +239,7 @@
 function send(socket: Socket, answer: unknown): void {
   if (socket.destroyed) return;
   if (socket.writableLength > BACKLOG_LIMIT_BYTES) return void socket.destroy();
-  socket.write(JSON.stringify(answer) + "\n");
+  writeLine(socket, answer);
 }
 
 function refusalOf(
