Account for late and lost submissions from logs

zinniapoint account FILE... reads the lines of several instances in any order and tells of each submission whether it was in time, late, refused or failed, and of each loss the one cause that cost it most, with sums by outcome, by queue and by second.

--- /dev/null
+++ b/src/account/account_test.ts
@@ -0,0 +1,181 @@
+import process from "node:process";
+import test from "ava";
+import { Account, lossesBy } from "./account.ts";
+import type { Cause } from "./job_notes.ts";
+
+const LATE = "00000000000000a1";
+const REFUSED = "00000000000000a2";
+const FINE = "00000000000000a3";
+
+/** A line at so many milliseconds of a day. */
+function line(atMs: number, text: string): string {
+  const time = new Date(Date.UTC(2026, 0, 1) + atMs).toISOString();
+  return `time=${time} level=info node=n1 ${text}`;
+}
+
+/** One submission that is accepted at once and ends after so many milliseconds. */
+function job(
+  id: string,
+  { fromMs, endMs, between = [] }: {
+    readonly fromMs: number;
+    readonly endMs: number;
+    readonly between?: readonly string[];
+  },
+): readonly string[] {
+  const about = `job=${id} queue=lookups`;
+  return [
+    line(
+      fromMs + 20,
+      `event=job.submitted ${about} objectiveMs=1200 tookMs=20 outcome=accepted`,
+    ),
+    line(
+      fromMs + 25,
+      `event=client.call method=POST job=${id} outcome=accepted tookMs=25`,
+    ),
+    ...between,
+    line(
+      endMs,
+      `event=job.ended ${about} state=done objectiveMs=1200 ageMs=${
+        endMs - fromMs
+      }`,
+    ),
+  ];
+}
+
+function accountOf(lines: readonly string[]) {
+  const account = new Account();
+  for (const [index, text] of lines.entries()) account.take(text, `f:${index}`);
+  return account.report();
+}
+
+const CAUSES: readonly {
+  readonly cause: Cause;
+  readonly lines: readonly string[];
+}[] = [
+  {
+    cause: "noRoom",
+    lines: [line(
+      1_500,
+      `event=step.waited job=${LATE} step=0 waitedMs=1400 noRoomMs=1300 adviceMs=100`,
+    )],
+  },
+  {
+    cause: "teamLimit",
+    lines: [
+      line(1_500, `event=step.waited job=${LATE} step=0 teamLimitMs=1400`),
+    ],
+  },
+  {
+    cause: "failedRuns",
+    lines: [
+      line(
+        200,
+        `event=run.start job=${LATE} task=${LATE}.0.0.0 run=1 tookMs=5 outcome=started`,
+      ),
+      line(
+        1_400,
+        `event=run.end task=${LATE}.0.0.0 run=1 how=failed counted=true`,
+      ),
+    ],
+  },
+  {
+    cause: "unansweredOrder",
+    lines: [
+      line(
+        400,
+        `event=run.start job=${LATE} task=${LATE}.0.0.0 run=1 tookMs=300 outcome=unknown`,
+      ),
+      line(
+        1_600,
+        `event=run.lost job=${LATE} task=${LATE}.0.0.0 run=1 reason=notThere`,
+      ),
+    ],
+  },
+  {
+    cause: "workerLost",
+    lines: [
+      line(
+        200,
+        `event=run.start job=${LATE} task=${LATE}.0.0.0 run=1 tookMs=5 outcome=started`,
+      ),
+      line(
+        1_600,
+        `event=run.lost job=${LATE} task=${LATE}.0.0.0 run=1 reason=workerDead`,
+      ),
+    ],
+  },
+  {
+    cause: "noHolder",
+    lines: [
+      line(900, "event=hold.gained fence=2 silenceMs=400"),
+      line(1_700, "event=cell.recovered fence=2 jobs=1"),
+    ],
+  },
+  {
+    cause: "storeAway",
+    lines: [line(1_800, "event=cell.load fence=1 storeStuckMs=1500")],
+  },
+  { cause: "untold", lines: [] },
+];
+
+for (const { cause, lines } of CAUSES) {
+  test(`a late submission: ${cause}`, (t) => {
+    const all = job(LATE, { fromMs: 0, endMs: 2_600, between: lines });
+    for (const order of [all, all.toReversed()]) {
+      const [told] = accountOf(order).jobs;
+      t.is(told?.outcome, "late");
+      t.is(told?.cause, cause);
+    }
+  });
+}
+
+test("submissions in time and refused ones, by queue and by second", (t) => {
+  const { jobs } = accountOf([
+    ...job(FINE, { fromMs: 0, endMs: 900 }),
+    line(
+      2_100,
+      `event=client.call method=POST job=${REFUSED} outcome=storeAway tookMs=60`,
+    ),
+  ]);
+  t.deepEqual(jobs.map(({ outcome, cause }) => [outcome, cause]), [
+    ["inTime", undefined],
+    ["refused", "storeAway"],
+  ]);
+  t.deepEqual(lossesBy(jobs, ({ second }) => String(second)), [
+    { of: "0", submitted: 1, lost: 0 },
+    { of: "2", submitted: 1, lost: 1, storeAway: 1 },
+  ]);
+});
+
+test("a line that cannot be read is counted and named, other text is passed over", (t) => {
+  const report = accountOf([
+    "no line of ours",
+    "time=yesterday node=n1 event=job.ended job=00000000000000a1",
+    line(0, "event=set.inForce version=2"),
+    "",
+  ]);
+  t.is(report.lines, 3);
+  t.is(report.unreadable, 2);
+  t.deepEqual(report.unreadableAt, ["f:0", "f:1"]);
+});
+
+test("what is kept grows with the submissions, not with the lines", (t) => {
+  const account = new Account();
+  const before = process.memoryUsage().heapUsed;
+  for (let run = 1; run <= 100_000; run++) {
+    const about = `task=${LATE}.0.0.0 run=${run}`;
+    account.take(
+      line(
+        run,
+        `event=run.start job=${LATE} ${about} tookMs=1 outcome=started`,
+      ),
+      "f",
+    );
+    account.take(
+      line(run + 1, `event=run.end ${about} how=failed counted=true`),
+      "f",
+    );
+  }
+  t.true(process.memoryUsage().heapUsed - before < 100e6);
+  t.is(account.report().lines, 200_000);
+});
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ToolCommand } from "../tool.ts";
+import { accountCommand } from "./account.ts";
 import { checkCommand } from "./check.ts";
 import { completionCommand } from "./completion.ts";
 import { diffCommand } from "./diff.ts";
@@ -45,6 +46,7 @@
   statusCommand,
   workersCommand,
   explainCommand,
+  accountCommand,
 ];
 
 /** Every command, in the order in which help lists them. */
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -104,8 +104,8 @@
   added.action(async (...given: unknown[]) => {
     const count = added.registeredArguments.length;
     const input: Input = {
-      arguments: given.slice(0, count).filter((value) => value !== undefined)
-        .map(String),
+      arguments: given.slice(0, count).flat()
+        .filter((value) => value !== undefined).map(String),
       options: added.opts(),
     };
     await act(registration, { input, globals: added.optsWithGlobals() });
--- a/src/cli/program_test.ts
+++ b/src/cli/program_test.ts
@@ -60,6 +60,12 @@
       : okAsync(Buffer.from(text));
   }
 
+  readLines(path: string, take: (line: string) => void) {
+    return this.readFile(path).map((bytes) => {
+      for (const line of String(bytes).split("\n")) take(line);
+    });
+  }
+
   writeFile(path: string, text: string) {
     this.files.set(path, text);
     return okAsync(undefined);
--- a/src/cli/system_host.ts
+++ b/src/cli/system_host.ts
@@ -3,9 +3,10 @@
  *
  * @module
  */
-import { existsSync } from "node:fs";
+import { createReadStream, existsSync } from "node:fs";
 import { readFile, writeFile } from "node:fs/promises";
 import process from "node:process";
+import { createInterface } from "node:readline";
 import { ResultAsync } from "neverthrow";
 import { EtcdStore } from "../adapters/etcd_store.ts";
 import { StoreEndpoints } from "../adapters/store_endpoints.ts";
@@ -36,6 +37,8 @@
     clock: systemClock,
     environment: process.env,
     readFile: (path) => attempt(readFile(path === "-" ? STANDARD_INPUT : path)),
+    readLines: (path, take) =>
+      attempt(readLines(path === "-" ? STANDARD_INPUT : path, take)),
     writeFile: (path, text) =>
       attempt(writeFile(path, text, { mode: FILE_MODE })),
     exists: existsSync,
@@ -63,6 +66,14 @@
   };
 }
 
+async function readLines(
+  path: string,
+  take: (line: string) => void,
+): Promise<void> {
+  const input = createReadStream(path, "utf8");
+  for await (const line of createInterface({ input })) take(line);
+}
+
 function attempt<T>(promise: Promise<T>): ResultAsync<T, ToolFailure> {
   return ResultAsync.fromPromise(promise, (error) => ({
     type: "fileFailed",
--- a/src/cli/tool.ts
+++ b/src/cli/tool.ts
@@ -45,6 +45,11 @@
   readonly environment: Readonly<Record<string, string | undefined>>;
   /** Reads a file; `-` is standard input. */
   readFile(path: string): ResultAsync<Uint8Array, ToolFailure>;
+  /** Gives each line of a file to `take`, without keeping the file; `-` is standard input. */
+  readLines(
+    path: string,
+    take: (line: string) => void,
+  ): ResultAsync<void, ToolFailure>;
   writeFile(path: string, text: string): ResultAsync<void, ToolFailure>;
   /** Whether there is such a file. */
   exists(path: string): boolean;
