Hand the cell to the machine that started last

Change: among machines of equal power the one that started last is asked first; members tell the start of their process.

--- a/src/cell/candidates.ts
+++ b/src/cell/candidates.ts
@@ -53,3 +53,21 @@
     .filter((member) => member.cores >= WEAK_FACTOR * self.cores)
     .map((member) => member.name);
 }
+
+/**
+ * The order in which a leaving holder asks candidates: among machines of equal
+ * power the last started first. Where machines are stopped one after the other,
+ * those that are back stay.
+ */
+export function successorsOf(
+  ranked: readonly string[],
+  members: readonly Member[],
+): readonly string[] {
+  const byName = new Map(members.map((member) => [member.name, member]));
+  const known = ranked.flatMap((name) => byName.get(name) ?? []);
+  return known
+    .sort((a, b) =>
+      b.cores - a.cores || (b.startedMs ?? 0) - (a.startedMs ?? 0)
+    )
+    .map(({ name }) => name);
+}
--- a/src/cell/cell_record.ts
+++ b/src/cell/cell_record.ts
@@ -32,6 +32,8 @@
   readonly address: string;
   /** Processing power of its machine, cores. */
   readonly cores: number;
+  /** Start of its process, Unix milliseconds, if it told. */
+  readonly startedMs?: number | undefined;
 }
 
 /** Keys of the instances. */
@@ -60,15 +62,24 @@
 
 /** Encodes the entry of an instance. */
 export function encodeMember(member: Member): string {
-  return `${member.address} ${member.cores}`;
+  const { address, cores, startedMs } = member;
+  return [address, cores, ...(startedMs === undefined ? [] : [startedMs])]
+    .join(" ");
 }
 
 /** Decodes the entry of an instance; `undefined` if it is none. */
 export function decodeMember(entry: Entry): Member | undefined {
   const name = entry.key.slice(MEMBERS_PREFIX.length);
-  const parts = /^([^:\s]+:\d+) (\d+(?:\.\d+)?)$/.exec(entry.value);
+  const parts = /^([^:\s]+:\d+) (\d+(?:\.\d+)?)(?: (\d+))?$/
+    .exec(entry.value);
   if (parts === null) return undefined;
-  return { name, address: parts[1] ?? "", cores: Number(parts[2]) };
+  const [, address = "", cores, startedMs] = parts;
+  return {
+    name,
+    address,
+    cores: Number(cores),
+    startedMs: startedMs === undefined ? undefined : Number(startedMs),
+  };
 }
 
 /** The write that makes an instance the holder; it breaks the condition of all that a former one has under way. */
--- a/src/cell/protocol.ts
+++ b/src/cell/protocol.ts
@@ -22,11 +22,14 @@
   maxBodyBytes: t.number,
 });
 
-const Member = t.type({
-  name: t.string,
-  address: t.string,
-  cores: t.number,
-});
+const Member = t.intersection([
+  t.type({
+    name: t.string,
+    address: t.string,
+    cores: t.number,
+  }),
+  t.partial({ startedMs: t.number }),
+]);
 
 const Status = t.type({
   holder: Member,
--- a/src/cell/roster.ts
+++ b/src/cell/roster.ts
@@ -163,7 +163,9 @@
     const { self, clock, log } = this.#options;
     if (member.name === self.name) return false;
     this.#repliedMs.set(member.name, clock.monotonic());
-    if (this.#members.get(member.name)?.address === member.address) {
+    const known = this.#members.get(member.name);
+    if (known?.address === member.address) {
+      if (known.startedMs !== member.startedMs) this.#remember(member);
       return false;
     }
     log.info("member.joined", {
--- a/src/cell/succession.ts
+++ b/src/cell/succession.ts
@@ -6,7 +6,7 @@
 import { type Clock, sleep } from "../clock.ts";
 import type { Log } from "../logger.ts";
 import type { Peers } from "../ports/peers.ts";
-import { strongerThan } from "./candidates.ts";
+import { strongerThan, successorsOf } from "./candidates.ts";
 import type { Hold, Member } from "./cell_record.ts";
 import { yieldCall } from "./protocol.ts";
 import type { Roster } from "./roster.ts";
@@ -77,7 +77,8 @@
   #living(): readonly string[] {
     const { ranked, roster } = this.#options;
     const reachable = new Set(roster.reachable());
-    return ranked().filter((name) => reachable.has(name));
+    const living = ranked().filter((name) => reachable.has(name));
+    return successorsOf(living, roster.members);
   }
 
   /** Asks instances to take the cell, one after the other; `false` if none took it. */
