--- a/src/cell/decisions/lanes.ts
+++ b/src/cell/decisions/lanes.ts
@@ -81,12 +81,7 @@
   }
 }
 
-/**
- * Lanes that a question may use, the preferred first. Quick ones keep off those
- * of the slow ones: they come first in line and would fill every lane anew
- * before a slow one found it empty, while a few lanes carry hundreds of them a
- * second.
- */
+/** Lanes that a question may use, the preferred first: quick ones begin at the end. */
 export function lanesFor(
   lanes: readonly string[],
   pace: Pace,
@@ -98,10 +93,8 @@
       return first(SLOW_LANES);
     case "medium":
       return first(MEDIUM_LANES).reverse();
-    case "quick": {
-      const own = lanes.slice(first(SLOW_LANES).length);
-      return own.length === 0 ? lanes : own.reverse();
-    }
+    case "quick":
+      return [...lanes].reverse();
   }
 }
 
