Remove the room held for questions and the last turn of reserved room

The tests of the two rules go with them; in their places stand that kept rooms add up and that room kept for others is left alone.

--- a/src/cell/asker.ts
+++ b/src/cell/asker.ts
@@ -7,22 +7,9 @@
 import type { AdviceDesk } from "./advice_desk.ts";
 import { type CellContext, queueOf } from "./context.ts";
 import { type ChoiceContext, planQuestions } from "./decisions/questions.ts";
-import {
-  Claims,
-  NO_ROOMS,
-  type Rooms,
-  waitingTasks,
-} from "./decisions/room.ts";
-import { type FleetWorker, roomOn, tasksIn, weighsOn } from "./fleet.ts";
+import type { FleetWorker } from "./fleet.ts";
 import { noteTicket, stepKey, type StepRun } from "./job.ts";
-import {
-  type Advice,
-  type AdvicePolicy,
-  type Amounts,
-  NO_AMOUNTS,
-  plus,
-  type Queue,
-} from "./types.ts";
+import type { Advice, AdvicePolicy, Queue } from "./types.ts";
 
 /** A question that failed is asked again after this, milliseconds. */
 const ASK_AGAIN_MS = 200;
@@ -38,9 +25,6 @@
 const GOOD_WEIGHT = 0.1;
 /** Least share that is reckoned with. */
 const LEAST_GOOD_SHARE = 0.05;
-/** Questions above this cost hold the room that they ask about, milliseconds. */
-const HOLD_ABOVE_MS = 200;
-
 /** One question about a step. */
 interface Asked {
   readonly queue: Queue;
@@ -54,11 +38,9 @@
   readonly #desk: AdviceDesk;
   readonly #answered: (step: StepRun) => void;
   readonly #goodShares = new Map<string, number>();
-  /** Room held while questions about it are under way. */
-  readonly #holds = new Map<StepRun, Rooms>();
   #lookTimer: Timer | undefined;
 
-  /** `answered` is told of each answer, when room is still held for it. */
+  /** `answered` is told of each answer. */
   constructor(
     context: CellContext,
     desk: AdviceDesk,
@@ -76,23 +58,6 @@
     return !this.#mayAsk(step, advice);
   }
 
-  /** Room that is held for a step. */
-  heldFor(step: StepRun): Rooms {
-    return this.#holds.get(step) ?? NO_ROOMS;
-  }
-
-  /** Room that is held for all steps. */
-  claims(): Claims {
-    const claims = new Claims();
-    for (const rooms of this.#holds.values()) claims.add(rooms);
-    return claims;
-  }
-
-  /** Nothing is held for a step any more. */
-  release(step: StepRun): void {
-    this.#holds.delete(step);
-  }
-
   /** Asks about a step if that may help now. */
   ask(
     step: StepRun,
@@ -112,8 +77,6 @@
       workers,
       expectedMs: baseMs + workers.length * perWorkerMs,
     }));
-    const slow = asked.some(({ expectedMs }) => expectedMs > HOLD_ABOVE_MS);
-    if (slow) this.#hold(step, questions.flat());
     for (const question of asked) void this.#askOne(step, question);
   }
 
@@ -129,14 +92,10 @@
     const { advice } = step;
     const askedMs = clock.monotonic();
     let overdue = false;
-    const settle = () => {
-      advice.asking--;
-      if (advice.asking === 0) this.release(step);
-    };
     advice.asking++;
     const timer = clock.after(expectedMs + OVERDUE_MS, () => {
       overdue = true;
-      settle();
+      advice.asking--;
       kick();
     });
     const answer = await this.#desk.ask({
@@ -154,7 +113,7 @@
       this.#learn(step, { asked, tickets: answer.tickets });
     } else advice.retryAtMs = clock.monotonic() + ASK_AGAIN_MS;
     this.#answered(step);
-    if (!overdue) settle();
+    if (!overdue) advice.asking--;
   }
 
   /** Spares the search for a while; room that comes free meanwhile is looked at then. */
@@ -188,20 +147,6 @@
     });
   }
 
-  #hold(step: StepRun, asked: readonly FleetWorker[]): void {
-    const { verdicts } = step.advice;
-    const amounts = weighsOn(step);
-    const held = new Map<string, Amounts>();
-    let left = waitingTasks(step).length;
-    for (const worker of asked) {
-      if (verdicts.get(worker.id) !== true) continue;
-      const most = Math.min(left, tasksIn(roomOn(worker), amounts));
-      left -= most;
-      held.set(worker.id, plus(NO_AMOUNTS, amounts, most));
-    }
-    this.#holds.set(step, held);
-  }
-
   #learn(
     step: StepRun,
     { asked: { queue, workers }, tickets }: {
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -58,8 +58,6 @@
   readonly nowMs: number;
   /** Room held for others. */
   readonly held: Kept;
-  /** Room that others wait for: taken last. */
-  readonly wanted: Kept;
 }
 
 /** A ticket is not used in the last part of its life, milliseconds: commit and order take time. */
@@ -144,8 +142,6 @@
   readonly worker: FleetWorker;
   /** Whether it is on another rack than the data. */
   readonly far: boolean;
-  /** Whether others wait for its room. */
-  readonly wanted: boolean;
   readonly freeMillis: number;
 }
 
@@ -163,7 +159,6 @@
     found.push({
       worker,
       far: dataRack !== "" && !worker.entry?.labels.includes(dataRack),
-      wanted: context.wanted.on(worker.id) !== undefined,
       freeMillis: roomOn(worker).cpuMillis,
     });
   }
@@ -173,7 +168,6 @@
 /** Near the data first, then the fullest, which leaves large room in one piece. */
 function compareSuited(a: Suited, b: Suited): number {
   return Number(a.far) - Number(b.far) ||
-    Number(a.wanted) - Number(b.wanted) ||
     a.worker.failureShare - b.worker.failureShare ||
     a.freeMillis - b.freeMillis;
 }
--- a/src/cell/decisions/reservations.ts
+++ b/src/cell/decisions/reservations.ts
@@ -93,10 +93,8 @@
   reserve(
     step: StepRun,
     workers: readonly FleetWorker[],
-    { place, service, held, asked, nowMs }: {
+    { place, service, held, nowMs }: {
       readonly place: number;
-      /** Room that is held for the gang while a question is under way. */
-      readonly asked: Rooms;
       readonly service: string;
       readonly held: Kept;
       readonly nowMs: number;
@@ -114,19 +112,14 @@
     this.#wait(service, waitedMillis);
     const rooms = new Map<string, Amounts>();
     for (const [{ id }, count] of counts) {
-      const room = plus(NO_AMOUNTS, amounts, count);
-      const kept = asked.get(id);
-      if (kept === undefined) rooms.set(id, room);
-      else if (kept.cpuMillis < room.cpuMillis) {
-        rooms.set(id, plus(room, kept, -1));
-      }
+      rooms.set(id, plus(NO_AMOUNTS, amounts, count));
     }
     const reservation = { place, rooms, waitedMillis, chosenMs: nowMs };
     this.#byStep.set(step, reservation);
     return true;
   }
 
-  /** What a gang has reserved in this pass beyond what is held for its question. */
+  /** What a gang has reserved in this pass. */
   of(step: StepRun): Rooms {
     return this.#byStep.get(step)?.rooms ?? NO_ROOMS;
   }
--- a/src/cell/decisions/room.ts
+++ b/src/cell/decisions/room.ts
@@ -43,31 +43,9 @@
 
   /** Keeps rooms besides those that are kept already. */
   add(rooms: Rooms): void {
-    this.#change(rooms, 1);
-  }
-
-  /** Keeps rooms no longer that were added before. */
-  remove(rooms: Rooms): void {
-    this.#change(rooms, -1);
-  }
-
-  /** What is kept for others than the one for whom `own` was added. */
-  without(own: Rooms): Kept {
-    if (own.size === 0) return this;
-    return {
-      on: (worker) => {
-        const all = this.#sum.get(worker);
-        const mine = own.get(worker);
-        if (all === undefined || mine === undefined) return all;
-        return plus(all, mine, -1);
-      },
-    };
-  }
-
-  #change(rooms: Rooms, times: 1 | -1): void {
     for (const [worker, amounts] of rooms) {
       const before = this.#sum.get(worker) ?? NO_AMOUNTS;
-      this.#sum.set(worker, plus(before, amounts, times));
+      this.#sum.set(worker, plus(before, amounts));
     }
   }
 }
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -13,7 +13,7 @@
 import { adviceMayHelp } from "./decisions/questions.ts";
 import { reservableFor, Reservations } from "./decisions/reservations.ts";
 import {
-  type Claims,
+  Claims,
   type Kept,
   NOTHING_KEPT,
   RoomIndex,
@@ -124,9 +124,10 @@
     const index = this.#index();
     this.#places = new Map(line.map(({ step }, place) => [step, place]));
     this.#reservations.begin(index.sizes());
-    const claims = this.#asker.claims();
+    const claims = new Claims();
+    const room = { index, held: claims };
     for (const [place, { step, rank }] of line.entries()) {
-      const room = { index, held: this.#placeInTurn(step, { index, claims }) };
+      this.#place(step, room);
       if (!step.spec.gang || !open.has(step)) continue;
       if (rank.lateness > RESERVING_LATENESS) continue;
       const reserved = this.#reserve(step, place, room);
@@ -134,21 +135,6 @@
     }
   }
 
-  /** Places a step in a pass and keeps the claims true; gives what is kept for others. */
-  #placeInTurn(
-    step: StepRun,
-    { index, claims }: { readonly index: RoomIndex; readonly claims: Claims },
-  ): Kept {
-    const own = this.#asker.heldFor(step);
-    this.#place(step, { index, held: claims.without(own) });
-    const after = this.#asker.heldFor(step);
-    if (after !== own) {
-      claims.remove(own);
-      claims.add(after);
-    }
-    return claims.without(after);
-  }
-
   #line(): readonly Standing[] {
     const { clock, durations, open } = this.#context;
     const nowMs = clock.now().getTime();
@@ -177,7 +163,6 @@
     const context = this.#searchContext(step, room);
     const search = findPlaces(step, context);
     if (search.places.length > 0) {
-      this.#asker.release(step);
       this.#tellWait(step, search.places.length);
       this.#runs.start(step, search.places);
       if (!this.#context.open.has(step)) return;
@@ -210,7 +195,7 @@
     });
   }
 
-  /** Steps of the first priority are short and urgent, and tasks that last must run: they heed no room of others but take it last. */
+  /** Steps of the first priority are short and urgent, and tasks that last must run: they heed no room of others. */
   #searchContext(step: StepRun, { index, held }: Room): SearchContext {
     const queue = queueOf(this.#context, step.job);
     const urgent = queue.priority === 0 || step.spec.longRunning;
@@ -221,19 +206,17 @@
       team: teamOf(this.#context, step.job),
       nowMs: this.#context.clock.monotonic(),
       held: urgent ? NOTHING_KEPT : held,
-      wanted: urgent ? held : NOTHING_KEPT,
     };
   }
 
   /** What a step may use outside of a pass. */
   #roomOutside(step: StepRun): Room {
-    const claims = this.#asker.claims();
+    const claims = new Claims();
     const place = this.#places.get(step) ?? Infinity;
     for (const rooms of this.#reservations.before(place, step)) {
       claims.add(rooms);
     }
-    const held = claims.without(this.#asker.heldFor(step));
-    return { index: this.#index(), held };
+    return { index: this.#index(), held: claims };
   }
 
   /** Reserves room for a gang on the workers that are known to be good; `false` if there is not enough. */
@@ -247,17 +230,13 @@
     const used = this.#context.fleet.usedBy(job.team);
     const allowance = teamAllowance(context.team, used, spec.amounts);
     if (allowance < step.left) return false;
-    const asked = this.#asker.heldFor(step);
-    // Workers whose tickets are on their way stay chosen.
     const workers = [...reservableFor(step, context)].sort((a, b) =>
-      Number(asked.has(b.id)) - Number(asked.has(a.id)) ||
       b.used.cpuMillis - a.used.cpuMillis
     );
     return this.#reservations.reserve(step, workers, {
       place,
       service,
       held: context.held,
-      asked,
       nowMs,
     });
   }
