--- a/src/account/account.ts
+++ b/src/account/account.ts
@@ -14,6 +14,8 @@
   | "late"
   /** It was never accepted, by any line. */
   | "refused"
+  /** Its call was not allowed or could not be read: nothing was owed. */
+  | "denied"
   | "failed"
   | "canceled"
   /** Accepted, and no line tells of its end. */
@@ -58,6 +60,16 @@
   "joblog.retry",
 ]);
 
+/** Outcomes of calls that nothing is owed for. */
+const DENIALS: ReadonlySet<string> = new Set([
+  "unknownKey",
+  "noQueue",
+  "badId",
+  "badBody",
+  "badMethod",
+  "tooLarge",
+]);
+
 /** Unreadable lines that are named. */
 const MOST_NAMED = 10;
 /** A cause that explains less than this part of the delay is not told. */
@@ -221,6 +233,7 @@
     case "unfinished":
       return true;
     case "inTime":
+    case "denied":
     case "canceled":
     case "unjudged":
       return false;
@@ -228,7 +241,7 @@
 }
 
 function outcomeOf(notes: JobNotes): Outcome {
-  const { state, acceptedMs, endedMs, sentMs, objectiveMs } = notes;
+  const { state, acceptedMs, endedMs, sentMs, objectiveMs, refusal } = notes;
   switch (state) {
     case "failed":
     case "canceled":
@@ -237,7 +250,8 @@
       if (objectiveMs === undefined) return "unjudged";
       return endedMs! - sentMs! > objectiveMs ? "late" : "inTime";
     default:
-      return acceptedMs === undefined ? "refused" : "unfinished";
+      if (acceptedMs !== undefined) return "unfinished";
+      return DENIALS.has(refusal ?? "") ? "denied" : "refused";
   }
 }
 
--- a/src/account/account_test.ts
+++ b/src/account/account_test.ts
@@ -147,6 +147,15 @@
   ]);
 });
 
+test("a call without a known key is no loss", (t) => {
+  const { jobs } = accountOf([
+    line(0, `event=client.call method=POST job=${REFUSED} outcome=unknownKey`),
+  ]);
+  t.deepEqual(jobs.map(({ outcome, cause }) => [outcome, cause]), [
+    ["denied", undefined],
+  ]);
+});
+
 test("a line that cannot be read is counted and named, other text is passed over", (t) => {
   const report = accountOf([
     "no line of ours",
