--- a/bench/cell.ts
+++ b/bench/cell.ts
@@ -86,7 +86,8 @@
     cpuMillisOf: ({ spec }) => kindOf(sheet, spec).cpuMillis,
     isGang: ({ spec }) => kindOf(sheet, spec).gangShare === 1,
   };
-  const workers = new ModelWorkers(systemClock, tasks, sheet.capacity);
+  const { capacity } = sheet;
+  const workers = new ModelWorkers(systemClock, tasks, { capacity, random });
   const cell = openCell(size, { log, metrics, workers });
   const opened = await cell.recover();
   opened._unsafeUnwrap();
--- a/bench/model/drawn_jobs.ts
+++ b/bench/model/drawn_jobs.ts
@@ -8,6 +8,7 @@
 import { type Fields, type Log, silentLog } from "../../src/logger.ts";
 import type { Random } from "../random.ts";
 import type { Load } from "./loads.ts";
+import { ORDER_GIVEN_UP_MS } from "./model_workers.ts";
 import { type Kind, meanStep, type Sheet } from "./sheets.ts";
 
 /** Spread of the number of tasks of a step, as the deviation of its logarithm. */
@@ -25,6 +26,8 @@
 /** Part of the credit for one that is late; source: the users' sheets. */
 const LATE_PART = 0.2;
 const NOT_HOT = { fromMs: 0, toMs: 0, times: 1 };
+/** Time in which an order without an answer is to be settled, milliseconds; source: the project's target. */
+const SETTLED_MS = 300;
 /** Part of a kind's worth that does not depend on the work; source: the platform's rules. */
 const FIXED_PART = 0.3;
 
@@ -164,6 +167,10 @@
   readonly #sums = new Map<string, Sum>();
   readonly #ended = new Set<string>();
   readonly #others: Sum = { earned: 0, owed: 0 };
+  #unanswered = 0;
+  #settled = 0;
+  /** Fewest workers that took work at once, as the cell told. */
+  leastUsable = Infinity;
 
   constructor(jobs: readonly DrawnJob[], clock: Clock) {
     this.#clock = clock;
@@ -174,7 +181,26 @@
   }
 
   info(event: string, fields: Fields = {}): void {
-    if (event === "job.ended") this.#end(String(fields.job));
+    switch (event) {
+      case "job.ended":
+        return this.#end(String(fields.job));
+      case "run.start":
+        return this.#start(fields);
+      case "cell.load":
+        this.leastUsable = Math.min(this.leastUsable, Number(fields.usable));
+    }
+  }
+
+  /** Part of the orders without an answer that were settled in time. */
+  get settledShare(): number {
+    return this.#unanswered === 0 ? 1 : this.#settled / this.#unanswered;
+  }
+
+  /** Takes note of a start whose first answer did not come. */
+  #start({ tookMs, outcome }: Fields): void {
+    if (Number(tookMs) < ORDER_GIVEN_UP_MS) return;
+    this.#unanswered++;
+    if (outcome === "started" && Number(tookMs) <= SETTLED_MS) this.#settled++;
   }
 
   /** Credit earned of what is owed for a queue. */
--- a/bench/model/loads.ts
+++ b/bench/model/loads.ts
@@ -21,6 +21,13 @@
   };
   /** From when to when the store does not answer, milliseconds. */
   readonly storeAwayMs?: readonly [number, number];
+  /** Workers that get no call, and calls that get no answer, for a time. */
+  readonly lostAnswers?: {
+    readonly fromMs: number;
+    readonly toMs: number;
+    readonly share: number;
+    readonly dark: number;
+  };
   /** When the holder dies, milliseconds. */
   readonly killedMs?: number;
 }
@@ -73,6 +80,14 @@
   hot: { fromMs: BURST_MS, toMs: BURST_MS + BURST_FOR_MS, times: 15 },
 };
 
+/** Two workers are dark, and one answer in twenty is lost. */
+export const LOST_ANSWERS: Load = {
+  name: "lost_answers",
+  lengthMs: LENGTH_MS,
+  factor: () => 1,
+  lostAnswers: { fromMs: BURST_MS, toMs: 16_000, share: 0.055, dark: 2 },
+};
+
 function isUrgent({ priority }: Kind): boolean {
   return priority === 0;
 }
--- a/bench/model/model_workers.ts
+++ b/bench/model/model_workers.ts
@@ -15,6 +15,7 @@
 } from "../../src/cell/ports.ts";
 import type { Amounts, WorkerEntry } from "../../src/cell/types.ts";
 import { type Clock, sleep, type Timer } from "../../src/clock.ts";
+import type { Random } from "../random.ts";
 
 /** Life of a ticket, milliseconds. */
 export const TICKET_MS = 1_500;
@@ -53,9 +54,25 @@
   readonly running: Map<string, ModelRun>;
   usedMillis: number;
   ended: ReportedEnd[];
+  /** Last run of each task that ended or was forbidden. */
+  readonly last: Map<string, number>;
   wake: () => void;
 }
 
+/** What keeps answers back at a time. */
+export interface AnswerTrouble {
+  /** Part of the calls that are carried out and get no answer. */
+  readonly lostShare: number;
+  /** Workers that get no call. */
+  readonly dark: ReadonlySet<string>;
+}
+
+const NO_TROUBLE: AnswerTrouble = { lostShare: 0, dark: new Set() };
+/** Time after which an order without an answer is given up, milliseconds. */
+export const ORDER_GIVEN_UP_MS = 150;
+/** The same for a report beyond the time that it may wait for an end, milliseconds. */
+const REPORT_GIVEN_UP_MS = 400;
+
 interface ModelGang {
   readonly members: { readonly worker: ModelWorker; readonly task: string }[];
   timer: Timer | undefined;
@@ -76,6 +93,8 @@
   readonly #clock: Clock;
   readonly #tasks: ModelTasks;
   readonly #capacity: Amounts;
+  readonly #random: Random;
+  trouble = NO_TROUBLE;
   readonly #workers = new Map<string, ModelWorker>();
   readonly #gangs = new Map<string, ModelGang>();
   /** Starts that were taken. */
@@ -85,21 +104,48 @@
   /** Reports that were given. */
   looks = 0;
 
-  /** `capacity`: what each worker offers. */
-  constructor(clock: Clock, tasks: ModelTasks, capacity: Amounts) {
+  /** `capacity`: what each worker offers. `random` draws the answers that are lost. */
+  constructor(
+    clock: Clock,
+    tasks: ModelTasks,
+    { capacity, random }: {
+      readonly capacity: Amounts;
+      readonly random: Random;
+    },
+  ) {
     this.#clock = clock;
     this.#tasks = tasks;
     this.#capacity = capacity;
+    this.#random = random;
   }
 
-  start(
+  async start(
     worker: WorkerAddress,
     order: StartOrder,
   ): Promise<StartAnswer> {
+    const isDark = this.trouble.dark.has(worker.id);
+    const answer = isDark ? undefined : this.#carryOut(worker, order);
+    if (answer !== undefined && !this.#losesAnswer()) return answer;
+    await sleep(this.#clock, ORDER_GIVEN_UP_MS);
+    return { type: "unknown", message: "no answer" };
+  }
+
+  #losesAnswer(): boolean {
+    const { lostShare } = this.trouble;
+    return lostShare > 0 && this.#random.unit() < lostShare;
+  }
+
+  #carryOut(worker: WorkerAddress, order: StartOrder): StartAnswer {
     const there = this.#open(worker.id);
+    if (there.running.get(order.task)?.run === order.run) {
+      return { type: "started", clockMs: this.#clock.monotonic() };
+    }
+    if (order.run <= (there.last.get(order.task) ?? 0)) {
+      return { type: "rejected", reason: "staleRun" };
+    }
     const givenMs = Number(order.ticket ?? this.#clock.monotonic());
     if (this.#clock.monotonic() > givenMs + TICKET_MS) {
-      return Promise.resolve({ type: "rejected", reason: "ticket" });
+      return { type: "rejected", reason: "ticket" };
     }
     this.starts++;
     const cpuMillis = this.#tasks.cpuMillisOf(order);
@@ -117,12 +163,20 @@
     else {
       this.#clock.after(durationMs, () => this.#end(there, order.task, "done"));
     }
-    const clockMs = this.#clock.monotonic();
-    return Promise.resolve({ type: "started", clockMs } as const);
+    return { type: "started", clockMs: this.#clock.monotonic() };
   }
 
-  stop(worker: WorkerAddress, order: { readonly task: string }) {
-    this.#end(this.#open(worker.id), order.task, "stopped");
+  stop(
+    worker: WorkerAddress,
+    order: { readonly task: string; readonly run: number },
+  ) {
+    if (this.trouble.dark.has(worker.id)) return Promise.resolve(false);
+    const there = this.#open(worker.id);
+    there.last.set(
+      order.task,
+      Math.max(order.run, there.last.get(order.task) ?? 0),
+    );
+    this.#end(there, order.task, "stopped");
     return Promise.resolve(true);
   }
 
@@ -131,6 +185,12 @@
     order: Parameters<WorkerOrders["look"]>[1],
   ): ResultAsync<WorkerReport, LookFailure> {
     this.looks++;
+    if (this.trouble.dark.has(worker.id) || this.#losesAnswer()) {
+      const lost = sleep(this.#clock, order.waitMs + REPORT_GIVEN_UP_MS);
+      return ResultAsync.fromSafePromise(lost).andThen(() =>
+        errAsync({ type: "lost" as const, message: "no answer" })
+      );
+    }
     const there = this.#open(worker.id);
     if (order.fence < there.fence) {
       return errAsync({ type: "fenced", message: "higher fence" });
@@ -157,6 +217,7 @@
       running: new Map(),
       usedMillis: 0,
       ended: [],
+      last: new Map(),
       wake: () => {},
     };
     this.#workers.set(id, known);
@@ -185,6 +246,7 @@
     if (running === undefined) return;
     const { run, cpuMillis } = running;
     worker.running.delete(task);
+    worker.last.set(task, Math.max(run, worker.last.get(task) ?? 0));
     worker.usedMillis -= cpuMillis;
     const number = ++worker.ends;
     worker.ended.push({ number, task, run, kind, checkpoint: "" });
--- a/bench/replay.ts
+++ b/bench/replay.ts
@@ -21,7 +21,7 @@
   weightOf,
 } from "./model/drawn_jobs.ts";
 import { LARGE, PICOS, queuesOf, type Sheet } from "./model/sheets.ts";
-import { HOT_BURST, type Load, LOADS } from "./model/loads.ts";
+import { HOT_BURST, type Load, LOADS, LOST_ANSWERS } from "./model/loads.ts";
 import { ModelStore } from "./model/model_store.ts";
 import {
   type ModelTasks,
@@ -45,6 +45,7 @@
   ...LOADS.map((load) => ({ sheet: LARGE, load })),
   ...LOADS.map((load) => ({ sheet: PICOS, load })),
   { sheet: PICOS, load: HOT_BURST },
+  { sheet: PICOS, load: LOST_ANSWERS },
 ];
 
 /** A load pattern on a deployment. */
@@ -66,6 +67,10 @@
     for (const { queue } of sheet.kinds) {
       results.line(`${label}_${queue}`, credit.shareOf(queue));
     }
+    if (load.lostAnswers !== undefined) {
+      results.line(`${label}_settled_in_time`, credit.settledShare);
+      results.line(`${label}_least_usable`, credit.leastUsable);
+    }
     results.line(`${label}_all`, credit.share);
     results.line(`${label}_other_teams`, credit.shareOfOthers);
     const cpuMs = (cpu.user + cpu.system) / 1e3;
@@ -82,7 +87,7 @@
 ): Promise<{ readonly credit: CreditLog; readonly world: ReplayWorld }> {
   const { workers } = sheet;
   const jobs = drawJobs(sheet, { load, workers }, new Random(seed));
-  const world = new ReplayWorld(sheet, jobs);
+  const world = new ReplayWorld(sheet, jobs, new Random(seed));
   await world.open();
   let at = 0;
   const endMs = load.lengthMs + TAIL_MS;
@@ -91,6 +96,7 @@
       world.submit(jobs[at]!);
     }
     world.store.away = isWithin(load.storeAwayMs, nowMs);
+    world.troubleWorkers(load, nowMs);
     if (load.killedMs === nowMs) world.kill();
     if (load.killedMs !== undefined && nowMs === load.killedMs + TAKEOVER_MS) {
       void world.open();
@@ -112,10 +118,11 @@
   /** Submissions that came while nobody held the cell. */
   #unserved: DrawnJob[] = [];
 
-  constructor(sheet: Sheet, jobs: readonly DrawnJob[]) {
+  constructor(sheet: Sheet, jobs: readonly DrawnJob[], random: Random) {
     this.#sheet = sheet;
     const { capacity } = sheet;
-    this.workers = new ModelWorkers(this.clock, tasksOf(jobs), capacity);
+    const tasks = tasksOf(jobs);
+    this.workers = new ModelWorkers(this.clock, tasks, { capacity, random });
     this.credit = new CreditLog(jobs, this.clock);
   }
 
@@ -155,6 +162,19 @@
     for (const job of this.#unserved.splice(0)) this.submit(job);
   }
 
+  /** Begins and ends the time in which answers are lost. */
+  troubleWorkers({ lostAnswers }: Load, nowMs: number): void {
+    if (lostAnswers === undefined) return;
+    const { fromMs, toMs, share, dark } = lostAnswers;
+    const names = Array.from({ length: dark }, (_, index) => `w${index}`);
+    if (nowMs === fromMs) {
+      this.workers.trouble = { lostShare: share, dark: new Set(names) };
+    }
+    if (nowMs === toMs) {
+      this.workers.trouble = { lostShare: 0, dark: new Set() };
+    }
+  }
+
   /** The holder dies. */
   kill(): void {
     this.#cell?.close();
--- a/bench/replay_picos_test.ts
+++ b/bench/replay_picos_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { HOT_BURST, LOADS } from "./model/loads.ts";
+import { HOT_BURST, LOADS, LOST_ANSWERS } from "./model/loads.ts";
 import { PICOS } from "./model/sheets.ts";
 import { replay } from "./replay.ts";
 
@@ -23,3 +23,17 @@
     t.true(lookups >= TARGET, String(lookups));
   });
 }
+
+for (const seed of SEEDS) {
+  test(`orders without an answer are settled and workers stay in use, seed ${seed}`, async (t) => {
+    const { credit, world } = await replay(
+      { sheet: PICOS, load: LOST_ANSWERS },
+      seed,
+    );
+    t.is(world.workers.overfilled, 0);
+    t.true(credit.settledShare >= 0.9, String(credit.settledShare));
+    t.true(credit.leastUsable >= 30, String(credit.leastUsable));
+    const lookups = credit.shareOf("lookups");
+    t.true(lookups >= TARGET, String(lookups));
+  });
+}
--- a/src/cell/asker.ts
+++ b/src/cell/asker.ts
@@ -25,6 +25,7 @@
 const GOOD_WEIGHT = 0.1;
 /** Least share that is reckoned with. */
 const LEAST_GOOD_SHARE = 0.05;
+
 /** One question about a step. */
 interface Asked {
   readonly queue: Queue;
