--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import type { Result } from "neverthrow";
 import { sleep } from "../clock.ts";
 import { type CellContext, persist } from "./context.ts";
 import { Endings } from "./endings.ts";
@@ -13,6 +12,7 @@
 import { findTask, isOver, type Job } from "./job.ts";
 import type { LookFailure, ReportedRun, WorkerReport } from "./ports.ts";
 import type { Runs } from "./runs.ts";
+import { type Asked, WorkerLooks } from "./worker_looks.ts";
 
 /** Delay before a worker that did not answer is asked again, milliseconds. */
 const LOOK_AGAIN_MS = 250;
@@ -28,6 +28,7 @@
   readonly #context: CellContext;
   readonly #runs: Runs;
   readonly #endings: Endings;
+  readonly #looks: WorkerLooks;
   readonly #followed = new Set<string>();
   readonly #firstReports: FirstReports;
   #closed = false;
@@ -36,6 +37,7 @@
     this.#context = context;
     this.#runs = runs;
     this.#endings = new Endings(context, runs);
+    this.#looks = new WorkerLooks(context, runs);
     this.#firstReports = new FirstReports(
       context.clock,
       (worker) => this.#meet(worker),
@@ -102,48 +104,11 @@
     await Promise.race([worker.saving, limit]);
   }
 
-  /** Takes a report; where the answer to one that waits for an end is lost, the worker is asked once more before it counts as silent. */
   async #look(
     worker: FleetWorker,
     { waitMs }: { readonly waitMs: number },
   ): Promise<Look> {
-    const { clock, metrics, lostAnswers } = this.#context;
-    const first = await this.#ask(worker, {
-      waitMs,
-      trusted: worker.reachable,
-    });
-    const again = waitMs > 0 && worker.reachable && !this.#closed &&
-      first !== undefined && first.isErr() && first.error.type === "lost";
-    if (!again) return this.#settle(worker, first);
-    metrics.count("look_failures", { type: "repeated" });
-    const second = await this.#ask(worker, { waitMs: 0, trusted: false });
-    if (second?.isOk()) lostAnswers.note(clock.monotonic());
-    return this.#settle(worker, second);
-  }
-
-  /** Asks for a report; `undefined` if the worker has no address or no orders may be given. */
-  async #ask(
-    worker: FleetWorker,
-    { waitMs, trusted }: {
-      readonly waitMs: number;
-      /** Whether it answered the last call. */
-      readonly trusted: boolean;
-    },
-  ): Promise<Asked | undefined> {
-    const { clock, orders, fence, holds } = this.#context;
-    const address = worker.entry?.address;
-    if (address === undefined || !holds()) return undefined;
-    const sentMs = clock.monotonic();
-    const order = {
-      fence,
-      // A worker that did not answer may have started anew, with other ends under the same numbers.
-      acknowledged: trusted ? worker.acknowledged : 0,
-      // Renewals that may or may not arrive would keep its runs from ever being given up.
-      leaseUntilMs: trusted ? this.#runs.leaseFor(worker) : undefined,
-      waitMs,
-    };
-    const result = await orders.look({ id: worker.id, address }, order);
-    return result.map((report) => ({ report, sentMs }));
+    return this.#settle(worker, await this.#looks.ask(worker, { waitMs }));
   }
 
   #settle(worker: FleetWorker, asked: Asked | undefined): Look {
@@ -328,8 +293,3 @@
 
 /** What came of a look. */
 type Look = "report" | "refused" | "failed";
-/** What a worker said, and when it was asked, monotonic milliseconds. */
-type Asked = Result<
-  { readonly report: WorkerReport; readonly sentMs: number },
-  LookFailure
->;
