--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -14,6 +14,7 @@
 import { dueMs, isOver, type Job, type StepRun } from "./job.ts";
 import type { Place } from "./decisions/placement.ts";
 import type { StartAnswer } from "./ports.ts";
+import { isWanted, repeatOrder } from "./repeated_order.ts";
 import { addressOf, gangCheckpoint, leaseBoundMs, newRun } from "./run.ts";
 
 /** Leases stay below the longest by this, milliseconds, so that a clock read a moment ago does. */
@@ -22,8 +23,6 @@
 const STOP_AGAIN_MS = 400;
 /** A worker that refused as unhealthy or could not be reached is left alone so long, milliseconds. */
 const AVOID_MS = 700;
-/** An order without an answer is sent again so often: of twenty answers one or two are lost on bad days. */
-const RESENDS = 2;
 /** A run that makes no progress for so long, though its worker answers, is started elsewhere, milliseconds. */
 const STALL_MS = 3_000;
 /** Its worker gets nothing new for so long, milliseconds. */
@@ -199,8 +198,7 @@
     const { clock, orders, fence, holds } = this.#context;
     const { step, task, worker } = run;
     const address = addressOf(worker);
-    const wanted = worker.runs.get(task.id) === run && !run.stopping;
-    if (!wanted) return;
+    if (!isWanted(run)) return;
     if (isOver(step.job) || !holds() || address === undefined) {
       return this.lose(run, "notOrdered");
     }
@@ -223,41 +221,15 @@
     };
     const first = await orders.start(address, order);
     const answer = first.type === "unknown"
-      ? await this.#sendAgain(run, () => orders.start(address, order))
+      ? await repeatOrder(this.#context, {
+        run,
+        start: () => orders.start(address, order),
+      })
       : first;
     this.#logStart(run, answer, sentMs);
     this.#started(run, answer);
   }
 
-  /**
-   * Repeats an order whose answer was lost: a worker that has carried it out
-   * says so again. A refusal tells nothing of the first sending, which may
-   * still be carried out.
-   */
-  async #sendAgain(
-    run: Run,
-    start: () => Promise<StartAnswer>,
-  ): Promise<StartAnswer> {
-    const { clock, holds, lostAnswers } = this.#context;
-    const { worker, step, task } = run;
-    let answer: StartAnswer = { type: "unknown", message: "no answer" };
-    worker.unanswered++;
-    for (let sent = 0; sent < RESENDS; sent++) {
-      const wanted = worker.runs.get(task.id) === run && !run.stopping &&
-        !isOver(step.job) && holds();
-      if (!wanted) break;
-      answer = await start();
-      if (answer.type === "started" || answer.type === "rejected") {
-        lostAnswers.note(clock.monotonic());
-        break;
-      }
-    }
-    worker.unanswered--;
-    if (answer.type === "started") return answer;
-    if (answer.type === "rejected" && answer.reason === "fenced") return answer;
-    return { type: "unknown", message: "no answer to the first sending" };
-  }
-
   #started(run: Run, answer: StartAnswer): void {
     const { clock, deposed } = this.#context;
     const now = clock.monotonic();
