--- a/testbed/processes.ts
+++ b/testbed/processes.ts
@@ -85,10 +85,19 @@
 /** First ports of the blocks that this process has claimed. */
 const blocks: number[] = [];
 
+/** The call before, as two at once would be given the same ports. */
+let before: Promise<unknown> = Promise.resolve();
+
 /** Ports of this machine that are free now, and that no socket and no other testbed is given unasked. */
-export async function freePorts(count: number): Promise<number[]> {
+export function freePorts(count: number): Promise<number[]> {
+  const ports = before.then(() => takePorts(count));
+  before = ports;
+  return ports;
+}
+
+async function takePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
-  while (ports.length < count) {
+  for (;;) {
     const block = blocks.at(-1) ?? await claimBlock();
     for (let port = block + 1; port < block + BLOCK_PORTS; port++) {
       if (ports.length === count) return ports;
@@ -96,9 +105,8 @@
       handedOut.add(port);
       ports.push(port);
     }
-    if (ports.length < count) await claimBlock();
+    await claimBlock();
   }
-  return ports;
 }
 
 /**
--- a/testbed/processes_test.ts
+++ b/testbed/processes_test.ts
@@ -1,6 +1,7 @@
 import { spawn } from "node:child_process";
 import process from "node:process";
 import test from "ava";
+import { freePorts } from "./processes.ts";
 
 /** Ports that each process takes: enough to meet another's by chance. */
 const COUNT = 400;
@@ -26,6 +27,14 @@
   });
 }
 
+test("calls beside each other are given different ports", async (t) => {
+  await freePorts(1);
+  const calls = Array.from({ length: 10 }, () => freePorts(20));
+  const ports = (await Promise.all(calls)).flat();
+  t.is(ports.length, 200);
+  t.is(new Set(ports).size, 200);
+});
+
 test("testbeds beside each other are given different ports", async (t) => {
   const taken = await Promise.all([portsOfProcess(), portsOfProcess()]);
   for (const { end } of taken) end();
