--- a/src/account/account.ts
+++ b/src/account/account.ts
@@ -76,7 +76,7 @@
 const LEAST_PART = 0.2;
 /** Runs that take longer than so many times the usual of their queue were long. */
 const LONG_RUN = 1.5;
-/** The same after a run of the queue, as a weight in its mean. */
+/** Weight of a run in the mean of its queue. */
 const RUN_WEIGHT = 0.05;
 
 /** Takes lines in any order of their files and gives the account. */
