--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -16,7 +16,8 @@
 import { JobLog } from "./job_log.ts";
 import { firstStartMs, isHopeless, patienceMs } from "./decisions/admission.ts";
 import { LostAnswers } from "./decisions/looks.ts";
-import { Durations, type Timing, timingOf } from "./decisions/order.ts";
+import { type Timing, timingOf } from "./decisions/order.ts";
+import { RunTimes } from "./decisions/run_times.ts";
 import { adopt, readLegacy } from "./recovery.ts";
 import { Runs } from "./runs.ts";
 import { Scheduler } from "./scheduler.ts";
@@ -69,7 +70,7 @@
       orders: options.orders,
       jobLog,
       fleet: new Fleet(),
-      durations: new Durations(),
+      runTimes: new RunTimes(),
       lostAnswers: new LostAnswers(),
       jobs,
       ended,
@@ -274,7 +275,7 @@
   }
 
   #timingOf({ spec, policy }: Pick<Job, "spec" | "policy">): Timing {
-    return timingOf(spec, policy, this.#context.durations);
+    return timingOf(spec, policy, this.#context.runTimes);
   }
 
   #ended(end: EndedJob): void {
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -17,7 +17,7 @@
 } from "./job.ts";
 import type { JobLog } from "./job_log.ts";
 import type { LostAnswers } from "./decisions/looks.ts";
-import type { Durations } from "./decisions/order.ts";
+import type { RunTimes } from "./decisions/run_times.ts";
 import type { WorkerOrders } from "./ports.ts";
 import type { Saved } from "./write_batch.ts";
 import { queueNamed, teamNamed } from "./set_index.ts";
@@ -33,7 +33,7 @@
   readonly orders: WorkerOrders;
   readonly jobLog: JobLog;
   readonly fleet: Fleet;
-  readonly durations: Durations;
+  readonly runTimes: RunTimes;
   readonly lostAnswers: LostAnswers;
   readonly jobs: Map<string, Job>;
   readonly ended: Map<string, EndedJob>;
--- a/src/cell/decisions/order.ts
+++ b/src/cell/decisions/order.ts
@@ -8,31 +8,11 @@
  */
 import type { StepRun } from "../job.ts";
 import type { JobSpec, Queue } from "../types.ts";
+import type { RunTimes } from "./run_times.ts";
 
-/** Weight of a new duration in the running mean of a queue. */
-const LEARNING_RATE = 0.1;
 /** A job that ends after this many objectives earns nothing any more; source: the platform's rules. */
 const WORTHLESS_AFTER = 3;
 
-/** How long runs of each queue take. */
-export class Durations {
-  readonly #means = new Map<string, number>();
-
-  /** Records a run that was done. */
-  learn(queue: string, durationMs: number): void {
-    const mean = this.#means.get(queue);
-    const next = mean === undefined
-      ? durationMs
-      : mean + LEARNING_RATE * (durationMs - mean);
-    this.#means.set(queue, next);
-  }
-
-  /** Mean run time of a queue, milliseconds; the submitted estimate before the first run. */
-  of(queue: string, estimateMs: number): number {
-    return this.#means.get(queue) ?? estimateMs;
-  }
-}
-
 /** Place of a step in the line: lower goes first, field by field. */
 export interface Rank {
   /** 0: in time; 1: late, still worth something; 2: deferrable and beyond its team's weight; 3: worthless. */
@@ -48,8 +28,8 @@
 export function rankOf(
   step: StepRun,
   queue: Queue | undefined,
-  { durations, nowMs, dueMs }: {
-    readonly durations: Durations;
+  { runTimes, nowMs, dueMs }: {
+    readonly runTimes: RunTimes;
     readonly nowMs: number;
     /** When the step's occurrence was due, Unix milliseconds. */
     readonly dueMs: number;
@@ -57,7 +37,7 @@
 ): Rank {
   const { job, spec } = step;
   const priority = queue?.priority ?? 0;
-  const taskMs = durations.of(job.queue, spec.estimateMs);
+  const taskMs = runTimes.meanMs(job.queue, spec.estimateMs);
   const chains = chainsOf(job.spec);
   const objectiveMs = objectiveOf(queue, chains.whole * taskMs);
   const restMs = (chains.rest[step.index] ?? 1) * taskMs;
@@ -83,9 +63,9 @@
 export function timingOf(
   spec: JobSpec,
   queue: Queue,
-  durations: Durations,
+  runTimes: RunTimes,
 ): Timing {
-  const taskMs = durations.of(queue.name, spec.steps[0]?.estimateMs ?? 0);
+  const taskMs = runTimes.meanMs(queue.name, spec.steps[0]?.estimateMs ?? 0);
   const chainMs = chainsOf(spec).whole * taskMs;
   const objectiveMs = objectiveOf(queue, chainMs);
   return { objectiveMs, spareMs: Math.max(0, objectiveMs - chainMs) };
--- a/src/cell/decisions/order_test.ts
+++ b/src/cell/decisions/order_test.ts
@@ -2,7 +2,8 @@
 import { testQueue } from "../_fixtures_test.ts";
 import type { StepRun } from "../job.ts";
 import { stepOf } from "./_fixtures_test.ts";
-import { compareRanks, Durations, rankOf } from "./order.ts";
+import { compareRanks, rankOf } from "./order.ts";
+import { RunTimes } from "./run_times.ts";
 
 const URGENT = testQueue({ name: "urgent", priority: 0, objectiveMs: 250 });
 const BATCH = testQueue({ name: "batch", priority: 2, objectiveMs: 3_000 });
@@ -12,12 +13,12 @@
   steps: Readonly<Record<string, StepRun>>,
   nowMs: number,
 ): readonly string[] {
-  const durations = new Durations();
+  const runTimes = new RunTimes();
   return Object.entries(steps)
     .map(([name, step]) => ({
       name,
       rank: rankOf(step, step.job.policy, {
-        durations,
+        runTimes,
         nowMs,
         dueMs: step.job.acceptedMs,
       }),
@@ -64,9 +65,9 @@
 });
 
 test("a step is ranked by what its queue's runs have taken, not by its estimate", (t) => {
-  const durations = new Durations();
-  durations.learn(URGENT.name, 1_500);
+  const runTimes = new RunTimes();
+  runTimes.learn(URGENT.name, 1_500);
   const step = arrivedAt(0);
-  const options = { durations, nowMs: 1_000, dueMs: 0 };
+  const options = { runTimes, nowMs: 1_000, dueMs: 0 };
   t.is(rankOf(step, URGENT, options).startByMs, 2 * 1_500 + 250 - 1_500);
 });
--- a/src/cell/endings.ts
+++ b/src/cell/endings.ts
@@ -113,11 +113,11 @@
   }
 
   #learn(run: Run, kind: EndingKind): void {
-    const { clock, durations, metrics } = this.#context;
+    const { clock, runTimes, metrics } = this.#context;
     const { worker, step } = run;
     metrics.count("runs_ended", { how: kind });
     if (kind === "done" && run.task.checkpoint === "") {
-      durations.learn(step.job.queue, clock.monotonic() - run.placedMs);
+      runTimes.learn(step.job.queue, clock.monotonic() - run.placedMs);
     }
     if (kind !== "done" && kind !== "failed") return;
     const failed = kind === "failed" ? 1 : 0;
--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -66,6 +66,8 @@
   unanswered: number;
   /** Share of failed runs among the last ones, 0 to 1. */
   failureShare: number;
+  /** Run time of a task here over that on an average worker of its service: 1.5 takes half as long again. */
+  timeFactor: number;
 }
 
 /** All workers, with the sums of what is taken. */
@@ -95,6 +97,7 @@
       avoidUntilMs: 0,
       unanswered: 0,
       failureShare: 0,
+      timeFactor: 1,
     };
     this.workers.set(id, worker);
     return worker;
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -136,7 +136,7 @@
   }
 
   #line(): readonly Standing[] {
-    const { clock, durations, open } = this.#context;
+    const { clock, runTimes, open } = this.#context;
     const nowMs = clock.now().getTime();
     return [...open]
       .map((step) => {
@@ -144,7 +144,7 @@
         const due = dueMs(step.job, step.occurrence);
         return {
           step,
-          rank: rankOf(step, queue, { durations, nowMs, dueMs: due }),
+          rank: rankOf(step, queue, { runTimes, nowMs, dueMs: due }),
         };
       })
       .sort((a, b) => compareRanks(a.rank, b.rank));
