Let check tell entries without effect, contradictions and differences

A set could pass the checks and still not do what its operator meant, and comparing it needed a second command that always reads the store. check now lists findings beside problems, and differences from a file or from the set in force. A finding does not refuse a set: an operator may be halfway through a change.

--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -3,10 +3,25 @@
  *
  * @module
  */
-import { ok } from "neverthrow";
+import { ok, okAsync, type ResultAsync, safeTry } from "neverthrow";
+import { readPublication } from "../../configuration/publication.ts";
+import type { OperatorSet } from "../../operator_set.ts";
+import { auditSet, type Finding } from "../../operator_set/audit.ts";
+import { compareSets, type Difference } from "../difference.ts";
+import type { ToolFailure } from "../failures.ts";
 import { checkFleet } from "../fleet.ts";
 import { check } from "../republish.ts";
-import { argument, flag, readText, type ToolCommand } from "../tool.ts";
+import { formatTable, type Report } from "../report.ts";
+import {
+  argument,
+  flag,
+  type Input,
+  option,
+  readText,
+  storeOf,
+  type Tool,
+  type ToolCommand,
+} from "../tool.ts";
 import { summarize } from "../summary.ts";
 
 /** Checks a set. */
@@ -14,19 +29,65 @@
   name: "check",
   arguments: "<file>",
   summary: "check a set without publishing it",
-  example: "zinniapoint check set.ini --fleet",
+  example: "zinniapoint check set.ini --against-published",
   options: [
     { flags: "--fleet", help: "also check against the workers of the fleet" },
+    { flags: "--against <file>", help: "also list what differs from a file" },
+    {
+      flags: "--against-published",
+      help: "also list what differs from the set in force",
+    },
   ],
   run(tool, input) {
-    const file = argument(input, 0);
-    return readText(tool, file)
-      .andThen((text) => check(text, file))
-      .andThen((set) =>
-        flag(input, "fleet")
-          ? checkFleet(tool, set, { file }).map(() => set)
-          : ok(set)
-      )
-      .map(summarize);
+    return safeTry(async function* () {
+      const file = argument(input, 0);
+      const text = yield* readText(tool, file);
+      const set = yield* check(text, file);
+      if (flag(input, "fleet")) yield* checkFleet(tool, set, { file });
+      const base = yield* readBase(tool, input);
+      return ok(reportOf(set, {
+        findings: [...auditSet(set)],
+        differences: base === undefined ? undefined : compareSets(base, text),
+      }));
+    });
   },
 };
+
+/** The text to compare with; `undefined` if none is asked for. */
+function readBase(
+  tool: Tool,
+  input: Input,
+): ResultAsync<string | undefined, ToolFailure> {
+  const file = option(input, "against");
+  if (file !== undefined) return readText(tool, file);
+  if (!flag(input, "againstPublished")) return okAsync(undefined);
+  return storeOf(tool)
+    .andThen(({ store }) => readPublication(store))
+    .map((publication) => publication?.text ?? "");
+}
+
+function reportOf(
+  set: OperatorSet,
+  { findings, differences }: {
+    readonly findings: readonly Finding[];
+    readonly differences: readonly Difference[] | undefined;
+  },
+): Report {
+  const counts = summarize(set);
+  const tables = [
+    ...(findings.length === 0 ? [] : [table("findings", findings)]),
+    ...(differences === undefined ? [] : [table("differences", differences)]),
+  ];
+  return {
+    json: {
+      ...counts.json as Record<string, unknown>,
+      findings,
+      ...(differences === undefined ? {} : { differences }),
+    },
+    text: [counts.text, ...tables].join("\n"),
+  };
+}
+
+function table(name: string, rows: readonly object[]): string {
+  return `${name}:\n${formatTable(rows.map((row) => ({ ...row })))}`;
+}
--- a/src/cli/program_test.ts
+++ b/src/cli/program_test.ts
@@ -165,6 +165,35 @@
   t.is(await desk.text(), "");
 });
 
+test("check tells findings and what differs, and sends nothing", async (t) => {
+  const desk = new Desk();
+  await desk.run("publish", "set.ini");
+  const before = await desk.text();
+  desk.files.set("new.ini", `${SET}[team idle]\n`);
+  desk.files.set("old.ini", "");
+  t.is(
+    await desk.run("check", "new.ini", "--against-published", "--json"),
+    exitCodes.ok,
+  );
+  const report = JSON.parse(desk.printed.join(""));
+  t.deepEqual(report.differences, [{ change: "added", object: "team idle" }]);
+  t.true(
+    report.findings.some((found: { readonly object: string }) =>
+      found.object === "team idle"
+    ),
+  );
+  t.is(
+    await desk.run("check", "new.ini", "--against", "old.ini"),
+    exitCodes.ok,
+  );
+  t.regex(desk.printed.join("\n"), /added +workload receipt/);
+  t.is(
+    await desk.run("check", "new.ini", "--against", "none"),
+    exitCodes.usage,
+  );
+  t.is(await desk.text(), before);
+});
+
 test("publish checks against the fleet it can reach", async (t) => {
   const desk = new Desk();
   desk.answers.push(workers(1), workers(1), workers(4));
