Drain a zone through the operators' set

Cause: the tool takes single workers out of use; for an availability zone an operator had to name each worker, and workers that join later were used.

Owners treat it like a drain of every worker that the list puts into the zone. Both commands take exactly one of a worker and a zone.

--- a/src/cli/commands/drain.ts
+++ b/src/cli/commands/drain.ts
@@ -1,30 +1,33 @@
 /**
- * `drain WORKER`: takes a worker out of use.
+ * `drain WORKER` and `drain --zone ZONE`: take workers out of use.
  *
  * @module
  */
 import { err, ok } from "neverthrow";
+import { drainTarget, zoneOption } from "../drain_target.ts";
 import { reportValue } from "../report.ts";
 import { republish } from "../republish.ts";
 import { addObject, asName, objectsWith } from "../set_edit.ts";
-import { argument, type ToolCommand } from "../tool.ts";
+import type { ToolCommand } from "../tool.ts";
 
-/** Drains a worker: it gets no new work. */
+/** Drains a worker or a zone: it gets no new work. */
 export const drainCommand: ToolCommand = {
   name: "drain",
-  arguments: "<worker>",
-  summary: "give a worker no new work",
+  arguments: "[worker]",
+  summary: "give a worker or a zone no new work",
   example: "zinniapoint drain worker-7",
+  options: [zoneOption],
   run(tool, input) {
-    const worker = argument(input, 0);
-    const field = ["worker", worker] as const;
-    return republish(tool, (text) => {
-      if (objectsWith(text, "drain", { field }).length > 0) {
-        const message = `worker ${worker} is already drained`;
-        return err({ type: "objectState", message });
-      }
-      const object = `drain ${asName(worker)}`;
-      return ok(addObject(text, object, { fields: [field] }));
-    }).map(({ number }) => reportValue({ drained: worker, number }));
+    return drainTarget(input).asyncAndThen(({ kind, field }) => {
+      const [what, name] = field;
+      return republish(tool, (text) => {
+        if (objectsWith(text, kind, { field }).length > 0) {
+          const message = `${what} ${name} is already drained`;
+          return err({ type: "objectState", message });
+        }
+        const object = `${kind} ${asName(name)}`;
+        return ok(addObject(text, object, { fields: [field] }));
+      }).map(({ number }) => reportValue({ drained: name, number }));
+    });
   },
 };
--- a/src/cli/commands/undrain.ts
+++ b/src/cli/commands/undrain.ts
@@ -1,30 +1,33 @@
 /**
- * `undrain WORKER`: puts a worker back into use.
+ * `undrain WORKER` and `undrain --zone ZONE`: put workers back into use.
  *
  * @module
  */
 import { err, ok } from "neverthrow";
+import { drainTarget, zoneOption } from "../drain_target.ts";
 import { reportValue } from "../report.ts";
 import { republish } from "../republish.ts";
 import { objectsWith, removeObjects } from "../set_edit.ts";
-import { argument, type ToolCommand } from "../tool.ts";
+import type { ToolCommand } from "../tool.ts";
 
 /** Undoes a drain. */
 export const undrainCommand: ToolCommand = {
   name: "undrain",
-  arguments: "<worker>",
-  summary: "give a drained worker work again",
+  arguments: "[worker]",
+  summary: "give a drained worker or zone work again",
   example: "zinniapoint undrain worker-7",
+  options: [zoneOption],
   run(tool, input) {
-    const worker = argument(input, 0);
-    return republish(tool, (text) => {
-      const field = ["worker", worker] as const;
-      const drains = objectsWith(text, "drain", { field });
-      if (drains.length === 0) {
-        const message = `worker ${worker} is not drained`;
-        return err({ type: "objectState", message });
-      }
-      return ok(removeObjects(text, drains));
-    }).map(({ number }) => reportValue({ undrained: worker, number }));
+    return drainTarget(input).asyncAndThen(({ kind, field }) => {
+      const [what, name] = field;
+      return republish(tool, (text) => {
+        const drains = objectsWith(text, kind, { field });
+        if (drains.length === 0) {
+          const message = `${what} ${name} is not drained`;
+          return err({ type: "objectState", message });
+        }
+        return ok(removeObjects(text, drains));
+      }).map(({ number }) => reportValue({ undrained: name, number }));
+    });
   },
 };
--- /dev/null
+++ b/src/cli/drain_target.ts
@@ -0,0 +1,36 @@
+/**
+ * What `drain` and `undrain` act on: a worker or a zone.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type ToolFailure, usageFailure } from "./failures.ts";
+import type { FieldText } from "./set_edit.ts";
+import { type Input, option, type ToolOption } from "./tool.ts";
+
+/** Option that names a zone in place of a worker. */
+export const zoneOption: ToolOption = {
+  flags: "--zone <zone>",
+  help: "all workers of a zone",
+};
+
+/** A worker or a zone, and the objects of the set that take it out of use. */
+export interface DrainTarget {
+  /** Kind of the objects. */
+  readonly kind: "drain" | "evacuate";
+  /** Field that names the target. */
+  readonly field: FieldText;
+}
+
+/** Reads the target of a call; a failure unless exactly one is given. */
+export function drainTarget(input: Input): Result<DrainTarget, ToolFailure> {
+  const [worker] = input.arguments;
+  const zone = option(input, "zone");
+  if (worker !== undefined && zone === undefined) {
+    return ok({ kind: "drain", field: ["worker", worker] });
+  }
+  if (zone !== undefined && worker === undefined) {
+    return ok({ kind: "evacuate", field: ["zone", zone] });
+  }
+  return err(usageFailure("give either WORKER or --zone"));
+}
--- a/src/cli/program_test.ts
+++ b/src/cli/program_test.ts
@@ -271,6 +271,31 @@
   t.is(await desk.run("undrain", "w1"), exitCodes.refused);
 });
 
+// Guards against a zone taken for a worker of the same name.
+test("a zone is drained and undrained beside a worker", async (t) => {
+  const desk = new Desk();
+  await desk.run("publish", "set.ini");
+  t.is(await desk.run("drain", "a"), exitCodes.ok);
+  t.is(await desk.run("drain", "--zone", "a"), exitCodes.ok);
+  const set = parseOperatorSet(await desk.text(), { file: "s" })
+    ._unsafeUnwrap();
+  t.deepEqual([...set.evacuations.values()].map(({ zone }) => zone), ["a"]);
+  t.is(await desk.run("drain", "--zone", "a"), exitCodes.refused);
+  t.is(await desk.run("undrain", "--zone", "a"), exitCodes.ok);
+  t.is(await desk.run("undrain", "--zone", "a"), exitCodes.refused);
+  t.is(await desk.run("undrain", "a"), exitCodes.ok);
+  t.is((await desk.text()).trimEnd(), SET.trimEnd());
+});
+
+test("drain takes exactly one of a worker and a zone", async (t) => {
+  const desk = new Desk();
+  await desk.run("publish", "set.ini");
+  for (const command of ["drain", "undrain"]) {
+    t.is(await desk.run(command), exitCodes.usage);
+    t.is(await desk.run(command, "w1", "--zone", "a"), exitCodes.usage);
+  }
+});
+
 test("each resume of the same work has a new name", async (t) => {
   const desk = new Desk();
   await desk.run("work", "resume", "w-1");
--- a/src/daemon/dispatch_parts.ts
+++ b/src/daemon/dispatch_parts.ts
@@ -101,7 +101,7 @@
     upstream,
     clock,
     log,
-    drained: (worker) => settings.drained(worker),
+    drained: (id) => settings.drained(id, fleet.worker(id)?.zone),
   });
 }
 
--- a/src/daemon/settings_in_force.ts
+++ b/src/daemon/settings_in_force.ts
@@ -25,6 +25,7 @@
   #known = false;
   #set = emptySet();
   #drained: ReadonlySet<string> = new Set();
+  #evacuated: ReadonlySet<string> = new Set();
   #limits: ReadonlyMap<string, number> = new Map();
 
   /** Puts a set in force. */
@@ -34,6 +35,9 @@
     this.#drained = new Set(
       [...set.drains.values()].map(({ worker }) => worker),
     );
+    this.#evacuated = new Set(
+      [...set.evacuations.values()].map(({ zone }) => zone),
+    );
     this.#limits = new Map(
       [...set.limits.values()].map(({ team, running }) => [team, running]),
     );
@@ -61,9 +65,10 @@
     );
   }
 
-  /** Whether the operators have taken a worker out of use. */
-  drained(worker: string): boolean {
-    return this.#drained.has(worker);
+  /** Whether the operators have taken a worker or its zone out of use. `zone`: `undefined` if the list does not name the worker. */
+  drained(worker: string, zone: string | undefined): boolean {
+    return this.#drained.has(worker) ||
+      zone !== undefined && this.#evacuated.has(zone);
   }
 
   /** A workload by name. */
--- a/src/filters/filters_test.ts
+++ b/src/filters/filters_test.ts
@@ -129,6 +129,7 @@
   limits: new Map(),
   workloads: new Map(workloads.map((each) => [each.name, each])),
   drains: new Map(),
+  evacuations: new Map(),
   resumes: new Map(),
 };
 
--- a/src/http/status.ts
+++ b/src/http/status.ts
@@ -51,7 +51,7 @@
     rack: worker.rack,
     capacity: worker.capacity,
     presence: fleet.live(worker.id) ? "live" : "leaving",
-    drained: settings.drained(worker.id),
+    drained: settings.drained(worker.id, worker.zone),
     owner: ownership.ownerOf(`worker:${worker.id}`)?.id,
     ownedHere: pool.worker(worker.id) !== undefined,
     usable: pool.usable(worker.id),
--- a/src/operator_set.ts
+++ b/src/operator_set.ts
@@ -96,6 +96,12 @@
   readonly worker: string;
 }
 
+/** Takes all workers of a zone out of use: they get no new work. */
+export interface Evacuate {
+  readonly name: string;
+  readonly zone: string;
+}
+
 /** Lets parked work run again. */
 export interface Resume {
   readonly name: string;
@@ -112,6 +118,7 @@
   readonly limits: ReadonlyMap<string, Limit>;
   readonly workloads: ReadonlyMap<string, Workload>;
   readonly drains: ReadonlyMap<string, Drain>;
+  readonly evacuations: ReadonlyMap<string, Evacuate>;
   readonly resumes: ReadonlyMap<string, Resume>;
 }
 
--- a/src/operator_set/objects.ts
+++ b/src/operator_set/objects.ts
@@ -8,6 +8,7 @@
 import { readSection, type Schema, type Values } from "../ini/schema.ts";
 import type {
   Drain,
+  Evacuate,
   Key,
   Limit,
   Queue,
@@ -33,6 +34,7 @@
   limit: Limit;
   workload: Workload;
   drain: Drain;
+  evacuate: Evacuate;
   resume: Resume;
 }
 
@@ -62,6 +64,10 @@
   limit: reader(objectSchemas.limit, (name, values) => ({ name, ...values })),
   workload: readWorkload,
   drain: reader(objectSchemas.drain, (name, values) => ({ name, ...values })),
+  evacuate: reader(
+    objectSchemas.evacuate,
+    (name, values) => ({ name, ...values }),
+  ),
   resume: reader(objectSchemas.resume, (name, values) => ({ name, ...values })),
 };
 
--- a/src/operator_set/parse.ts
+++ b/src/operator_set/parse.ts
@@ -123,6 +123,7 @@
     limit: new Map(),
     workload: new Map(),
     drain: new Map(),
+    evacuate: new Map(),
     resume: new Map(),
   };
 }
@@ -136,6 +137,7 @@
     limits: maps.limit,
     workloads: maps.workload,
     drains: maps.drain,
+    evacuations: maps.evacuate,
     resumes: maps.resume,
   };
 }
--- a/src/operator_set/schemas.ts
+++ b/src/operator_set/schemas.ts
@@ -71,6 +71,13 @@
   worker: { unit: unit.nonEmptyText, help: "Worker that gets no new work." },
 } satisfies Schema;
 
+const evacuate = {
+  zone: {
+    unit: unit.nonEmptyText,
+    help: "Zone whose workers get no new work.",
+  },
+} satisfies Schema;
+
 const resume = {
   work: { unit: unit.nonEmptyText, help: "Parked work that may run again." },
 } satisfies Schema;
@@ -154,7 +161,16 @@
 } satisfies Schema;
 
 /** Schemas of the objects other than workloads, by section kind. */
-export const objectSchemas = { team, key, queue, share, limit, drain, resume };
+export const objectSchemas = {
+  team,
+  key,
+  queue,
+  share,
+  limit,
+  drain,
+  evacuate,
+  resume,
+};
 
 /** Schemas of workloads, by their `kind`. */
 export const workloadSchemas = { service, batch, gang };
@@ -171,6 +187,7 @@
   "limit",
   "workload",
   "drain",
+  "evacuate",
   "resume",
 ] as const;
 
