Send no new work to evacuated zones

Cause: operators ask by a key `op/evacuate/ZONE` in the platform's store that a zone gets no new work; only `op/config` was read.

Change: one watch of `op/` brings the set and the evacuations, with as many calls as before. ZoneEvacuations keeps them by revision; OperatorWatch follows the store in place of SetInForce. A new holder reads them before its first pass. Workers of the zone take no work, a recorded start is checked again before its order is sent, a gang is given up as a whole, and an order without an answer is not repeated into the zone.

--- a/bench/model/cell_world.ts
+++ b/bench/model/cell_world.ts
@@ -8,6 +8,7 @@
 import { Cell } from "../../src/cell/cell.ts";
 import type { CellStore, WorkerOrders } from "../../src/cell/ports.ts";
 import type { ClusterSet, WorkerEntry } from "../../src/cell/types.ts";
+import { ZoneEvacuations } from "../../src/cell/zone_evacuations.ts";
 import { type Clock, sleep } from "../../src/clock.ts";
 import type { Log } from "../../src/logger.ts";
 import type { Metrics } from "../../src/metrics.ts";
@@ -80,8 +81,16 @@
     store,
     directory: {
       workers: () => okAsync({ workers: world.workers, foreign: 0 }),
-      configuration: () => okAsync(undefined),
-      nextConfiguration: () => okAsync({ set: undefined, revision: 0 }),
+      operators: () =>
+        okAsync({ set: undefined, evacuations: [], revision: 0 }),
+      nextOperators: () =>
+        okAsync({
+          type: "changes",
+          set: undefined,
+          evacuations: [],
+          revision: 0,
+        }),
+      evacuations: () => okAsync({ evacuations: [], revision: 0 }),
     },
     orders,
     desk: new AdviceDesk(world.ask, () => world.lanes, { clock, metrics }),
@@ -90,6 +99,7 @@
     log,
     metrics,
     set: () => set,
+    evacuations: new ZoneEvacuations({ clock, log, evacuateMs: undefined }),
     maxLeaseMs: MAX_LEASE_MS,
     retentionMs: RETENTION_MS,
     holds: () => true,
--- a/bench/model/model_workers.ts
+++ b/bench/model/model_workers.ts
@@ -38,6 +38,7 @@
     capacity,
     draining: false,
     bornMs: 1,
+    coldLeftMs: 0,
   }));
 }
 
--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -3,16 +3,17 @@
  *
  * @module
  */
-import { errAsync, okAsync } from "neverthrow";
+import { errAsync, okAsync, type ResultAsync } from "neverthrow";
 import { ManualClock } from "../clock.ts";
-import { silentLog } from "../logger.ts";
+import type { StoreFailure } from "../errors.ts";
+import { type Log, silentLog } from "../logger.ts";
 import { Metrics } from "../metrics.ts";
 import { FakeStore } from "./_fake_store_test.ts";
 import { FakeOrders, FakeWorker } from "./_fake_workers_test.ts";
 import { AdviceDesk } from "./advice_desk.ts";
 import { Cell } from "./cell.ts";
 import { recordKey } from "./cell_record.ts";
-import type { PlatformDirectory } from "./ports.ts";
+import type { EvacuationState, PlatformDirectory } from "./ports.ts";
 import type { SubmitOutcome } from "./submission.ts";
 import type {
   ClusterSet,
@@ -21,6 +22,7 @@
   StepSpec,
   WorkerEntry,
 } from "./types.ts";
+import { ZoneEvacuations } from "./zone_evacuations.ts";
 
 /** Longest lease in the tests, milliseconds. */
 export const MAX_LEASE_MS = 6_000;
@@ -73,6 +75,7 @@
     capacity: { cpuMillis: 4_000, memoryMib: 4_000, accelerators: 0 },
     draining: false,
     bornMs: 1,
+    coldLeftMs: 0,
     ...change,
   };
 }
@@ -96,6 +99,15 @@
   recalled: readonly RecalledAdvice[] = [];
   fence = 0;
   confirmed = true;
+  log: Log = silentLog;
+  /** Evacuations as the store has them, zone and revision. */
+  readonly evacuated = new Map<string, number>();
+  /** Bound on an evacuation, milliseconds. */
+  evacuateMs: number | undefined;
+  /** What the last holder's process knows of them. */
+  evacuations: ZoneEvacuations | undefined;
+  /** Readings of the evacuations. */
+  evacuationsRead = 0;
 
   /** Lists a worker and starts its process. */
   addWorker(id: string, change: Partial<WorkerEntry> = {}): FakeWorker {
@@ -118,9 +130,20 @@
         this.store.away
           ? errAsync({ type: "storeUnreachable", message: "away" })
           : okAsync({ workers: this.entries, foreign: 0 }),
-      configuration: () => okAsync(undefined),
-      nextConfiguration: () => okAsync({ set: undefined, revision: 0 }),
+      operators: () =>
+        this.evacuationState()
+          .map((state) => ({ ...state, set: this.set })),
+      nextOperators: () =>
+        this.evacuationState()
+          .map((state) => ({ type: "state", ...state, set: undefined })),
+      evacuations: () => this.evacuationState(),
     };
+    const evacuations = new ZoneEvacuations({
+      clock: this.clock,
+      log: this.log,
+      evacuateMs: this.evacuateMs,
+    });
+    this.evacuations = evacuations;
     const metrics = new Metrics();
     const cell = new Cell({
       name: "cell",
@@ -139,9 +162,10 @@
       ),
       recall: () => Promise.resolve(this.recalled),
       clock: this.clock,
-      log: silentLog,
+      log: this.log,
       metrics,
       set: () => this.set,
+      evacuations,
       maxLeaseMs: MAX_LEASE_MS,
       retentionMs: 120_000,
       holds: () => this.confirmed,
@@ -157,6 +181,34 @@
     return cell;
   }
 
+  /** Asks for an evacuation at the store, or withdraws it; no process sees it yet. */
+  evacuate(zone: string, wanted = true): void {
+    const revision = ++this.store.revision;
+    if (wanted) this.evacuated.set(zone, revision);
+    else this.evacuated.delete(zone);
+  }
+
+  /** Brings the store's evacuations to the last holder's process, as its watch does. */
+  tellZones(): void {
+    this.evacuations?.replace(this.#zonesNow(), {
+      readMs: this.clock.monotonic(),
+    });
+  }
+
+  /** Reads the evacuations from the store. */
+  evacuationState(): ResultAsync<EvacuationState, StoreFailure> {
+    this.evacuationsRead++;
+    return this.store.away
+      ? errAsync({ type: "storeUnreachable", message: "away" })
+      : okAsync(this.#zonesNow());
+  }
+
+  #zonesNow(): EvacuationState {
+    const evacuations = [...this.evacuated]
+      .map(([zone, revision]) => ({ zone, revision }));
+    return { evacuations, revision: this.store.revision };
+  }
+
   /** Hands a job of one queue in. */
   offer(
     cell: Cell,
--- a/src/cell/_instances_test.ts
+++ b/src/cell/_instances_test.ts
@@ -61,14 +61,7 @@
   start(name: string, { boot = name, cores = 1 } = {}): Leadership {
     const self: Member = { name, address: `${name}:1`, cores };
     const { clock, store } = this;
-    const set = new SetInForce(
-      {
-        workers: () => okAsync({ workers: [], foreign: 0 }),
-        configuration: () => okAsync(undefined),
-        nextConfiguration: () => okAsync({ set: undefined, revision: 0 }),
-      },
-      { clock, log: silentLog },
-    );
+    const set = new SetInForce({ clock, log: silentLog });
     const leadership = new Leadership({
       cell: "cell/0",
       self,
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -76,6 +76,7 @@
       ended,
       open: new Set(),
       set: options.set,
+      evacuations: options.evacuations,
       maxLeaseMs: options.maxLeaseMs,
       holds: () => !this.#closed && options.holds(),
       deposed: options.deposed,
@@ -109,9 +110,9 @@
     const startedMs = clock.monotonic();
     return ResultAsync.combine([
       readLegacy(store, log),
-      this.#options.directory.workers(),
+      this.#list.read(),
     ])
-      .map(([legacy, { workers }]) => {
+      .map(([legacy, workers]) => {
         adopt(this.#context, legacy, { holdLimitMs: HOLD_LIMIT_MS });
         this.#list.take(workers);
         for (const job of this.#context.jobs.values()) {
--- a/src/cell/cell_options.ts
+++ b/src/cell/cell_options.ts
@@ -10,6 +10,7 @@
 import type { Recall } from "./advice_recall.ts";
 import type { CellStore, PlatformDirectory, WorkerOrders } from "./ports.ts";
 import type { ClusterSet } from "./types.ts";
+import type { ZoneEvacuations } from "./zone_evacuations.ts";
 
 /** What a holder needs. */
 export interface CellOptions {
@@ -27,6 +28,7 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly set: () => ClusterSet;
+  readonly evacuations: ZoneEvacuations;
   readonly maxLeaseMs: number;
   readonly retentionMs: number;
   readonly holds: () => boolean;
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -22,6 +22,7 @@
 import type { Saved } from "./write_batch.ts";
 import { queueNamed, teamNamed } from "./set_index.ts";
 import type { ClusterSet, Queue, Team } from "./types.ts";
+import type { ZoneEvacuations } from "./zone_evacuations.ts";
 
 /** State and tools of one holder of the cell. */
 export interface CellContext {
@@ -41,6 +42,7 @@
   readonly open: Set<StepRun>;
   /** The operators' set in force. */
   readonly set: () => ClusterSet;
+  readonly evacuations: ZoneEvacuations;
   /** Longest lease that a worker gives, milliseconds. */
   readonly maxLeaseMs: number;
   /** Whether orders may be given: the hold on the cell was confirmed lately. */
--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -56,6 +56,8 @@
   bornMs: number | undefined;
   /** Whether the platform lists it. */
   listed: boolean;
+  /** Whether its zone is evacuated. */
+  evacuated: boolean;
   /** Whether it answered the last call. */
   reachable: boolean;
   /** When its last report was asked for, monotonic milliseconds. */
@@ -92,6 +94,7 @@
       saving: Promise.resolve(),
       bornMs: undefined,
       listed: false,
+      evacuated: false,
       reachable: false,
       reportedMs: 0,
       avoidUntilMs: 0,
@@ -136,10 +139,20 @@
 /** Whether something new may go to a worker now. */
 export function takesWork(worker: FleetWorker, nowMs: number): boolean {
   return worker.listed && worker.reachable && worker.entry !== undefined &&
-    !worker.entry.draining && worker.clockOffsetMs !== undefined &&
+    !worker.entry.draining && !worker.evacuated &&
+    worker.clockOffsetMs !== undefined &&
     worker.avoidUntilMs <= nowMs && worker.unanswered === 0;
 }
 
+/** Runs on workers of evacuated zones. */
+export function runsInEvacuated(fleet: Fleet): number {
+  let runs = 0;
+  for (const worker of fleet.workers.values()) {
+    if (worker.evacuated) runs += worker.runs.size;
+  }
+  return runs;
+}
+
 /** How many more tasks of this size a team may have running. */
 export function teamAllowance(
   team: Team | undefined,
--- a/src/cell/housekeeping.ts
+++ b/src/cell/housekeeping.ts
@@ -5,7 +5,7 @@
  */
 import { sleep } from "../clock.ts";
 import { type CellContext, reviewJob } from "./context.ts";
-import { roomOn, takesWork } from "./fleet.ts";
+import { roomOn, runsInEvacuated, takesWork } from "./fleet.ts";
 import { dueMs, occurrencesOf, openOccurrence, type StepRun } from "./job.ts";
 import type { Runs } from "./runs.ts";
 import { WAIT_REASONS, type WaitReason } from "./step_waits.ts";
@@ -103,6 +103,7 @@
 
   #tellLoad(): void {
     const { clock, log, fence, fleet, jobs, open, jobLog } = this.#context;
+    const { zones } = this.#context.evacuations;
     const workers = [...fleet.workers.values()];
     const writes = jobLog.takeWork();
     const usable = workers.filter((one) => takesWork(one, clock.monotonic()));
@@ -126,6 +127,10 @@
       slowestCommitMs: Math.round(writes.slowestMs),
       unwritten: writes.waiting,
       storeStuckMs: Math.round(jobLog.stuckMs()),
+      ...(zones.length === 0 ? {} : {
+        evacuated: zones.join(","),
+        evacuatedRuns: runsInEvacuated(fleet),
+      }),
     });
     this.#lateMs = 0;
   }
--- a/src/cell/node.ts
+++ b/src/cell/node.ts
@@ -21,11 +21,13 @@
   PlatformDirectory,
   WorkerOrders,
 } from "./ports.ts";
+import { OperatorWatch } from "./operator_watch.ts";
 import { setCall, storeCall } from "./protocol.ts";
 import { RelayedStore, serveStore } from "./relayed_store.ts";
 import { SetFetch } from "./set_fetch.ts";
 import { SetInForce } from "./set_in_force.ts";
 import type { ClusterSet } from "./types.ts";
+import { ZoneEvacuations } from "./zone_evacuations.ts";
 
 /** The one cell of today's sizes. */
 const CELL = "cell/0";
@@ -58,6 +60,8 @@
   readonly advice: AdviceService;
   readonly maxLeaseMs: number;
   readonly retentionMs: number;
+  /** Time after which nothing starts in an evacuated zone, milliseconds; `undefined` for no bound. */
+  readonly evacuateMs: number | undefined;
   readonly clock: Clock;
   readonly random: () => number;
   readonly log: Log;
@@ -72,6 +76,7 @@
   readonly #options: NodeOptions;
   readonly #peers: TcpPeers;
   readonly #directory: PlatformDirectory;
+  readonly #evacuations: ZoneEvacuations;
   readonly #leadership: Leadership;
   readonly #carrier: AdviceCarrier;
   readonly #desk: AdviceDesk;
@@ -97,7 +102,10 @@
       log,
     });
     this.#directory = options.directory(this.store);
-    this.set = new SetInForce(this.#directory, { clock, log });
+    this.set = new SetInForce({ clock, log });
+    const { evacuateMs } = options;
+    this.#evacuations = new ZoneEvacuations({ clock, log, evacuateMs });
+    metrics.gauge("zones_evacuated", () => this.#evacuations.zones.length);
     this.#leadership = new Leadership({
       cell: CELL,
       self,
@@ -153,7 +161,15 @@
   /** Starts to take part; resolves once peers can connect. */
   async start(): Promise<void> {
     await this.#peers.listening();
-    void this.set.follow();
+    const { clock, log } = this.#options;
+    const operators = new OperatorWatch({
+      directory: this.#directory,
+      set: this.set,
+      evacuations: this.#evacuations,
+      clock,
+      log,
+    });
+    void operators.follow();
     void this.#leadership.run();
   }
 
@@ -216,6 +232,7 @@
       log,
       metrics,
       set: () => this.set.set ?? EMPTY_SET,
+      evacuations: this.#evacuations,
       maxLeaseMs,
       retentionMs,
       holds: () => this.#leadership.holds(),
--- /dev/null
+++ b/src/cell/operator_watch_test.ts
@@ -0,0 +1,119 @@
+import test from "ava";
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { ManualClock } from "../clock.ts";
+import type { StoreFailure } from "../errors.ts";
+import { silentLog } from "../logger.ts";
+import { OperatorWatch } from "./operator_watch.ts";
+import type { EvacuationState, PlatformDirectory } from "./ports.ts";
+import { SetInForce } from "./set_in_force.ts";
+import type { ClusterSet } from "./types.ts";
+import { ZoneEvacuations } from "./zone_evacuations.ts";
+
+/** How long a watch waits for a change, milliseconds. */
+const WATCH_MS = 1_000;
+const LOST: StoreFailure = { type: "storeAnswerLost", message: "lost" };
+const SET: ClusterSet = { version: 1, queues: [], teams: [], maxBodyBytes: 1 };
+
+/** A directory whose calls are counted and can fail. */
+class CountedDirectory implements PlatformDirectory {
+  readonly calls = { operators: 0, nextOperators: 0, evacuations: 0 };
+  readonly failing = new Set<string>();
+  state: EvacuationState = { evacuations: [], revision: 1 };
+  readonly #clock: ManualClock;
+
+  constructor(clock: ManualClock) {
+    this.#clock = clock;
+  }
+
+  workers(): ReturnType<PlatformDirectory["workers"]> {
+    return okAsync({ workers: [], foreign: 0 });
+  }
+
+  operators(): ReturnType<PlatformDirectory["operators"]> {
+    this.calls.operators++;
+    if (this.failing.has("operators")) return errAsync(LOST);
+    return okAsync({ ...this.state, set: SET });
+  }
+
+  nextOperators(): ReturnType<PlatformDirectory["nextOperators"]> {
+    this.calls.nextOperators++;
+    const wait = new Promise<void>((resolve) =>
+      this.#clock.after(WATCH_MS, resolve)
+    );
+    return ResultAsync.fromSafePromise(wait).andThen(() =>
+      this.failing.has("nextOperators")
+        ? errAsync(LOST)
+        : okAsync({ type: "state", ...this.state, set: undefined } as const)
+    );
+  }
+
+  evacuations(): ReturnType<PlatformDirectory["evacuations"]> {
+    this.calls.evacuations++;
+    if (this.failing.has("evacuations")) return errAsync(LOST);
+    return okAsync(this.state);
+  }
+}
+
+function open(evacuateMs?: number) {
+  const clock = new ManualClock();
+  const directory = new CountedDirectory(clock);
+  const set = new SetInForce({ clock, log: silentLog });
+  const log = silentLog;
+  const evacuations = new ZoneEvacuations({ clock, log, evacuateMs });
+  const options = { directory, set, evacuations, clock, log };
+  void new OperatorWatch(options).follow();
+  return { clock, directory, set, evacuations };
+}
+
+// Guards against store calls beyond the one reading and the one watch that the set needs anyway.
+test("a quiet watch asks the store as often as for the set alone", async (t) => {
+  const { clock, directory, set, evacuations } = open(5_000);
+  await clock.run(10_500);
+  t.is(set.version, 1);
+  t.false(evacuations.isStale);
+  t.deepEqual(directory.calls, {
+    operators: 1,
+    nextOperators: 11,
+    evacuations: 0,
+  });
+});
+
+test("a watch that fails is followed by a reading", async (t) => {
+  const { clock, directory, evacuations } = open();
+  await clock.run(500);
+  directory.failing.add("nextOperators");
+  directory.state = {
+    evacuations: [{ zone: "b", revision: 5 }],
+    revision: 6,
+  };
+  await clock.run(1_500);
+  t.true(evacuations.has("b"));
+  t.is(directory.calls.operators, 2);
+});
+
+// Guards against a holder that cannot start anything because the large set does not get through.
+test("where the whole does not get through for too long, the zones alone are read", async (t) => {
+  const { clock, directory, evacuations } = open(5_000);
+  await clock.run(500);
+  directory.failing.add("nextOperators").add("operators");
+  directory.state = {
+    evacuations: [{ zone: "b", revision: 5 }],
+    revision: 6,
+  };
+  await clock.run(3_000);
+  t.is(directory.calls.evacuations, 0);
+  await clock.run(2_000);
+  t.true(evacuations.has("b"));
+  t.false(evacuations.isStale);
+});
+
+// Guards against a process that stood still and waits a whole watch before it may start anything.
+test("a view that has become too old is read anew at once", async (t) => {
+  const { clock, directory, evacuations } = open(5_000);
+  await clock.run(500);
+  clock.advance(20_000);
+  t.true(evacuations.isStale);
+  await clock.run(100);
+  t.false(evacuations.isStale);
+  t.is(directory.calls.operators, 2);
+});
--- a/src/cell/ports.ts
+++ b/src/cell/ports.ts
@@ -25,6 +25,41 @@
   >;
 }
 
+/** A zone that gets no new work, with the revision at which that was asked. */
+export interface Evacuation {
+  readonly zone: string;
+  readonly revision: number;
+}
+
+/** All evacuations in force at one revision of the store. */
+export interface EvacuationState {
+  readonly evacuations: readonly Evacuation[];
+  readonly revision: number;
+}
+
+/** An evacuation that was asked or withdrawn. */
+export interface EvacuationChange extends Evacuation {
+  readonly type: "evacuated" | "restored";
+}
+
+/** What operators have asked, as one reading of the store shows it. */
+export interface OperatorState extends EvacuationState {
+  /** The set; `undefined` before the first one or if it is unreadable. */
+  readonly set: ClusterSet | undefined;
+}
+
+/** What operators have asked since a revision. `state`: the history is gone, this is all of it. */
+export type OperatorNews =
+  | ({ readonly type: "state" } & OperatorState)
+  | {
+    readonly type: "changes";
+    /** `undefined` if there is no newer one. */
+    readonly set: ClusterSet | undefined;
+    /** In the order of their revisions. */
+    readonly evacuations: readonly EvacuationChange[];
+    readonly revision: number;
+  };
+
 /** What the platform says of workers and of the operators' wishes. */
 export interface PlatformDirectory {
   /** Every worker that is listed now. Foreign entries are left out and counted. */
@@ -32,16 +67,12 @@
     { readonly workers: readonly WorkerEntry[]; readonly foreign: number },
     StoreFailure
   >;
-  /** The operators' set in force; `undefined` before the first one. */
-  configuration(): ResultAsync<
-    { readonly set: ClusterSet; readonly revision: number } | undefined,
-    StoreFailure
-  >;
-  /** Waits for a newer set; `undefined` if none came in time. */
-  nextConfiguration(after: number): ResultAsync<
-    { readonly set: ClusterSet | undefined; readonly revision: number },
-    StoreFailure
-  >;
+  /** The operators' set and the evacuations in force. */
+  operators(): ResultAsync<OperatorState, StoreFailure>;
+  /** Waits a while for what operators ask after a revision. */
+  nextOperators(after: number): ResultAsync<OperatorNews, StoreFailure>;
+  /** The evacuations alone: a small answer where the set is large. */
+  evacuations(): ResultAsync<EvacuationState, StoreFailure>;
 }
 
 /** Order to start one run of a task. */
--- a/src/cell/repeated_order.ts
+++ b/src/cell/repeated_order.ts
@@ -22,7 +22,7 @@
  * carried out, so that the order stays unknown.
  */
 export async function repeatOrder(
-  { clock, holds, lostAnswers }: CellContext,
+  { clock, holds, lostAnswers, evacuations }: CellContext,
   { run, start }: {
     readonly run: Run;
     /** Gives the order. Never rejects. */
@@ -34,6 +34,7 @@
   worker.unanswered++;
   for (let repeated = 0; repeated < MOST_REPEATED; repeated++) {
     if (!isWanted(run) || isOver(step.job) || !holds()) break;
+    if (evacuations.has(worker.entry?.zone ?? "")) break;
     answer = await start();
     if (answer.type === "started" || answer.type === "rejected") {
       lostAnswers.note(clock.monotonic());
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -14,6 +14,7 @@
 import { dueMs, isOver, type Job, type StepRun } from "./job.ts";
 import type { Place } from "./decisions/placement.ts";
 import type { StartAnswer } from "./ports.ts";
+import { barredRuns } from "./decisions/barred_runs.ts";
 import { isWanted, repeatOrder } from "./repeated_order.ts";
 import { addressOf, gangCheckpoint, leaseBoundMs, newRun } from "./run.ts";
 
@@ -43,7 +44,7 @@
 
   /** Takes room for the places, records that, then gives the orders. */
   start(step: StepRun, places: readonly Place[]): void {
-    const { clock, fleet } = this.#context;
+    const { clock, fleet, evacuations } = this.#context;
     const gangRun = 1 + Math.max(...step.tasks.map((task) => task.run));
     const checkpoint = step.spec.gang ? gangCheckpoint(step) : undefined;
     const runs = places.map(({ task, worker, ticket }) => {
@@ -59,6 +60,10 @@
     reviewStep(this.#context, step);
     persist(this.#context, step.job).then((saved) => {
       if (saved !== "saved") return;
+      // Zones may have been evacuated while the start was recorded.
+      const recorded = runs.map(({ run }) => run);
+      const { barred, reason } = barredRuns(recorded, evacuations);
+      for (const run of barred) this.lose(run, reason);
       for (const { run, ticket } of runs) void this.#send(run, ticket);
     });
   }
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -69,7 +69,9 @@
     this.#context = context;
     this.#runs = runs;
     this.#asker = new Asker(context, desk, (step) => {
-      this.#place(step, this.#roomOutside(step));
+      if (!context.evacuations.isStale) {
+        this.#place(step, this.#roomOutside(step));
+      }
       this.kick(LANE_DELAY_MS);
     });
   }
@@ -109,8 +111,9 @@
   }
 
   #pass(): void {
-    const { holds, jobLog } = this.#context;
+    const { holds, jobLog, evacuations } = this.#context;
     if (!holds() || jobLog.stuckMs() > STORE_STUCK_MS) return;
+    if (evacuations.isStale) return;
     const startedMs = this.#context.clock.monotonic();
     this.#goOverLine(this.#line());
     const tookMs = this.#context.clock.monotonic() - startedMs;
--- a/src/cell/set_fetch_test.ts
+++ b/src/cell/set_fetch_test.ts
@@ -1,5 +1,4 @@
 import test from "ava";
-import { okAsync } from "neverthrow";
 import { ManualClock } from "../clock.ts";
 import { silentLog } from "../logger.ts";
 import { SetFetch } from "./set_fetch.ts";
@@ -13,14 +12,7 @@
 function open(fetched: ClusterSet | undefined) {
   const clock = new ManualClock();
   const asked: string[] = [];
-  const set = new SetInForce(
-    {
-      workers: () => okAsync({ workers: [], foreign: 0 }),
-      configuration: () => okAsync(undefined),
-      nextConfiguration: () => okAsync({ set: undefined, revision: 0 }),
-    },
-    { clock, log: silentLog },
-  );
+  const set = new SetInForce({ clock, log: silentLog });
   const fetches = new SetFetch({
     set,
     fetch: (instance) => {
--- a/src/cell/set_in_force.ts
+++ b/src/cell/set_in_force.ts
@@ -6,12 +6,8 @@
  */
 import { type Clock, sleep } from "../clock.ts";
 import type { Log } from "../logger.ts";
-import type { PlatformDirectory } from "./ports.ts";
 import type { ClusterSet, Queue, Team } from "./types.ts";
 
-/** Delay before the set is asked for again after a failure, milliseconds. */
-const AGAIN_MS = 250;
-
 /** A call's place in the set. */
 export type Admission =
   | {
@@ -27,7 +23,6 @@
 
 /** The set in force and what is looked up in it. */
 export class SetInForce {
-  readonly #directory: PlatformDirectory;
   readonly #clock: Clock;
   readonly #log: Log;
   #set: ClusterSet | undefined;
@@ -36,10 +31,8 @@
   #listeners: (() => void)[] = [];
 
   constructor(
-    directory: PlatformDirectory,
     { clock, log }: { readonly clock: Clock; readonly log: Log },
   ) {
-    this.#directory = directory;
     this.#clock = clock;
     this.#log = log;
   }
@@ -84,29 +77,6 @@
     }
   }
 
-  /** Keeps up with the store until the process ends. */
-  async follow(): Promise<void> {
-    let after: number | undefined;
-    for (;;) {
-      if (after === undefined) {
-        const first = await this.#directory.configuration();
-        if (first.isOk() && first.value !== undefined) {
-          this.offer(first.value.set, "store");
-          after = first.value.revision;
-        } else await sleep(this.#clock, AGAIN_MS);
-        continue;
-      }
-      const next = await this.#directory.nextConfiguration(after);
-      if (next.isErr()) {
-        await sleep(this.#clock, AGAIN_MS);
-        after = undefined;
-        continue;
-      }
-      if (next.value.set !== undefined) this.offer(next.value.set, "store");
-      after = next.value.revision;
-    }
-  }
-
   /** Finds queue and team of a call. */
   admit(call: {
     readonly host: string;
--- a/src/cell/types.ts
+++ b/src/cell/types.ts
@@ -108,6 +108,8 @@
   readonly draining: boolean;
   /** Start of its process, Unix milliseconds; tells its lives apart. */
   readonly bornMs: number | undefined;
+  /** Time after its start for which it is slow, milliseconds; 0 if it is warm. */
+  readonly coldLeftMs: number;
 }
 
 /** Which workers may run a step. */
--- a/src/cell/worker_list.ts
+++ b/src/cell/worker_list.ts
@@ -3,8 +3,11 @@
  *
  * @module
  */
+import { ResultAsync } from "neverthrow";
 import { sleep } from "../clock.ts";
+import type { StoreFailure } from "../errors.ts";
 import type { CellContext } from "./context.ts";
+import { runsInEvacuated } from "./fleet.ts";
 import type { PlatformDirectory } from "./ports.ts";
 import type { WorkerEntry } from "./types.ts";
 
@@ -18,6 +21,7 @@
   readonly #context: CellContext;
   readonly #directory: PlatformDirectory;
   readonly #follow: (worker: string) => void;
+  readonly #unwatchZones: () => void;
   #failedMs: number | undefined;
   /** Whether a list has been taken. */
   #read = false;
@@ -32,6 +36,25 @@
     this.#context = context;
     this.#directory = directory;
     this.#follow = follow;
+    const { evacuations, fleet, metrics } = context;
+    this.#unwatchZones = evacuations.watch({
+      changed: () => this.#markZones(),
+      runsIn: (zone) => this.#runsIn(zone),
+    });
+    metrics.gauge("runs_in_evacuated_zones", () => runsInEvacuated(fleet));
+  }
+
+  /** Reads what must be known before the first start: the workers and the evacuated zones. */
+  read(): ResultAsync<readonly WorkerEntry[], StoreFailure> {
+    const { clock, evacuations } = this.#context;
+    const readMs = clock.monotonic();
+    return ResultAsync.combine([
+      this.#directory.workers(),
+      this.#directory.evacuations(),
+    ]).map(([{ workers }, state]) => {
+      evacuations.replace(state, { readMs });
+      return workers;
+    });
   }
 
   /** Reads until it is closed. */
@@ -75,10 +98,30 @@
   /** Reads no more. */
   close(): void {
     this.#closed = true;
+    this.#unwatchZones();
+    this.#context.metrics.gauge("runs_in_evacuated_zones", () => 0);
+  }
+
+  /** Workers of evacuated zones take no work from now on; others do again. */
+  #markZones(): void {
+    const { fleet, evacuations, kick } = this.#context;
+    for (const worker of fleet.workers.values()) {
+      if (worker.entry === undefined) continue;
+      worker.evacuated = evacuations.has(worker.entry.zone);
+    }
+    kick();
+  }
+
+  #runsIn(zone: string): number {
+    let runs = 0;
+    for (const { entry, runs: there } of this.#context.fleet.workers.values()) {
+      if (entry?.zone === zone) runs += there.size;
+    }
+    return runs;
   }
 
   #takeEntry(entry: WorkerEntry): void {
-    const { fleet, log } = this.#context;
+    const { fleet, log, evacuations } = this.#context;
     const worker = fleet.open(entry.id);
     const changed = !worker.listed ||
       worker.entry?.draining !== entry.draining;
@@ -91,6 +134,7 @@
       });
     }
     worker.entry = entry;
+    worker.evacuated = evacuations.has(entry.zone);
     worker.listed = true;
     this.#follow(entry.id);
   }
