Evacuate zones in the platform's stand-in and in the soak

The soak evacuates and restores a zone with draws of its own, so that a seed brings the same faults as before.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -19,13 +19,31 @@
 
 /** A broken promise. */
 export interface Finding {
-  readonly promise: "lost" | "twice" | "refused" | "overfilled" | "canceled";
+  readonly promise:
+    | "lost"
+    | "twice"
+    | "refused"
+    | "overfilled"
+    | "canceled"
+    | "evacuated";
   readonly about: string;
 }
 
 /** Time after the answer to a cancelation by which nothing of the job starts, milliseconds; source: the platform's pages. */
 const CANCEL_MS = 3_000;
 
+/** Time after the answer to a request for an evacuation by which nothing starts there, milliseconds: the bound and its extension while the store is unstable. */
+const EVACUATE_MS = 5_000 + 6_000;
+
+/** A zone that was to get no new work. */
+export interface EvacuatedZone {
+  readonly workers: ReadonlySet<string>;
+  /** When that was acknowledged, Unix milliseconds. */
+  readonly fromMs: number;
+  /** When it was withdrawn, Unix milliseconds. */
+  untilMs: number;
+}
+
 /** Checks everything that was recorded. */
 export function check(
   jobs: readonly ClientJob[],
@@ -35,6 +53,7 @@
     readonly room: number;
     /** When cancelations were answered, by job. */
     readonly canceledMs: ReadonlyMap<string, number>;
+    readonly evacuated?: readonly EvacuatedZone[];
   },
 ): readonly Finding[] {
   return [
@@ -43,9 +62,28 @@
     ...refused(jobs, record),
     ...overfilled(record, options.room),
     ...canceled(record, options.canceledMs),
+    ...startedInEvacuated(record, options.evacuated ?? []),
   ];
 }
 
+function startedInEvacuated(
+  record: readonly RecordedRun[],
+  zones: readonly EvacuatedZone[],
+): readonly Finding[] {
+  return zones.flatMap(({ workers, fromMs, untilMs }) =>
+    record
+      .filter(({ worker, startedMs }) =>
+        workers.has(worker) && startedMs > fromMs + EVACUATE_MS &&
+        startedMs < untilMs
+      )
+      .map(({ task, run, worker, startedMs }): Finding => ({
+        promise: "evacuated",
+        about: `${task} run ${run} on ${worker} started ` +
+          `${startedMs - fromMs} ms after the request`,
+      }))
+  );
+}
+
 /** Runs of one task at once, or again after an end that was acknowledged. */
 export function twice(record: readonly RecordedRun[]): readonly Finding[] {
   return [...grouped(record).values()].flatMap((runs) =>
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -7,7 +7,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { PlatformSite, type SiteDaemon } from "../platform/standins/site.ts";
-import { check, type Finding } from "./checks.ts";
+import { check, type EvacuatedZone, type Finding } from "./checks.ts";
 import { Clients, pause, type Random } from "./clients.ts";
 import { Proxy, type ProxyMood } from "./proxy.ts";
 
@@ -33,15 +33,19 @@
 
 /** Runs that fit on a worker at once: its cores by a task's. */
 const ROOM = 8;
+/** Zones of the workers, by turns. */
+const ZONES = ["a", "b"];
+/** The zone that is evacuated; the other one goes on. */
+const EVACUATED = "b";
 
 /** Carries out one run. */
 export async function soak(options: SoakOptions): Promise<SoakResult> {
-  const generator = xoroshiro128plus(options.seed);
-  const random: Random = (from, to) => uniformInt(generator, from, to);
+  const random = randomOf(options.seed);
   const proxies = new Map<string, Proxy>();
   const site = await PlatformSite.start({
     daemons: options.daemons,
     workers: options.workers,
+    zones: ZONES,
     route: (kind, name, address) => {
       const proxy = new Proxy(address);
       proxies.set(`${kind}:${name}`, proxy);
@@ -57,6 +61,11 @@
   }
 }
 
+function randomOf(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  return (from, to) => uniformInt(generator, from, to);
+}
+
 class SoakRun {
   readonly #site: PlatformSite;
   readonly #proxies: ReadonlyMap<string, Proxy>;
@@ -65,6 +74,7 @@
   readonly #clients: Clients;
   readonly #faults: string[] = [];
   readonly #replacing = new Set<SiteDaemon>();
+  readonly #evacuated: EvacuatedZone[] = [];
   #endMs = 0;
 
   constructor(
@@ -88,11 +98,16 @@
       worker.workMs = this.#random(100, 900);
     }
     const submitted = this.#clients.submitUntil(this.#endMs);
-    await Promise.all([submitted, this.#harm(), this.#harm()]);
+    const harm = [this.#harm(), this.#harm(), this.#evacuate()];
+    await Promise.all([submitted, ...harm]);
     await this.#clients.settle();
     const { jobs, canceledMs } = this.#clients;
     const record = this.#site.record;
-    const findings = check(jobs, record, { room: ROOM, canceledMs });
+    const findings = check(jobs, record, {
+      room: ROOM,
+      canceledMs,
+      evacuated: this.#evacuated,
+    });
     return {
       findings,
       faults: this.#faults,
@@ -111,6 +126,29 @@
     }
   }
 
+  /** Evacuates a zone again and again; the last time until all jobs have ended. */
+  async #evacuate(): Promise<void> {
+    // Draws of its own, so that a seed still brings the same faults.
+    const random = randomOf(~this.#options.seed);
+    const workers = new Set(
+      this.#site.workers.filter(({ zone }) => zone === EVACUATED)
+        .map(({ id }) => id),
+    );
+    while (Date.now() < this.#endMs) {
+      await pause(random(200, 2_000));
+      this.#note(`evacuate ${EVACUATED}`);
+      this.#site.evacuate(EVACUATED);
+      const fromMs = Date.now();
+      const evacuated = { workers, fromMs, untilMs: Infinity };
+      this.#evacuated.push(evacuated);
+      await pause(random(1_000, 25_000));
+      if (Date.now() >= this.#endMs) return;
+      this.#note(`restore ${EVACUATED}`);
+      evacuated.untilMs = Date.now();
+      this.#site.restoreZone(EVACUATED);
+    }
+  }
+
   async #oneFault(): Promise<void> {
     const lastsMs = this.#random(200, 4_000);
     const daemon = this.#anyDaemon();
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -42,6 +42,18 @@
   t.deepEqual(promises([JOB], [RUN, other]), ["overfilled"]);
 });
 
+// Guards against a soak that passes over starts in an evacuated zone.
+test("checks: a start in an evacuated zone after the bound, until it is withdrawn", (t) => {
+  const workers = new Set(["w1"]);
+  const evacuated = [{ workers, fromMs: 0, untilMs: 20_000 }];
+  const started = (startedMs: number, worker = "w1") => {
+    const run = { ...RUN, worker, startedMs, endedMs: startedMs + 1 };
+    return check([JOB], [run], { ...LIMITS, evacuated }).length;
+  };
+  t.deepEqual([10_000, 12_000, 21_000].map((at) => started(at)), [0, 1, 0]);
+  t.is(started(12_000, "w2"), 0);
+});
+
 /** Seeds of short runs: one of its own, and those that once had a finding. */
 const SEEDS = [
   { seed: 7, about: "a fixed seed" },
