Order suitable workers by expected time

Urgent steps were late because of where they ran: placement considered free capacity only, and the slow third of the workers takes 1.55 times the median run time.

worker_choice.ts assigns each suitable worker a tier by the class of the step. Urgent steps use best fit among the workers that end them in time at the p90, else the fastest; deferrable steps with slack use slow workers first; gangs use alike workers. Reservations and questions for advice follow the same choice. Workers within 5 % of the average are treated as average, and with all of them so the order is the former one.

--- a/src/cell/decisions/_fixtures_test.ts
+++ b/src/cell/decisions/_fixtures_test.ts
@@ -9,6 +9,7 @@
 import type { Amounts, Queue, StepSpec, WorkerEntry } from "../types.ts";
 import type { SearchContext } from "./placement.ts";
 import { NOTHING_KEPT, RoomIndex } from "./room.ts";
+import { RunTimes } from "./run_times.ts";
 
 /** Workers of the large deployment. */
 export const LARGE_FLEET = 380;
@@ -83,6 +84,8 @@
     team: undefined,
     nowMs: 0,
     held: NOTHING_KEPT,
+    runTimes: new RunTimes(),
+    time: { leftMs: 1_000, worthless: false },
     ...change,
   };
 }
--- a/src/cell/decisions/order.ts
+++ b/src/cell/decisions/order.ts
@@ -71,6 +71,37 @@
   return { objectiveMs, spareMs: Math.max(0, objectiveMs - chainMs) };
 }
 
+/** How long a step may take. */
+export interface StepTime {
+  /** Until its own end is due, milliseconds from now: each step still on its chain gets an equal part of the time left. */
+  readonly leftMs: number;
+  /** Whether the submission earns nothing any more, however soon it ends. */
+  readonly worthless: boolean;
+}
+
+/** Tells how long a step may take from a time of the wall clock on. */
+export function timeForStep(
+  step: StepRun,
+  queue: Queue,
+  { runTimes, nowMs, dueMs }: {
+    readonly runTimes: RunTimes;
+    readonly nowMs: number;
+    /** When the step's occurrence was due, Unix milliseconds. */
+    readonly dueMs: number;
+  },
+): StepTime {
+  const { job, spec } = step;
+  const taskMs = runTimes.meanMs(job.queue, spec.estimateMs);
+  const chains = chainsOf(job.spec);
+  const objectiveMs = objectiveOf(queue, chains.whole * taskMs);
+  const steps = chains.rest[step.index] ?? 1;
+  const lastMs = dueMs + WORTHLESS_AFTER * objectiveMs - steps * taskMs;
+  return {
+    leftMs: (dueMs + objectiveMs - nowMs) / steps,
+    worthless: nowMs > lastMs,
+  };
+}
+
 /** Orders ranks. */
 export function compareRanks(a: Rank, b: Rank): number {
   return a.lateness - b.lateness || a.priority - b.priority ||
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -17,8 +17,10 @@
 } from "../fleet.ts";
 import type { StepRun, Task } from "../job.ts";
 import type { Queue, Team } from "../types.ts";
+import type { StepTime } from "./order.ts";
 import {
   byRack,
+  capacityFor,
   hasRoom,
   isEligible,
   type Kept,
@@ -27,6 +29,12 @@
   type RoomIndex,
   waitingTasks,
 } from "./room.ts";
+import {
+  type ExpectedTimes,
+  isFailing,
+  slowestOf,
+  tiersFor,
+} from "./worker_choice.ts";
 
 /** Where a task goes. */
 export interface Place {
@@ -58,6 +66,9 @@
   readonly nowMs: number;
   /** Room held for others. */
   readonly held: Kept;
+  readonly runTimes: ExpectedTimes;
+  /** How long the step may take. */
+  readonly time: StepTime;
 }
 
 /** A ticket is not used in the last part of its life, milliseconds: commit and order take time. */
@@ -83,7 +94,7 @@
   const places = fill(step, {
     waiting: waiting.slice(0, most),
     ready,
-    held: context.held,
+    context,
   });
   return gang && places.length < waiting.length
     ? nothing("gangIncomplete")
@@ -100,6 +111,37 @@
   return suited(step, index.withFree(queue.service, cpuMillis), context);
 }
 
+/**
+ * Orders workers with room, as {@linkcode withRoom} gives them, for a question
+ * for advice: by expected time as for a placement, and of alike ones the
+ * emptiest first, as they are the likeliest to have room when the answer comes.
+ */
+export function preferredFor(
+  step: StepRun,
+  workers: readonly FleetWorker[],
+  context: SearchContext & {
+    /** Share of workers that the service usually allows; 1 if it is not given. */
+    readonly goodShare?: number;
+  },
+): readonly FleetWorker[] {
+  const { held, goodShare = 1 } = context;
+  const tierOf = tiersFor(step, workers, {
+    ...context,
+    needed: waitingTasks(step).length / goodShare,
+    placesOn: (worker) => capacityFor(step, [worker], held),
+  });
+  const emptiest = [...workers].reverse();
+  if (tierOf === undefined) return emptiest;
+  return emptiest
+    .map((worker) => ({
+      worker,
+      failing: isFailing(worker),
+      tier: tierOf(worker),
+    }))
+    .sort((a, b) => Number(a.failing) - Number(b.failing) || a.tier - b.tier)
+    .map(({ worker }) => worker);
+}
+
 /** Whether a worker has a ticket that can still be used. */
 export function isTicketed(
   step: StepRun,
@@ -142,7 +184,10 @@
   readonly worker: FleetWorker;
   /** Whether it is on another rack than the data. */
   readonly far: boolean;
+  readonly failing: boolean;
   readonly freeMillis: number;
+  /** Place by expected time, lower first; the same for all where workers are alike. */
+  tier: number;
 }
 
 /** Those workers that may run a step and have room for it, in order. */
@@ -159,15 +204,31 @@
     found.push({
       worker,
       far: dataRack !== "" && !worker.entry?.labels.includes(dataRack),
+      failing: isFailing(worker),
       freeMillis: roomOn(worker).cpuMillis,
+      tier: 0,
     });
   }
+  const tierOf = tiersFor(step, found.map(({ worker }) => worker), {
+    ...context,
+    needed: waitingTasks(step).length,
+    placesOn: (worker) => capacityFor(step, [worker], context.held),
+  });
+  if (tierOf !== undefined) {
+    for (const one of found) one.tier = tierOf(one.worker);
+  }
   return found.sort(compareSuited).map(({ worker }) => worker);
 }
 
-/** Near the data first, then the fullest, which leaves large room in one piece. */
+/**
+ * Near the data first, then those that do not fail, then by expected time, then
+ * the fullest, which leaves large room in one piece. With equal tiers the share
+ * of failures alone decides before room does.
+ */
 function compareSuited(a: Suited, b: Suited): number {
   return Number(a.far) - Number(b.far) ||
+    Number(a.failing) - Number(b.failing) ||
+    a.tier - b.tier ||
     a.worker.failureShare - b.worker.failureShare ||
     a.freeMillis - b.freeMillis;
 }
@@ -176,22 +237,38 @@
 interface Filling {
   readonly waiting: readonly Task[];
   readonly ready: readonly FleetWorker[];
-  readonly held: Kept;
+  readonly context: SearchContext;
 }
 
 function fill(step: StepRun, filling: Filling): readonly Place[] {
-  if (step.spec.sameRack) {
-    for (const ready of byRack(filling.ready)) {
-      const places = fillFrom(step, { ...filling, ready });
-      if (places.length === filling.waiting.length) return places;
-    }
+  return step.spec.sameRack
+    ? fillRack(step, filling) ?? fillFrom(step, filling)
+    : fillFrom(step, filling);
+}
+
+/** Fills the first rack that brings the step in time; if none does, the one with the fastest slowest worker. */
+function fillRack(
+  step: StepRun,
+  filling: Filling,
+): readonly Place[] | undefined {
+  let best: readonly Place[] | undefined;
+  let bestFactor = Infinity;
+  for (const ready of byRack(filling.ready)) {
+    const places = fillFrom(step, { ...filling, ready });
+    if (places.length < filling.waiting.length) continue;
+    const used = places.map(({ worker }) => worker);
+    const slowest = slowestOf(step, used, filling.context);
+    if (slowest.inTime) return places;
+    if (slowest.timeFactor >= bestFactor) continue;
+    best = places;
+    bestFactor = slowest.timeFactor;
   }
-  return fillFrom(step, filling);
+  return best;
 }
 
 function fillFrom(
   step: StepRun,
-  { waiting, ready, held }: Filling,
+  { waiting, ready, context: { held } }: Filling,
 ): readonly Place[] {
   const amounts = weighsOn(step);
   const places: Place[] = [];
--- a/src/cell/decisions/questions.ts
+++ b/src/cell/decisions/questions.ts
@@ -14,6 +14,7 @@
 import {
   isTicketed,
   type NoPlace,
+  preferredFor,
   type SearchContext,
   withRoom,
 } from "./placement.ts";
@@ -103,8 +104,8 @@
     Math.ceil(factor * missing) + ASK_SPARE,
     cheaply(context.queue),
   );
-  // The emptiest are the likeliest to have room still when the answer comes.
-  const asked = [...unknown].reverse().slice(0, number);
+  // Of alike workers the emptiest are the likeliest to have room still when the answer comes.
+  const asked = preferredFor(step, unknown, context).slice(0, number);
   return [...good, ...asked];
 }
 
--- a/src/cell/decisions/reservations.ts
+++ b/src/cell/decisions/reservations.ts
@@ -25,6 +25,7 @@
   waitingTasks,
 } from "./room.ts";
 import type { SearchContext } from "./placement.ts";
+import { gangWorkers } from "./worker_choice.ts";
 
 /** Part of all processors that may be kept from others until it is free. */
 const MOST_SHARE = 0.5;
@@ -167,6 +168,19 @@
   return racks[0] ?? [];
 }
 
+/** Orders workers for a gang's reservation by expected time and leaves out those too slow for it where the others are enough. */
+export function preferredRoom(
+  step: StepRun,
+  workers: readonly FleetWorker[],
+  context: SearchContext,
+): readonly FleetWorker[] {
+  return gangWorkers(step, workers, {
+    ...context,
+    needed: waitingTasks(step).length,
+    placesOn: (worker) => mostOn(step, worker),
+  });
+}
+
 /** What is free now, then one task more on each worker, the emptiest first, until the gang has its room. */
 function chooseRooms(
   step: StepRun,
--- a/src/cell/decisions/run_times.ts
+++ b/src/cell/decisions/run_times.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type { Run } from "../fleet.ts";
+import type { StepRun } from "../job.ts";
 
 /** Weight of a new duration in the running mean of a queue. */
 const LEARNING_RATE = 0.1;
@@ -30,6 +31,11 @@
     return this.#means.get(queue) ?? estimateMs;
   }
 
+  /** Run time of a task of a step on an average worker that a `quantile` (0 to 1) of the runs do not exceed, milliseconds; the mean for every quantile until distributions are learned. */
+  expectedMs({ job, spec }: StepRun, _quantile: number): number {
+    return this.meanMs(job.queue, spec.estimateMs);
+  }
+
   /** Time until a run is expected to end, milliseconds; by the progress that its worker reports where there is some. */
   remainingMs(run: Run, nowMs: number): number {
     const elapsedMs = nowMs - run.placedMs;
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -8,10 +8,19 @@
 import type { AdviceDesk } from "./advice_desk.ts";
 import { Asker } from "./asker.ts";
 import { type CellContext, queueOf, teamOf } from "./context.ts";
-import { compareRanks, type Rank, rankOf } from "./decisions/order.ts";
+import {
+  compareRanks,
+  type Rank,
+  rankOf,
+  timeForStep,
+} from "./decisions/order.ts";
 import { findPlaces, type SearchContext } from "./decisions/placement.ts";
 import { adviceMayHelp } from "./decisions/questions.ts";
-import { reservableFor, Reservations } from "./decisions/reservations.ts";
+import {
+  preferredRoom,
+  reservableFor,
+  Reservations,
+} from "./decisions/reservations.ts";
 import {
   Claims,
   type Kept,
@@ -197,6 +206,7 @@
 
   /** Steps of the first priority are short and urgent, and tasks that last must run: they heed no room of others. */
   #searchContext(step: StepRun, { index, held }: Room): SearchContext {
+    const { clock, runTimes } = this.#context;
     const queue = queueOf(this.#context, step.job);
     const urgent = queue.priority === 0 || step.spec.longRunning;
     return {
@@ -204,8 +214,14 @@
       index,
       queue,
       team: teamOf(this.#context, step.job),
-      nowMs: this.#context.clock.monotonic(),
+      nowMs: clock.monotonic(),
       held: urgent ? NOTHING_KEPT : held,
+      runTimes,
+      time: timeForStep(step, queue, {
+        runTimes,
+        nowMs: clock.now().getTime(),
+        dueMs: dueMs(step.job, step.occurrence),
+      }),
     };
   }
 
@@ -230,9 +246,10 @@
     const used = this.#context.fleet.usedBy(job.team);
     const allowance = teamAllowance(context.team, used, spec.amounts);
     if (allowance < step.left) return false;
-    const workers = [...reservableFor(step, context)].sort((a, b) =>
+    const fullest = [...reservableFor(step, context)].sort((a, b) =>
       b.used.cpuMillis - a.used.cpuMillis
     );
+    const workers = preferredRoom(step, fullest, context);
     return this.#reservations.reserve(step, workers, {
       place,
       service,
