Replay a deployment with workers of uneven speed

The cell of the replay knows speeds and the spread of run times from the start; the same sheet without that knowledge gives the former order.

A step is in time if its last task is, so the p90 holds for the step, not for each task: with a p90 for each task, wide batches of 25 tasks went to slow workers where their long tasks were late. Model workers give gang members the progress of their gang and do not end a run by the timer of a stopped one; both caused false stalls and overfilled workers at uneven speeds.

--- a/bench/model/cell_world.ts
+++ b/bench/model/cell_world.ts
@@ -6,6 +6,7 @@
 import { okAsync } from "neverthrow";
 import { AdviceDesk, type AskThrough } from "../../src/cell/advice_desk.ts";
 import { Cell } from "../../src/cell/cell.ts";
+import type { CellOptions } from "../../src/cell/cell_options.ts";
 import type { CellStore, WorkerOrders } from "../../src/cell/ports.ts";
 import type { ClusterSet, WorkerEntry } from "../../src/cell/types.ts";
 import { type Clock, sleep } from "../../src/clock.ts";
@@ -68,6 +69,8 @@
   readonly lanes: readonly string[];
   readonly set: ClusterSet;
   readonly fence: number;
+  /** What is known from the start. */
+  readonly known?: Pick<CellOptions, "fleet" | "runTimes">;
 }
 
 /** A cell in a world of models. */
@@ -95,5 +98,6 @@
     holds: () => true,
     deposed: () => {},
     confirmed: () => {},
+    ...world.known,
   });
 }
--- a/bench/model/drawn_jobs.ts
+++ b/bench/model/drawn_jobs.ts
@@ -9,7 +9,7 @@
 import type { Random } from "../random.ts";
 import type { Load } from "./loads.ts";
 import { ORDER_GIVEN_UP_MS } from "./model_workers.ts";
-import { type Kind, meanStep, type Sheet } from "./sheets.ts";
+import { type Kind, meanStep, type Sheet, type TaskSpread } from "./sheets.ts";
 
 /** Spread of the number of tasks of a step, as the deviation of its logarithm. */
 const WIDTH_SPREAD = 0.7;
@@ -25,6 +25,7 @@
 const WORTHLESS_AFTER = 3;
 /** Part of the credit for one that is late; source: the users' sheets. */
 const LATE_PART = 0.2;
+const ALL_ALIKE: ReadonlyMap<string, number> = new Map();
 const NOT_HOT = { fromMs: 0, toMs: 0, times: 1 };
 /** Time in which an order without an answer is to be settled, milliseconds; source: the project's target. */
 const SETTLED_MS = 300;
@@ -47,6 +48,8 @@
   readonly spec: JobSpec;
   /** Run time of the tasks of each step, milliseconds. */
   readonly runMs: readonly number[];
+  /** Run time of tasks over that of their step, by `STEP.TASK`; 1 where there is none. */
+  readonly taskTimes: ReadonlyMap<string, number>;
   /** Time in which it should be done, milliseconds. */
   readonly objectiveMs: number;
   readonly worth: number;
@@ -63,7 +66,8 @@
   { sheet, workers }: { readonly sheet: Sheet; readonly workers: number },
 ): number {
   const others = (1 - LARGEST_SHARE) / (TEAMS - 1);
-  const share = index === 0 ? LARGEST_SHARE : others;
+  const share = sheet.teamShares?.[index] ??
+    (index === 0 ? LARGEST_SHARE : others);
   return WEIGHT_TIMES * share * sheet.ratePerWorker * workers;
 }
 
@@ -80,13 +84,15 @@
     const draw = (atMs: number, team: number) => {
       // The first digit tells the advice service of the kind.
       const id = `${index}${(number++).toString(16).padStart(15, "0")}`;
-      jobs.push(drawJob(kind, { atMs, id, team: teamName(team) }, random));
+      const { taskSpread } = sheet;
+      jobs.push(
+        drawJob(kind, { atMs, id, team: teamName(team), taskSpread }, random),
+      );
     };
     for (let atMs = 0; atMs < load.lengthMs;) {
       const rate = usual * load.factor(kind, atMs);
       atMs += random.exponential(1 / rate);
-      const largest = random.unit() < LARGEST_SHARE;
-      draw(atMs, largest ? 0 : 1 + random.below(TEAMS - 1));
+      draw(atMs, drawTeam(sheet, random));
     }
     const { fromMs, toMs, times } = load.hot ?? NOT_HOT;
     const more = usual * LARGEST_SHARE * (times - 1);
@@ -98,12 +104,19 @@
   return jobs.sort((a, b) => a.atMs - b.atMs);
 }
 
+function drawTeam({ teamShares }: Sheet, random: Random): number {
+  if (teamShares !== undefined) return random.weighted(teamShares);
+  const largest = random.unit() < LARGEST_SHARE;
+  return largest ? 0 : 1 + random.below(TEAMS - 1);
+}
+
 function drawJob(
   kind: Kind,
-  { atMs, id, team }: {
+  { atMs, id, team, taskSpread }: {
     readonly atMs: number;
     readonly id: string;
     readonly team: string;
+    readonly taskSpread: TaskSpread | undefined;
   },
   random: Random,
 ): DrawnJob {
@@ -125,6 +138,9 @@
     gang,
   }));
   const runMs = steps.map(() => kind.runMs * spread(random, SIZE_SPREAD));
+  const taskTimes = taskSpread === undefined || gang
+    ? ALL_ALIKE
+    : drawTaskTimes(steps, taskSpread, random);
   const adviceMs = kind.baseMs + OBJECTIVE_ASKED * kind.perWorkerMs;
   const chainMs = runMs.reduce((sum, ms) => sum + ms + adviceMs, 0);
   const work = steps.reduce(
@@ -140,11 +156,45 @@
     team,
     spec: { payload: kind.queue, steps },
     runMs,
+    taskTimes,
     objectiveMs: kind.stretch * chainMs + kind.objectiveMs,
     worth: kind.worth * (FIXED_PART + (1 - FIXED_PART) * work / mean),
   };
 }
 
+function drawTaskTimes(
+  steps: readonly StepSpec[],
+  taskSpread: TaskSpread,
+  random: Random,
+): ReadonlyMap<string, number> {
+  const found = new Map<string, number>();
+  for (const [index, { tasks }] of steps.entries()) {
+    for (let task = 0; task < tasks; task++) {
+      found.set(`${index}.${task}`, drawTaskTime(taskSpread, random));
+    }
+  }
+  return found;
+}
+
+function drawTaskTime(
+  { deviation, longShare, longTimes }: TaskSpread,
+  random: Random,
+): number {
+  const times = random.unit() < longShare ? longTimes : 1;
+  return times * spread(random, deviation);
+}
+
+/** Draws the run time of a task over the mean of its kind. */
+export function drawTime(
+  taskSpread: TaskSpread | undefined,
+  random: Random,
+): number {
+  const step = spread(random, SIZE_SPREAD);
+  return taskSpread === undefined
+    ? step
+    : step * drawTaskTime(taskSpread, random);
+}
+
 /** A factor around one: the exponential of a normal deviate, which is made of twelve uniform ones. */
 function spread(random: Random, deviation: number): number {
   let normal = -6;
@@ -155,6 +205,13 @@
 interface Sum {
   earned: number;
   owed: number;
+  /** Submissions, and those of them that were in time. */
+  submitted: number;
+  inTime: number;
+}
+
+function noSum(): Sum {
+  return { earned: 0, owed: 0, submitted: 0, inTime: 0 };
 }
 
 /** Reads from the lines of a cell which submissions were in time. */
@@ -166,7 +223,7 @@
   readonly #jobs: ReadonlyMap<string, DrawnJob>;
   readonly #sums = new Map<string, Sum>();
   readonly #ended = new Set<string>();
-  readonly #others: Sum = { earned: 0, owed: 0 };
+  readonly #others: Sum = noSum();
   #unanswered = 0;
   #settled = 0;
   /** Fewest workers that took work at once, as the cell told. */
@@ -176,7 +233,10 @@
     this.#clock = clock;
     this.#jobs = new Map(jobs.map((job) => [job.id, job]));
     for (const job of jobs) {
-      for (const sum of this.#sumsOf(job)) sum.owed += job.worth;
+      for (const sum of this.#sumsOf(job)) {
+        sum.owed += job.worth;
+        sum.submitted++;
+      }
     }
   }
 
@@ -209,6 +269,12 @@
     return earned / owed;
   }
 
+  /** Part of the submissions of a queue that were in time. */
+  inTimeOf(queue: string): number {
+    const { inTime, submitted } = this.#sumOf(queue);
+    return inTime / submitted;
+  }
+
   /** Credit earned of all that is owed. */
   get share(): number {
     const sums = [...this.#sums.values()];
@@ -234,7 +300,10 @@
     // The first second of the clock belongs to the opening of the cell.
     const tookMs = this.#clock.monotonic() - 1_000 - job.atMs;
     const earned = job.worth * partOf(tookMs, job);
-    for (const sum of this.#sumsOf(job)) sum.earned += earned;
+    for (const sum of this.#sumsOf(job)) {
+      sum.earned += earned;
+      if (tookMs <= job.objectiveMs) sum.inTime++;
+    }
   }
 
   /** What a submission counts for. */
@@ -244,7 +313,7 @@
   }
 
   #sumOf(queue: string): Sum {
-    const known = this.#sums.get(queue) ?? { earned: 0, owed: 0 };
+    const known = this.#sums.get(queue) ?? noSum();
     this.#sums.set(queue, known);
     return known;
   }
--- a/bench/model/loads.ts
+++ b/bench/model/loads.ts
@@ -11,6 +11,8 @@
   readonly name: string;
   /** Submissions come for so long, milliseconds. */
   readonly lengthMs: number;
+  /** Time after that until the credit is counted, milliseconds; 30,000 unless given. */
+  readonly tailMs?: number;
   /** Times the usual traffic of a kind at a time. */
   factor(kind: Kind, atMs: number): number;
   /** One team sends many times its usual. */
--- a/bench/model/model_workers.ts
+++ b/bench/model/model_workers.ts
@@ -41,11 +41,18 @@
   }));
 }
 
+/** Number of a worker by its id, from 0. */
+export function workerNumber(id: string): number {
+  return Number(id.slice(1));
+}
+
 interface ModelRun {
   readonly run: number;
   readonly startedMs: number;
   readonly durationMs: number;
   readonly cpuMillis: number;
+  /** The gang that it works with. */
+  gang: ModelGang | undefined;
 }
 
 interface ModelWorker {
@@ -75,13 +82,17 @@
 
 interface ModelGang {
   readonly members: { readonly worker: ModelWorker; readonly task: string }[];
+  /** When its last member joined. */
+  startedMs: number;
+  /** Run time on its slowest worker, milliseconds. */
+  longestMs: number;
   timer: Timer | undefined;
 }
 
 /** What model workers run. */
 export interface ModelTasks {
-  /** How long a task runs, milliseconds. */
-  durationOf(order: StartOrder): number;
+  /** How long a task runs on a worker, milliseconds. */
+  durationOf(order: StartOrder, worker: string): number;
   /** Processors that it takes, thousandths. */
   cpuMillisOf(order: StartOrder): number;
   /** Whether it ends together with the other tasks of its step and run. */
@@ -152,16 +163,17 @@
     there.usedMillis += cpuMillis;
     if (there.usedMillis > this.#capacity.cpuMillis) this.overfilled++;
     const startedMs = this.#clock.monotonic();
-    const durationMs = this.#tasks.durationOf(order);
+    const durationMs = this.#tasks.durationOf(order, worker.id);
     there.running.set(order.task, {
       run: order.run,
       startedMs,
       durationMs,
       cpuMillis,
+      gang: undefined,
     });
     if (this.#tasks.isGang(order)) this.#join(there, order, durationMs);
     else {
-      this.#clock.after(durationMs, () => this.#end(there, order.task, "done"));
+      this.#clock.after(durationMs, () => this.#finish(there, order));
     }
     return { type: "started", clockMs: this.#clock.monotonic() };
   }
@@ -229,18 +241,30 @@
     const name = `${
       order.task.slice(0, order.task.lastIndexOf("."))
     } ${order.run}`;
-    const gang = this.#gangs.get(name) ?? { members: [], timer: undefined };
+    const gang = this.#gangs.get(name) ??
+      { members: [], startedMs: 0, longestMs: 0, timer: undefined };
     this.#gangs.set(name, gang);
+    worker.running.get(order.task)!.gang = gang;
+    gang.startedMs = this.#clock.monotonic();
     gang.members.push({ worker, task: order.task });
+    gang.longestMs = Math.max(gang.longestMs, durationMs);
     gang.timer?.cancel();
-    gang.timer = this.#clock.after(durationMs, () => {
+    gang.timer = this.#clock.after(gang.longestMs, () => {
       this.#gangs.delete(name);
       for (const member of gang.members) {
-        this.#end(member.worker, member.task, "done");
+        this.#finish(member.worker, { task: member.task, run: order.run });
       }
     });
   }
 
+  /** Ends a run unless it was stopped meanwhile and its task started again. */
+  #finish(
+    worker: ModelWorker,
+    { task, run }: { readonly task: string; readonly run: number },
+  ): void {
+    if (worker.running.get(task)?.run === run) this.#end(worker, task, "done");
+  }
+
   #end(worker: ModelWorker, task: string, kind: ReportedEnd["kind"]): void {
     const running = worker.running.get(task);
     if (running === undefined) return;
@@ -258,17 +282,22 @@
       clockMs: this.#clock.monotonic(),
       bornMs: 1,
       running: [...worker.running].map((
-        [task, { run, startedMs, durationMs }],
+        [task, running],
       ) => ({
         task,
-        run,
+        run: running.run,
         checkpoint: "",
-        percent: Math.min(
-          LAST_PERCENT,
-          100 * (this.#clock.monotonic() - startedMs) / durationMs,
-        ),
+        percent: this.#percentOf(running),
       })),
       ended: [...worker.ended],
     };
   }
+
+  /** The members of a gang go on together, as fast as the slowest. */
+  #percentOf({ startedMs, durationMs, gang }: ModelRun): number {
+    const beganMs = gang?.startedMs ?? startedMs;
+    const lastsMs = gang?.longestMs ?? durationMs;
+    const elapsedMs = this.#clock.monotonic() - beganMs;
+    return Math.min(LAST_PERCENT, 100 * elapsedMs / lastsMs);
+  }
 }
--- a/bench/replay.ts
+++ b/bench/replay.ts
@@ -27,7 +27,9 @@
   type ModelTasks,
   ModelWorkers,
   workerEntries,
+  workerNumber,
 } from "./model/model_workers.ts";
+import { knownOf, UNEVEN, UNEVEN_DEMAND } from "./model/uneven.ts";
 import { Random } from "./random.ts";
 import type { Results } from "./results.ts";
 
@@ -46,6 +48,7 @@
   ...LOADS.map((load) => ({ sheet: PICOS, load })),
   { sheet: PICOS, load: HOT_BURST },
   { sheet: PICOS, load: LOST_ANSWERS },
+  { sheet: UNEVEN, load: UNEVEN_DEMAND },
 ];
 
 /** A load pattern on a deployment. */
@@ -71,6 +74,11 @@
       results.line(`${label}_settled_in_time`, credit.settledShare);
       results.line(`${label}_least_usable`, credit.leastUsable);
     }
+    if (sheet.timeFactorOf !== undefined) {
+      for (const { queue } of sheet.kinds) {
+        results.line(`${label}_${queue}_in_time`, credit.inTimeOf(queue));
+      }
+    }
     results.line(`${label}_all`, credit.share);
     results.line(`${label}_other_teams`, credit.shareOfOthers);
     const cpuMs = (cpu.user + cpu.system) / 1e3;
@@ -90,7 +98,7 @@
   const world = new ReplayWorld(sheet, jobs, new Random(seed));
   await world.open();
   let at = 0;
-  const endMs = load.lengthMs + TAIL_MS;
+  const endMs = load.lengthMs + (load.tailMs ?? TAIL_MS);
   for (let nowMs = 0; nowMs < endMs; nowMs += STEP_MS) {
     for (; at < jobs.length && jobs[at]!.atMs <= nowMs; at++) {
       world.submit(jobs[at]!);
@@ -121,7 +129,7 @@
   constructor(sheet: Sheet, jobs: readonly DrawnJob[], random: Random) {
     this.#sheet = sheet;
     const { capacity } = sheet;
-    const tasks = tasksOf(jobs);
+    const tasks = tasksOf(jobs, sheet);
     this.workers = new ModelWorkers(this.clock, tasks, { capacity, random });
     this.credit = new CreditLog(jobs, this.clock);
   }
@@ -154,6 +162,7 @@
         maxBodyBytes: 10_000,
       },
       fence: ++this.#fence,
+      known: knownOf(sheet),
     });
     const recovered = cell.recover();
     if (this.#fence === 1) await this.clock.run(1_000, STEP_MS);
@@ -203,17 +212,22 @@
   return span !== undefined && nowMs >= span[0] && nowMs < span[1];
 }
 
-function tasksOf(jobs: readonly DrawnJob[]): ModelTasks {
+function tasksOf(
+  jobs: readonly DrawnJob[],
+  { timeFactorOf }: Sheet,
+): ModelTasks {
   const byId = new Map(jobs.map((job) => [job.id, job]));
   const stepOf = ({ task }: StartOrder) => {
-    const [id = "", , step = "0"] = task.split(".");
+    const [id = "", , step = "0", number = "0"] = task.split(".");
     const job = byId.get(id);
-    return { job, index: Number(step) };
+    return { job, index: Number(step), number };
   };
   return {
-    durationOf(order) {
-      const { job, index } = stepOf(order);
-      return job?.runMs[index] ?? 0;
+    durationOf(order, worker) {
+      const { job, index, number } = stepOf(order);
+      const times = job?.taskTimes.get(`${index}.${number}`) ?? 1;
+      const timeFactor = timeFactorOf?.(workerNumber(worker)) ?? 1;
+      return (job?.runMs[index] ?? 0) * times * timeFactor;
     },
     cpuMillisOf(order) {
       const { job, index } = stepOf(order);
--- a/src/cell/cell_options.ts
+++ b/src/cell/cell_options.ts
@@ -8,6 +8,8 @@
 import type { Metrics } from "../metrics.ts";
 import type { AdviceDesk } from "./advice_desk.ts";
 import type { Recall } from "./advice_recall.ts";
+import type { RunTimes } from "./decisions/run_times.ts";
+import type { Fleet } from "./fleet.ts";
 import type { CellStore, PlatformDirectory, WorkerOrders } from "./ports.ts";
 import type { ClusterSet } from "./types.ts";
 
@@ -32,4 +34,8 @@
   readonly holds: () => boolean;
   readonly deposed: (why: string) => void;
   readonly confirmed: (sentMs: number) => void;
+  /** Workers and what is known of them; none unless given. */
+  readonly fleet?: Fleet;
+  /** What is known of run times; nothing unless given. */
+  readonly runTimes?: RunTimes;
 }
--- a/src/cell/decisions/worker_choice.ts
+++ b/src/cell/decisions/worker_choice.ts
@@ -37,7 +37,7 @@
 /** Place of a worker in the choice, lower first. */
 export type TierOf = (worker: FleetWorker) => number;
 
-/** A run is expected to take no longer than this part of the runs do. */
+/** Part of the steps that are to end within the time that is expected of them. */
 const QUANTILE = 0.9;
 /** Between the decision and the shown end beside the run itself, milliseconds: the start and the end are recorded in commits that gather for 20 ms each, and an order and a report are on the way. */
 const AROUND_RUN_MS = 60;
@@ -138,7 +138,9 @@
 ): (timeFactor: number) => boolean {
   // What earns nothing any more takes no fast worker from others.
   if (time.worthless) return () => true;
-  const taskMs = runTimes.expectedMs(step, QUANTILE);
+  // A step is in time if its last task is; a gang runs as one.
+  const alone = step.spec.gang ? 1 : step.spec.tasks;
+  const taskMs = runTimes.expectedMs(step, QUANTILE ** (1 / alone));
   const mostMs = time.leftMs - AROUND_RUN_MS;
   return (timeFactor) => taskMs * timeFactor <= mostMs;
 }
--- a/src/cell/endings.ts
+++ b/src/cell/endings.ts
@@ -6,6 +6,7 @@
 import { type CellContext, queueOf } from "./context.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
 import { isOver, type Job, type StepRun, type Task } from "./job.ts";
+import { timeFactorOf } from "./decisions/worker_choice.ts";
 import type { EndingKind, ReportedEnd } from "./ports.ts";
 import type { Runs } from "./runs.ts";
 
@@ -117,7 +118,8 @@
     const { worker, step } = run;
     metrics.count("runs_ended", { how: kind });
     if (kind === "done" && run.task.checkpoint === "") {
-      runTimes.learn(step.job.queue, clock.monotonic() - run.placedMs);
+      const tookMs = clock.monotonic() - run.placedMs;
+      runTimes.learn(step.job.queue, tookMs / timeFactorOf(worker));
     }
     if (kind !== "done" && kind !== "failed") return;
     const failed = kind === "failed" ? 1 : 0;
