Tell slow workers from long tasks in logs, metrics and the account

A late submission whose runs took long counted under longRuns, on a slow worker or not.

run.start carries the worker's timeFactor and the expectedMs there, run.end tookMs; the histogram urgent_run_ms has a series for each third of the workers by speed. The account adds the cause slowWorker: what a run took beyond its time on an average worker. Only the rest counts towards longRuns.

--- a/bench/model/drawn_jobs.ts
+++ b/bench/model/drawn_jobs.ts
@@ -9,12 +9,16 @@
 import type { Random } from "../random.ts";
 import type { Load } from "./loads.ts";
 import { ORDER_GIVEN_UP_MS } from "./model_workers.ts";
-import { type Kind, meanStep, type Sheet, type TaskSpread } from "./sheets.ts";
+import { type Kind, meanStep, type Sheet } from "./sheets.ts";
+import {
+  drawTaskTimes,
+  SIZE_SPREAD,
+  spread,
+  type TaskSpread,
+} from "./unevenness.ts";
 
 /** Spread of the number of tasks of a step, as the deviation of its logarithm. */
 const WIDTH_SPREAD = 0.7;
-/** The same of run times and sizes. */
-const SIZE_SPREAD = 0.45;
 /** Most tasks of a step. */
 const MOST_TASKS = 120;
 /** Largest task of a kind, in times of its mean. */
@@ -66,7 +70,7 @@
   { sheet, workers }: { readonly sheet: Sheet; readonly workers: number },
 ): number {
   const others = (1 - LARGEST_SHARE) / (TEAMS - 1);
-  const share = sheet.teamShares?.[index] ??
+  const share = sheet.uneven?.teamShares[index] ??
     (index === 0 ? LARGEST_SHARE : others);
   return WEIGHT_TIMES * share * sheet.ratePerWorker * workers;
 }
@@ -84,7 +88,7 @@
     const draw = (atMs: number, team: number) => {
       // The first digit tells the advice service of the kind.
       const id = `${index}${(number++).toString(16).padStart(15, "0")}`;
-      const { taskSpread } = sheet;
+      const taskSpread = sheet.uneven?.taskSpread;
       jobs.push(
         drawJob(kind, { atMs, id, team: teamName(team), taskSpread }, random),
       );
@@ -104,8 +108,8 @@
   return jobs.sort((a, b) => a.atMs - b.atMs);
 }
 
-function drawTeam({ teamShares }: Sheet, random: Random): number {
-  if (teamShares !== undefined) return random.weighted(teamShares);
+function drawTeam({ uneven }: Sheet, random: Random): number {
+  if (uneven !== undefined) return random.weighted(uneven.teamShares);
   const largest = random.unit() < LARGEST_SHARE;
   return largest ? 0 : 1 + random.below(TEAMS - 1);
 }
@@ -162,46 +166,6 @@
   };
 }
 
-function drawTaskTimes(
-  steps: readonly StepSpec[],
-  taskSpread: TaskSpread,
-  random: Random,
-): ReadonlyMap<string, number> {
-  const found = new Map<string, number>();
-  for (const [index, { tasks }] of steps.entries()) {
-    for (let task = 0; task < tasks; task++) {
-      found.set(`${index}.${task}`, drawTaskTime(taskSpread, random));
-    }
-  }
-  return found;
-}
-
-function drawTaskTime(
-  { deviation, longShare, longTimes }: TaskSpread,
-  random: Random,
-): number {
-  const times = random.unit() < longShare ? longTimes : 1;
-  return times * spread(random, deviation);
-}
-
-/** Draws the run time of a task over the mean of its kind. */
-export function drawTime(
-  taskSpread: TaskSpread | undefined,
-  random: Random,
-): number {
-  const step = spread(random, SIZE_SPREAD);
-  return taskSpread === undefined
-    ? step
-    : step * drawTaskTime(taskSpread, random);
-}
-
-/** A factor around one: the exponential of a normal deviate, which is made of twelve uniform ones. */
-function spread(random: Random, deviation: number): number {
-  let normal = -6;
-  for (let i = 0; i < 12; i++) normal += random.unit();
-  return Math.exp(deviation * normal - deviation * deviation / 2);
-}
-
 interface Sum {
   earned: number;
   owed: number;
--- a/bench/model/model_workers.ts
+++ b/bench/model/model_workers.ts
@@ -41,11 +41,6 @@
   }));
 }
 
-/** Number of a worker by its id, from 0. */
-export function workerNumber(id: string): number {
-  return Number(id.slice(1));
-}
-
 interface ModelRun {
   readonly run: number;
   readonly startedMs: number;
@@ -281,9 +276,7 @@
     return {
       clockMs: this.#clock.monotonic(),
       bornMs: 1,
-      running: [...worker.running].map((
-        [task, running],
-      ) => ({
+      running: [...worker.running].map(([task, running]) => ({
         task,
         run: running.run,
         checkpoint: "",
--- a/bench/model/sheets.ts
+++ b/bench/model/sheets.ts
@@ -5,6 +5,7 @@
  */
 import type { Amounts, Queue, StepSpec } from "../../src/cell/types.ts";
 import { TICKET_MS } from "./model_workers.ts";
+import type { Unevenness } from "./unevenness.ts";
 
 /** One kind of submission. */
 export interface Kind {
@@ -30,15 +31,6 @@
   readonly goodShare: number;
 }
 
-/** How run times of the tasks of a step spread around that of the step. */
-export interface TaskSpread {
-  /** Deviation of the logarithm. */
-  readonly deviation: number;
-  /** Part of the tasks that takes `longTimes` as long. */
-  readonly longShare: number;
-  readonly longTimes: number;
-}
-
 /** Traffic and machines of one deployment. */
 export interface Sheet {
   readonly name: string;
@@ -52,14 +44,8 @@
   readonly ratePerWorker: number;
   /** Instances that carry questions for advice. */
   readonly lanes: number;
-  /** Run time on a worker over that on an average one, by the worker's number; 1 unless given. */
-  readonly timeFactorOf?: (worker: number) => number;
-  /** Whether the cell knows these factors from the start. */
-  readonly knowsSpeeds?: boolean;
-  /** How the tasks of a step outside gangs differ; they are alike unless given. */
-  readonly taskSpread?: TaskSpread;
-  /** Part of all submissions by team, the largest first; one large team among equals unless given. */
-  readonly teamShares?: readonly number[];
+  /** How workers, tasks and teams differ. */
+  readonly uneven?: Unevenness;
 }
 
 const LARGE_WORKER: Amounts = {
--- a/bench/model/uneven.ts
+++ b/bench/model/uneven.ts
@@ -8,10 +8,15 @@
 import { Fleet, type FleetWorker } from "../../src/cell/fleet.ts";
 import type { StepRun } from "../../src/cell/job.ts";
 import { Random } from "../random.ts";
+import { TEAMS } from "./drawn_jobs.ts";
 import type { Load } from "./loads.ts";
-import { workerNumber } from "./model_workers.ts";
-import type { Sheet, TaskSpread } from "./sheets.ts";
-import { drawTime, TEAMS } from "./drawn_jobs.ts";
+import type { Sheet } from "./sheets.ts";
+import {
+  drawTime,
+  type TaskSpread,
+  type Unevenness,
+  workerNumber,
+} from "./unevenness.ts";
 
 /** Time factors of the workers, in turn: a third each has a speed of 0.6, 1 and 1.6. */
 const TIME_FACTORS = [1 / 0.6, 1, 1 / 1.6] as const;
@@ -21,6 +26,13 @@
 const SPREAD_DRAWS = 10_000;
 const SPREAD_SEED = 1;
 
+const UNEVENNESS: Unevenness = {
+  timeFactorOf: (worker) => TIME_FACTORS[worker % TIME_FACTORS.length]!,
+  isKnown: true,
+  taskSpread: { deviation: 0.25, longShare: 0.03, longTimes: 7 },
+  teamShares: skewedShares(TEAMS, TEAM_SKEW),
+};
+
 /** Source: the table and the measurements in docs/design/hard_load.md. */
 export const UNEVEN: Sheet = {
   name: "uneven",
@@ -29,10 +41,7 @@
   wayMs: 0,
   ratePerWorker: 78 / 245,
   lanes: 39,
-  timeFactorOf: (worker) => TIME_FACTORS[worker % TIME_FACTORS.length]!,
-  knowsSpeeds: true,
-  taskSpread: { deviation: 0.25, longShare: 0.03, longTimes: 7 },
-  teamShares: skewedShares(TEAMS, TEAM_SKEW),
+  uneven: UNEVENNESS,
   kinds: [
     {
       queue: "rendering",
@@ -92,7 +101,7 @@
 export const UNEVEN_UNKNOWN: Sheet = {
   ...UNEVEN,
   name: "uneven_unknown",
-  knowsSpeeds: false,
+  uneven: { ...UNEVENNESS, isKnown: false },
 };
 
 /** Part of the usual demand by which it rises and falls. */
@@ -113,10 +122,11 @@
 export function knownOf(
   sheet: Sheet,
 ): Pick<CellOptions, "fleet" | "runTimes"> {
-  const { timeFactorOf, knowsSpeeds } = sheet;
-  return timeFactorOf === undefined || knowsSpeeds !== true ? {} : {
-    fleet: new KnownFleet(timeFactorOf),
-    runTimes: new KnownRunTimes(sheet),
+  const { uneven } = sheet;
+  if (uneven === undefined || !uneven.isKnown) return {};
+  return {
+    fleet: new KnownFleet(uneven.timeFactorOf),
+    runTimes: new KnownRunTimes(uneven.taskSpread),
   };
 }
 
@@ -125,7 +135,7 @@
   readonly #alone: readonly number[];
   readonly #gang: readonly number[];
 
-  constructor({ taskSpread }: Sheet) {
+  constructor(taskSpread: TaskSpread) {
     super();
     this.#alone = drawTimes(taskSpread);
     this.#gang = drawTimes(undefined);
--- a/bench/replay.ts
+++ b/bench/replay.ts
@@ -27,9 +27,9 @@
   type ModelTasks,
   ModelWorkers,
   workerEntries,
-  workerNumber,
 } from "./model/model_workers.ts";
 import { knownOf, UNEVEN, UNEVEN_DEMAND } from "./model/uneven.ts";
+import { workerNumber } from "./model/unevenness.ts";
 import { Random } from "./random.ts";
 import type { Results } from "./results.ts";
 
@@ -74,7 +74,7 @@
       results.line(`${label}_settled_in_time`, credit.settledShare);
       results.line(`${label}_least_usable`, credit.leastUsable);
     }
-    if (sheet.timeFactorOf !== undefined) {
+    if (sheet.uneven !== undefined) {
       for (const { queue } of sheet.kinds) {
         results.line(`${label}_${queue}_in_time`, credit.inTimeOf(queue));
       }
@@ -214,7 +214,7 @@
 
 function tasksOf(
   jobs: readonly DrawnJob[],
-  { timeFactorOf }: Sheet,
+  { uneven }: Sheet,
 ): ModelTasks {
   const byId = new Map(jobs.map((job) => [job.id, job]));
   const stepOf = ({ task }: StartOrder) => {
@@ -226,7 +226,7 @@
     durationOf(order, worker) {
       const { job, index, number } = stepOf(order);
       const times = job?.taskTimes.get(`${index}.${number}`) ?? 1;
-      const timeFactor = timeFactorOf?.(workerNumber(worker)) ?? 1;
+      const timeFactor = uneven?.timeFactorOf(workerNumber(worker)) ?? 1;
       return (job?.runMs[index] ?? 0) * times * timeFactor;
     },
     cpuMillisOf(order) {
--- a/src/account/account.ts
+++ b/src/account/account.ts
@@ -182,8 +182,8 @@
     const endMs = notes.endedMs ?? acceptedMs;
     lost.set("noHolder", this.#noHolder.within(sentMs, endMs));
     lost.set("storeAway", this.#storeAway.within(sentMs, endMs));
-    if (notes.longestRunMs > LONG_RUN * usualMs) {
-      lost.set("longRuns", notes.longestRunMs - usualMs);
+    if (notes.ownRunMs > LONG_RUN * usualMs) {
+      lost.set("longRuns", notes.ownRunMs - usualMs);
     }
     const refusal = refusalCause(notes.refusal);
     if (refusal !== undefined) {
@@ -268,13 +268,13 @@
   }
 }
 
-/** Usual length of a submission's longest run, by queue. */
+/** Usual length of a submission's longest run on an average worker, by queue. */
 function usualRuns(notes: Iterable<JobNotes>): ReadonlyMap<string, number> {
   const means = new Map<string, number>();
-  for (const { queue, longestRunMs } of notes) {
-    if (longestRunMs === 0) continue;
-    const mean = means.get(queue) ?? longestRunMs;
-    means.set(queue, mean + RUN_WEIGHT * (longestRunMs - mean));
+  for (const { queue, ownRunMs } of notes) {
+    if (ownRunMs === 0) continue;
+    const mean = means.get(queue) ?? ownRunMs;
+    means.set(queue, mean + RUN_WEIGHT * (ownRunMs - mean));
   }
   return means;
 }
--- a/src/account/account_test.ts
+++ b/src/account/account_test.ts
@@ -129,6 +129,69 @@
   });
 }
 
+/** A done run from 100 ms on, on a worker of a time factor. */
+function doneRun(
+  id: string,
+  { endMs, timeFactor }: {
+    readonly endMs: number;
+    readonly timeFactor: number;
+  },
+): readonly string[] {
+  const run = `task=${id}.0.0.0 run=1`;
+  return [
+    line(
+      105,
+      `event=run.start job=${id} ${run} tookMs=5 timeFactor=${timeFactor} expectedMs=900 outcome=started`,
+    ),
+    line(endMs, `event=run.end ${run} how=done counted=true tookMs=${endMs}`),
+  ];
+}
+
+/** Submissions in time whose runs take 900 ms on average workers. */
+const USUAL = Array.from({ length: 20 }, (_, index) => {
+  const id = (0xb00 + index).toString(16).padStart(16, "0");
+  const between = doneRun(id, { endMs: 1_000, timeFactor: 1 });
+  return job(id, { fromMs: 0, endMs: 1_100, between });
+}).flat();
+
+const LONG_RUNS: readonly {
+  readonly cause: Cause;
+  readonly timeFactor: number;
+  readonly what: string;
+}[] = [
+  { cause: "slowWorker", timeFactor: 2.5, what: "on a slow worker" },
+  { cause: "longRuns", timeFactor: 1, what: "on an average worker" },
+  { cause: "longRuns", timeFactor: 0.63, what: "on a fast worker" },
+  { cause: "longRuns", timeFactor: 1.2, what: "on a somewhat slow worker" },
+];
+
+// Guards against blaming a worker for tasks that are long, and the reverse.
+for (const { cause, timeFactor, what } of LONG_RUNS) {
+  test(`a late submission whose run is long ${what}: ${cause}`, (t) => {
+    const between = doneRun(LATE, { endMs: 2_350, timeFactor });
+    const all = [...USUAL, ...job(LATE, { fromMs: 0, endMs: 2_400, between })];
+    for (const order of [all, all.toReversed()]) {
+      const told = accountOf(order).jobs.find((one) => one.job === LATE);
+      t.is(told?.outcome, "late");
+      t.is(told?.cause, cause);
+    }
+  });
+}
+
+test("a gang that waits for its slow member is late because of it", (t) => {
+  const between = [
+    ...doneRun(LATE, { endMs: 2_350, timeFactor: 2.5 }),
+    ...doneRun(LATE, { endMs: 2_352, timeFactor: 0.63 })
+      .map((text) => text.replaceAll("0.0.0 ", "0.0.1 ")),
+  ];
+  const { jobs } = accountOf([
+    ...USUAL,
+    ...job(LATE, { fromMs: 0, endMs: 2_400, between }),
+  ]);
+  const told = jobs.find((one) => one.job === LATE);
+  t.is(told?.cause, "slowWorker");
+});
+
 test("submissions in time and refused ones, by queue and by second", (t) => {
   const { jobs } = accountOf([
     ...job(FINE, { fromMs: 0, endMs: 900 }),
--- a/src/account/job_notes.ts
+++ b/src/account/job_notes.ts
@@ -28,7 +28,9 @@
   | "unansweredOrder"
   /** Its workers were lost, stood still or fell silent. */
   | "workerLost"
-  /** Its runs took long, on slow workers or by themselves. */
+  /** Its runs took long because their workers are slow. */
+  | "slowWorker"
+  /** Its runs took long by themselves. */
   | "longRuns"
   /** The lines do not tell. */
   | "untold";
@@ -38,6 +40,8 @@
   readonly startedMs?: number;
   readonly endedMs?: number;
   readonly how?: string;
+  /** Run time on its worker over that on an average one. */
+  readonly timeFactor?: number;
 }
 
 /** Reasons of the waits that a holder tells. */
@@ -64,10 +68,16 @@
   objectiveMs: number | undefined;
   /** Outcome of the last call that was not accepted. */
   refusal: string | undefined;
+  /** Time that the longest of its runs took, milliseconds. */
   longestRunMs = 0;
   readonly lost = new Map<Cause, number>();
   readonly #open = new Map<string, OpenRun>();
 
+  /** Time that its longest run would have taken without slow workers, milliseconds. */
+  get ownRunMs(): number {
+    return this.longestRunMs - (this.lost.get("slowWorker") ?? 0);
+  }
+
   /** Takes note of a line about it. `atMs`: the line's time, Unix milliseconds. */
   take({ event, fields }: LogLine, atMs: number): void {
     switch (event) {
@@ -127,7 +137,8 @@
   #started(fields: LogLine["fields"], atMs: number): void {
     const tookMs = numberOf(fields["tookMs"]) ?? 0;
     if (fields["outcome"] === "unknown") this.#lose("unansweredOrder", tookMs);
-    this.#pair(fields, { startedMs: atMs - tookMs });
+    const timeFactor = numberOf(fields["timeFactor"]) ?? 1;
+    this.#pair(fields, { startedMs: atMs - tookMs, timeFactor });
   }
 
   #ended(fields: LogLine["fields"], atMs: number): void {
@@ -146,15 +157,18 @@
   #pair(fields: LogLine["fields"], part: OpenRun): void {
     const run = `${fields["task"]} ${fields["run"]}`;
     const whole = { ...this.#open.get(run), ...part };
-    const { startedMs, endedMs, how } = whole;
+    const { startedMs, endedMs, how, timeFactor = 1 } = whole;
     if (startedMs === undefined || endedMs === undefined) {
       this.#open.set(run, whole);
       return;
     }
     this.#open.delete(run);
     const tookMs = endedMs - startedMs;
-    if (how === "done") this.longestRunMs = Math.max(this.longestRunMs, tookMs);
-    else if (how === "failed") this.#lose("failedRuns", tookMs);
+    if (how === "done") {
+      this.longestRunMs = Math.max(this.longestRunMs, tookMs);
+      // What it took beyond its time on an average worker.
+      this.#lose("slowWorker", tookMs - tookMs / timeFactor);
+    } else if (how === "failed") this.#lose("failedRuns", tookMs);
     else if (how === "unansweredOrder") this.#lose("unansweredOrder", tookMs);
     else this.#lose("workerLost", tookMs);
   }
--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -11,6 +11,7 @@
 import { FakeOrders, FakeWorker } from "./_fake_workers_test.ts";
 import { AdviceDesk } from "./advice_desk.ts";
 import { Cell } from "./cell.ts";
+import type { CellOptions } from "./cell_options.ts";
 import { recordKey } from "./cell_record.ts";
 import type { PlatformDirectory } from "./ports.ts";
 import type { SubmitOutcome } from "./submission.ts";
@@ -106,7 +107,7 @@
   }
 
   /** Opens a cell as the next holder and recovers it. */
-  async open(): Promise<Cell> {
+  async open(change: Partial<CellOptions> = {}): Promise<Cell> {
     this.fence++;
     const fence = this.fence;
     const value = JSON.stringify({ fence });
@@ -150,6 +151,7 @@
         cell.close();
       },
       confirmed: () => {},
+      ...change,
     });
     const recovered = cell.recover();
     await this.clock.run(500);
--- a/src/cell/endings.ts
+++ b/src/cell/endings.ts
@@ -6,6 +6,7 @@
 import { type CellContext, queueOf } from "./context.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
 import { isOver, type Job, type StepRun, type Task } from "./job.ts";
+import { SpeedThirds } from "./decisions/speed_thirds.ts";
 import { timeFactorOf } from "./decisions/worker_choice.ts";
 import type { EndingKind, ReportedEnd } from "./ports.ts";
 import type { Runs } from "./runs.ts";
@@ -23,9 +24,11 @@
 export class Endings {
   readonly #context: CellContext;
   readonly #runs: Runs;
+  readonly #thirds: SpeedThirds;
 
   constructor(context: CellContext, runs: Runs) {
     this.#context = context;
+    this.#thirds = new SpeedThirds(context.fleet);
     this.#runs = runs;
   }
 
@@ -120,6 +123,10 @@
     if (kind === "done" && run.task.checkpoint === "") {
       const tookMs = clock.monotonic() - run.placedMs;
       runTimes.learn(step.job.queue, tookMs / timeFactorOf(worker));
+      if (queueOf(this.#context, step.job).priority === 0) {
+        const third = this.#thirds.of(worker, clock.monotonic());
+        metrics.observe("urgent_run_ms", tookMs, { third });
+      }
     }
     if (kind !== "done" && kind !== "failed") return;
     const failed = kind === "failed" ? 1 : 0;
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -11,6 +11,7 @@
 import type { FleetWorker } from "./fleet.ts";
 import { findTask, isOver, type Job } from "./job.ts";
 import type { LookFailure, ReportedRun, WorkerReport } from "./ports.ts";
+import { tookOf } from "./run.ts";
 import type { Runs } from "./runs.ts";
 import { type Asked, WorkerLooks } from "./worker_looks.ts";
 
@@ -188,14 +189,17 @@
   ): void {
     const changed = new Set<Job>();
     const listed = new Set<string>();
+    const nowMs = this.#context.clock.monotonic();
     for (const ended of report.ended) {
       listed.add(`${ended.task} ${ended.run}`);
       if (ended.number <= worker.handled) continue;
       const found = findTask(this.#context.jobs, ended.task);
+      const current = worker.runs.get(ended.task);
+      const tookMs = tookOf(current, ended.run, nowMs);
       const job = found && this.#endings.end(worker, ended, found);
       // Another member may have ended a gang: this end waits for that to be held.
       if (found !== undefined) changed.add(found.step.job);
-      this.#logEnd(worker, ended, job !== undefined);
+      this.#logEnd(worker, ended, { counted: job !== undefined, tookMs });
     }
     const numbers = report.ended.map((ended) => ended.number);
     worker.handled = Math.max(worker.handled, ...numbers);
@@ -277,17 +281,12 @@
 
   #logEnd(
     worker: FleetWorker,
-    ended: WorkerReport["ended"][number],
-    counted: boolean,
+    { task, run, kind }: WorkerReport["ended"][number],
+    figures: { readonly counted: boolean; readonly tookMs: number | undefined },
   ): void {
-    this.#context.log.info("run.end", {
-      task: ended.task,
-      run: ended.run,
-      worker: worker.id,
-      fence: this.#context.fence,
-      how: ended.kind,
-      counted,
-    });
+    const { log, fence } = this.#context;
+    const about = { task, run, worker: worker.id, fence, how: kind };
+    log.info("run.end", { ...about, ...figures });
   }
 }
 
--- a/src/cell/run.ts
+++ b/src/cell/run.ts
@@ -57,3 +57,14 @@
     .sort((a, b) => b.run - a.run)[0];
   return newest?.checkpoint ?? "";
 }
+
+/** Time from the decision of a run to its end, milliseconds; `undefined` if the run there has another number. */
+export function tookOf(
+  run: Run | undefined,
+  number: number,
+  endedMs: number,
+): number | undefined {
+  return run?.number === number
+    ? Math.round(endedMs - run.placedMs)
+    : undefined;
+}
--- /dev/null
+++ b/src/cell/run_figures_test.ts
@@ -0,0 +1,29 @@
+import test from "ava";
+import { Metrics } from "../metrics.ts";
+import { silentLog } from "../logger.ts";
+import { testStep, World } from "./_fixtures_test.ts";
+import { Fleet } from "./fleet.ts";
+
+// Guards against an account that cannot tell a slow worker from a long task.
+test("a run tells its worker's speed, its expected and its actual time", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const fleet = new Fleet();
+  fleet.open("w1").timeFactor = 1.67;
+  const lines = new Map<string, Readonly<Record<string, unknown>>>();
+  const log = {
+    ...silentLog,
+    info: (event: string, fields = {}) => void lines.set(event, fields),
+  };
+  const metrics = new Metrics();
+  const cell = await world.open({ fleet, log, metrics });
+  await world.submit(cell, [testStep({ estimateMs: 600 })]);
+  await world.clock.run(300);
+  worker.end("00000000000000aa.0.0.0", "done");
+  await world.clock.run(300);
+  t.like(lines.get("run.start"), { timeFactor: "1.67", expectedMs: 1_002 });
+  const { tookMs } = lines.get("run.end") ?? {};
+  t.true(Number(tookMs) >= 300 && Number(tookMs) <= 600, String(tookMs));
+  const thirdly = metrics.percentile("urgent_run_ms", 50, { third: "middle" });
+  t.true(Number(thirdly) >= 300, String(thirdly));
+});
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -13,6 +13,7 @@
 import type { FleetWorker, Run } from "./fleet.ts";
 import { dueMs, isOver, type Job, type StepRun } from "./job.ts";
 import type { Place } from "./decisions/placement.ts";
+import { timeFactorOf } from "./decisions/worker_choice.ts";
 import type { StartAnswer } from "./ports.ts";
 import { isWanted, repeatOrder } from "./repeated_order.ts";
 import { addressOf, gangCheckpoint, leaseBoundMs, newRun } from "./run.ts";
@@ -273,7 +274,8 @@
   }
 
   #logStart(run: Run, answer: StartAnswer, sentMs: number): void {
-    const { log, metrics, clock, fence } = this.#context;
+    const { log, metrics, clock, fence, runTimes } = this.#context;
+    const timeFactor = timeFactorOf(run.worker);
     const outcome = answer.type === "rejected" ? answer.reason : answer.type;
     const now = clock.monotonic();
     metrics.count("starts", { outcome });
@@ -286,6 +288,8 @@
       fence,
       reportAgeMs: Math.round(now - run.worker.reportedMs),
       tookMs: Math.round(now - sentMs),
+      timeFactor: timeFactor.toFixed(2),
+      expectedMs: Math.round(runTimes.expectedMs(run.step, 0.5) * timeFactor),
       outcome,
     });
   }
