--- a/src/account/account_test.ts
+++ b/src/account/account_test.ts
@@ -160,6 +160,7 @@
   readonly what: string;
 }[] = [
   { cause: "slowWorker", timeFactor: 2.5, what: "on a slow worker" },
+  { cause: "slowWorker", timeFactor: 1.7, what: "on a rather slow worker" },
   { cause: "longRuns", timeFactor: 1, what: "on an average worker" },
   { cause: "longRuns", timeFactor: 0.63, what: "on a fast worker" },
   { cause: "longRuns", timeFactor: 1.2, what: "on a somewhat slow worker" },
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -30,10 +30,11 @@
   waitingTasks,
 } from "./room.ts";
 import {
+  byTier,
   type ExpectedTimes,
-  isFailing,
   slowestOf,
   tiersFor,
+  tierWithFailures,
 } from "./worker_choice.ts";
 
 /** Where a task goes. */
@@ -73,6 +74,8 @@
 
 /** A ticket is not used in the last part of its life, milliseconds: commit and order take time. */
 const TICKET_MARGIN_MS = 120;
+/** Tier of workers on another rack than the data, beyond all tiers by time. */
+const FAR_TIER = 100_000;
 
 /** Looks for places for a step; a gang gets all or none. */
 export function findPlaces(step: StepRun, context: SearchContext): Search {
@@ -131,15 +134,9 @@
     placesOn: (worker) => capacityFor(step, [worker], held),
   });
   const emptiest = [...workers].reverse();
-  if (tierOf === undefined) return emptiest;
-  return emptiest
-    .map((worker) => ({
-      worker,
-      failing: isFailing(worker),
-      tier: tierOf(worker),
-    }))
-    .sort((a, b) => Number(a.failing) - Number(b.failing) || a.tier - b.tier)
-    .map(({ worker }) => worker);
+  return tierOf === undefined
+    ? emptiest
+    : byTier(emptiest, (worker) => tierWithFailures(worker, tierOf));
 }
 
 /** Whether a worker has a ticket that can still be used. */
@@ -184,10 +181,7 @@
   readonly worker: FleetWorker;
   /** Whether it is on another rack than the data. */
   readonly far: boolean;
-  readonly failing: boolean;
   readonly freeMillis: number;
-  /** Place by expected time, lower first; the same for all where workers are alike. */
-  tier: number;
 }
 
 /** Those workers that may run a step and have room for it, in order. */
@@ -204,9 +198,7 @@
     found.push({
       worker,
       far: dataRack !== "" && !worker.entry?.labels.includes(dataRack),
-      failing: isFailing(worker),
       freeMillis: roomOn(worker).cpuMillis,
-      tier: 0,
     });
   }
   const tierOf = tiersFor(step, found.map(({ worker }) => worker), {
@@ -214,21 +206,18 @@
     needed: waitingTasks(step).length,
     placesOn: (worker) => capacityFor(step, [worker], context.held),
   });
-  if (tierOf !== undefined) {
-    for (const one of found) one.tier = tierOf(one.worker);
-  }
-  return found.sort(compareSuited).map(({ worker }) => worker);
+  found.sort(compareSuited);
+  const ordered = tierOf === undefined ? found : byTier(
+    found,
+    ({ worker, far }) =>
+      tierWithFailures(worker, tierOf) + (far ? FAR_TIER : 0),
+  );
+  return ordered.map(({ worker }) => worker);
 }
 
-/**
- * Near the data first, then those that do not fail, then by expected time, then
- * the fullest, which leaves large room in one piece. With equal tiers the share
- * of failures alone decides before room does.
- */
+/** Near the data first, then the fullest, which leaves large room in one piece. */
 function compareSuited(a: Suited, b: Suited): number {
   return Number(a.far) - Number(b.far) ||
-    Number(a.failing) - Number(b.failing) ||
-    a.tier - b.tier ||
     a.worker.failureShare - b.worker.failureShare ||
     a.freeMillis - b.freeMillis;
 }
--- a/src/cell/decisions/worker_choice.ts
+++ b/src/cell/decisions/worker_choice.ts
@@ -48,6 +48,8 @@
 const LOG_BAND = Math.log(BAND_RATIO);
 /** Tier of workers that are too slow, beyond all bands of the others. */
 const LATE_TIER = 1_000;
+/** The same for workers that fail, beyond all tiers of the others. */
+const FAILING_TIER = 10_000;
 /** Share of failed runs from which a worker goes last whatever its speed: one failure among its last four runs. */
 const FAILING_SHARE = 0.1;
 
@@ -57,7 +59,7 @@
 }
 
 /** Whether lately so many runs failed on a worker that its speed does not count. */
-export function isFailing({ failureShare }: FleetWorker): boolean {
+function isFailing({ failureShare }: FleetWorker): boolean {
   return failureShare >= FAILING_SHARE;
 }
 
@@ -91,6 +93,26 @@
   };
 }
 
+/** Brings ordered things into the order of their tiers, those of a tier in the order in which they came. Linear, as tiers are few. */
+export function byTier<T>(
+  items: readonly T[],
+  tierOf: (item: T) => number,
+): readonly T[] {
+  const groups = new Map<number, T[]>();
+  for (const item of items) {
+    const tier = tierOf(item);
+    const group = groups.get(tier);
+    if (group === undefined) groups.set(tier, [item]);
+    else group.push(item);
+  }
+  return [...groups].sort(([a], [b]) => a - b).flatMap(([, group]) => group);
+}
+
+/** Tier of a worker, behind all others for one that fails. */
+export function tierWithFailures(worker: FleetWorker, tierOf: TierOf): number {
+  return tierOf(worker) + (isFailing(worker) ? FAILING_TIER : 0);
+}
+
 /** Workers for a gang that waits for room: those that bring it in time if they could hold it, else as few slower ones as will do. */
 export function gangWorkers(
   step: StepRun,
