--- a/bench/model/sheets.ts
+++ b/bench/model/sheets.ts
@@ -5,6 +5,7 @@
  */
 import type { Amounts, Queue, StepSpec } from "../../src/cell/types.ts";
 import { TICKET_MS } from "./model_workers.ts";
+import type { Unevenness } from "./unevenness.ts";
 
 /** One kind of submission. */
 export interface Kind {
@@ -43,6 +44,8 @@
   readonly ratePerWorker: number;
   /** Instances that carry questions for advice. */
   readonly lanes: number;
+  /** How workers, tasks and teams differ. */
+  readonly uneven?: Unevenness;
 }
 
 const LARGE_WORKER: Amounts = {
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -17,8 +17,10 @@
 } from "../fleet.ts";
 import type { StepRun, Task } from "../job.ts";
 import type { Queue, Team } from "../types.ts";
+import type { StepTime } from "./order.ts";
 import {
   byRack,
+  capacityFor,
   hasRoom,
   isEligible,
   type Kept,
@@ -27,6 +29,13 @@
   type RoomIndex,
   waitingTasks,
 } from "./room.ts";
+import {
+  byTier,
+  type ExpectedTimes,
+  slowestOf,
+  tiersFor,
+  tierWithFailures,
+} from "./worker_choice.ts";
 
 /** Where a task goes. */
 export interface Place {
@@ -58,10 +67,15 @@
   readonly nowMs: number;
   /** Room held for others. */
   readonly held: Kept;
+  readonly runTimes: ExpectedTimes;
+  /** How long the step may take. */
+  readonly time: StepTime;
 }
 
 /** A ticket is not used in the last part of its life, milliseconds: commit and order take time. */
 const TICKET_MARGIN_MS = 120;
+/** Tier of workers on another rack than the data, beyond all tiers by time. */
+const FAR_TIER = 100_000;
 
 /** Looks for places for a step; a gang gets all or none. */
 export function findPlaces(step: StepRun, context: SearchContext): Search {
@@ -83,7 +97,7 @@
   const places = fill(step, {
     waiting: waiting.slice(0, most),
     ready,
-    held: context.held,
+    context,
   });
   return gang && places.length < waiting.length
     ? nothing("gangIncomplete")
@@ -100,6 +114,31 @@
   return suited(step, index.withFree(queue.service, cpuMillis), context);
 }
 
+/**
+ * Orders workers with room, as {@linkcode withRoom} gives them, for a question
+ * for advice: by expected time as for a placement, and of alike ones the
+ * emptiest first, as they are the likeliest to have room when the answer comes.
+ */
+export function preferredFor(
+  step: StepRun,
+  workers: readonly FleetWorker[],
+  context: SearchContext & {
+    /** Share of workers that the service usually allows; 1 if it is not given. */
+    readonly goodShare?: number;
+  },
+): readonly FleetWorker[] {
+  const { held, goodShare = 1 } = context;
+  const tierOf = tiersFor(step, workers, {
+    ...context,
+    needed: waitingTasks(step).length / goodShare,
+    placesOn: (worker) => capacityFor(step, [worker], held),
+  });
+  const emptiest = [...workers].reverse();
+  return tierOf === undefined
+    ? emptiest
+    : byTier(emptiest, (worker) => tierWithFailures(worker, tierOf));
+}
+
 /** Whether a worker has a ticket that can still be used. */
 export function isTicketed(
   step: StepRun,
@@ -162,7 +201,18 @@
       freeMillis: roomOn(worker).cpuMillis,
     });
   }
-  return found.sort(compareSuited).map(({ worker }) => worker);
+  const tierOf = tiersFor(step, found.map(({ worker }) => worker), {
+    ...context,
+    needed: waitingTasks(step).length,
+    placesOn: (worker) => capacityFor(step, [worker], context.held),
+  });
+  found.sort(compareSuited);
+  const ordered = tierOf === undefined ? found : byTier(
+    found,
+    ({ worker, far }) =>
+      tierWithFailures(worker, tierOf) + (far ? FAR_TIER : 0),
+  );
+  return ordered.map(({ worker }) => worker);
 }
 
 /** Near the data first, then the fullest, which leaves large room in one piece. */
@@ -176,22 +226,38 @@
 interface Filling {
   readonly waiting: readonly Task[];
   readonly ready: readonly FleetWorker[];
-  readonly held: Kept;
+  readonly context: SearchContext;
 }
 
 function fill(step: StepRun, filling: Filling): readonly Place[] {
-  if (step.spec.sameRack) {
-    for (const ready of byRack(filling.ready)) {
-      const places = fillFrom(step, { ...filling, ready });
-      if (places.length === filling.waiting.length) return places;
-    }
+  return step.spec.sameRack
+    ? fillRack(step, filling) ?? fillFrom(step, filling)
+    : fillFrom(step, filling);
+}
+
+/** Fills the first rack that brings the step in time; if none does, the one with the fastest slowest worker. */
+function fillRack(
+  step: StepRun,
+  filling: Filling,
+): readonly Place[] | undefined {
+  let best: readonly Place[] | undefined;
+  let bestFactor = Infinity;
+  for (const ready of byRack(filling.ready)) {
+    const places = fillFrom(step, { ...filling, ready });
+    if (places.length < filling.waiting.length) continue;
+    const used = places.map(({ worker }) => worker);
+    const slowest = slowestOf(step, used, filling.context);
+    if (slowest.inTime) return places;
+    if (slowest.timeFactor >= bestFactor) continue;
+    best = places;
+    bestFactor = slowest.timeFactor;
   }
-  return fillFrom(step, filling);
+  return best;
 }
 
 function fillFrom(
   step: StepRun,
-  { waiting, ready, held }: Filling,
+  { waiting, ready, context: { held } }: Filling,
 ): readonly Place[] {
   const amounts = weighsOn(step);
   const places: Place[] = [];
