Learn run times by class and the speeds of workers

Urgent runs took 0.89 s on the slow third of the workers of the uneven deployment and 0.49 s on the fast third, and nothing knew which is which. Run times were one running mean for each queue.

Runs that still last count as far as they got. WorkerSpeeds compares the time of each run on its worker with the typical time of its class and sets timeFactor where workers differ beyond chance; the influence of one run is bounded. Runs of a former holder are left out, as their start is not known.

--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -25,6 +25,7 @@
 import type { Submission, SubmitOutcome } from "./submission.ts";
 import type { JobState } from "./types.ts";
 import { WeightMeter } from "./decisions/weight_meter.ts";
+import { WorkerSpeeds } from "./decisions/worker_speeds.ts";
 import { WorkerList } from "./worker_list.ts";
 
 /** A waiting submission is looked at this often, milliseconds. */
@@ -71,6 +72,7 @@
       jobLog,
       fleet: new Fleet(),
       runTimes: new RunTimes(),
+      workerSpeeds: new WorkerSpeeds(),
       lostAnswers: new LostAnswers(),
       jobs,
       ended,
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -18,6 +18,7 @@
 import type { JobLog } from "./job_log.ts";
 import type { LostAnswers } from "./decisions/looks.ts";
 import type { RunTimes } from "./decisions/run_times.ts";
+import type { WorkerSpeeds } from "./decisions/worker_speeds.ts";
 import type { WorkerOrders } from "./ports.ts";
 import type { Saved } from "./write_batch.ts";
 import { queueNamed, teamNamed } from "./set_index.ts";
@@ -34,6 +35,7 @@
   readonly jobLog: JobLog;
   readonly fleet: Fleet;
   readonly runTimes: RunTimes;
+  readonly workerSpeeds: WorkerSpeeds;
   readonly lostAnswers: LostAnswers;
   readonly jobs: Map<string, Job>;
   readonly ended: Map<string, EndedJob>;
--- /dev/null
+++ b/src/cell/decisions/worker_speeds.ts
@@ -0,0 +1,262 @@
+/**
+ * How fast each worker is, compared with the others of its service.
+ *
+ * Load pattern: workers of uneven speed among which nobody tells the slow ones,
+ * with run times that vary by half and a tail of runs seven times as long.
+ *
+ * Each run gives the logarithm of its time over the typical time of its class.
+ * The influence of one run is bounded. A worker's level is their mean, shrunk
+ * towards the mean of its service by how much the levels of the service differ
+ * beyond chance. A service whose workers do not differ has factors of exactly 1.
+ *
+ * @module
+ */
+import type { FleetWorker } from "../fleet.ts";
+import { LevelTrack } from "./level_track.ts";
+import {
+  assess,
+  type Assessment,
+  FIRST_NOISE,
+  isOutlier,
+} from "./speed_spread.ts";
+
+/** The workers of a service are compared this often, milliseconds: a short run's time. */
+const ASSESS_EVERY_MS = 500;
+/** Weight of a run in the noise of a service. */
+const NOISE_RATE = 1 / 500;
+/** Smallest noise, natural logarithm: below, factors would follow differences of a few percent. */
+const LEAST_NOISE = 0.1;
+/** A worker without runs for so long, that its service does not show any more, is dropped, milliseconds. */
+const FORGET_MS = 900_000;
+/** Most workers that are remembered; today's largest plan has 19,000. */
+const MAX_WORKERS = 25_000;
+/** Part of its confidence that a worker keeps when its process starts anew. */
+const REBORN_CONFIDENCE = 0.2;
+
+/** One worker. */
+export interface WorkerSpeed {
+  readonly id: string;
+  /** The worker as the fleet has it; `undefined` if only a summary told of it. */
+  worker: FleetWorker | undefined;
+  readonly track: LevelTrack;
+  /** Whether it differs from its service by itself, though the others don't differ. */
+  outlier: boolean;
+}
+
+/** The workers of one service. */
+interface Service {
+  readonly speeds: Map<string, WorkerSpeed>;
+  /** Variance of a run's logarithm around its worker's level. */
+  noise: number;
+  samples: number;
+  assessment: Assessment;
+  assessedMs: number;
+}
+
+/** What one run tells. */
+export interface SpeedSample {
+  /** Time on the worker, milliseconds. */
+  readonly tookMs: number;
+  /** Typical time of its class on an average worker, milliseconds. */
+  readonly typicalMs: number;
+  /** Monotonic milliseconds. */
+  readonly nowMs: number;
+}
+
+/** A worker's speed for the summary. */
+export interface SpeedRecord {
+  readonly service: string;
+  readonly id: string;
+  /** Natural logarithm of its level. */
+  readonly level: number;
+  /** Runs that its level stands for. */
+  readonly runs: number;
+}
+
+/** Speeds learned from runs. */
+export class WorkerSpeeds {
+  readonly #services = new Map<string, Service>();
+  #size = 0;
+
+  /** Records a run that was done by one worker alone. */
+  learn(worker: FleetWorker, { tookMs, typicalMs, nowMs }: SpeedSample): void {
+    const service = this.#serviceOf(worker);
+    const speed = this.#open(service, worker);
+    const noise = Math.sqrt(service.noise);
+    const log = Math.log(Math.max(tookMs, 1) / Math.max(typicalMs, 1));
+    const surprise = speed.track.learn(log, { noise, nowMs });
+    this.#learnNoise(service, speed, surprise);
+    if (nowMs - service.assessedMs >= ASSESS_EVERY_MS) {
+      this.#assess(service, nowMs);
+    } else this.#apply(service, speed);
+  }
+
+  /** Run time over the typical one from which a run has all the influence that it can have. */
+  boundOf(worker: FleetWorker): number {
+    const service = this.#services.get(serviceName(worker));
+    const level = service?.speeds.get(worker.id)?.track.level ?? 0;
+    return Math.exp(
+      level + LevelTrack.boundOf(Math.sqrt(service?.noise ?? FIRST_NOISE)),
+    );
+  }
+
+  /** Gives a worker that the platform lists anew the speed that is known of it. */
+  meet(worker: FleetWorker): void {
+    const service = this.#services.get(serviceName(worker));
+    const speed = service?.speeds.get(worker.id);
+    if (service === undefined || speed === undefined) return;
+    speed.worker = worker;
+    this.#apply(service, speed);
+  }
+
+  /** A worker's process has started anew under its id: its speed is less certain. */
+  reborn(worker: FleetWorker): void {
+    const service = this.#services.get(serviceName(worker));
+    const speed = service?.speeds.get(worker.id);
+    if (service === undefined || speed === undefined) return;
+    speed.track.doubt(REBORN_CONFIDENCE);
+    this.#apply(service, speed);
+  }
+
+  /** Ratio of the time factors of the slowest and the fastest worker of the service where they differ most. */
+  get spread(): number {
+    let most = 1;
+    for (const { speeds } of this.#services.values()) {
+      let low = Infinity;
+      let high = 0;
+      for (const { worker } of speeds.values()) {
+        if (worker === undefined) continue;
+        low = Math.min(low, worker.timeFactor);
+        high = Math.max(high, worker.timeFactor);
+      }
+      if (high > 0) most = Math.max(most, high / low);
+    }
+    return most;
+  }
+
+  /** Services whose workers differ. */
+  get uneven(): number {
+    return [...this.#services.values()]
+      .filter(({ assessment }) => assessment.uneven).length;
+  }
+
+  /** Workers that are remembered. */
+  get size(): number {
+    return this.#size;
+  }
+
+  /** Speeds for the summary. */
+  *records(): Generator<SpeedRecord> {
+    for (const [name, { speeds }] of this.#services) {
+      for (const { id, track } of speeds.values()) {
+        yield { service: name, id, level: track.level, runs: track.runs };
+      }
+    }
+  }
+
+  /** Takes the speeds of a summary; {@linkcode meet} gives them to the workers. */
+  restore(records: Iterable<SpeedRecord>, nowMs: number): void {
+    for (const { service: name, id, level, runs } of records) {
+      const service = this.#serviceNamed(name);
+      const track = new LevelTrack(nowMs);
+      track.restore(level, runs);
+      if (!service.speeds.has(id)) this.#size++;
+      service.speeds.set(id, { id, worker: undefined, track, outlier: false });
+    }
+    for (const service of this.#services.values()) {
+      this.#assess(service, nowMs);
+    }
+  }
+
+  #serviceOf(worker: FleetWorker): Service {
+    return this.#serviceNamed(serviceName(worker));
+  }
+
+  #serviceNamed(name: string): Service {
+    const known = this.#services.get(name);
+    if (known !== undefined) return known;
+    const service: Service = {
+      speeds: new Map(),
+      noise: FIRST_NOISE ** 2,
+      samples: 0,
+      assessment: { uneven: false, mean: 0, between: 0 },
+      assessedMs: -Infinity,
+    };
+    this.#services.set(name, service);
+    return service;
+  }
+
+  #open(service: Service, worker: FleetWorker): WorkerSpeed {
+    const known = service.speeds.get(worker.id);
+    if (known !== undefined) {
+      known.worker = worker;
+      return known;
+    }
+    const speed: WorkerSpeed = {
+      id: worker.id,
+      worker,
+      track: new LevelTrack(0),
+      outlier: false,
+    };
+    service.speeds.set(worker.id, speed);
+    this.#size++;
+    if (this.#size > MAX_WORKERS) this.#forgetOldest(service);
+    return speed;
+  }
+
+  #learnNoise(
+    service: Service,
+    { track }: WorkerSpeed,
+    surprise: number,
+  ): void {
+    service.samples++;
+    // The level of a worker with few runs adds its own uncertainty.
+    const seen = surprise ** 2 / (1 + 1 / Math.max(1, track.runs - 1));
+    const rate = Math.max(NOISE_RATE, 1 / (50 + service.samples));
+    service.noise += rate * (seen - service.noise);
+    service.noise = Math.max(LEAST_NOISE ** 2, service.noise);
+  }
+
+  #assess(service: Service, nowMs: number): void {
+    service.assessedMs = nowMs;
+    service.assessment = assess(service.speeds.values(), {
+      noise: service.noise,
+      before: service.assessment,
+    });
+    for (const speed of service.speeds.values()) {
+      this.#apply(service, speed);
+      const isGone = speed.worker === undefined || !speed.worker.listed;
+      if (isGone && nowMs - speed.track.atMs > FORGET_MS) {
+        service.speeds.delete(speed.id);
+        this.#size--;
+      }
+    }
+  }
+
+  #apply({ assessment, noise }: Service, speed: WorkerSpeed): void {
+    const { worker, track } = speed;
+    speed.outlier = isOutlier(speed, { noise, mean: assessment.mean });
+    if (worker === undefined) return;
+    if (!assessment.uneven && !speed.outlier) {
+      worker.timeFactor = 1;
+      return;
+    }
+    // An outlier by itself stands for more than the spread of the others.
+    const doubt = assessment.uneven && assessment.between > 0
+      ? Math.min(noise, noise / assessment.between)
+      : noise;
+    const trust = track.runs / (track.runs + doubt);
+    worker.timeFactor = Math.exp(trust * (track.level - assessment.mean));
+  }
+
+  #forgetOldest(service: Service): void {
+    const [oldest] = service.speeds.keys();
+    if (oldest === undefined) return;
+    service.speeds.delete(oldest);
+    this.#size--;
+  }
+}
+
+function serviceName(worker: FleetWorker): string {
+  return worker.entry?.service ?? "";
+}
--- /dev/null
+++ b/src/cell/decisions/worker_speeds_test.ts
@@ -0,0 +1,134 @@
+import test from "ava";
+import { PlayedRuns } from "../_played_runs_test.ts";
+import type { FleetWorker } from "../fleet.ts";
+
+/** Time factors of the thirds of an uneven deployment. */
+const THIRDS = [1.6, 1, 0.6] as const;
+
+/** A deployment of 245 workers, a third of them slow and a third fast. */
+function unevenRuns(seed: number): PlayedRuns {
+  const played = new PlayedRuns({ workers: 245, seed });
+  for (const [index, worker] of played.workers.entries()) {
+    played.factors.set(worker.id, THIRDS[index % THIRDS.length]!);
+  }
+  played.begin();
+  return played;
+}
+
+/** Whether the learned factor is nearer to the true one than to another third's. */
+function isToldApart(played: PlayedRuns, worker: FleetWorker): boolean {
+  const distance = (factor: number) =>
+    Math.abs(Math.log(factor / worker.timeFactor));
+  const [nearest] = [...THIRDS].sort((a, b) => distance(a) - distance(b));
+  return nearest === played.factors.get(worker.id);
+}
+
+for (const seed of [1, 2, 3]) {
+  test(`three speeds are told apart in ten runs though single runs last seven times as long: seed=${seed}`, (t) => {
+    const played = unevenRuns(seed);
+    const slow = played.workers.filter(({ id }) =>
+      played.factors.get(id) === THIRDS[0]
+    );
+    const slowRuns = () =>
+      slow.reduce((sum, { id }) => sum + played.ended.get(id)!, 0);
+    while (slowRuns() < 10 * slow.length) played.clock.advance(500);
+    const right = played.workers.filter((one) => isToldApart(played, one));
+    t.true(right.length > 0.88 * played.workers.length, String(right.length));
+    for (const factor of THIRDS) {
+      const learned = played.workers
+        .filter(({ id }) => played.factors.get(id) === factor)
+        .map(({ timeFactor }) => timeFactor);
+      const mean = learned.reduce((a, b) => a + b) / learned.length;
+      t.true(Math.abs(mean / factor - 1) < 0.15, `${factor}: ${mean}`);
+    }
+  });
+}
+
+test("even workers keep a factor of exactly 1", (t) => {
+  const played = new PlayedRuns({ workers: 245, slots: 2 });
+  played.begin();
+  for (let second = 0; second < 120; second++) {
+    played.clock.advance(1_000);
+    const other = played.workers.filter(({ timeFactor }) => timeFactor !== 1);
+    t.is(other.length, 0, `second ${second}`);
+  }
+  t.is(played.workerSpeeds.uneven, 0);
+});
+
+test("one long task does not slow a worker", (t) => {
+  const even = new PlayedRuns({ workers: 40, slots: 2 });
+  even.begin();
+  even.clock.advance(20_000);
+  even.next.set("w3", 40_000);
+  even.clock.advance(60_000);
+  t.is(even.fleet.open("w3").timeFactor, 1);
+  const uneven = unevenRuns(1);
+  uneven.clock.advance(30_000);
+  const worker = uneven.fleet.open("w1");
+  const before = worker.timeFactor;
+  uneven.workerSpeeds.learn(worker, {
+    tookMs: 50_000,
+    typicalMs: 600,
+    nowMs: uneven.clock.monotonic(),
+  });
+  const change = worker.timeFactor / before;
+  t.true(change > 0.99 && change < 1.1, String(change));
+});
+
+for (const slots of [2, 4]) {
+  test(`a worker that turns slow is noticed within seconds and recovers: slots=${slots}`, (t) => {
+    const played = new PlayedRuns({ workers: 60, slots, seed: 5 });
+    played.begin();
+    played.clock.advance(30_000);
+    const worker = played.fleet.open("w7");
+    t.is(worker.timeFactor, 1);
+    played.factors.set(worker.id, 3);
+    let seconds = 0;
+    while (worker.timeFactor < 2 && seconds < 60) {
+      played.clock.advance(1_000);
+      seconds++;
+    }
+    t.true(seconds <= 12, `noticed after ${seconds} s`);
+    played.clock.advance(20_000);
+    t.true(Math.abs(worker.timeFactor - 3) < 0.9, String(worker.timeFactor));
+    played.factors.set(worker.id, 1);
+    for (seconds = 0; worker.timeFactor !== 1 && seconds < 60; seconds++) {
+      played.clock.advance(1_000);
+    }
+    t.true(seconds <= 25, `recovered after ${seconds} s`);
+    const others = played.workers.filter(({ timeFactor }) => timeFactor !== 1);
+    t.deepEqual(others.map(({ id }) => id), []);
+  });
+}
+
+test("a worker that starts anew keeps its speed and follows new runs sooner", (t) => {
+  const [known, reborn] = [false, true].map((isReborn) => {
+    const played = unevenRuns(2);
+    played.clock.advance(30_000);
+    const worker = played.fleet.open("w0");
+    const before = worker.timeFactor;
+    t.true(before > 1.3, String(before));
+    if (isReborn) played.workerSpeeds.reborn(worker);
+    t.true(worker.timeFactor > 1.2, "kept");
+    for (let run = 0; run < 3; run++) {
+      const nowMs = played.clock.monotonic();
+      const sample = { tookMs: 600, typicalMs: 600, nowMs };
+      played.workerSpeeds.learn(worker, sample);
+    }
+    return worker.timeFactor / before;
+  });
+  t.true(reborn! < known!, `${reborn} ${known}`);
+});
+
+test("workers that have gone are forgotten", (t) => {
+  const played = unevenRuns(1);
+  played.clock.advance(10_000);
+  t.is(played.workerSpeeds.size, 245);
+  for (const worker of played.workers.slice(100)) worker.listed = false;
+  const sample = { tookMs: 600, typicalMs: 600 };
+  const worker = played.fleet.open("w0");
+  // Long after the last run of any of them.
+  const nowMs = played.clock.monotonic() + 3_600_000;
+  played.workerSpeeds.learn(worker, { ...sample, nowMs });
+  t.is(played.workerSpeeds.size, 100);
+});
--- a/src/cell/endings.ts
+++ b/src/cell/endings.ts
@@ -5,6 +5,7 @@
  */
 import { type CellContext, queueOf } from "./context.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
+import type { Learning } from "./learning.ts";
 import { isOver, type Job, type StepRun, type Task } from "./job.ts";
 import type { EndingKind, ReportedEnd } from "./ports.ts";
 import type { Runs } from "./runs.ts";
@@ -22,10 +23,12 @@
 export class Endings {
   readonly #context: CellContext;
   readonly #runs: Runs;
+  readonly #learning: Learning;
 
-  constructor(context: CellContext, runs: Runs) {
+  constructor(context: CellContext, runs: Runs, learning: Learning) {
     this.#context = context;
     this.#runs = runs;
+    this.#learning = learning;
   }
 
   /** Ends a run that its worker lists as ended; gives the job whose record has changed. */
@@ -113,12 +116,9 @@
   }
 
   #learn(run: Run, kind: EndingKind): void {
-    const { clock, runTimes, metrics } = this.#context;
-    const { worker, step } = run;
-    metrics.count("runs_ended", { how: kind });
-    if (kind === "done" && run.task.checkpoint === "") {
-      runTimes.learn(step.job.queue, clock.monotonic() - run.placedMs);
-    }
+    const { worker } = run;
+    this.#context.metrics.count("runs_ended", { how: kind });
+    this.#learning.ended(run, kind);
     if (kind !== "done" && kind !== "failed") return;
     const failed = kind === "failed" ? 1 : 0;
     worker.failureShare += FAILURE_WEIGHT * (failed - worker.failureShare);
--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -22,6 +22,12 @@
   readonly amounts: Amounts;
   /** Monotonic milliseconds of the decision. */
   readonly placedMs: number;
+  /** Whether it does the whole task, and does not go on from a checkpoint. */
+  readonly whole: boolean;
+  /** When its worker was told to start it, monotonic milliseconds; `undefined` before that and for runs of a former holder. */
+  startedMs: number | undefined;
+  /** Time from which a report tells that it lasts longer than expected, monotonic milliseconds. */
+  reviewMs: number;
   /** A report asked for after this time that does not show the run proves that it is not there. */
   provableAfterMs: number | undefined;
   /** Whether a report has shown it. */
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -9,6 +9,7 @@
 import { Endings } from "./endings.ts";
 import { FirstReports } from "./first_reports.ts";
 import type { FleetWorker } from "./fleet.ts";
+import { Learning } from "./learning.ts";
 import { findTask, isOver, type Job } from "./job.ts";
 import type { LookFailure, ReportedRun, WorkerReport } from "./ports.ts";
 import type { Runs } from "./runs.ts";
@@ -27,6 +28,7 @@
 export class Follower {
   readonly #context: CellContext;
   readonly #runs: Runs;
+  readonly #learning: Learning;
   readonly #endings: Endings;
   readonly #looks: WorkerLooks;
   readonly #followed = new Set<string>();
@@ -36,7 +38,8 @@
   constructor(context: CellContext, runs: Runs) {
     this.#context = context;
     this.#runs = runs;
-    this.#endings = new Endings(context, runs);
+    this.#learning = new Learning(context);
+    this.#endings = new Endings(context, runs, this.#learning);
     this.#looks = new WorkerLooks(context, runs);
     this.#firstReports = new FirstReports(
       context.clock,
@@ -173,6 +176,7 @@
         bornMs: report.bornMs,
         before: worker.bornMs,
       });
+      this.#context.workerSpeeds.reborn(worker);
     }
     worker.bornMs = report.bornMs;
     worker.acknowledged = 0;
@@ -244,6 +248,7 @@
       run.percent = reported.percent;
       run.progressMs = this.#context.clock.monotonic();
     }
+    this.#learning.running(run);
     if (isOver(run.step.job)) this.#runs.stop(run);
   }
 
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -219,7 +219,13 @@
       checkpoint: task.checkpoint,
       ...(ticket === undefined ? {} : { ticket }),
     };
+    // An end may be reported before the answer.
+    run.startedMs = sentMs;
     const first = await orders.start(address, order);
+    // The order takes as long to the worker as the answer back; a busy process reads answers late.
+    if (first.type === "started") {
+      run.startedMs = (sentMs + clock.monotonic()) / 2;
+    }
     const answer = first.type === "unknown"
       ? await repeatOrder(this.#context, {
         run,
--- a/src/cell/worker_list.ts
+++ b/src/cell/worker_list.ts
@@ -78,8 +78,9 @@
   }
 
   #takeEntry(entry: WorkerEntry): void {
-    const { fleet, log } = this.#context;
+    const { fleet, log, workerSpeeds } = this.#context;
     const worker = fleet.open(entry.id);
+    const isNew = !worker.listed;
     const changed = !worker.listed ||
       worker.entry?.draining !== entry.draining;
     // The first list is told as a whole by the line of the takeover.
@@ -92,6 +93,7 @@
     }
     worker.entry = entry;
     worker.listed = true;
+    if (isNew) workerSpeeds.meet(worker);
     this.#follow(entry.id);
   }
 
