Keep what a holder has learned in the store

Run times and speeds were in the memory of the holder and lost at each change of holder; the first runs after it ended early by the former holder's part of their time and drew the means down.

The holder writes a summary to CELL/learned, conditional on its hold, every 5 s at most, only after new runs and while the store answers, and when it hands the cell over. A new holder reads it with the jobs. The coverage of forecasts by queue, the number of uneven services and the spread of factors are on the metrics page and in cell.load.

--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -96,6 +96,8 @@
   recalled: readonly RecalledAdvice[] = [];
   fence = 0;
   confirmed = true;
+  /** Metrics of the last holder. */
+  metrics = new Metrics();
 
   /** Lists a worker and starts its process. */
   addWorker(id: string, change: Partial<WorkerEntry> = {}): FakeWorker {
@@ -122,6 +124,7 @@
       nextConfiguration: () => okAsync({ set: undefined, revision: 0 }),
     };
     const metrics = new Metrics();
+    this.metrics = metrics;
     const cell = new Cell({
       name: "cell",
       fence,
--- a/src/cell/_played_runs_test.ts
+++ b/src/cell/_played_runs_test.ts
@@ -9,6 +9,7 @@
 import { ManualClock } from "../clock.ts";
 import { Metrics } from "../metrics.ts";
 import { openWorker, stepOf } from "./decisions/_fixtures_test.ts";
+import { Forecasts } from "./decisions/forecasts.ts";
 import { RunTimes } from "./decisions/run_times.ts";
 import { WorkerSpeeds } from "./decisions/worker_speeds.ts";
 import { Fleet, type FleetWorker, type Run } from "./fleet.ts";
@@ -43,6 +44,7 @@
   readonly metrics = new Metrics();
   readonly runTimes = new RunTimes();
   readonly workerSpeeds = new WorkerSpeeds();
+  readonly forecasts = new Forecasts();
   readonly learning: Learning;
   /** True time factor of each worker. */
   readonly factors = new Map<string, number>();
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -12,20 +12,19 @@
 import { Fleet } from "./fleet.ts";
 import { Follower } from "./follower.ts";
 import { Housekeeping } from "./housekeeping.ts";
-import { type EndedJob, type Job, newJob, stateOf } from "./job.ts";
+import { type EndedJob, type Job, newJob, waitingByQueue } from "./job.ts";
 import { JobLog } from "./job_log.ts";
 import { firstStartMs, isHopeless, patienceMs } from "./decisions/admission.ts";
 import { LostAnswers } from "./decisions/looks.ts";
 import { type Timing, timingOf } from "./decisions/order.ts";
-import { RunTimes } from "./decisions/run_times.ts";
-import { adopt, readLegacy } from "./recovery.ts";
+import { LearnedState, nothingLearned } from "./learned_state.ts";
+import { adopt, readLegacy, reviewAdopted } from "./recovery.ts";
 import { Runs } from "./runs.ts";
 import { Scheduler } from "./scheduler.ts";
 import { queueNamed, teamNamed } from "./set_index.ts";
 import type { Submission, SubmitOutcome } from "./submission.ts";
 import type { JobState } from "./types.ts";
 import { WeightMeter } from "./decisions/weight_meter.ts";
-import { WorkerSpeeds } from "./decisions/worker_speeds.ts";
 import { WorkerList } from "./worker_list.ts";
 
 /** A waiting submission is looked at this often, milliseconds. */
@@ -44,6 +43,7 @@
   readonly #weights: WeightMeter;
   readonly #list: WorkerList;
   readonly #housekeeping: Housekeeping;
+  readonly #learned: LearnedState;
   #closed = false;
 
   constructor(options: CellOptions) {
@@ -71,8 +71,7 @@
       orders: options.orders,
       jobLog,
       fleet: new Fleet(),
-      runTimes: new RunTimes(),
-      workerSpeeds: new WorkerSpeeds(),
+      ...nothingLearned(),
       lostAnswers: new LostAnswers(),
       jobs,
       ended,
@@ -97,6 +96,7 @@
       options.directory,
       (id) => this.#follower.follow(this.#context.fleet.open(id)),
     );
+    this.#learned = new LearnedState(this.#context, options);
     this.#housekeeping = new Housekeeping(this.#context, {
       runs: this.#runs,
       retentionMs: options.retentionMs,
@@ -112,19 +112,15 @@
     return ResultAsync.combine([
       readLegacy(store, log),
       this.#options.directory.workers(),
+      this.#learned.restore(),
     ])
       .map(([legacy, { workers }]) => {
         adopt(this.#context, legacy, { holdLimitMs: HOLD_LIMIT_MS });
         this.#list.take(workers);
-        for (const job of this.#context.jobs.values()) {
-          reviewJob(this.#context, job);
-          if (stateOf(job) !== "pending" && stateOf(job) !== "running") {
-            this.#runs.stopJob(job);
-            void persist(this.#context, job);
-          }
-        }
+        reviewAdopted(this.#context, this.#runs);
         void recallAdvice(this.#context, this.#options.recall);
         void this.#list.run();
+        void this.#learned.run();
         void this.#housekeeping.run();
         this.#scheduler.kick();
         log.info("cell.recovered", {
@@ -176,19 +172,16 @@
 
   /** Accepted jobs by queue of which no task has started. */
   waiting(): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
-    for (const job of this.#context.jobs.values()) {
-      if (!job.stored || job.begun || stateOf(job) !== "pending") continue;
-      if (job.spec.recurrence !== undefined) continue;
-      counts.set(job.queue, (counts.get(job.queue) ?? 0) + 1);
-    }
-    return counts;
+    return waitingByQueue(this.#context.jobs.values());
   }
 
   /** Starts nothing more and waits until what waits now is written. Submissions are still accepted. */
   async settle(timeoutMs: number): Promise<void> {
     this.#scheduler.pause();
-    await this.#context.jobLog.drained(timeoutMs);
+    await Promise.all([
+      this.#context.jobLog.drained(timeoutMs),
+      this.#learned.handOver(timeoutMs),
+    ]);
   }
 
   /** Starts tasks again: no other instance has taken the cell. */
@@ -201,6 +194,7 @@
     this.#closed = true;
     this.#list.close();
     this.#housekeeping.close();
+    this.#learned.close();
     this.#scheduler.close();
     this.#follower.close();
     this.#context.jobLog.close();
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -17,6 +17,7 @@
 } from "./job.ts";
 import type { JobLog } from "./job_log.ts";
 import type { LostAnswers } from "./decisions/looks.ts";
+import type { Forecasts } from "./decisions/forecasts.ts";
 import type { RunTimes } from "./decisions/run_times.ts";
 import type { WorkerSpeeds } from "./decisions/worker_speeds.ts";
 import type { WorkerOrders } from "./ports.ts";
@@ -36,6 +37,7 @@
   readonly fleet: Fleet;
   readonly runTimes: RunTimes;
   readonly workerSpeeds: WorkerSpeeds;
+  readonly forecasts: Forecasts;
   readonly lostAnswers: LostAnswers;
   readonly jobs: Map<string, Job>;
   readonly ended: Map<string, EndedJob>;
--- a/src/cell/decisions/run_time_distribution.ts
+++ b/src/cell/decisions/run_time_distribution.ts
@@ -24,16 +24,17 @@
 /** Smallest weight of a run in the typical run time. */
 const TYPICAL_RATE = 1 / 200;
 
-/** A distribution as numbers, for the summary of what was learned. */
-export interface DistributionRecord {
+/** Quantiles by which a distribution is kept in the summary. */
+const SKETCHED = [0.05, 0.25, 0.5, 0.75, 0.9, 0.97, 0.995] as const;
+/** Most runs for which a distribution of a summary counts: what has changed since shows soon. */
+const SKETCH_RUNS = 200;
+
+/** A distribution in few numbers. */
+export interface DistributionSketch {
   readonly runs: number;
-  readonly typicalLog: number;
-  /** First bucket that is given. */
-  readonly from: number;
-  /** Weight of the runs that passed each bucket. */
-  readonly passed: readonly number[];
-  /** Weight of the runs that ended in each bucket. */
-  readonly ended: readonly number[];
+  readonly typicalMs: number;
+  /** Run times at the quantiles 0.05, 0.25, 0.5, 0.75, 0.9, 0.97 and 0.995, milliseconds. */
+  readonly quantilesMs: readonly number[];
 }
 
 /** Index of the bucket of a run time in milliseconds. */
@@ -103,31 +104,45 @@
     return Math.max(0, this.#find(0.5, bucketOf(elapsedMs)) - elapsedMs);
   }
 
-  /** Numbers for the summary. */
-  record(): DistributionRecord {
-    const weights = [...this.#passed].map((one, at) => one + this.#ended[at]!);
-    const from = Math.max(0, weights.findIndex((weight) => weight > 0));
-    const to = 1 + weights.findLastIndex((weight) => weight > 0);
-    const short = (weight: number) => Number((weight / this.#scale).toFixed(1));
+  /** The distribution in few numbers. */
+  sketch(): DistributionSketch {
     return {
       runs: this.#runs,
-      typicalLog: Number(this.#typicalLog.toFixed(3)),
-      from,
-      passed: [...this.#passed.subarray(from, to)].map(short),
-      ended: [...this.#ended.subarray(from, to)].map(short),
+      typicalMs: Math.round(this.typicalMs),
+      quantilesMs: SKETCHED.map((one) => Math.round(this.quantileMs(one))),
     };
   }
 
-  /** Takes the numbers of a summary in place of what was known. */
-  restore({ runs, typicalLog, from, passed, ended }: DistributionRecord): void {
-    this.#runs = runs;
-    this.#typicalLog = typicalLog;
+  /** Takes a sketch in place of what was known. */
+  restore({ runs, typicalMs, quantilesMs }: DistributionSketch): void {
+    this.#runs = Math.min(runs, SKETCH_RUNS);
+    this.#typicalLog = Math.log(Math.max(1, typicalMs));
     this.#scale = 1;
-    this.#passed.fill(0);
-    this.#ended.fill(0);
-    this.#passed.set(passed.slice(0, BUCKETS - from), from);
-    this.#ended.set(ended.slice(0, BUCKETS - from), from);
     this.#known.clear();
+    this.#ended.fill(0);
+    let before = 0;
+    for (const [index, quantile] of [...SKETCHED, 1].entries()) {
+      const to = bucketOf(quantilesMs[index] ?? quantilesMs.at(-1) ?? 0);
+      const from = bucketOf(quantilesMs[Math.max(0, index - 1)] ?? 0);
+      this.#spread((quantile - before) * this.#runs, { from, to });
+      before = quantile;
+    }
+    let left = 0;
+    for (let bucket = BUCKETS - 1; bucket >= 0; bucket--) {
+      this.#passed[bucket] = left;
+      left += this.#ended[bucket]!;
+    }
+  }
+
+  /** Lets a weight of runs end evenly in some buckets. */
+  #spread(
+    weight: number,
+    { from, to }: { readonly from: number; readonly to: number },
+  ): void {
+    const buckets = Math.max(1, to - from + 1);
+    for (let bucket = from; bucket < from + buckets; bucket++) {
+      this.#ended[bucket]! += weight / buckets;
+    }
   }
 
   /** Run time that a share `left` of the runs that reach bucket `from` exceeds. */
--- /dev/null
+++ b/src/cell/decisions/run_time_distribution_test.ts
@@ -0,0 +1,87 @@
+import test from "ava";
+import { PlayedRuns } from "../_played_runs_test.ts";
+import { bucketOf, Distribution } from "./run_time_distribution.ts";
+
+/** True quantile of drawn run times, milliseconds. */
+function quantileOf(times: readonly number[], quantile: number): number {
+  return [...times].sort((a, b) => a - b)[Math.floor(quantile * times.length)]!;
+}
+
+function drawn(count: number, seed: number): number[] {
+  const played = new PlayedRuns({ workers: 0, seed });
+  return Array.from({ length: count }, () => played.drawMs());
+}
+
+test("quantiles are those of the runs, the tail included", (t) => {
+  const distribution = new Distribution();
+  const times = drawn(1_000, 1);
+  for (const ms of times) distribution.end(ms);
+  for (const quantile of [0.1, 0.5, 0.9, 0.99]) {
+    const ratio = distribution.quantileMs(quantile) /
+      quantileOf(times, quantile);
+    t.true(Math.abs(ratio - 1) < 0.12, `${quantile}: ${ratio}`);
+  }
+});
+
+test("runs that are stopped as they become long do not make the expected time shorter", (t) => {
+  const censored = new Distribution();
+  const ended = new Distribution();
+  const times = drawn(2_000, 2);
+  for (const [index, ms] of times.entries()) {
+    const stopMs = index % 2 === 0 ? 900 : Infinity;
+    if (ms > stopMs) {
+      censored.pass(0, bucketOf(stopMs));
+      continue;
+    }
+    censored.end(ms);
+    ended.end(ms);
+  }
+  const truth = quantileOf(times, 0.9);
+  const ratio = censored.quantileMs(0.9) / truth;
+  t.true(Math.abs(ratio - 1) < 0.12, String(ratio));
+  t.true(ended.quantileMs(0.9) < 0.85 * truth, "without the stopped ones");
+});
+
+test("run times that change are followed within the memory", (t) => {
+  const distribution = new Distribution();
+  for (const ms of drawn(5_000, 3)) distribution.end(ms);
+  const before = distribution.quantileMs(0.5);
+  for (const ms of drawn(3_000, 4)) distribution.end(4 * ms);
+  const ratio = distribution.quantileMs(0.5) / before;
+  t.true(ratio > 3.4 && ratio < 4.2, String(ratio));
+});
+
+test("weights stay within their precision after a million runs", (t) => {
+  const distribution = new Distribution();
+  const times = drawn(1_000, 5);
+  for (let run = 0; run < 1_000_000; run++) {
+    distribution.end(times[run % times.length]!);
+  }
+  const ratio = distribution.quantileMs(0.9) / quantileOf(times, 0.9);
+  t.true(Math.abs(ratio - 1) < 0.12, String(ratio));
+});
+
+test("a run that is long by itself has longer left than the others", (t) => {
+  const distribution = new Distribution();
+  for (const ms of drawn(1_000, 6)) distribution.end(ms);
+  const early = distribution.remainingMs(0);
+  const late = distribution.remainingMs(2_400);
+  t.true(Math.abs(early / distribution.quantileMs(0.5) - 1) < 0.05);
+  t.true(late > 1_000, String(late));
+});
+
+test("a sketch keeps the quantiles", (t) => {
+  const before = new Distribution();
+  for (const ms of drawn(1_000, 7)) before.end(ms);
+  const after = new Distribution();
+  after.restore(before.sketch());
+  for (const quantile of [0.25, 0.5, 0.9, 0.97]) {
+    const ratio = after.quantileMs(quantile) / before.quantileMs(quantile);
+    t.true(Math.abs(ratio - 1) < 0.12, `${quantile}: ${ratio}`);
+  }
+  t.true(after.runs <= 200, "new runs soon count for more");
+});
+
+test("nothing is expected of a class without runs", (t) => {
+  t.is(new Distribution().quantileMs(0.5), 0);
+});
--- a/src/cell/decisions/run_times.ts
+++ b/src/cell/decisions/run_times.ts
@@ -12,7 +12,11 @@
  */
 import type { Run } from "../fleet.ts";
 import type { StepRun } from "../job.ts";
-import { bucketOf, Distribution } from "./run_time_distribution.ts";
+import {
+  bucketOf,
+  Distribution,
+  type DistributionSketch,
+} from "./run_time_distribution.ts";
 
 /** Weight of a new duration in the running mean of a queue. */
 const LEARNING_RATE = 0.1;
@@ -41,6 +45,18 @@
   readonly timeFactor: number;
 }
 
+/** Learned run times in few numbers. */
+export interface RunTimesSketch {
+  /** Mean of each queue, milliseconds. */
+  readonly means: readonly (readonly [queue: string, meanMs: number])[];
+  /** Usual error of each team's estimates, natural logarithm. */
+  readonly errors: readonly (readonly [team: string, error: number])[];
+  readonly classes: readonly (readonly [
+    key: string,
+    sketch: DistributionSketch,
+  ])[];
+}
+
 /** Keys of the classes of a step, the narrowest first. */
 type ClassKeys = readonly [shape: string, team: string, queue: string];
 
@@ -50,6 +66,7 @@
   readonly #classes = new Map<string, LearnedClass>();
   /** Usual error of the estimates of teams, natural logarithm. */
   readonly #errors = new Map<string, number>();
+  #learnedRuns = 0;
   readonly #keys = new WeakMap<StepRun, ClassKeys>();
   /** Buckets that runs which are still running have passed; a gang's members count once. */
   readonly #passed = new WeakMap<Run | StepRun, Passed>();
@@ -63,8 +80,14 @@
     this.#means.set(queue, next);
   }
 
+  /** Runs that were learned from. */
+  get learnedRuns(): number {
+    return this.#learnedRuns;
+  }
+
   /** Records a run that did its whole task and is done. */
   learnDone(run: Run, { tookMs, timeFactor }: RunOutcome): void {
+    this.#learnedRuns++;
     const normalMs = tookMs / timeFactor;
     const passed = this.#passedBy(run);
     this.#passed.delete(subjectOf(run));
@@ -134,6 +157,27 @@
     return Math.max(0, this.#estimateMs(step) * factor - elapsedMs);
   }
 
+  /** What was learned in few numbers, with so many of the classes that know most. */
+  sketch(mostClasses: number): RunTimesSketch {
+    const known = [...this.#classes]
+      .map(([key, { distribution }]) => ({ key, distribution }))
+      .filter(({ distribution }) => distribution.runs >= ENOUGH_OF_QUEUE)
+      .sort((a, b) => b.distribution.runs - a.distribution.runs);
+    return {
+      means: [...this.#means],
+      errors: [...this.#errors],
+      classes: known.slice(0, mostClasses)
+        .map(({ key, distribution }) => [key, distribution.sketch()]),
+    };
+  }
+
+  /** Takes what was learned before. */
+  restore({ means, errors, classes }: RunTimesSketch): void {
+    for (const [queue, meanMs] of means) this.#means.set(queue, meanMs);
+    for (const [team, error] of errors) this.#errors.set(team, error);
+    for (const [key, sketch] of classes) this.#open(key).restore(sketch);
+  }
+
   /** Number of classes that are kept. */
   get classes(): number {
     return this.#classes.size;
--- a/src/cell/decisions/worker_speeds.ts
+++ b/src/cell/decisions/worker_speeds.ts
@@ -63,14 +63,18 @@
   readonly nowMs: number;
 }
 
-/** A worker's speed for the summary. */
-export interface SpeedRecord {
+/** Speeds of one service in few numbers. */
+export interface SpeedsSketch {
   readonly service: string;
-  readonly id: string;
-  /** Natural logarithm of its level. */
-  readonly level: number;
-  /** Runs that its level stands for. */
-  readonly runs: number;
+  readonly noise: number;
+  /** Whether the workers of the service differ; else only those are given that differ by themselves. */
+  readonly uneven: boolean;
+  /** Natural logarithm of each worker's level over the mean, and the runs that it stands for. */
+  readonly workers: readonly (readonly [
+    id: string,
+    level: number,
+    runs: number,
+  ])[];
 }
 
 /** Speeds learned from runs. */
@@ -145,26 +149,33 @@
     return this.#size;
   }
 
-  /** Speeds for the summary. */
-  *records(): Generator<SpeedRecord> {
-    for (const [name, { speeds }] of this.#services) {
-      for (const { id, track } of speeds.values()) {
-        yield { service: name, id, level: track.level, runs: track.runs };
-      }
-    }
+  /** Speeds of the services with workers that differ. */
+  sketch(): readonly SpeedsSketch[] {
+    return [...this.#services].flatMap(([name, service]) => {
+      const { speeds, noise, assessment: { uneven, mean } } = service;
+      const workers = [...speeds.values()]
+        .filter(({ outlier, track }) => track.runs > 0 && (uneven || outlier))
+        .map(({ id, track }) => [id, track.level - mean, track.runs] as const);
+      return workers.length === 0
+        ? []
+        : [{ service: name, noise, uneven, workers }];
+    });
   }
 
-  /** Takes the speeds of a summary; {@linkcode meet} gives them to the workers. */
-  restore(records: Iterable<SpeedRecord>, nowMs: number): void {
-    for (const { service: name, id, level, runs } of records) {
+  /** Takes what was learned until `atMs`, monotonic milliseconds; {@linkcode meet} gives it to the workers. */
+  restore(sketches: readonly SpeedsSketch[], atMs: number): void {
+    for (const { service: name, noise, uneven, workers } of sketches) {
       const service = this.#serviceNamed(name);
-      const track = new LevelTrack(nowMs);
-      track.restore(level, runs);
-      if (!service.speeds.has(id)) this.#size++;
-      service.speeds.set(id, { id, worker: undefined, track, outlier: false });
-    }
-    for (const service of this.#services.values()) {
-      this.#assess(service, nowMs);
+      service.noise = Math.max(LEAST_NOISE ** 2, noise);
+      for (const [id, level, runs] of workers) {
+        if (this.#size >= MAX_WORKERS) break;
+        const track = new LevelTrack(atMs);
+        track.restore(level, runs);
+        if (!service.speeds.has(id)) this.#size++;
+        const speed = { id, worker: undefined, track, outlier: !uneven };
+        service.speeds.set(id, speed);
+      }
+      this.#assess(service, atMs);
     }
   }
 
--- a/src/cell/housekeeping.ts
+++ b/src/cell/housekeeping.ts
@@ -103,6 +103,7 @@
 
   #tellLoad(): void {
     const { clock, log, fence, fleet, jobs, open, jobLog } = this.#context;
+    const { workerSpeeds, forecasts } = this.#context;
     const workers = [...fleet.workers.values()];
     const writes = jobLog.takeWork();
     const usable = workers.filter((one) => takesWork(one, clock.monotonic()));
@@ -126,6 +127,9 @@
       slowestCommitMs: Math.round(writes.slowestMs),
       unwritten: writes.waiting,
       storeStuckMs: Math.round(jobLog.stuckMs()),
+      unevenServices: workerSpeeds.uneven,
+      speedSpread: workerSpeeds.spread.toFixed(2),
+      withinForecast: forecasts.take() || undefined,
     });
     this.#lateMs = 0;
   }
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -204,6 +204,19 @@
   return job.begun ? "running" : "pending";
 }
 
+/** Accepted jobs by queue of which no task has started. */
+export function waitingByQueue(
+  jobs: Iterable<Job>,
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const job of jobs) {
+    if (!job.stored || job.begun || stateOf(job) !== "pending") continue;
+    if (job.spec.recurrence !== undefined) continue;
+    counts.set(job.queue, (counts.get(job.queue) ?? 0) + 1);
+  }
+  return counts;
+}
+
 /** Splits the name of a task. */
 export function parseTaskId(id: TaskId): {
   readonly job: string;
--- /dev/null
+++ b/src/cell/learned_state_test.ts
@@ -0,0 +1,221 @@
+import test from "ava";
+import { silentLog } from "../logger.ts";
+import { FakeStore } from "./_fake_store_test.ts";
+import { testStep, World } from "./_fixtures_test.ts";
+import { PlayedRuns } from "./_played_runs_test.ts";
+import { recordKey } from "./cell_record.ts";
+import { stepOf } from "./decisions/_fixtures_test.ts";
+import { type LearnedContext, LearnedState } from "./learned_state.ts";
+import { encodeLearned, learnedKey } from "./learned_record.ts";
+import { newRun } from "./run.ts";
+
+const NAME = "cell/0";
+const KEY = learnedKey(NAME);
+
+/** A holder of the played workers over a store. */
+async function holderOf(
+  played: PlayedRuns,
+  store: FakeStore,
+  change: Partial<LearnedContext> = {},
+) {
+  const record = { key: recordKey(NAME), value: "{}" };
+  await store.commit([], [{ type: "put", ...record }]);
+  const deposed: string[] = [];
+  const context: LearnedContext = {
+    clock: played.clock,
+    metrics: played.metrics,
+    runTimes: played.runTimes,
+    workerSpeeds: played.workerSpeeds,
+    log: silentLog,
+    fence: 1,
+    holds: () => true,
+    deposed: (why) => deposed.push(why),
+    jobLog: { stuckMs: () => 0 },
+    ...change,
+  };
+  const { revision } = store;
+  const state = new LearnedState(context, { name: NAME, revision, store });
+  return { state, deposed };
+}
+
+/** Workers of three speeds that have run for a while. */
+function learnedRuns(workers: number): PlayedRuns {
+  const played = new PlayedRuns({ workers, slots: 2 });
+  const thirds = [1.6, 1, 0.6];
+  for (const [index, worker] of played.workers.entries()) {
+    played.factors.set(worker.id, thirds[index % 3]!);
+  }
+  played.begin();
+  played.clock.advance(30_000);
+  return played;
+}
+
+test("the next holder knows run times and speeds from its first pass on", async (t) => {
+  const store = new FakeStore();
+  const before = learnedRuns(60);
+  const { state } = await holderOf(before, store);
+  await state.write();
+  // All processes are gone: only the store is left.
+  const after = new PlayedRuns({ workers: 60 });
+  const next = await holderOf(after, store);
+  (await next.state.restore())._unsafeUnwrap();
+  for (const [index, worker] of after.workers.entries()) {
+    t.is(worker.timeFactor, 1, "before its service is known");
+    after.workerSpeeds.meet(worker);
+    const ratio = worker.timeFactor / before.workers[index]!.timeFactor;
+    t.true(Math.abs(ratio - 1) < 0.1, `${worker.id}: ${ratio}`);
+  }
+  const step = stepOf({});
+  for (const quantile of [0.5, 0.9]) {
+    const ratio = after.runTimes.expectedMs(step, quantile) /
+      before.runTimes.expectedMs(step, quantile);
+    t.true(Math.abs(ratio - 1) < 0.15, `${quantile}: ${ratio}`);
+  }
+  t.is(
+    after.runTimes.meanMs("receipts", 1),
+    Math.round(before.runTimes.meanMs("receipts", 1)),
+  );
+});
+
+for (
+  const { name, value } of [
+    { name: "missing", value: undefined },
+    { name: "no JSON", value: "{" },
+    { name: "of another shape", value: '{"format":1,"atMs":"now"}' },
+    { name: "of another format", value: '{"format":0}' },
+    {
+      name: "of two days ago",
+      value: encodeLearned({
+        atMs: Date.parse("2025-12-30T00:00:00Z"),
+        runTimes: { means: [["receipts", 9_000]], errors: [], classes: [] },
+        speeds: [],
+      }),
+    },
+  ]
+) {
+  test(`learning starts anew where the summary is ${name}`, async (t) => {
+    const store = new FakeStore();
+    if (value !== undefined) {
+      await store.commit([], [{ type: "put", key: KEY, value }]);
+    }
+    const played = new PlayedRuns({ workers: 4 });
+    const { state } = await holderOf(played, store);
+    (await state.restore())._unsafeUnwrap();
+    t.is(played.runTimes.meanMs("receipts", 500), 500);
+    played.begin();
+    played.clock.advance(20_000);
+    await state.write();
+    t.is(JSON.parse(store.entries.get(KEY)!.value).format, 1);
+  });
+}
+
+test("a summary that cannot be read does not keep a holder from working", async (t) => {
+  const store = new FakeStore();
+  const played = new PlayedRuns({ workers: 4 });
+  const { state } = await holderOf(played, store);
+  store.away = true;
+  t.true((await state.restore()).isOk());
+});
+
+test("a former holder's write has no effect", async (t) => {
+  const store = new FakeStore();
+  const { state, deposed } = await holderOf(learnedRuns(20), store);
+  const record = { key: recordKey(NAME), value: '{"fence":2}' };
+  await store.commit([], [{ type: "put", ...record }]);
+  await state.write();
+  t.false(store.entries.has(KEY));
+  t.is(deposed.length, 1);
+});
+
+test("nothing is written without new runs, without the hold, or while the store is silent", async (t) => {
+  const store = new FakeStore();
+  const played = learnedRuns(20);
+  let holds = false;
+  let stuckMs = 0;
+  const { state } = await holderOf(played, store, {
+    holds: () => holds,
+    jobLog: { stuckMs: () => stuckMs },
+  });
+  const written = store.commits;
+  await state.write();
+  holds = true;
+  stuckMs = 100;
+  await state.write();
+  t.is(store.commits, written);
+  stuckMs = 0;
+  await state.write();
+  await state.write();
+  t.is(store.commits, written + 1);
+  played.clock.advance(1_000);
+  await state.write();
+  t.is(store.commits, written + 2);
+});
+
+test("a write that failed is made again", async (t) => {
+  const store = new FakeStore();
+  const { state } = await holderOf(learnedRuns(20), store);
+  store.away = true;
+  await state.write();
+  store.away = false;
+  await state.write();
+  t.true(store.entries.has(KEY));
+});
+
+test("a holder writes every five seconds at most", async (t) => {
+  const store = new FakeStore();
+  const played = learnedRuns(20);
+  const { state } = await holderOf(played, store);
+  const before = store.commits;
+  void state.run();
+  await played.clock.run(21_000);
+  t.is(store.commits - before, 4);
+  state.close();
+  await played.clock.run(10_000);
+  t.is(store.commits - before, 4);
+});
+
+test("the summary of 245 workers and 20 teams stays below 64 KiB", async (t) => {
+  const store = new FakeStore();
+  const played = learnedRuns(245);
+  const [worker] = played.workers;
+  const long = "a-team-with-a-rather-long-name-";
+  for (let team = 0; team < 20; team++) {
+    for (let size = 0; size < 20; size++) {
+      const cpuMillis = 2 ** size;
+      const amounts = { cpuMillis, memoryMib: 100, accelerators: 0 };
+      const step = stepOf({ amounts });
+      const ofTeam = { ...step, job: { ...step.job, team: long + team } };
+      for (let count = 0; count < 6; count++) {
+        const task = step.tasks[0]!;
+        const run = newRun(ofTeam, { task, worker: worker!, nowMs: 0 });
+        const outcome = { tookMs: 123_456 + size, timeFactor: 1 };
+        played.runTimes.learnDone(run, outcome);
+      }
+    }
+  }
+  const { state } = await holderOf(played, store);
+  await state.write();
+  const { value } = store.entries.get(KEY)!;
+  t.log(`${value.length} bytes`);
+  t.true(value.length > 20_000 && value.length < 65_536);
+});
+
+test("a cell hands on what it has learned, and the next one takes it up", async (t) => {
+  const world = new World();
+  const worker = world.addWorker("w1");
+  const first = await world.open();
+  for (let run = 0; run < 8; run++) {
+    const id = `00000000000000b${run}`;
+    await world.submit(first, [testStep()], id);
+    await world.clock.run(400);
+    worker.end(`${id}.0.0.0`, "done");
+    await world.clock.run(200);
+  }
+  const settled = first.settle(300);
+  await world.clock.run(300);
+  await settled;
+  first.close();
+  t.regex(world.metrics.page(), /^learned_classes 0$/m, "no holder any more");
+  await world.open();
+  t.regex(world.metrics.page(), /^learned_classes 3$/m);
+});
--- a/src/cell/learning.ts
+++ b/src/cell/learning.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { CellContext } from "./context.ts";
+import type { RunOutcome } from "./decisions/run_times.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
 import type { StepRun } from "./job.ts";
 import type { EndingKind } from "./ports.ts";
@@ -14,7 +15,7 @@
 /** What learning needs of a holder. */
 export type LearningContext = Pick<
   CellContext,
-  "clock" | "fleet" | "metrics" | "runTimes" | "workerSpeeds"
+  "clock" | "fleet" | "metrics" | "runTimes" | "workerSpeeds" | "forecasts"
 >;
 
 /** Passes on what ends and reports tell of the runs of one holder. */
@@ -43,6 +44,7 @@
     if (kind !== "done") {
       return runTimes.learnLasting(run, { tookMs, timeFactor });
     }
+    this.#compare(run, { tookMs, timeFactor });
     if (slowest.isClear) this.#tellSpeed(run, { ...slowest, tookMs, nowMs });
     runTimes.learnDone(run, { tookMs, timeFactor });
   }
@@ -68,6 +70,18 @@
     this.#tellSpeed(run, { worker, tookMs, nowMs });
   }
 
+  /** Compares a run with what was expected of it. */
+  #compare({ step }: Run, { tookMs, timeFactor }: RunOutcome): void {
+    const { runTimes, forecasts, metrics } = this.#context;
+    const { queue } = step.job;
+    const p50Ms = runTimes.expectedMs(step, 0.5) * timeFactor;
+    const p90Ms = runTimes.expectedMs(step, 0.9) * timeFactor;
+    forecasts.note(queue, { p50Ms, p90Ms, tookMs });
+    const within = tookMs <= p50Ms ? "p50" : tookMs <= p90Ms ? "p90" : "none";
+    metrics.count("run_forecasts", { queue, within });
+    metrics.observe("run_time_over_forecast", tookMs / p50Ms, { queue });
+  }
+
   #tellSpeed(
     run: Run,
     { worker, tookMs, nowMs }: {
--- a/src/cell/recovery.ts
+++ b/src/cell/recovery.ts
@@ -7,7 +7,7 @@
 import type { StoreFailure } from "../errors.ts";
 import type { Log } from "../logger.ts";
 import type { Entry } from "../ports/store.ts";
-import type { CellContext } from "./context.ts";
+import { type CellContext, persist, reviewJob } from "./context.ts";
 import { type EndedJob, type Job, stateOf } from "./job.ts";
 import type { CellStore } from "./ports.ts";
 import {
@@ -18,6 +18,7 @@
   restoreProgress,
 } from "./records.ts";
 import { leaseBoundMs, newRun } from "./run.ts";
+import type { Runs } from "./runs.ts";
 
 /** What a former holder left. */
 export interface Legacy {
@@ -69,6 +70,16 @@
   }
 }
 
+/** Puts what may start into the line, and ends what a former holder knew to be over. */
+export function reviewAdopted(context: CellContext, runs: Runs): void {
+  for (const job of context.jobs.values()) {
+    reviewJob(context, job);
+    if (stateOf(job) === "pending" || stateOf(job) === "running") continue;
+    runs.stopJob(job);
+    void persist(context, job);
+  }
+}
+
 function assemble(
   submissions: readonly Entry[],
   { progress, log }: { readonly progress: readonly Entry[]; readonly log: Log },
