Tasks of one job count together for the speed of a worker

In a trial with 245 even workers and jobs of three tasks that shared half of the variance of their run times on one worker, all workers had factors other than 1 from the first second on: each task had counted as a run of its own. What the tasks of a job share is now measured, and each counts for the less. A change of a level and a spread between workers are asked for more evidence, as changes that did not happen add to the spread.

--- a/src/cell/decisions/level_track.ts
+++ b/src/cell/decisions/level_track.ts
@@ -11,12 +11,12 @@
 
 /** One run counts as at most this many standard deviations. */
 const BOUND = 2;
-/** Smallest weight of a run: the level then stands for 59 runs. */
-const LEAST_WEIGHT = 1 / 30;
+/** Smallest part of a whole run's difference that the level takes: it then stands for 59 runs. */
+const LEAST_GAIN = 1 / 30;
 /** Drift that a sum allows for, standard deviations: half of the shift of a worker that takes 1.6 times as long. */
 const DRIFT = 0.5;
-/** Sum at which the level has changed, standard deviations: once in some 500 runs of a level that has not, and after 10 for a shift by one. */
-const CHANGED = 5;
+/** Sum at which the level has changed, standard deviations: by the tables of such sums after 12 runs for a shift by one, and once in 1,300 without one. */
+const CHANGED = 6;
 /** Runs below which a level is not asked whether it has changed. */
 const FIRST_RUNS = 4;
 /** Without runs, a level's confidence halves in this time, milliseconds. */
@@ -28,6 +28,8 @@
   readonly noise: number;
   /** Monotonic milliseconds. */
   readonly nowMs: number;
+  /** Runs for which the value counts, 0 to 1: less than one if others told part of it. */
+  readonly weight: number;
 }
 
 /** One side of the cumulative sum. */
@@ -74,20 +76,21 @@
   }
 
   /** Takes a value; gives its bounded difference from the level before. */
-  learn(value: number, { noise, nowMs }: Reading): number {
+  learn(value: number, { noise, nowMs, weight }: Reading): number {
     this.#fade(nowMs);
     const bound = LevelTrack.boundOf(noise);
     const surprise = Math.min(bound, Math.max(-bound, value - this.#level));
     const seen = this.#level + surprise;
     const mayChange = this.runs >= FIRST_RUNS;
-    const weight = this.#variance === Infinity
-      ? 1
-      : Math.max(LEAST_WEIGHT, this.#variance / (1 + this.#variance));
-    this.#level += weight * surprise;
-    this.#variance = weight === 1
-      ? 1
-      : (1 - weight) ** 2 * this.#variance + weight ** 2;
-    if (mayChange) this.#watch(seen, surprise / noise);
+    const gain = this.#variance === Infinity ? 1 : Math.max(
+      LEAST_GAIN * weight,
+      this.#variance / (1 / weight + this.#variance),
+    );
+    this.#level += gain * surprise;
+    this.#variance = gain === 1
+      ? 1 / weight
+      : (1 - gain) ** 2 * this.#variance + gain ** 2 / weight;
+    if (mayChange) this.#watch(seen, { deviations: surprise / noise, weight });
     return surprise;
   }
 
@@ -108,16 +111,25 @@
     if (this.#variance !== Infinity) this.#variance *= 2 ** (idleMs / FADE_MS);
   }
 
-  #watch(seen: number, deviations: number): void {
+  #watch(
+    seen: number,
+    { deviations, weight }: {
+      readonly deviations: number;
+      readonly weight: number;
+    },
+  ): void {
     for (const side of this.#sides) {
-      side.sum = Math.max(0, side.sum + side.sign * deviations - DRIFT);
+      side.sum = Math.max(
+        0,
+        side.sum + weight * (side.sign * deviations - DRIFT),
+      );
       if (side.sum === 0) {
         side.runs = 0;
         side.values = 0;
         continue;
       }
-      side.runs++;
-      side.values += seen;
+      side.runs += weight;
+      side.values += weight * seen;
       if (side.sum < CHANGED) continue;
       this.#level = side.values / side.runs;
       this.#variance = 1 / side.runs;
--- a/src/cell/decisions/run_time_distribution.ts
+++ b/src/cell/decisions/run_time_distribution.ts
@@ -24,6 +24,9 @@
 /** Smallest weight of a run in the typical run time. */
 const TYPICAL_RATE = 1 / 200;
 
+/** Quantiles of which the run time is kept until the next run. */
+const MOST_KNOWN = 3;
+const NONE_KNOWN = [] as const;
 /** Quantiles by which a distribution is kept in the summary. */
 const SKETCHED = [0.05, 0.25, 0.5, 0.75, 0.9, 0.97, 0.995] as const;
 /** Most runs for which a distribution of a summary counts: what has changed since shows soon. */
@@ -46,14 +49,14 @@
 
 /** Run times of one class. */
 export class Distribution {
-  readonly #passed = new Float32Array(BUCKETS);
-  readonly #ended = new Float32Array(BUCKETS);
+  /** Weight of the runs that passed each bucket, then of those that ended in each. */
+  readonly #weights = new Float32Array(2 * BUCKETS);
   /** Weight of the next run; it grows in place of the old ones shrinking. */
   #scale = 1;
   #runs = 0;
   #typicalLog = 0;
-  /** Quantiles since the last change. */
-  readonly #known = new Map<number, number>();
+  /** Last quantiles that were asked for, since the last change. */
+  #known: readonly (readonly [quantile: number, ms: number])[] = NONE_KNOWN;
 
   /** Runs that ended, up to those that are remembered. */
   get runs(): number {
@@ -68,16 +71,16 @@
   /** A run has passed the buckets from `from` to the one before `to`. */
   pass(from: number, to: number): void {
     for (let bucket = from; bucket < to; bucket++) {
-      this.#passed[bucket]! += this.#scale;
+      this.#weights[bucket]! += this.#scale;
     }
-    this.#known.clear();
+    this.#known = NONE_KNOWN;
   }
 
   /** A run that was counted as passing the buckets before `from` ended after `ms`. */
   end(ms: number, from = 0): void {
     const bucket = bucketOf(ms);
     this.pass(from, bucket);
-    this.#ended[bucket]! += this.#scale;
+    this.#weights[BUCKETS + bucket]! += this.#scale;
     this.#scale *= 1 + 1 / MEMORY_RUNS;
     if (this.#scale > MAX_SCALE) this.#rescale(1 / this.#scale);
     this.#runs = Math.min(this.#runs + 1, MEMORY_RUNS);
@@ -92,10 +95,12 @@
 
   /** Run time that a share `quantile` of the runs does not exceed, milliseconds; 0 without runs. */
   quantileMs(quantile: number): number {
-    const known = this.#known.get(quantile);
-    if (known !== undefined) return known;
+    for (const [known, ms] of this.#known) {
+      if (known === quantile) return ms;
+    }
     const found = this.#find(1 - quantile, 0);
-    this.#known.set(quantile, found);
+    const kept = this.#known.slice(1 - MOST_KNOWN);
+    this.#known = [...kept, [quantile, found]];
     return found;
   }
 
@@ -118,8 +123,8 @@
     this.#runs = Math.min(runs, SKETCH_RUNS);
     this.#typicalLog = Math.log(Math.max(1, typicalMs));
     this.#scale = 1;
-    this.#known.clear();
-    this.#ended.fill(0);
+    this.#known = NONE_KNOWN;
+    this.#weights.fill(0);
     let before = 0;
     for (const [index, quantile] of [...SKETCHED, 1].entries()) {
       const to = bucketOf(quantilesMs[index] ?? quantilesMs.at(-1) ?? 0);
@@ -129,8 +134,8 @@
     }
     let left = 0;
     for (let bucket = BUCKETS - 1; bucket >= 0; bucket--) {
-      this.#passed[bucket] = left;
-      left += this.#ended[bucket]!;
+      this.#weights[bucket] = left;
+      left += this.#weights[BUCKETS + bucket]!;
     }
   }
 
@@ -141,7 +146,7 @@
   ): void {
     const buckets = Math.max(1, to - from + 1);
     for (let bucket = from; bucket < from + buckets; bucket++) {
-      this.#ended[bucket]! += weight / buckets;
+      this.#weights[BUCKETS + bucket]! += weight / buckets;
     }
   }
 
@@ -149,11 +154,11 @@
   #find(left: number, from: number): number {
     let share = 1;
     for (let bucket = from; bucket < BUCKETS; bucket++) {
-      const ended = this.#ended[bucket]!;
-      const reached = ended + this.#passed[bucket]!;
+      const ended = this.#weights[BUCKETS + bucket]!;
+      const reached = ended + this.#weights[bucket]!;
       if (reached === 0 && share < 1) return edgeMs(bucket);
       if (reached === 0 || ended === 0) continue;
-      const next = share * this.#passed[bucket]! / reached;
+      const next = share * this.#weights[bucket]! / reached;
       if (next <= left) {
         return edgeMs(bucket + (share - left) / (share - next));
       }
@@ -164,17 +169,17 @@
 
   /** Time that the longest run has reached. */
   #lastMs(): number {
-    const last = this.#passed.findLastIndex((weight) => weight > 0);
-    const end = this.#ended.findLastIndex((weight) => weight > 0);
-    const bucket = Math.max(last, end);
-    return bucket < 0 ? 0 : edgeMs(bucket + 1);
+    for (let bucket = BUCKETS - 1; bucket >= 0; bucket--) {
+      const weight = this.#weights[bucket]! + this.#weights[BUCKETS + bucket]!;
+      if (weight > 0) return edgeMs(bucket + 1);
+    }
+    return 0;
   }
 
   #rescale(factor: number): void {
     this.#scale *= factor;
-    for (let bucket = 0; bucket < BUCKETS; bucket++) {
-      this.#passed[bucket]! *= factor;
-      this.#ended[bucket]! *= factor;
+    for (const [index, weight] of this.#weights.entries()) {
+      this.#weights[index] = weight * factor;
     }
   }
 }
--- a/src/cell/decisions/run_times.ts
+++ b/src/cell/decisions/run_times.ts
@@ -24,8 +24,8 @@
 const ENOUGH_RUNS = 20;
 /** Runs from which a queue's class is asked in place of the estimate. */
 const ENOUGH_OF_QUEUE = 5;
-/** Most classes that are kept: 2.3 MB. */
-const MAX_CLASSES = 3_000;
+/** Most classes that are kept. */
+const MAX_CLASSES = 2_000;
 /** Weight of a new run in a team's usual error of estimates. */
 const ERROR_RATE = 0.05;
 /** Largest error that one run shows, natural logarithm: a factor of 3. */
--- a/src/cell/decisions/run_times_test.ts
+++ b/src/cell/decisions/run_times_test.ts
@@ -132,6 +132,6 @@
     learn(runTimes, stepOfTeam(`t${team}`), [300]);
     if (team % 20 === 0) learn(runTimes, busy, [900]);
   }
-  t.true(runTimes.classes <= 3_000, String(runTimes.classes));
+  t.true(runTimes.classes <= 2_000, String(runTimes.classes));
   t.true(near(runTimes.expectedMs(busy, 0.5), 900));
 });
--- a/src/cell/decisions/speed_spread.ts
+++ b/src/cell/decisions/speed_spread.ts
@@ -17,11 +17,11 @@
 /** Services with fewer workers are compared worker by worker alone. */
 const LEAST_WORKERS = 8;
 /** Standard deviations by which the spread must exceed chance: the comparison is made twice a second for days. */
-const SURE = 6;
-/** Standard deviation between workers from which they differ, natural logarithm: most are off by more than 5 %. */
-const SPREAD_FROM = 0.1;
+const SURE = 10;
+/** Standard deviation between workers from which they differ, natural logarithm: a third of them are off by more. Changes of levels that did not happen add up to 0.1. */
+const SPREAD_FROM = 0.13;
 /** Standard deviation below which they do no more. */
-const SPREAD_TO = 0.05;
+const SPREAD_TO = 0.08;
 /** Smallest difference of a single worker, natural logarithm: a quarter. */
 const OUTLIER_FROM = 0.22;
 /** Difference below which it is no outlier any more. */
@@ -29,6 +29,8 @@
 /** Standard deviations at which a single worker differs, and below which it does no more. */
 const OUTLIER_SURE = 6;
 const OUTLIER_DOUBTED = 3;
+/** Runs from which a single worker may differ: three long jobs in a row happen on some of hundreds. */
+const OUTLIER_RUNS = 6;
 
 /** How the workers of a service differ. */
 export interface Assessment {
@@ -75,7 +77,7 @@
   { track, outlier }: WorkerSpeed,
   { noise, mean }: { readonly noise: number; readonly mean: number },
 ): boolean {
-  if (track.runs < LEAST_RUNS) return false;
+  if (track.runs < (outlier ? LEAST_RUNS : OUTLIER_RUNS)) return false;
   const apart = Math.abs(track.level - mean);
   const deviations = apart * Math.sqrt(track.runs / noise);
   return outlier
--- a/src/cell/decisions/worker_speeds.ts
+++ b/src/cell/decisions/worker_speeds.ts
@@ -13,6 +13,7 @@
  */
 import type { FleetWorker } from "../fleet.ts";
 import { LevelTrack } from "./level_track.ts";
+import { type JobRuns, runsOf, SharedTimes } from "./shared_times.ts";
 import {
   assess,
   type Assessment,
@@ -22,8 +23,12 @@
 
 /** The workers of a service are compared this often, milliseconds: a short run's time. */
 const ASSESS_EVERY_MS = 500;
-/** Weight of a run in the noise of a service. */
-const NOISE_RATE = 1 / 500;
+/** And no more often than this for each of them, milliseconds: a comparison costs a microsecond or less a worker. */
+const ASSESS_EACH_MS = 0.25;
+/** Weight of a run in the noise of a service, which changes with the kinds of work alone. */
+const NOISE_RATE = 1 / 2_000;
+/** Runs for which the first guess of the noise counts. */
+const FIRST_SAMPLES = 50;
 /** Smallest noise, natural logarithm: below, factors would follow differences of a few percent. */
 const LEAST_NOISE = 0.1;
 /** A worker without runs for so long, that its service does not show any more, is dropped, milliseconds. */
@@ -39,6 +44,8 @@
   /** The worker as the fleet has it; `undefined` if only a summary told of it. */
   worker: FleetWorker | undefined;
   readonly track: LevelTrack;
+  /** Its last jobs. */
+  readonly jobs: JobRuns[];
   /** Whether it differs from its service by itself, though the others don't differ. */
   outlier: boolean;
 }
@@ -49,6 +56,7 @@
   /** Variance of a run's logarithm around its worker's level. */
   noise: number;
   samples: number;
+  readonly shared: SharedTimes;
   assessment: Assessment;
   assessedMs: number;
 }
@@ -59,6 +67,8 @@
   readonly tookMs: number;
   /** Typical time of its class on an average worker, milliseconds. */
   readonly typicalMs: number;
+  /** Whose task it was: tasks of one job may be long together. */
+  readonly job: string;
   /** Monotonic milliseconds. */
   readonly nowMs: number;
 }
@@ -83,14 +93,22 @@
   #size = 0;
 
   /** Records a run that was done by one worker alone. */
-  learn(worker: FleetWorker, { tookMs, typicalMs, nowMs }: SpeedSample): void {
-    const service = this.#serviceOf(worker);
+  learn(
+    worker: FleetWorker,
+    { tookMs, typicalMs, job, nowMs }: SpeedSample,
+  ): void {
+    const service = this.#serviceNamed(serviceName(worker));
     const speed = this.#open(service, worker);
     const noise = Math.sqrt(service.noise);
     const log = Math.log(Math.max(tookMs, 1) / Math.max(typicalMs, 1));
-    const surprise = speed.track.learn(log, { noise, nowMs });
-    this.#learnNoise(service, speed, surprise);
-    if (nowMs - service.assessedMs >= ASSESS_EVERY_MS) {
+    const runs = runsOf(speed, job);
+    const weight = service.shared.weightOf(runs);
+    speed.track.learn(log, { noise, nowMs, weight });
+    const bound = LevelTrack.boundOf(noise);
+    const difference = Math.min(bound, Math.max(-bound, log - runs.level));
+    service.shared.note(runs, { difference, noise: service.noise });
+    learnNoise(service, runs, difference);
+    if (nowMs - service.assessedMs >= restMs(service)) {
       this.#assess(service, nowMs);
     } else this.#apply(service, speed);
   }
@@ -172,17 +190,18 @@
         const track = new LevelTrack(atMs);
         track.restore(level, runs);
         if (!service.speeds.has(id)) this.#size++;
-        const speed = { id, worker: undefined, track, outlier: !uneven };
-        service.speeds.set(id, speed);
+        service.speeds.set(id, {
+          id,
+          worker: undefined,
+          track,
+          jobs: [],
+          outlier: !uneven,
+        });
       }
       this.#assess(service, atMs);
     }
   }
 
-  #serviceOf(worker: FleetWorker): Service {
-    return this.#serviceNamed(serviceName(worker));
-  }
-
   #serviceNamed(name: string): Service {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
@@ -190,6 +209,7 @@
       speeds: new Map(),
       noise: FIRST_NOISE ** 2,
       samples: 0,
+      shared: new SharedTimes(),
       assessment: { uneven: false, mean: 0, between: 0 },
       assessedMs: -Infinity,
     };
@@ -207,6 +227,7 @@
       id: worker.id,
       worker,
       track: new LevelTrack(0),
+      jobs: [],
       outlier: false,
     };
     service.speeds.set(worker.id, speed);
@@ -215,19 +236,6 @@
     return speed;
   }
 
-  #learnNoise(
-    service: Service,
-    { track }: WorkerSpeed,
-    surprise: number,
-  ): void {
-    service.samples++;
-    // The level of a worker with few runs adds its own uncertainty.
-    const seen = surprise ** 2 / (1 + 1 / Math.max(1, track.runs - 1));
-    const rate = Math.max(NOISE_RATE, 1 / (50 + service.samples));
-    service.noise += rate * (seen - service.noise);
-    service.noise = Math.max(LEAST_NOISE ** 2, service.noise);
-  }
-
   #assess(service: Service, nowMs: number): void {
     service.assessedMs = nowMs;
     service.assessment = assess(service.speeds.values(), {
@@ -268,6 +276,24 @@
   }
 }
 
+function restMs({ speeds }: Service): number {
+  return Math.max(ASSESS_EVERY_MS, ASSESS_EACH_MS * speeds.size);
+}
+
+/** Takes the difference of a run from the level of its worker before the run's job. */
+function learnNoise(
+  service: Service,
+  { levelRuns }: JobRuns,
+  difference: number,
+): void {
+  service.samples++;
+  // The error of the level is in it.
+  const seen = difference ** 2 / (1 + (levelRuns > 0 ? 1 / levelRuns : 0));
+  const rate = Math.max(NOISE_RATE, 1 / (FIRST_SAMPLES + service.samples));
+  service.noise += rate * (seen - service.noise);
+  service.noise = Math.max(LEAST_NOISE ** 2, service.noise);
+}
+
 function serviceName(worker: FleetWorker): string {
   return worker.entry?.service ?? "";
 }
--- a/src/cell/decisions/worker_speeds_test.ts
+++ b/src/cell/decisions/worker_speeds_test.ts
@@ -55,6 +55,32 @@
   t.is(played.workerSpeeds.uneven, 0);
 });
 
+for (const [shared, own] of [[0.33, 0.33], [0.47, 0]] as const) {
+  test(`jobs whose three tasks are long together do not make workers differ: shared=${shared}`, (t) => {
+    const played = new PlayedRuns({ workers: 245 });
+    const { workers, workerSpeeds } = played;
+    const normal = () =>
+      Math.sqrt(-2 * Math.log(1 - played.unit())) *
+      Math.cos(2 * Math.PI * played.unit());
+    let most = 0;
+    for (let job = 0; job < 15_000; job++) {
+      // 150 jobs a second, each on one worker.
+      const nowMs = job * 1_000 / 150;
+      const worker = workers[Math.floor(played.unit() * workers.length)]!;
+      const common = shared * normal() + (played.unit() < 0.03 ? 2 : 0);
+      for (let task = 0; task < 3; task++) {
+        const tookMs = 700 * Math.exp(common + own * normal());
+        const sample = { tookMs, typicalMs: 700, job: String(job), nowMs };
+        workerSpeeds.learn(worker, sample);
+      }
+      const off = workers.filter(({ timeFactor }) => timeFactor !== 1);
+      most = Math.max(most, off.length);
+      t.is(workerSpeeds.uneven, 0);
+    }
+    t.true(most <= 1, String(most));
+  });
+}
+
 test("one long task does not slow a worker", (t) => {
   const even = new PlayedRuns({ workers: 40, slots: 2 });
   even.begin();
@@ -69,6 +95,7 @@
   uneven.workerSpeeds.learn(worker, {
     tookMs: 50_000,
     typicalMs: 600,
+    job: "long",
     nowMs: uneven.clock.monotonic(),
   });
   const change = worker.timeFactor / before;
@@ -112,7 +139,7 @@
     t.true(worker.timeFactor > 1.2, "kept");
     for (let run = 0; run < 3; run++) {
       const nowMs = played.clock.monotonic();
-      const sample = { tookMs: 600, typicalMs: 600, nowMs };
+      const sample = { tookMs: 600, typicalMs: 600, job: String(run), nowMs };
       played.workerSpeeds.learn(worker, sample);
     }
     return worker.timeFactor / before;
@@ -125,7 +152,7 @@
   played.clock.advance(10_000);
   t.is(played.workerSpeeds.size, 245);
   for (const worker of played.workers.slice(100)) worker.listed = false;
-  const sample = { tookMs: 600, typicalMs: 600 };
+  const sample = { tookMs: 600, typicalMs: 600, job: "late" };
   const worker = played.fleet.open("w0");
   // Long after the last run of any of them.
   const nowMs = played.clock.monotonic() + 3_600_000;
--- a/src/cell/housekeeping.ts
+++ b/src/cell/housekeeping.ts
@@ -5,6 +5,7 @@
  */
 import { sleep } from "../clock.ts";
 import { type CellContext, reviewJob } from "./context.ts";
+import { type Coverage, coverageText } from "./decisions/forecasts.ts";
 import { roomOn, takesWork } from "./fleet.ts";
 import { dueMs, occurrencesOf, openOccurrence, type StepRun } from "./job.ts";
 import type { Runs } from "./runs.ts";
@@ -101,9 +102,21 @@
     }
   }
 
+  /** Counts the forecasts since the last time. */
+  #takeForecasts(): readonly Coverage[] {
+    const { forecasts, metrics } = this.#context;
+    const taken = forecasts.take();
+    for (const { queue, runs, withinP50, withinP90 } of taken) {
+      metrics.count("forecast_runs", { queue }, runs);
+      metrics.count("forecast_within_p50", { queue }, withinP50);
+      metrics.count("forecast_within_p90", { queue }, withinP90);
+    }
+    return taken;
+  }
+
   #tellLoad(): void {
     const { clock, log, fence, fleet, jobs, open, jobLog } = this.#context;
-    const { workerSpeeds, forecasts } = this.#context;
+    const { workerSpeeds } = this.#context;
     const workers = [...fleet.workers.values()];
     const writes = jobLog.takeWork();
     const usable = workers.filter((one) => takesWork(one, clock.monotonic()));
@@ -129,7 +142,7 @@
       storeStuckMs: Math.round(jobLog.stuckMs()),
       unevenServices: workerSpeeds.uneven,
       speedSpread: workerSpeeds.spread.toFixed(2),
-      withinForecast: forecasts.take() || undefined,
+      withinForecast: coverageText(this.#takeForecasts()),
     });
     this.#lateMs = 0;
   }
--- a/src/cell/learning.ts
+++ b/src/cell/learning.ts
@@ -68,6 +68,7 @@
     // The rest of its time would not change what it tells of its worker.
     if (tookMs < typicalMs * workerSpeeds.boundOf(worker)) return;
     this.#tellSpeed(run, { worker, tookMs, nowMs });
+    this.#told.add(run);
   }
 
   /** Compares a run with what was expected of it. */
@@ -77,8 +78,6 @@
     const p50Ms = runTimes.expectedMs(step, 0.5) * timeFactor;
     const p90Ms = runTimes.expectedMs(step, 0.9) * timeFactor;
     forecasts.note(queue, { p50Ms, p90Ms, tookMs });
-    const within = tookMs <= p50Ms ? "p50" : tookMs <= p90Ms ? "p90" : "none";
-    metrics.count("run_forecasts", { queue, within });
     metrics.observe("run_time_over_forecast", tookMs / p50Ms, { queue });
   }
 
@@ -93,8 +92,8 @@
     const { runTimes, workerSpeeds } = this.#context;
     const typicalMs = runTimes.typicalMs(run.step);
     if (typicalMs === undefined || this.#told.has(run)) return;
-    this.#told.add(run);
-    workerSpeeds.learn(worker, { tookMs, typicalMs, nowMs });
+    const job = run.step.job.id;
+    workerSpeeds.learn(worker, { tookMs, typicalMs, job, nowMs });
   }
 
   /** The worker that a run's time depends on: its own, or the slowest of its gang. */
--- a/src/cell/learning_test.ts
+++ b/src/cell/learning_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { PlayedRuns } from "./_played_runs_test.ts";
 import { openWorker, stepOf } from "./decisions/_fixtures_test.ts";
+import { coverageText } from "./decisions/forecasts.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
 import { newRun } from "./run.ts";
 
@@ -117,7 +118,7 @@
   played.forecasts.take();
   played.clock.advance(30_000);
   const [, p50, p90] = /receipts:([\d.]+)\/([\d.]+)/
-    .exec(played.forecasts.take())!.map(Number);
+    .exec(coverageText(played.forecasts.take())!)!.map(Number);
   t.true(Math.abs(p50! - 0.5) < 0.05, String(p50));
   t.true(Math.abs(p90! - 0.9) < 0.04, String(p90));
 });
@@ -128,6 +129,7 @@
   played.workerSpeeds.learn(other, {
     tookMs: 3_000,
     typicalMs: 600,
+    job: "other",
     nowMs: played.clock.monotonic(),
   });
   t.is(other.timeFactor, 1);
