--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -109,6 +109,8 @@
   evacuations: ZoneEvacuations | undefined;
   /** Readings of the evacuations. */
   evacuationsRead = 0;
+  /** Metrics of the last holder. */
+  metrics = new Metrics();
 
   /** Lists a worker and starts its process. */
   addWorker(id: string, change: Partial<WorkerEntry> = {}): FakeWorker {
@@ -146,6 +148,7 @@
     });
     this.evacuations = evacuations;
     const metrics = new Metrics();
+    this.metrics = metrics;
     const cell = new Cell({
       name: "cell",
       fence,
--- a/src/cell/endings.ts
+++ b/src/cell/endings.ts
@@ -5,9 +5,9 @@
  */
 import { type CellContext, queueOf } from "./context.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
+import type { Learning } from "./learning.ts";
 import { isOver, type Job, type StepRun, type Task } from "./job.ts";
 import { SpeedThirds } from "./decisions/speed_thirds.ts";
-import { timeFactorOf } from "./decisions/worker_choice.ts";
 import type { EndingKind, ReportedEnd } from "./ports.ts";
 import type { Runs } from "./runs.ts";
 
@@ -25,11 +25,13 @@
   readonly #context: CellContext;
   readonly #runs: Runs;
   readonly #thirds: SpeedThirds;
+  readonly #learning: Learning;
 
-  constructor(context: CellContext, runs: Runs) {
+  constructor(context: CellContext, runs: Runs, learning: Learning) {
     this.#context = context;
     this.#thirds = new SpeedThirds(context.fleet);
     this.#runs = runs;
+    this.#learning = learning;
   }
 
   /** Ends a run that its worker lists as ended; gives the job whose record has changed. */
@@ -117,16 +119,14 @@
   }
 
   #learn(run: Run, kind: EndingKind): void {
-    const { clock, runTimes, metrics } = this.#context;
+    const { clock, metrics } = this.#context;
     const { worker, step } = run;
     metrics.count("runs_ended", { how: kind });
-    if (kind === "done" && run.task.checkpoint === "") {
-      const tookMs = clock.monotonic() - run.placedMs;
-      runTimes.learn(step.job.queue, tookMs / timeFactorOf(worker));
-      if (queueOf(this.#context, step.job).priority === 0) {
-        const third = this.#thirds.of(worker, clock.monotonic());
-        metrics.observe("urgent_run_ms", tookMs, { third });
-      }
+    this.#learning.ended(run, kind);
+    if (kind === "done" && queueOf(this.#context, step.job).priority === 0) {
+      const nowMs = clock.monotonic();
+      const third = this.#thirds.of(worker, nowMs);
+      metrics.observe("urgent_run_ms", nowMs - run.placedMs, { third });
     }
     if (kind !== "done" && kind !== "failed") return;
     const failed = kind === "failed" ? 1 : 0;
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -9,6 +9,7 @@
 import { Endings } from "./endings.ts";
 import { FirstReports } from "./first_reports.ts";
 import type { FleetWorker } from "./fleet.ts";
+import { Learning } from "./learning.ts";
 import { findTask, isOver, type Job } from "./job.ts";
 import type { LookFailure, ReportedRun, WorkerReport } from "./ports.ts";
 import { tookOf } from "./run.ts";
@@ -17,6 +18,8 @@
 
 /** Delay before a worker that did not answer is asked again, milliseconds. */
 const LOOK_AGAIN_MS = 250;
+/** Ends are dated to this, milliseconds: a tenth of a short run. */
+const TIMELY_MS = 50;
 /** Refused connections in a row after which the process is taken as dead. */
 const REFUSALS_OF_THE_DEAD = 2;
 /** A worker that is unlisted, unreachable and empty for so long is dropped, milliseconds. */
@@ -28,6 +31,7 @@
 export class Follower {
   readonly #context: CellContext;
   readonly #runs: Runs;
+  readonly #learning: Learning;
   readonly #endings: Endings;
   readonly #looks: WorkerLooks;
   readonly #followed = new Set<string>();
@@ -37,7 +41,8 @@
   constructor(context: CellContext, runs: Runs) {
     this.#context = context;
     this.#runs = runs;
-    this.#endings = new Endings(context, runs);
+    this.#learning = new Learning(context);
+    this.#endings = new Endings(context, runs, this.#learning);
     this.#looks = new WorkerLooks(context, runs);
     this.#firstReports = new FirstReports(
       context.clock,
@@ -124,11 +129,19 @@
     worker.clockOffsetMs = report.clockMs - clock.monotonic();
     const before = worker.reportedMs === 0 ? "unknown" : "silent";
     worker.reportedMs = sentMs;
+    const timely = this.#isTimely(worker, sentMs);
+    worker.heardMs = clock.monotonic();
     if (!worker.reachable) this.#regained(worker, before);
-    this.#take(worker, { report, sentMs });
+    this.#take(worker, { report, sentMs, timely });
     return "report";
   }
 
+  /** Whether ends in a report that has just come are from this moment: it waited for them, or the one before has just been read. */
+  #isTimely(worker: FleetWorker, sentMs: number): boolean {
+    const nowMs = this.#context.clock.monotonic();
+    return nowMs - sentMs > TIMELY_MS || sentMs - worker.heardMs < TIMELY_MS;
+  }
+
   #failed(worker: FleetWorker, failure: LookFailure): Look {
     const { log, deposed, metrics, clock, fence } = this.#context;
     metrics.count("look_failures", { type: failure.type });
@@ -174,6 +187,7 @@
         bornMs: report.bornMs,
         before: worker.bornMs,
       });
+      this.#context.workerSpeeds.reborn(worker);
     }
     worker.bornMs = report.bornMs;
     worker.acknowledged = 0;
@@ -182,9 +196,10 @@
 
   #take(
     worker: FleetWorker,
-    { report, sentMs }: {
+    { report, sentMs, timely }: {
       readonly report: WorkerReport;
       readonly sentMs: number;
+      readonly timely: boolean;
     },
   ): void {
     const changed = new Set<Job>();
@@ -196,6 +211,8 @@
       const found = findTask(this.#context.jobs, ended.task);
       const current = worker.runs.get(ended.task);
       const tookMs = tookOf(current, ended.run, nowMs);
+      // It ended at some time since the report before: its run time is not known.
+      if (!timely && current !== undefined) current.startedMs = undefined;
       const job = found && this.#endings.end(worker, ended, found);
       // Another member may have ended a gang: this end waits for that to be held.
       if (found !== undefined) changed.add(found.step.job);
@@ -248,6 +265,7 @@
       run.percent = reported.percent;
       run.progressMs = this.#context.clock.monotonic();
     }
+    this.#learning.running(run);
     if (isOver(run.step.job)) this.#runs.stop(run);
   }
 
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -225,7 +225,14 @@
       checkpoint: task.checkpoint,
       ...(ticket === undefined ? {} : { ticket }),
     };
+    // An end may be reported before the answer.
+    run.startedMs = sentMs;
     const first = await orders.start(address, order);
+    // The order takes as long to the worker as the answer back; a busy process reads answers late.
+    run.startedMs = first.type === "started"
+      ? (sentMs + clock.monotonic()) / 2
+      // It may be carried out at any later time: its run time will not be known.
+      : undefined;
     const answer = first.type === "unknown"
       ? await repeatOrder(this.#context, {
         run,
--- a/src/cell/worker_list.ts
+++ b/src/cell/worker_list.ts
@@ -121,8 +121,9 @@
   }
 
   #takeEntry(entry: WorkerEntry): void {
-    const { fleet, log, evacuations } = this.#context;
+    const { fleet, log, evacuations, workerSpeeds } = this.#context;
     const worker = fleet.open(entry.id);
+    const isNew = !worker.listed;
     const changed = !worker.listed ||
       worker.entry?.draining !== entry.draining;
     // The first list is told as a whole by the line of the takeover.
@@ -136,6 +137,7 @@
     worker.entry = entry;
     worker.evacuated = evacuations.has(entry.zone);
     worker.listed = true;
+    if (isNew) workerSpeeds.meet(worker);
     this.#follow(entry.id);
   }
 
