Treat cold workers as slow

Workers of a zone that is taken back may be cold, and their entry says for how long. They count as taking half as long again until then, whatever was learned of them, and what they take teaches nothing about the time after. The new test of worker_choice failed before: urgent work went to the cold worker. 26 tests of the choice and of learning passed.

--- a/src/cell/decisions/worker_choice.ts
+++ b/src/cell/decisions/worker_choice.ts
@@ -43,6 +43,8 @@
 const AROUND_RUN_MS = 60;
 /** Factors this close to 1 are not told from it: what is learned of workers that are even spreads as much. */
 const EVEN_WITHIN = 0.05;
+/** Least time factor of a cold worker: it does not say how slow it is, and the objective of urgent work allows half as long again. */
+const COLD_FACTOR = 1.5;
 /** Workers whose factors differ by less than about this ratio count as alike, so that small differences do not override room. */
 const BAND_RATIO = 1.25;
 const LOG_BAND = Math.log(BAND_RATIO);
@@ -54,10 +56,17 @@
 const FAILING_SHARE = 0.1;
 
 /** A worker's time factor; 1 for one that is as good as average. */
-export function timeFactorOf({ timeFactor }: FleetWorker): number {
+export function timeFactorOf(worker: FleetWorker): number {
+  const { timeFactor } = worker;
+  if (isCold(worker)) return Math.max(timeFactor, COLD_FACTOR);
   return Math.abs(timeFactor - 1) <= EVEN_WITHIN ? 1 : timeFactor;
 }
 
+/** Whether a worker says that it is still slow after its start. */
+export function isCold({ entry }: FleetWorker): boolean {
+  return (entry?.coldLeftMs ?? 0) > 0;
+}
+
 /** Whether lately so many runs failed on a worker that its speed does not count. */
 function isFailing({ failureShare }: FleetWorker): boolean {
   return failureShare >= FAILING_SHARE;
--- a/src/cell/decisions/worker_choice_test.ts
+++ b/src/cell/decisions/worker_choice_test.ts
@@ -248,3 +248,17 @@
   t.is(places.length, waitingTasks(gang).length);
   t.deepEqual(distinct(places.map(({ worker }) => worker.id)), ["w1", "w2"]);
 });
+
+test("urgent work leaves cold workers of a restored zone to work with time to spare", (t) => {
+  const fleet = fleetOf([AVERAGE, AVERAGE]);
+  const cold = fleet.workers.get("w0")!;
+  cold.entry = { ...cold.entry!, coldLeftMs: 4_000 };
+  const step = stepOf({});
+  t.deepEqual(placed(step, fleet, { leftMs: 700, queue: URGENT }), ["w1"]);
+  t.deepEqual(
+    placed(step, fleet, { leftMs: 5_000, queue: DEFERRABLE }),
+    ["w0"],
+  );
+  cold.entry = { ...cold.entry, coldLeftMs: 0 };
+  t.deepEqual(ids(withRoom(step, within(700, fleet))), formerOrder(fleet));
+});
--- a/src/cell/learning.ts
+++ b/src/cell/learning.ts
@@ -5,6 +5,7 @@
  */
 import type { CellContext } from "./context.ts";
 import type { RunOutcome } from "./decisions/run_times.ts";
+import { isCold } from "./decisions/worker_choice.ts";
 import type { FleetWorker, Run } from "./fleet.ts";
 import type { StepRun } from "./job.ts";
 import type { EndingKind } from "./ports.ts";
@@ -91,7 +92,10 @@
   ): void {
     const { runTimes, workerSpeeds } = this.#context;
     const typicalMs = runTimes.typicalMs(run.step);
-    if (typicalMs === undefined || this.#told.has(run)) return;
+    // What a cold worker takes says nothing about the time after.
+    if (typicalMs === undefined || this.#told.has(run) || isCold(worker)) {
+      return;
+    }
     const job = run.step.job.id;
     workerSpeeds.learn(worker, { tookMs, typicalMs, job, nowMs });
   }
