Trust speeds of an old summary less from the start on

The fading of a level acted at its worker's next run, so that a summary of ten minutes ago gave its factors in full until then; it now acts as the summary is read. The bound of a run on a worker of a service without runs was taken from the root of the noise.

--- a/src/cell/decisions/level_track.ts
+++ b/src/cell/decisions/level_track.ts
@@ -99,10 +99,10 @@
     this.#variance /= part;
   }
 
-  /** Takes a level that was known before. */
-  restore(level: number, runs: number): void {
+  /** Takes a level that was known `ageMs` before the track's time. */
+  restore(level: number, runs: number, ageMs: number): void {
     this.#level = level;
-    this.#variance = runs > 0 ? 1 / runs : Infinity;
+    this.#variance = runs > 0 ? 2 ** (ageMs / FADE_MS) / runs : Infinity;
   }
 
   #fade(nowMs: number): void {
--- a/src/cell/decisions/worker_speeds.ts
+++ b/src/cell/decisions/worker_speeds.ts
@@ -118,7 +118,7 @@
     const service = this.#services.get(serviceName(worker));
     const level = service?.speeds.get(worker.id)?.track.level ?? 0;
     return Math.exp(
-      level + LevelTrack.boundOf(Math.sqrt(service?.noise ?? FIRST_NOISE)),
+      level + LevelTrack.boundOf(Math.sqrt(service?.noise ?? FIRST_NOISE ** 2)),
     );
   }
 
@@ -180,25 +180,23 @@
     });
   }
 
-  /** Takes what was learned until `atMs`, monotonic milliseconds; {@linkcode meet} gives it to the workers. */
-  restore(sketches: readonly SpeedsSketch[], atMs: number): void {
+  /** Takes what was learned until `ageMs` ago; {@linkcode meet} gives it to the workers. */
+  restore(
+    sketches: readonly SpeedsSketch[],
+    { ageMs, nowMs }: { readonly ageMs: number; readonly nowMs: number },
+  ): void {
     for (const { service: name, noise, uneven, workers } of sketches) {
       const service = this.#serviceNamed(name);
       service.noise = Math.max(LEAST_NOISE ** 2, noise);
       for (const [id, level, runs] of workers) {
         if (this.#size >= MAX_WORKERS) break;
-        const track = new LevelTrack(atMs);
-        track.restore(level, runs);
+        const track = new LevelTrack(nowMs);
+        track.restore(level, runs, ageMs);
         if (!service.speeds.has(id)) this.#size++;
-        service.speeds.set(id, {
-          id,
-          worker: undefined,
-          track,
-          jobs: [],
-          outlier: !uneven,
-        });
+        const state = { worker: undefined, jobs: [], outlier: !uneven };
+        service.speeds.set(id, { id, track, ...state });
       }
-      this.#assess(service, atMs);
+      this.#assess(service, nowMs);
     }
   }
 
@@ -223,13 +221,9 @@
       known.worker = worker;
       return known;
     }
-    const speed: WorkerSpeed = {
-      id: worker.id,
-      worker,
-      track: new LevelTrack(0),
-      jobs: [],
-      outlier: false,
-    };
+    const track = new LevelTrack(0);
+    const state = { worker, track, jobs: [], outlier: false };
+    const speed: WorkerSpeed = { id: worker.id, ...state };
     service.speeds.set(worker.id, speed);
     this.#size++;
     if (this.#size > MAX_WORKERS) this.#forgetOldest(service);
--- a/src/cell/learned_state.ts
+++ b/src/cell/learned_state.ts
@@ -166,7 +166,8 @@
     const ageMs = Math.max(0, clock.now().getTime() - learned.atMs);
     if (ageMs > OLDEST_MS) return this.#tellRead("old", ageMs);
     runTimes.restore(learned.runTimes);
-    workerSpeeds.restore(learned.speeds, clock.monotonic() - ageMs);
+    const nowMs = clock.monotonic();
+    workerSpeeds.restore(learned.speeds, { ageMs, nowMs });
     this.#tellRead("taken", ageMs);
   }
 
--- a/src/cell/learned_state_test.ts
+++ b/src/cell/learned_state_test.ts
@@ -77,6 +77,21 @@
   );
 });
 
+test("speeds of a summary that is minutes old are trusted less", async (t) => {
+  const store = new FakeStore();
+  const before = learnedRuns(60);
+  const { state } = await holderOf(before, store);
+  await state.write();
+  const after = new PlayedRuns({ workers: 60 });
+  after.clock.advance(before.clock.monotonic() + 600_000);
+  const next = await holderOf(after, store);
+  (await next.state.restore())._unsafeUnwrap();
+  const [worker] = after.workers;
+  after.workerSpeeds.meet(worker!);
+  const known = before.workers[0]!.timeFactor;
+  t.true(worker!.timeFactor < 0.9 * known, String(worker!.timeFactor));
+});
+
 for (
   const { name, value } of [
     { name: "missing", value: undefined },
