Test the summary at a hand-over before the first one by time

The test took 5.6 s of virtual time, in which the summary that is written every 5 s hid a hand-over without one. It fails now without the hand-over's write and passes with it.

--- a/src/cell/learned_state_test.ts
+++ b/src/cell/learned_state_test.ts
@@ -222,10 +222,12 @@
   for (let run = 0; run < 8; run++) {
     const id = `00000000000000b${run}`;
     await world.submit(first, [testStep()], id);
-    await world.clock.run(400);
-    worker.end(`${id}.0.0.0`, "done");
     await world.clock.run(200);
+    worker.end(`${id}.0.0.0`, "done");
+    await world.clock.run(100);
   }
+  // Sooner than the first summary by time.
+  t.false(world.store.entries.has(learnedKey("cell")));
   const settled = first.settle(300);
   await world.clock.run(300);
   await settled;
