Leave headroom for urgent work within a team's upper limit

Change: `limit_headroom.ts` keeps the peak of each team's urgent use over 5 s. A deferrable step leaves the part of it that is not in use free below the limit, at most half of the limit. A task or gang that fits into the limit starts while its team uses under half of it. A gang that is too large for the limit less the headroom starts when no urgent work of the team waits at the limit, and after 3 s in any case. Teams without a limit or without urgent work are not affected. Steps that wait for this have the reason `limitHeadroom`.

--- a/bench/model/drawn_jobs.ts
+++ b/bench/model/drawn_jobs.ts
@@ -80,9 +80,18 @@
     const draw = (atMs: number, team: number) => {
       // The first digit tells the advice service of the kind.
       const id = `${index}${(number++).toString(16).padStart(15, "0")}`;
-      jobs.push(drawJob(kind, { atMs, id, team: teamName(team) }, random));
+      const limitMillis = load.teams?.[team]?.team.limit.cpuMillis || Infinity;
+      const name = teamName(team);
+      jobs.push(drawJob(kind, { atMs, id, team: name, limitMillis }, random));
     };
-    for (let atMs = 0; atMs < load.lengthMs;) {
+    const planned = load.teams ?? [];
+    for (let atMs = 0; planned.length > 0 && atMs < load.lengthMs;) {
+      const parts = planned.map(({ share, times }) => share * times(atMs));
+      const all = parts.reduce((sum, part) => sum + part, 0);
+      atMs += random.exponential(1 / (usual * all * load.factor(kind, atMs)));
+      draw(atMs, random.weighted(parts));
+    }
+    for (let atMs = 0; planned.length === 0 && atMs < load.lengthMs;) {
       const rate = usual * load.factor(kind, atMs);
       atMs += random.exponential(1 / rate);
       const largest = random.unit() < LARGEST_SHARE;
@@ -100,24 +109,28 @@
 
 function drawJob(
   kind: Kind,
-  { atMs, id, team }: {
+  { atMs, id, team, limitMillis }: {
     readonly atMs: number;
     readonly id: string;
     readonly team: string;
+    /** Upper limit of the team: no step is larger. */
+    readonly limitMillis: number;
   },
   random: Random,
 ): DrawnJob {
   const count = 1 + Number(random.unit() < kind.steps - 1);
   const gang = random.unit() < kind.gangShare;
   const times = Math.min(MOST_TIMES, spread(random, SIZE_SPREAD));
+  const cpuMillis = Math.round(kind.cpuMillis * times);
   const steps = Array.from({ length: count }, (_, index): StepSpec => ({
     ...meanStep(kind),
     tasks: Math.min(
       MOST_TASKS,
+      Math.floor(limitMillis / cpuMillis),
       Math.max(1, Math.round(kind.tasks * spread(random, WIDTH_SPREAD))),
     ),
     amounts: {
-      cpuMillis: Math.round(kind.cpuMillis * times),
+      cpuMillis,
       memoryMib: Math.round(kind.memoryMib * times),
       accelerators: 0,
     },
@@ -165,6 +178,9 @@
   readonly #clock: Clock;
   readonly #jobs: ReadonlyMap<string, DrawnJob>;
   readonly #sums = new Map<string, Sum>();
+  readonly #teams = new Map<string, Sum>();
+  /** Time that steps waited, by queue and reason, milliseconds. */
+  readonly waitedMs = new Map<string, number>();
   readonly #ended = new Set<string>();
   readonly #others: Sum = { earned: 0, owed: 0 };
   #unanswered = 0;
@@ -186,6 +202,8 @@
         return this.#end(String(fields.job));
       case "run.start":
         return this.#start(fields);
+      case "step.waited":
+        return this.#wait(fields);
       case "cell.load":
         this.leastUsable = Math.min(this.leastUsable, Number(fields.usable));
     }
@@ -222,6 +240,24 @@
     return this.#others.earned / this.#others.owed;
   }
 
+  /** Mean over the worst tenth of the teams of the credit that each earned of what is owed to it. */
+  get shareOfWorstTenth(): number {
+    const shares = [...this.#teams.values()]
+      .map(({ earned, owed }) => earned / owed)
+      .sort((a, b) => a - b);
+    const worst = shares.slice(0, Math.ceil(shares.length / 10));
+    return worst.reduce((sum, share) => sum + share, 0) / worst.length;
+  }
+
+  #wait(fields: Fields): void {
+    const queue = this.#jobs.get(String(fields.job))?.queue;
+    for (const reason of ["teamLimit", "limitHeadroom", "noRoom"]) {
+      const key = `${queue} ${reason}`;
+      const ms = Number(fields[`${reason}Ms`] ?? 0);
+      this.waitedMs.set(key, (this.waitedMs.get(key) ?? 0) + ms);
+    }
+  }
+
   /** Submissions that ended. */
   get ended(): number {
     return this.#ended.size;
@@ -239,17 +275,21 @@
 
   /** What a submission counts for. */
   #sumsOf({ queue, team }: DrawnJob): readonly Sum[] {
-    const ofQueue = this.#sumOf(queue);
-    return team === teamName(0) ? [ofQueue] : [ofQueue, this.#others];
+    const ofBoth = [this.#sumOf(queue), sumIn(this.#teams, team)];
+    return team === teamName(0) ? ofBoth : [...ofBoth, this.#others];
   }
 
   #sumOf(queue: string): Sum {
-    const known = this.#sums.get(queue) ?? { earned: 0, owed: 0 };
-    this.#sums.set(queue, known);
-    return known;
+    return sumIn(this.#sums, queue);
   }
 }
 
+function sumIn(sums: Map<string, Sum>, key: string): Sum {
+  const known = sums.get(key) ?? { earned: 0, owed: 0 };
+  sums.set(key, known);
+  return known;
+}
+
 function partOf(tookMs: number, { objectiveMs }: DrawnJob): number {
   if (tookMs <= objectiveMs) return 1;
   return tookMs <= WORTHLESS_AFTER * objectiveMs ? LATE_PART : 0;
--- a/bench/model/loads.ts
+++ b/bench/model/loads.ts
@@ -4,8 +4,18 @@
  * @module
  */
 
+import type { Team } from "../../src/cell/types.ts";
 import type { Kind } from "./sheets.ts";
 
+/** A team and what it sends. */
+export interface TeamPlan {
+  readonly team: Team;
+  /** Usual part of all submissions. */
+  readonly share: number;
+  /** Times its usual part at a time. */
+  times(atMs: number): number;
+}
+
 /** One load pattern. */
 export interface Load {
   readonly name: string;
@@ -30,11 +40,13 @@
   };
   /** When the holder dies, milliseconds. */
   readonly killedMs?: number;
+  /** The teams, where they are not those of `drawn_jobs.ts`. */
+  readonly teams?: readonly TeamPlan[];
 }
 
 const LENGTH_MS = 20_000;
 /** When a burst comes, milliseconds. */
-const BURST_MS = 6_000;
+export const BURST_FROM_MS = 6_000;
 const BURST_FOR_MS = 4_000;
 
 /** All patterns. */
@@ -56,19 +68,19 @@
     name: "hot_team",
     lengthMs: LENGTH_MS,
     factor: () => 1,
-    hot: { fromMs: BURST_MS, toMs: BURST_MS + 8_000, times: 4.9 },
+    hot: { fromMs: BURST_FROM_MS, toMs: BURST_FROM_MS + 8_000, times: 4.9 },
   },
   {
     name: "store_away",
     lengthMs: LENGTH_MS,
     factor: () => 1,
-    storeAwayMs: [BURST_MS, BURST_MS + 4_200],
+    storeAwayMs: [BURST_FROM_MS, BURST_FROM_MS + 4_200],
   },
   {
     name: "all_killed",
     lengthMs: LENGTH_MS,
     factor: () => 1,
-    killedMs: BURST_MS,
+    killedMs: BURST_FROM_MS,
   },
 ];
 
@@ -77,7 +89,7 @@
   name: "hot_burst",
   lengthMs: LENGTH_MS,
   factor: (kind, atMs) => isUrgent(kind) && inBurst(atMs) ? 2.2 : 1,
-  hot: { fromMs: BURST_MS, toMs: BURST_MS + BURST_FOR_MS, times: 15 },
+  hot: { fromMs: BURST_FROM_MS, toMs: BURST_FROM_MS + BURST_FOR_MS, times: 15 },
 };
 
 /** Two workers are dark, and one answer in twenty is lost. */
@@ -85,7 +97,7 @@
   name: "lost_answers",
   lengthMs: LENGTH_MS,
   factor: () => 1,
-  lostAnswers: { fromMs: BURST_MS, toMs: 16_000, share: 0.055, dark: 2 },
+  lostAnswers: { fromMs: BURST_FROM_MS, toMs: 16_000, share: 0.055, dark: 2 },
 };
 
 function isUrgent({ priority }: Kind): boolean {
@@ -93,5 +105,5 @@
 }
 
 function inBurst(atMs: number): boolean {
-  return atMs >= BURST_MS && atMs < BURST_MS + BURST_FOR_MS;
+  return atMs >= BURST_FROM_MS && atMs < BURST_FROM_MS + BURST_FOR_MS;
 }
--- a/bench/replay.ts
+++ b/bench/replay.ts
@@ -8,7 +8,7 @@
 import process from "node:process";
 import type { Cell } from "../src/cell/cell.ts";
 import type { StartOrder } from "../src/cell/ports.ts";
-import { NO_AMOUNTS } from "../src/cell/types.ts";
+import { NO_AMOUNTS, type Team } from "../src/cell/types.ts";
 import { ManualClock } from "../src/clock.ts";
 import { Metrics } from "../src/metrics.ts";
 import { cellOver, slowAdvice } from "./model/cell_world.ts";
@@ -23,6 +23,7 @@
 import { LARGE, PICOS, queuesOf, type Sheet } from "./model/sheets.ts";
 import { HOT_BURST, type Load, LOADS, LOST_ANSWERS } from "./model/loads.ts";
 import { ModelStore } from "./model/model_store.ts";
+import { CROWDED, TEAM_LOADS } from "./model/team_loads.ts";
 import {
   type ModelTasks,
   ModelWorkers,
@@ -46,6 +47,7 @@
   ...LOADS.map((load) => ({ sheet: PICOS, load })),
   { sheet: PICOS, load: HOT_BURST },
   { sheet: PICOS, load: LOST_ANSWERS },
+  ...TEAM_LOADS.map((load) => ({ sheet: CROWDED, load })),
 ];
 
 /** A load pattern on a deployment. */
@@ -73,6 +75,7 @@
     }
     results.line(`${label}_all`, credit.share);
     results.line(`${label}_other_teams`, credit.shareOfOthers);
+    if (load.teams !== undefined) tellTeams(results, label, credit);
     const cpuMs = (cpu.user + cpu.system) / 1e3;
     const seconds = world.clock.monotonic() / 1e3;
     results.line(`${label}_cpu_ms_per_s`, cpuMs / seconds);
@@ -80,6 +83,14 @@
   }
 }
 
+function tellTeams(results: Results, label: string, credit: CreditLog): void {
+  results.line(`${label}_worst_tenth`, credit.shareOfWorstTenth);
+  for (const [key, waitedMs] of credit.waitedMs) {
+    const name = key.replace(" ", "_");
+    results.line(`${label}_${name}_s`, waitedMs / 1_000);
+  }
+}
+
 /** Plays one load pattern; gives what its callers got. */
 export async function replay(
   { sheet, load }: Replay,
@@ -87,7 +98,10 @@
 ): Promise<{ readonly credit: CreditLog; readonly world: ReplayWorld }> {
   const { workers } = sheet;
   const jobs = drawJobs(sheet, { load, workers }, new Random(seed));
-  const world = new ReplayWorld(sheet, jobs, new Random(seed));
+  const world = new ReplayWorld(sheet, jobs, {
+    random: new Random(seed),
+    teams: load.teams?.map(({ team }) => team) ?? teamsOf(sheet),
+  });
   await world.open();
   let at = 0;
   const endMs = load.lengthMs + TAIL_MS;
@@ -113,13 +127,22 @@
   readonly workers: ModelWorkers;
   readonly credit: CreditLog;
   readonly #sheet: Sheet;
+  readonly #teams: readonly Team[];
   #cell: Cell | undefined;
   #fence = 0;
   /** Submissions that came while nobody held the cell. */
   #unserved: DrawnJob[] = [];
 
-  constructor(sheet: Sheet, jobs: readonly DrawnJob[], random: Random) {
+  constructor(
+    sheet: Sheet,
+    jobs: readonly DrawnJob[],
+    { random, teams }: {
+      readonly random: Random;
+      readonly teams: readonly Team[];
+    },
+  ) {
     this.#sheet = sheet;
+    this.#teams = teams;
     const { capacity } = sheet;
     const tasks = tasksOf(jobs);
     this.workers = new ModelWorkers(this.clock, tasks, { capacity, random });
@@ -145,12 +168,7 @@
       set: {
         version: 1,
         queues: queuesOf(sheet, QUEUES),
-        teams: Array.from({ length: TEAMS }, (_, index) => ({
-          name: teamName(index),
-          keys: [],
-          weight: weightOf(index, { sheet, workers }),
-          limit: NO_AMOUNTS,
-        })),
+        teams: this.#teams,
         maxBodyBytes: 10_000,
       },
       fence: ++this.#fence,
@@ -196,6 +214,16 @@
   }
 }
 
+function teamsOf(sheet: Sheet): readonly Team[] {
+  const { workers } = sheet;
+  return Array.from({ length: TEAMS }, (_, index) => ({
+    name: teamName(index),
+    keys: [],
+    weight: weightOf(index, { sheet, workers }),
+    limit: NO_AMOUNTS,
+  }));
+}
+
 function isWithin(
   span: readonly [number, number] | undefined,
   nowMs: number,
--- a/src/account/job_notes.ts
+++ b/src/account/job_notes.ts
@@ -47,6 +47,7 @@
   ["noAdviceMs", "advice"],
   ["noRoomMs", "noRoom"],
   ["teamLimitMs", "teamLimit"],
+  ["limitHeadroomMs", "teamLimit"],
   ["gangIncompleteMs", "gangIncomplete"],
 ];
 
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -16,7 +16,13 @@
   weighsOn,
 } from "../fleet.ts";
 import type { StepRun, Task } from "../job.ts";
-import type { Queue, Team } from "../types.ts";
+import {
+  type Amounts,
+  NO_AMOUNTS,
+  plus,
+  type Queue,
+  type Team,
+} from "../types.ts";
 import {
   byRack,
   hasRoom,
@@ -38,6 +44,7 @@
 /** Why nothing was placed. */
 export type NoPlace =
   | "teamLimit"
+  | "limitHeadroom"
   | "noRoom"
   | "noAdvice"
   | "gangIncomplete";
@@ -58,6 +65,8 @@
   readonly nowMs: number;
   /** Room held for others. */
   readonly held: Kept;
+  /** What the step leaves free below its team's limit; nothing if it is missing. */
+  readonly limitKept?: Amounts;
 }
 
 /** A ticket is not used in the last part of its life, milliseconds: commit and order take time. */
@@ -70,9 +79,13 @@
   if (!mayHaveTicket(step, context)) return nothing("noAdvice");
   const waiting = waitingTasks(step);
   const used = context.fleet.usedBy(step.job.team);
-  const allowance = teamAllowance(context.team, used, amounts);
+  const kept = context.limitKept ?? NO_AMOUNTS;
+  const allowance = teamAllowance(context.team, plus(used, kept), amounts);
   const needed = gang ? waiting.length : 1;
-  if (allowance < needed) return nothing("teamLimit");
+  if (allowance < needed) {
+    const whole = teamAllowance(context.team, used, amounts);
+    return nothing(whole < needed ? "teamLimit" : "limitHeadroom");
+  }
   const ready = queue.advice === undefined
     ? withRoom(step, context)
     : suited(step, ticketed(step, context), context);
--- a/src/cell/decisions/questions.ts
+++ b/src/cell/decisions/questions.ts
@@ -55,6 +55,7 @@
       return true;
     case "noRoom":
     case "teamLimit":
+    case "limitHeadroom":
       return false;
   }
 }
--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -74,6 +74,8 @@
 export class Fleet {
   readonly workers = new Map<string, FleetWorker>();
   readonly #teams = new Map<string, Amounts>();
+  /** The part of it that urgent work takes. */
+  readonly #urgent = new Map<string, Amounts>();
 
   /** A worker by id, made if it is new. */
   open(id: string): FleetWorker {
@@ -107,8 +109,7 @@
   take(run: Run): void {
     run.worker.runs.set(run.task.id, run);
     change(run, 1);
-    const team = run.step.job.team;
-    this.#teams.set(team, plus(this.usedBy(team), run.amounts));
+    this.#changeTeam(run, 1);
   }
 
   /** Gives the room of a run back; `false` if it held none. */
@@ -116,8 +117,7 @@
     if (run.worker.runs.get(run.task.id) !== run) return false;
     run.worker.runs.delete(run.task.id);
     change(run, -1);
-    const team = run.step.job.team;
-    this.#teams.set(team, plus(this.usedBy(team), run.amounts, -1));
+    this.#changeTeam(run, -1);
     return true;
   }
 
@@ -125,6 +125,18 @@
   usedBy(team: string): Amounts {
     return this.#teams.get(team) ?? NO_AMOUNTS;
   }
+
+  /** The part of {@linkcode usedBy} that is of the first priority. */
+  urgentUsedBy(team: string): Amounts {
+    return this.#urgent.get(team) ?? NO_AMOUNTS;
+  }
+
+  #changeTeam({ step: { job }, amounts }: Run, times: 1 | -1): void {
+    const { team, policy } = job;
+    this.#teams.set(team, plus(this.usedBy(team), amounts, times));
+    if (policy.priority > 0) return;
+    this.#urgent.set(team, plus(this.urgentUsedBy(team), amounts, times));
+  }
 }
 
 /** Room that is left on a worker. */
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -8,6 +8,7 @@
 import type { AdviceDesk } from "./advice_desk.ts";
 import { Asker } from "./asker.ts";
 import { type CellContext, queueOf, teamOf } from "./context.ts";
+import { LimitHeadroom } from "./decisions/limit_headroom.ts";
 import { compareRanks, type Rank, rankOf } from "./decisions/order.ts";
 import { findPlaces, type SearchContext } from "./decisions/placement.ts";
 import { adviceMayHelp } from "./decisions/questions.ts";
@@ -21,6 +22,7 @@
 import { teamAllowance } from "./fleet.ts";
 import { dueMs, type StepRun } from "./job.ts";
 import type { Runs } from "./runs.ts";
+import { type Amounts, NO_AMOUNTS, plus, type Queue } from "./types.ts";
 
 /** Changes gather for so long before a pass, milliseconds. */
 const PASS_DELAY_MS = 10;
@@ -54,6 +56,9 @@
   readonly #runs: Runs;
   readonly #asker: Asker;
   readonly #reservations = new Reservations();
+  readonly #headroom = new LimitHeadroom();
+  /** Teams whose urgent work waited at their limit when the last pass began. */
+  #urgentWaits: ReadonlySet<string> = new Set();
   /** Places in the line of the last pass. */
   #places = new Map<StepRun, number>();
   #timer: Timer | undefined;
@@ -121,6 +126,11 @@
 
   #goOverLine(line: readonly Standing[]): void {
     const { open } = this.#context;
+    this.#urgentWaits = new Set(
+      line.filter(({ rank, step }) =>
+        rank.priority === 0 && step.waits.reason === "teamLimit"
+      ).map(({ step }) => step.job.team),
+    );
     const index = this.#index();
     this.#places = new Map(line.map(({ step }, place) => [step, place]));
     this.#reservations.begin(index.sizes());
@@ -165,6 +175,7 @@
     if (search.places.length > 0) {
       this.#tellWait(step, search.places.length);
       this.#runs.start(step, search.places);
+      this.#noteUrgent(step.job.team, context.queue);
       if (!this.#context.open.has(step)) return;
     }
     step.waits.note(search.reason ?? "noRoom", nowMs);
@@ -199,16 +210,38 @@
   #searchContext(step: StepRun, { index, held }: Room): SearchContext {
     const queue = queueOf(this.#context, step.job);
     const urgent = queue.priority === 0 || step.spec.longRunning;
+    const nowMs = this.#context.clock.monotonic();
     return {
       fleet: this.#context.fleet,
       index,
       queue,
       team: teamOf(this.#context, step.job),
-      nowMs: this.#context.clock.monotonic(),
+      nowMs,
       held: urgent ? NOTHING_KEPT : held,
+      limitKept: urgent ? NO_AMOUNTS : this.#limitKept(step, nowMs),
     };
   }
 
+  #noteUrgent(team: string, { priority }: Queue): void {
+    if (priority > 0) return;
+    const { fleet, clock } = this.#context;
+    this.#headroom.note(team, fleet.urgentUsedBy(team), clock.monotonic());
+  }
+
+  /** What a deferrable step leaves free below its team's limit. */
+  #limitKept(step: StepRun, nowMs: number): Amounts {
+    const { fleet } = this.#context;
+    const { job: { team }, spec, left } = step;
+    return this.#headroom.keptFrom({
+      team: teamOf(this.#context, step.job),
+      used: fleet.usedBy(team),
+      urgent: fleet.urgentUsedBy(team),
+      least: plus(NO_AMOUNTS, spec.amounts, spec.gang ? left : 1),
+      urgentWaits: this.#urgentWaits.has(team),
+      waitedMs: step.waits.waitedMs("limitHeadroom", nowMs),
+    }, nowMs);
+  }
+
   /** What a step may use outside of a pass. */
   #roomOutside(step: StepRun): Room {
     const claims = new Claims();
@@ -228,7 +261,8 @@
     const context = this.#searchContext(step, room);
     const { spec, job } = step;
     const used = this.#context.fleet.usedBy(job.team);
-    const allowance = teamAllowance(context.team, used, spec.amounts);
+    const taken = plus(used, context.limitKept ?? NO_AMOUNTS);
+    const allowance = teamAllowance(context.team, taken, spec.amounts);
     if (allowance < step.left) return false;
     const workers = [...reservableFor(step, context)].sort((a, b) =>
       b.used.cpuMillis - a.used.cpuMillis
--- a/src/cell/step_waits.ts
+++ b/src/cell/step_waits.ts
@@ -15,6 +15,7 @@
   "noAdvice",
   "noRoom",
   "teamLimit",
+  "limitHeadroom",
   "gangIncomplete",
 ];
 
@@ -29,6 +30,12 @@
     return this.#sinceMs === undefined ? undefined : this.#reason;
   }
 
+  /** How long it has waited for a reason, milliseconds. */
+  waitedMs(reason: WaitReason, nowMs: number): number {
+    const open = this.#sinceMs !== undefined && this.#reason === reason;
+    return (this.#sums.get(reason) ?? 0) + (open ? nowMs - this.#sinceMs! : 0);
+  }
+
   /** It may start. `nowMs`: monotonic milliseconds. */
   begin(nowMs: number): void {
     this.#sinceMs ??= nowMs;
