Try the order by fair shares while a service is short of capacity

Cause: the mark for what a team sends beyond its weight is given on arrival. It does not tell what the team uses and stays when a burst is over.

--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -22,6 +22,7 @@
 import { teamAllowance } from "./fleet.ts";
 import { dueMs, type StepRun } from "./job.ts";
 import type { Runs } from "./runs.ts";
+import { TeamShares } from "./team_shares.ts";
 import { type Amounts, NO_AMOUNTS, plus, type Queue } from "./types.ts";
 
 /** Changes gather for so long before a pass, milliseconds. */
@@ -57,6 +58,7 @@
   readonly #asker: Asker;
   readonly #reservations = new Reservations();
   readonly #headroom = new LimitHeadroom();
+  readonly #shares: TeamShares;
   /** Teams whose urgent work waited at their limit when the last pass began. */
   #urgentWaits: ReadonlySet<string> = new Set();
   /** Places in the line of the last pass. */
@@ -73,6 +75,7 @@
   ) {
     this.#context = context;
     this.#runs = runs;
+    this.#shares = new TeamShares(context);
     this.#asker = new Asker(context, desk, (step) => {
       this.#place(step, this.#roomOutside(step));
       this.kick(LANE_DELAY_MS);
@@ -117,21 +120,22 @@
     const { holds, jobLog } = this.#context;
     if (!holds() || jobLog.stuckMs() > STORE_STUCK_MS) return;
     const startedMs = this.#context.clock.monotonic();
-    this.#goOverLine(this.#line());
+    const index = this.#index();
+    this.#shares.begin(index.sizes());
+    this.#goOverLine(this.#line(), index);
     const tookMs = this.#context.clock.monotonic() - startedMs;
     this.#passMs += tookMs;
     this.#lastPassMs = tookMs;
     this.#context.metrics.observe("pass_ms", tookMs);
   }
 
-  #goOverLine(line: readonly Standing[]): void {
+  #goOverLine(line: readonly Standing[], index: RoomIndex): void {
     const { open } = this.#context;
     this.#urgentWaits = new Set(
       line.filter(({ rank, step }) =>
         rank.priority === 0 && step.waits.reason === "teamLimit"
       ).map(({ step }) => step.job.team),
     );
-    const index = this.#index();
     this.#places = new Map(line.map(({ step }, place) => [step, place]));
     this.#reservations.begin(index.sizes());
     const claims = new Claims();
@@ -151,10 +155,14 @@
     return [...open]
       .map((step) => {
         const queue = queueOf(this.#context, step.job);
-        const due = dueMs(step.job, step.occurrence);
         return {
           step,
-          rank: rankOf(step, queue, { runTimes, nowMs, dueMs: due }),
+          rank: rankOf(step, queue, {
+            runTimes,
+            nowMs,
+            dueMs: dueMs(step.job, step.occurrence),
+            aboveShare: this.#shares.isAbove(step),
+          }),
         };
       })
       .sort((a, b) => compareRanks(a.rank, b.rank));
