--- a/src/cell/decisions/order.ts
+++ b/src/cell/decisions/order.ts
@@ -8,7 +8,6 @@
  */
 import type { StepRun } from "../job.ts";
 import type { JobSpec, Queue } from "../types.ts";
-import { outwaits } from "./fair_shares.ts";
 import type { RunTimes } from "./run_times.ts";
 
 /** A job that ends after this many objectives earns nothing any more; source: the platform's rules. */
@@ -29,13 +28,11 @@
 export function rankOf(
   step: StepRun,
   queue: Queue | undefined,
-  { runTimes, nowMs, dueMs, aboveShare }: {
+  { runTimes, nowMs, dueMs }: {
     readonly runTimes: RunTimes;
     readonly nowMs: number;
     /** When the step's occurrence was due, Unix milliseconds. */
     readonly dueMs: number;
-    /** Whether the team uses more than its share; missing where there is capacity to spare. */
-    readonly aboveShare?: boolean | undefined;
   },
 ): Rank {
   const { job, spec } = step;
@@ -46,19 +43,10 @@
   const restMs = (chains.rest[step.index] ?? 1) * taskMs;
   const startByMs = dueMs + objectiveMs - restMs;
   const lastMs = dueMs + WORTHLESS_AFTER * objectiveMs - restMs;
-  const isExcess = aboveShare === undefined
-    ? !job.owed
-    : aboveShare && !outwaits(nowMs - dueMs, objectiveMs);
   return {
-    lateness: latenessOf(step, {
-      priority,
-      isExcess,
-      nowMs,
-      startByMs,
-      lastMs,
-    }),
+    lateness: latenessOf(step, { priority, nowMs, startByMs, lastMs }),
     priority,
-    excess: isExcess ? 1 : 0,
+    excess: job.owed ? 0 : 1,
     startByMs,
   };
 }
@@ -95,15 +83,14 @@
 
 function latenessOf(
   step: StepRun,
-  { priority, isExcess, nowMs, startByMs, lastMs }: {
+  { priority, nowMs, startByMs, lastMs }: {
     readonly priority: number;
-    readonly isExcess: boolean;
     readonly nowMs: number;
     readonly startByMs: number;
     readonly lastMs: number;
   },
 ): number {
-  if (isExcess && priority > 0) return 2;
+  if (!step.job.owed && priority > 0) return 2;
   if (step.spec.longRunning || nowMs <= startByMs) return 0;
   return nowMs <= lastMs ? 1 : 3;
 }
--- a/src/cell/decisions/order_test.ts
+++ b/src/cell/decisions/order_test.ts
@@ -71,13 +71,3 @@
   const options = { runTimes, nowMs: 1_000, dueMs: 0 };
   t.is(rankOf(step, URGENT, options).startByMs, 2 * 1_500 + 250 - 1_500);
 });
-
-test("while capacity is short the share decides, not the mark on arrival, until a step has waited for long", (t) => {
-  const options = { runTimes: new RunTimes(), nowMs: 1_000, dueMs: 0 };
-  const rank = (owed: boolean, aboveShare: boolean | undefined, nowMs = 0) =>
-    rankOf(arrivedAt(0, BATCH, owed), BATCH, { ...options, aboveShare, nowMs });
-  t.true(compareRanks(rank(false, false), rank(true, true)) < 0);
-  t.true(compareRanks(rank(true, undefined), rank(false, undefined)) < 0);
-  t.is(rank(true, true).lateness, 2);
-  t.is(rank(true, true, 2_500).excess, 0);
-});
--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -70,16 +70,12 @@
   timeFactor: number;
 }
 
-const NO_USE: ReadonlyMap<string, number> = new Map();
-
 /** All workers, with the sums of what is taken. */
 export class Fleet {
   readonly workers = new Map<string, FleetWorker>();
   readonly #teams = new Map<string, Amounts>();
   /** The part of it that urgent work takes. */
   readonly #urgent = new Map<string, Amounts>();
-  /** Processors by service and team, thousandths. */
-  readonly #services = new Map<string, Map<string, number>>();
 
   /** A worker by id, made if it is new. */
   open(id: string): FleetWorker {
@@ -135,19 +131,9 @@
     return this.#urgent.get(team) ?? NO_AMOUNTS;
   }
 
-  /** Processors that teams with work in a service use there, thousandths. */
-  usedIn(service: string): ReadonlyMap<string, number> {
-    return this.#services.get(service) ?? NO_USE;
-  }
-
   #changeTeam({ step: { job }, amounts }: Run, times: 1 | -1): void {
     const { team, policy } = job;
     this.#teams.set(team, plus(this.usedBy(team), amounts, times));
-    const teams = this.#services.get(policy.service) ?? new Map();
-    this.#services.set(policy.service, teams);
-    const millis = (teams.get(team) ?? 0) + times * amounts.cpuMillis;
-    if (millis > 0) teams.set(team, millis);
-    else teams.delete(team);
     if (policy.priority > 0) return;
     this.#urgent.set(team, plus(this.urgentUsedBy(team), amounts, times));
   }
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -22,7 +22,6 @@
 import { teamAllowance } from "./fleet.ts";
 import { dueMs, type StepRun } from "./job.ts";
 import type { Runs } from "./runs.ts";
-import { TeamShares } from "./team_shares.ts";
 import { type Amounts, NO_AMOUNTS, plus, type Queue } from "./types.ts";
 
 /** Changes gather for so long before a pass, milliseconds. */
@@ -58,7 +57,6 @@
   readonly #asker: Asker;
   readonly #reservations = new Reservations();
   readonly #headroom = new LimitHeadroom();
-  readonly #shares: TeamShares;
   /** Teams whose urgent work waited at their limit when the last pass began. */
   #urgentWaits: ReadonlySet<string> = new Set();
   /** Places in the line of the last pass. */
@@ -75,7 +73,6 @@
   ) {
     this.#context = context;
     this.#runs = runs;
-    this.#shares = new TeamShares(context);
     this.#asker = new Asker(context, desk, (step) => {
       this.#place(step, this.#roomOutside(step));
       this.kick(LANE_DELAY_MS);
@@ -120,22 +117,21 @@
     const { holds, jobLog } = this.#context;
     if (!holds() || jobLog.stuckMs() > STORE_STUCK_MS) return;
     const startedMs = this.#context.clock.monotonic();
-    const index = this.#index();
-    this.#shares.begin(index.sizes());
-    this.#goOverLine(this.#line(), index);
+    this.#goOverLine(this.#line());
     const tookMs = this.#context.clock.monotonic() - startedMs;
     this.#passMs += tookMs;
     this.#lastPassMs = tookMs;
     this.#context.metrics.observe("pass_ms", tookMs);
   }
 
-  #goOverLine(line: readonly Standing[], index: RoomIndex): void {
+  #goOverLine(line: readonly Standing[]): void {
     const { open } = this.#context;
     this.#urgentWaits = new Set(
       line.filter(({ rank, step }) =>
         rank.priority === 0 && step.waits.reason === "teamLimit"
       ).map(({ step }) => step.job.team),
     );
+    const index = this.#index();
     this.#places = new Map(line.map(({ step }, place) => [step, place]));
     this.#reservations.begin(index.sizes());
     const claims = new Claims();
@@ -155,14 +151,10 @@
     return [...open]
       .map((step) => {
         const queue = queueOf(this.#context, step.job);
+        const due = dueMs(step.job, step.occurrence);
         return {
           step,
-          rank: rankOf(step, queue, {
-            runTimes,
-            nowMs,
-            dueMs: dueMs(step.job, step.occurrence),
-            aboveShare: this.#shares.isAbove(step),
-          }),
+          rank: rankOf(step, queue, { runTimes, nowMs, dueMs: due }),
         };
       })
       .sort((a, b) => compareRanks(a.rank, b.rank));
