--- a/src/cell/decisions/questions.ts
+++ b/src/cell/decisions/questions.ts
@@ -56,6 +56,7 @@
       return true;
     case "noRoom":
     case "teamLimit":
+    case "limitHeadroom":
       return false;
   }
 }
