--- a/bench/model/drawn_jobs.ts
+++ b/bench/model/drawn_jobs.ts
@@ -322,7 +322,7 @@
 }
 
 function sumIn(sums: Map<string, Sum>, key: string): Sum {
-  const known = sums.get(key) ?? { earned: 0, owed: 0 };
+  const known = sums.get(key) ?? noSum();
   sums.set(key, known);
   return known;
 }
