Spend less of the holder's processor on uneven workers and headroom

The time is now reckoned only where speeds differ, bands need no logarithm, and peaks stand until the next note or slot.

--- a/src/cell/decisions/_fixtures_test.ts
+++ b/src/cell/decisions/_fixtures_test.ts
@@ -85,7 +85,7 @@
     nowMs: 0,
     held: NOTHING_KEPT,
     runTimes: new RunTimes(),
-    time: { leftMs: 1_000, worthless: false },
+    timeOf: () => ({ leftMs: 1_000, worthless: false }),
     ...change,
   };
 }
--- a/src/cell/decisions/limit_headroom.ts
+++ b/src/cell/decisions/limit_headroom.ts
@@ -42,9 +42,17 @@
   readonly waitedMs: number;
 }
 
+/** The peak of a team's slots, as of one of them. */
+interface Peak {
+  readonly slot: number;
+  readonly amounts: Amounts;
+}
+
 /** The peaks of the urgent use of teams over the last seconds. */
 export class LimitHeadroom {
   readonly #slots = new Map<string, Slot[]>();
+  /** Peaks until the next slot or note: each look for places of a deferrable step asks. */
+  readonly #peaks = new Map<string, Peak>();
 
   /** Takes note of a team's urgent use. `nowMs`: monotonic milliseconds. */
   note(team: string, urgent: Amounts, nowMs: number): void {
@@ -54,18 +62,25 @@
     if (last?.number === number) last.peak = most(last.peak, urgent);
     else slots.push({ number, peak: urgent });
     this.#slots.set(team, slots);
+    this.#peaks.delete(team);
   }
 
   /** Highest urgent use of a team over the last seconds. */
   peak(team: string, nowMs: number): Amounts {
-    return this.#recent(team, nowMs)
-      .reduce((peak, slot) => most(peak, slot.peak), NO_AMOUNTS);
+    const slot = slotAt(nowMs);
+    const known = this.#peaks.get(team);
+    if (known?.slot === slot) return known.amounts;
+    const amounts = this.#recent(team, nowMs)
+      .reduce((peak, one) => most(peak, one.peak), NO_AMOUNTS);
+    this.#peaks.set(team, { slot, amounts });
+    return amounts;
   }
 
   /** What a deferrable step leaves free below its team's limit, besides what is used. */
   keptFrom(request: LimitRequest, nowMs: number): Amounts {
     const { team, used, urgent, least } = request;
     if (team === undefined) return NO_AMOUNTS;
+    if (this.peak(team.name, nowMs) === NO_AMOUNTS) return NO_AMOUNTS;
     const headroom = atMost(this.peak(team.name, nowMs), team.limit);
     if (!fitsBeside(least, headroom, team.limit) && mayFill(request)) {
       return NO_AMOUNTS;
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -76,7 +76,7 @@
   readonly held: Kept;
   readonly runTimes: ExpectedTimes;
   /** How long the step may take. */
-  readonly time: StepTime;
+  readonly timeOf: () => StepTime;
   /** What the step leaves free below its team's limit; nothing if it is missing. */
   readonly limitKept?: Amounts;
 }
--- a/src/cell/decisions/worker_choice.ts
+++ b/src/cell/decisions/worker_choice.ts
@@ -23,7 +23,8 @@
 export interface ChoiceGoal {
   readonly queue: Queue;
   readonly runTimes: ExpectedTimes;
-  readonly time: StepTime;
+  /** How long the step may take. */
+  readonly timeOf: () => StepTime;
 }
 
 /** The same with the room that a gang needs. */
@@ -47,7 +48,7 @@
 const COLD_FACTOR = 1.5;
 /** Workers whose factors differ by less than about this ratio count as alike, so that small differences do not override room. */
 const BAND_RATIO = 1.25;
-const LOG_BAND = Math.log(BAND_RATIO);
+const HALF_BAND = Math.sqrt(BAND_RATIO);
 /** Tier of workers that are too slow, beyond all bands of the others. */
 const LATE_TIER = 1_000;
 /** The same for workers that fail, beyond all tiers of the others. */
@@ -156,17 +157,20 @@
 
 /** Workers of one band are alike; 0 is average, higher is slower. */
 function bandOf(worker: FleetWorker): number {
-  const timeFactor = timeFactorOf(worker);
-  if (timeFactor === 1) return 0;
-  // Without negative zero.
-  return Math.round(Math.log(timeFactor) / LOG_BAND) || 0;
+  let timeFactor = timeFactorOf(worker);
+  let band = 0;
+  // A look asks for the bands of all workers; a logarithm would take longer than the few steps.
+  for (; timeFactor > HALF_BAND; timeFactor /= BAND_RATIO) band++;
+  for (; timeFactor * HALF_BAND < 1; timeFactor *= BAND_RATIO) band--;
+  return band;
 }
 
 /** Whether a step is expected to be in time on a worker of a time factor. */
 function inTimeOf(
   step: StepRun,
-  { runTimes, time }: ChoiceGoal,
+  { runTimes, timeOf }: ChoiceGoal,
 ): (timeFactor: number) => boolean {
+  const time = timeOf();
   // What earns nothing any more takes no fast worker from others.
   if (time.worthless) return () => true;
   // A step is in time if its last task is; a gang runs as one.
@@ -180,8 +184,8 @@
 interface Level {
   readonly band: number;
   /** Of its slowest worker. */
-  readonly timeFactor: number;
-  readonly places: number;
+  timeFactor: number;
+  places: number;
 }
 
 /** The bands of workers, the fastest first. */
@@ -192,12 +196,10 @@
   const levels = new Map<number, Level>();
   for (const worker of workers) {
     const band = bandOf(worker);
-    const before = levels.get(band);
-    levels.set(band, {
-      band,
-      timeFactor: Math.max(before?.timeFactor ?? 0, timeFactorOf(worker)),
-      places: (before?.places ?? 0) + placesOn(worker),
-    });
+    const level = levels.get(band) ?? { band, timeFactor: 0, places: 0 };
+    level.timeFactor = Math.max(level.timeFactor, timeFactorOf(worker));
+    level.places += placesOn(worker);
+    levels.set(band, level);
   }
   return [...levels.values()].sort((a, b) => a.band - b.band);
 }
--- a/src/cell/decisions/worker_choice_test.ts
+++ b/src/cell/decisions/worker_choice_test.ts
@@ -35,7 +35,7 @@
   { queue = URGENT, worthless = false } = {},
 ) {
   return searchIn(fleet, queue, {
-    time: { leftMs, worthless },
+    timeOf: () => ({ leftMs, worthless }),
     runTimes: { expectedMs: () => 500 },
   });
 }
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -233,11 +233,12 @@
       held: urgent ? NOTHING_KEPT : held,
       limitKept: urgent ? NO_AMOUNTS : this.#limitKept(step, nowMs),
       runTimes,
-      time: timeForStep(step, queue, {
-        runTimes,
-        nowMs: clock.now().getTime(),
-        dueMs: dueMs(step.job, step.occurrence),
-      }),
+      timeOf: () =>
+        timeForStep(step, queue, {
+          runTimes,
+          nowMs: clock.now().getTime(),
+          dueMs: dueMs(step.job, step.occurrence),
+        }),
     };
   }
 
