Order workers by expected time once for a question

A question chose among all workers with room after these had been put into the order of a placement, which it then replaced. Of them only those known to be good are ordered so now.

--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -122,9 +122,31 @@
   step: StepRun,
   context: SearchContext,
 ): readonly FleetWorker[] {
+  return inOrder(step, findRoomy(step, context), context);
+}
+
+/** The same in the order of workers whose speed is even: which of them a question names is chosen after. */
+export function roomyFor(
+  step: StepRun,
+  context: SearchContext,
+): readonly FleetWorker[] {
+  return findRoomy(step, context).map(({ worker }) => worker);
+}
+
+/** Orders some of the workers of {@linkcode roomyFor}, the best first. */
+export function bestOf(
+  step: StepRun,
+  workers: readonly FleetWorker[],
+  context: SearchContext,
+): readonly FleetWorker[] {
+  const found = workers.map((worker) => suitedOf(step, worker));
+  return inOrder(step, found, context);
+}
+
+function findRoomy(step: StepRun, context: SearchContext): readonly Suited[] {
   const { index, queue } = context;
   const { cpuMillis } = weighsOn(step);
-  return suited(step, index.withFree(queue.service, cpuMillis), context);
+  return findSuited(step, index.withFree(queue.service, cpuMillis), context);
 }
 
 /**
@@ -203,29 +225,50 @@
   workers: readonly FleetWorker[],
   context: SearchContext,
 ): readonly FleetWorker[] {
-  const { dataRack } = step.spec;
+  return inOrder(step, findSuited(step, workers, context), context);
+}
+
+function findSuited(
+  step: StepRun,
+  workers: readonly FleetWorker[],
+  context: SearchContext,
+): readonly Suited[] {
   const found: Suited[] = [];
   for (const worker of workers) {
     if (!isEligible(step, worker, context)) continue;
     if (!hasRoom(step, worker, context.held)) continue;
-    found.push({
-      worker,
-      far: dataRack !== "" && !worker.entry?.labels.includes(dataRack),
-      freeMillis: roomOn(worker).cpuMillis,
-    });
+    found.push(suitedOf(step, worker));
   }
-  const tierOf = tiersFor(step, found.map(({ worker }) => worker), {
+  return found.sort(compareSuited);
+}
+
+function suitedOf({ spec }: StepRun, worker: FleetWorker): Suited {
+  const { dataRack } = spec;
+  return {
+    worker,
+    far: dataRack !== "" && !worker.entry?.labels.includes(dataRack),
+    freeMillis: roomOn(worker).cpuMillis,
+  };
+}
+
+/** Brings workers that are in the order of even ones into that of their expected time. */
+function inOrder(
+  step: StepRun,
+  found: readonly Suited[],
+  context: SearchContext,
+): readonly FleetWorker[] {
+  const workers = found.map(({ worker }) => worker);
+  const tierOf = tiersFor(step, workers, {
     ...context,
     needed: waitingTasks(step).length,
     placesOn: (worker) => capacityFor(step, [worker], context.held),
   });
-  found.sort(compareSuited);
-  const ordered = tierOf === undefined ? found : byTier(
+  if (tierOf === undefined) return workers;
+  return byTier(
     found,
     ({ worker, far }) =>
       tierWithFailures(worker, tierOf) + (far ? FAR_TIER : 0),
-  );
-  return ordered.map(({ worker }) => worker);
+  ).map(({ worker }) => worker);
 }
 
 /** Near the data first, then the fullest, which leaves large room in one piece. */
--- a/src/cell/decisions/questions.ts
+++ b/src/cell/decisions/questions.ts
@@ -12,11 +12,12 @@
 import type { AdvicePolicy, Queue } from "../types.ts";
 import { mostAsked } from "./lanes.ts";
 import {
+  bestOf,
   isTicketed,
   type NoPlace,
   preferredFor,
+  roomyFor,
   type SearchContext,
-  withRoom,
 } from "./placement.ts";
 import { capacityFor, isEligible, mostOn, waitingTasks } from "./room.ts";
 
@@ -78,14 +79,17 @@
 ): readonly FleetWorker[] {
   const { verdicts } = step.advice;
   const { held } = context;
-  const open = withRoom(step, context)
+  const open = roomyFor(step, context)
     .filter(({ id }) => verdicts.get(id) !== false);
   const lasting = open.filter((worker) => ticketLasts(step, worker, context));
   const waiting = waitingTasks(step).length - capacityFor(step, lasting, held);
   const askable = open.filter((worker) => !lasting.includes(worker));
   const good = askable.filter(({ id }) => verdicts.get(id) === true);
   const goodRoom = capacityFor(step, good, held);
-  if (goodRoom >= waiting) return enoughOf(step, good, { waiting, context });
+  if (goodRoom >= waiting) {
+    const best = bestOf(step, good, context);
+    return enoughOf(step, best, { waiting, context });
+  }
   const unknown = askable.filter(({ id }) => !verdicts.has(id));
   const unknownRoom = capacityFor(step, unknown, held);
   const hoped = goodRoom + unknownRoom * context.goodShare;
