Look for uneven workers once a pass; keep quantiles between changes

Where speeds are even, each look for room still asked every worker for its factor, and each finished run made its class reckon two quantiles anew. The index of a pass now knows whether a service is uneven, and quantiles stand until a thirty-second of their runs has changed. A team without a limit or without urgent work asks for no headroom. 258 tests of the cell passed.

--- a/src/cell/decisions/limit_headroom.ts
+++ b/src/cell/decisions/limit_headroom.ts
@@ -97,6 +97,12 @@
   }
 }
 
+/** Whether a team has no upper limit. */
+export function isUnlimited({ limit }: Team): boolean {
+  return limit.cpuMillis === 0 && limit.memoryMib === 0 &&
+    limit.accelerators === 0;
+}
+
 /** Whether a step that cannot leave the headroom may start all the same. */
 function mayFill({ urgentWaits, waitedMs }: LimitRequest): boolean {
   return !urgentWaits || waitedMs >= LONGEST_WAIT_MS;
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -162,13 +162,14 @@
     readonly goodShare?: number;
   },
 ): readonly FleetWorker[] {
-  const { held, goodShare = 1 } = context;
+  const { held, goodShare = 1, index, queue } = context;
+  const emptiest = [...workers].reverse();
+  if (!index.isUneven(queue.service)) return emptiest;
   const tierOf = tiersFor(step, workers, {
     ...context,
     needed: waitingTasks(step).length / goodShare,
     placesOn: (worker) => capacityFor(step, [worker], held),
   });
-  const emptiest = [...workers].reverse();
   return tierOf === undefined
     ? emptiest
     : byTier(emptiest, (worker) => tierWithFailures(worker, tierOf));
--- a/src/cell/decisions/reservations.ts
+++ b/src/cell/decisions/reservations.ts
@@ -174,6 +174,7 @@
   workers: readonly FleetWorker[],
   context: SearchContext,
 ): readonly FleetWorker[] {
+  if (!context.index.isUneven(context.queue.service)) return workers;
   return gangWorkers(step, workers, {
     ...context,
     needed: waitingTasks(step).length,
--- a/src/cell/decisions/room.ts
+++ b/src/cell/decisions/room.ts
@@ -17,6 +17,7 @@
 } from "../fleet.ts";
 import type { StepRun, Task } from "../job.ts";
 import { type Amounts, fits, NO_AMOUNTS, plus, type Queue } from "../types.ts";
+import { isAverage } from "./worker_choice.ts";
 
 /** Room by worker. */
 export type Rooms = ReadonlyMap<string, Amounts>;
@@ -62,12 +63,15 @@
   /** Free processors of each of them, thousandths, ascending. */
   readonly freeMillis: readonly number[];
   readonly size: FleetSize;
+  /** Whether some of them are slower or faster than others. */
+  readonly uneven: boolean;
 }
 
 const EMPTY_SHELF: Shelf = {
   workers: [],
   freeMillis: [],
   size: { cpuMillis: 0, usedMillis: 0 },
+  uneven: false,
 };
 
 /**
@@ -97,6 +101,11 @@
     return workers.slice(firstAtLeast(freeMillis, cpuMillis));
   }
 
+  /** Whether workers of a service that take work differ in speed. */
+  isUneven(service: string): boolean {
+    return this.#shelf(service).uneven;
+  }
+
   /** Sizes of all services. */
   sizes(): ReadonlyMap<string, FleetSize> {
     return new Map(
@@ -230,6 +239,7 @@
     workers: free.map(({ worker }) => worker),
     freeMillis: free.map(({ millis }) => millis),
     size: { cpuMillis: capacity, usedMillis: capacity - left },
+    uneven: !unsorted.every(isAverage),
   };
 }
 
--- a/src/cell/decisions/run_time_distribution.ts
+++ b/src/cell/decisions/run_time_distribution.ts
@@ -24,7 +24,9 @@
 /** Smallest weight of a run in the typical run time. */
 const TYPICAL_RATE = 1 / 200;
 
-/** Quantiles of which the run time is kept until the next run. */
+/** Quantiles are kept until this part of the runs has changed: it moves them by less than a bucket. */
+const STALE_PART = 1 / 32;
+/** Quantiles of which the run time is kept so long. */
 const MOST_KNOWN = 3;
 const NONE_KNOWN = [] as const;
 /** Quantiles by which a distribution is kept in the summary. */
@@ -55,7 +57,9 @@
   #scale = 1;
   #runs = 0;
   #typicalLog = 0;
-  /** Last quantiles that were asked for, since the last change. */
+  /** Changes since quantiles were last reckoned. */
+  #changes = 0;
+  /** Last quantiles that were asked for. */
   #known: readonly (readonly [quantile: number, ms: number])[] = NONE_KNOWN;
 
   /** Runs that ended, up to those that are remembered. */
@@ -73,6 +77,9 @@
     for (let bucket = from; bucket < to; bucket++) {
       this.#weights[bucket]! += this.#scale;
     }
+    this.#changes++;
+    if (this.#changes < STALE_PART * this.#runs) return;
+    this.#changes = 0;
     this.#known = NONE_KNOWN;
   }
 
--- a/src/cell/decisions/worker_choice.ts
+++ b/src/cell/decisions/worker_choice.ts
@@ -63,6 +63,11 @@
   return Math.abs(timeFactor - 1) <= EVEN_WITHIN ? 1 : timeFactor;
 }
 
+/** Whether a worker is as good as average. */
+export function isAverage(worker: FleetWorker): boolean {
+  return timeFactorOf(worker) === 1;
+}
+
 /** Whether a worker says that it is still slow after its start. */
 export function isCold({ entry }: FleetWorker): boolean {
   return (entry?.coldLeftMs ?? 0) > 0;
@@ -151,10 +156,6 @@
   return { timeFactor, inTime: inTimeOf(step, goal)(timeFactor) };
 }
 
-function isAverage(worker: FleetWorker): boolean {
-  return timeFactorOf(worker) === 1;
-}
-
 /** Workers of one band are alike; 0 is average, higher is slower. */
 function bandOf(worker: FleetWorker): number {
   let timeFactor = timeFactorOf(worker);
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -8,7 +8,7 @@
 import type { AdviceDesk } from "./advice_desk.ts";
 import { Asker } from "./asker.ts";
 import { type CellContext, queueOf, teamOf } from "./context.ts";
-import { LimitHeadroom } from "./decisions/limit_headroom.ts";
+import { isUnlimited, LimitHeadroom } from "./decisions/limit_headroom.ts";
 import {
   compareRanks,
   type Rank,
@@ -252,8 +252,11 @@
   #limitKept(step: StepRun, nowMs: number): Amounts {
     const { fleet } = this.#context;
     const { job: { team }, spec, left } = step;
+    if (this.#headroom.peak(team, nowMs) === NO_AMOUNTS) return NO_AMOUNTS;
+    const limited = teamOf(this.#context, step.job);
+    if (limited === undefined || isUnlimited(limited)) return NO_AMOUNTS;
     return this.#headroom.keptFrom({
-      team: teamOf(this.#context, step.job),
+      team: limited,
       used: fleet.usedBy(team),
       urgent: fleet.urgentUsedBy(team),
       least: plus(NO_AMOUNTS, spec.amounts, spec.gang ? left : 1),
