--- a/src/cell/decisions/_fixtures_test.ts
+++ b/src/cell/decisions/_fixtures_test.ts
@@ -7,7 +7,7 @@
 import { Fleet, type FleetWorker } from "../fleet.ts";
 import { newJob, openOccurrence, type StepRun } from "../job.ts";
 import type { Amounts, Queue, StepSpec, WorkerEntry } from "../types.ts";
-import type { SearchContext } from "./placement.ts";
+import type { SearchContext } from "./suitable_workers.ts";
 import { NOTHING_KEPT, RoomIndex } from "./room.ts";
 import { RunTimes } from "./run_times.ts";
 
--- a/src/cell/decisions/questions.ts
+++ b/src/cell/decisions/questions.ts
@@ -11,14 +11,13 @@
 import type { StepRun } from "../job.ts";
 import type { AdvicePolicy, Queue } from "../types.ts";
 import { mostAsked } from "./lanes.ts";
+import { isTicketed, type NoPlace } from "./placement.ts";
 import {
   bestOf,
-  isTicketed,
-  type NoPlace,
   preferredFor,
   roomyFor,
   type SearchContext,
-} from "./placement.ts";
+} from "./suitable_workers.ts";
 import { capacityFor, isEligible, mostOn, waitingTasks } from "./room.ts";
 
 /** Part of a call's constant cost that may go to asking about more workers than needed. */
--- a/src/cell/decisions/reservations.ts
+++ b/src/cell/decisions/reservations.ts
@@ -24,7 +24,7 @@
   type Rooms,
   waitingTasks,
 } from "./room.ts";
-import type { SearchContext } from "./placement.ts";
+import type { SearchContext } from "./suitable_workers.ts";
 import { gangWorkers } from "./worker_choice.ts";
 
 /** Part of all processors that may be kept from others until it is free. */
--- a/src/cell/decisions/worker_choice_test.ts
+++ b/src/cell/decisions/worker_choice_test.ts
@@ -4,7 +4,8 @@
 import type { StepRun } from "../job.ts";
 import type { Queue } from "../types.ts";
 import { openWorker, searchIn, stepOf } from "./_fixtures_test.ts";
-import { findPlaces, preferredFor, withRoom } from "./placement.ts";
+import { findPlaces } from "./placement.ts";
+import { preferredFor, withRoom } from "./suitable_workers.ts";
 import { preferredRoom } from "./reservations.ts";
 import { Claims, waitingTasks } from "./room.ts";
 
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -15,7 +15,8 @@
   rankOf,
   timeForStep,
 } from "./decisions/order.ts";
-import { findPlaces, type SearchContext } from "./decisions/placement.ts";
+import { findPlaces } from "./decisions/placement.ts";
+import { type SearchContext } from "./decisions/suitable_workers.ts";
 import { adviceMayHelp } from "./decisions/questions.ts";
 import {
   preferredRoom,
