Reserve the ports of testbeds on an address that all processes share

Ruled out: load (a block is shared at any load), collected guards. Change: the guards listen on one address.

--- a/testbed/processes.ts
+++ b/testbed/processes.ts
@@ -25,6 +25,11 @@
 const LAST_PORT = 32_000;
 /** Number of ports that a process reserves at a time. */
 const BLOCK_PORTS = 100;
+/**
+ * Address on which blocks are reserved. All processes use the same one, since
+ * the same port on two addresses is two different sockets.
+ */
+const RESERVATION_ADDRESS = "127.0.0.1";
 
 /** Directory of the compiled files. */
 const BUILD_DIRECTORY = new URL("../", import.meta.url);
@@ -127,7 +132,7 @@
     const first = FIRST_PORT +
       BLOCK_PORTS * randomInt((LAST_PORT - FIRST_PORT) / BLOCK_PORTS);
     const guard = createServer().unref();
-    if (!await tryListen(guard, first)) continue;
+    if (!await tryListen(guard, first, RESERVATION_ADDRESS)) continue;
     reservedBlocks.push(first);
     return first;
   }
@@ -144,15 +149,19 @@
 
 async function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  if (!await tryListen(server, port)) return false;
+  if (!await tryListen(server, port, LOOPBACK)) return false;
   await new Promise((resolve) => server.close(resolve));
   return true;
 }
 
-function tryListen(server: Server, port: number): Promise<boolean> {
+function tryListen(
+  server: Server,
+  port: number,
+  address: string,
+): Promise<boolean> {
   return new Promise((resolve) => {
     server.once("error", () => resolve(false));
-    server.listen(port, LOOPBACK, () => resolve(true));
+    server.listen(port, address, () => resolve(true));
   });
 }
 
