Let gangs learn more suitable workers and ask for tickets ahead

Cause: gangs are the worst kind of the shifted deployment. They waited 10 to 24 s without a usable ticket while a quarter of the processors was free: a gang counted on a third of each suitable worker and on room for one task at least, so that it knew too few workers, and it asked for tickets only once all its room was free. Change: what a gang expects of a worker follows the share of processors that is free now, and with 0.6 of its room free it asks for the rest ahead.

--- a/bench/model/deployment_profiles.ts
+++ b/bench/model/deployment_profiles.ts
@@ -255,6 +255,83 @@
   ],
 };
 
+const TALL_WORKER: Amounts = {
+  cpuMillis: 32_000,
+  memoryMib: 131_072,
+  accelerators: 0,
+};
+
+/** Source: the profile of tkcs-counters-now-grown. */
+export const SHIFTED: DeploymentProfile = {
+  name: "shifted",
+  workers: 245,
+  capacity: TALL_WORKER,
+  adviceRoundTripMs: 13,
+  ratePerWorker: 52.3 / 245,
+  channels: 36,
+  kinds: [
+    {
+      queue: "billing",
+      share: 0.039,
+      tasks: 20,
+      cpuMillis: 9_000,
+      memoryMib: 26_000,
+      runMs: 5_000,
+      gangShare: 1,
+      steps: 1.2,
+      priority: 1,
+      stretch: 2.2,
+      objectiveMs: 1_000,
+      credit: 9.76,
+      baseMs: 480,
+      perWorkerMs: 6.8,
+      goodShare: 0.25,
+    },
+    {
+      queue: "reconciliation",
+      share: 0.155,
+      tasks: 25,
+      cpuMillis: 3_200,
+      memoryMib: 6_500,
+      runMs: 2_700,
+      gangShare: 0,
+      steps: 1.5,
+      priority: 2,
+      stretch: 4,
+      objectiveMs: 3_000,
+      credit: 2.65,
+      baseMs: 100,
+      perWorkerMs: 1.4,
+      goodShare: 0.45,
+    },
+    {
+      queue: "receipts",
+      share: 0.806,
+      tasks: 3,
+      cpuMillis: 4_500,
+      memoryMib: 17_000,
+      runMs: 1_000,
+      gangShare: 0.3,
+      steps: 1,
+      priority: 0,
+      stretch: 1.5,
+      objectiveMs: 250,
+      credit: 0.414,
+      baseMs: 11,
+      perWorkerMs: 0.16,
+      goodShare: 0.7,
+    },
+  ],
+};
+
+/** The same traffic on the workers that are left while a zone is evacuated. */
+export const SHIFTED_EVACUATED: DeploymentProfile = {
+  ...SHIFTED,
+  name: "shifted_evacuated",
+  workers: 163,
+  ratePerWorker: 52.3 / 163,
+};
+
 /** A step of the mean size of a kind. */
 export function meanStep(kind: JobKind): StepSpec {
   return {
--- a/bench/model/load_patterns.ts
+++ b/bench/model/load_patterns.ts
@@ -90,6 +90,13 @@
   },
 ];
 
+/** A fifth more work than usual for as long as gangs need to fall behind. */
+export const SCARCE: LoadPattern = {
+  name: "scarce",
+  durationMs: 30_000,
+  factor: () => 1.2,
+};
+
 /** A hot team together with a burst of urgent work: four times the usual traffic. */
 export const HOT_BURST: LoadPattern = {
   name: "hot_burst",
--- a/bench/replay.ts
+++ b/bench/replay.ts
@@ -25,12 +25,15 @@
   type DeploymentProfile,
   LARGE,
   PICOS,
+  SHIFTED,
+  SHIFTED_EVACUATED,
 } from "./model/deployment_profiles.ts";
 import {
   HOT_BURST,
   LOAD_PATTERNS,
   type LoadPattern,
   LOST_RESPONSES,
+  SCARCE,
 } from "./model/load_patterns.ts";
 import { ModelStore } from "./model/model_store.ts";
 import { CROWDED, TEAM_LOADS } from "./model/team_load_patterns.ts";
@@ -64,6 +67,8 @@
   { profile: PICOS, load: HOT_BURST },
   { profile: PICOS, load: LOST_RESPONSES },
   { profile: UNEVEN, load: UNEVEN_DEMAND },
+  { profile: SHIFTED_EVACUATED, load: SCARCE },
+  ...LOAD_PATTERNS.map((load) => ({ profile: SHIFTED, load })),
   ...TEAM_LOADS.map((load) => ({ profile: CROWDED, load })),
 ];
 
--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -12,19 +12,19 @@
 import type { StepRun } from "../job.ts";
 import type { AdvicePolicy, Queue } from "../types.ts";
 import { maxRequestWorkers } from "./channels.ts";
-import { hasUsableTicket, type NoPlacementReason } from "./placement.ts";
+import type { NoPlacementReason } from "./placement.ts";
 import {
   orderByPreference,
   orderForAdvice,
-  type SearchContext,
   unrankedWithCapacity,
 } from "./suitable_workers.ts";
+import { taskCapacity, waitingTasks } from "./capacity.ts";
 import {
-  isEligible,
-  maxTasksOn,
-  taskCapacity,
-  waitingTasks,
-} from "./capacity.ts";
+  chooseAhead,
+  chooseForReservation,
+  type GangAdviceContext,
+  willTicketBeUsable,
+} from "./gang_advice.ts";
 
 /**
  * Share of a request's constant cost that may be spent on asking about more
@@ -44,8 +44,6 @@
  * The same for gangs, which cannot start at all if one placement is missing.
  */
 const GANG_OVERSAMPLING_FACTOR = 2;
-/** Share of a busy worker's capacity that a gang can expect to get soon. */
-const EXPECTED_FREE_SHARE = 0.34;
 /**
  * Capacity is scarce for a gang that can expect less than this many times its
  * need: much of it is gone when the response arrives.
@@ -55,12 +53,7 @@
 const STEP_CHANNEL_SHARE = 0.34;
 
 /** Input for choosing the workers of advice requests. */
-export interface AdviceRequestContext extends SearchContext {
-  /**
-   * Estimated share of the asked workers on which the advice service allows the
-   * queue's steps to run.
-   */
-  readonly goodShare: number;
+export interface AdviceRequestContext extends GangAdviceContext {
   /** Whether gangs of the service may reserve capacity that is not free yet. */
   readonly mayReserve: boolean;
   /** Channels that are free for requests of the queue. */
@@ -124,6 +117,10 @@
     const best = orderByPreference(step, good, context);
     return takeEnough(step, best, { missingTasks, context });
   }
+  if (step.spec.gang && context.mayReserve) {
+    const ahead = chooseAhead(step, context);
+    if (ahead !== undefined) return ahead;
+  }
   const unknown = requestable.filter(({ id }) => !verdicts.has(id));
   const unknownSlots = taskCapacity(step, unknown, reserved);
   const expectedSlots = goodSlots + unknownSlots * context.goodShare;
@@ -156,19 +153,6 @@
   return [...good, ...named];
 }
 
-/**
- * Whether the step's ticket for a worker will still be valid when the response
- * to an advice request sent now arrives.
- */
-function willTicketBeUsable(
-  step: StepRun,
-  worker: FleetWorker,
-  { queue, nowMs }: AdviceRequestContext,
-): boolean {
-  const responseMs = nowMs + (queue.advice?.baseMs ?? 0);
-  return hasUsableTicket(step, worker, { queue, nowMs: responseMs });
-}
-
 /** Number of workers that a request may name at little extra cost. */
 function cheapWorkerCount({ advice }: Queue): number {
   if (advice === undefined) return 0;
@@ -205,38 +189,6 @@
   return good.slice(0, number + extra);
 }
 
-/**
- * Chooses workers on which a gang without enough free capacity could reserve
- * capacity. Empty if enough such workers have a positive verdict already.
- */
-function chooseForReservation(
-  step: StepRun,
-  missingTasks: number,
-  context: AdviceRequestContext,
-): readonly FleetWorker[] {
-  const { verdicts } = step.advice;
-  const { index, queue, goodShare } = context;
-  const eligible = index.workers(queue.service).filter((worker) =>
-    isEligible(step, worker, context) && maxTasksOn(step, worker) > 0
-  );
-  const expectedSlots = (workers: readonly FleetWorker[]) =>
-    workers.reduce(
-      (sum, worker) =>
-        sum + Math.max(1, EXPECTED_FREE_SHARE * maxTasksOn(step, worker)),
-      0,
-    );
-  const knownSlots = expectedSlots(
-    eligible.filter(({ id }) => verdicts.get(id) === true),
-  );
-  if (knownSlots >= missingTasks) return [];
-  const unknown = eligible.filter(({ id }) => !verdicts.has(id))
-    .sort((a, b) => a.used.cpuMillis - b.used.cpuMillis);
-  const perWorker = expectedSlots(unknown) / Math.max(1, unknown.length);
-  const missingWorkers = (missingTasks - knownSlots) /
-    Math.max(1, perWorker) / goodShare;
-  return unknown.slice(0, Math.ceil(missingWorkers) + EXTRA_WORKERS);
-}
-
 /**
  * Splits workers into requests, one for each channel. Both duration and cost
  * stay low when the workers of a request cost about as much as its constant
