Start tasks elsewhere only once it is proved that their runs have ended

Workers are cut off with resets; half a second later their tasks are started on other workers, while the first runs go on and end as done.

Cause: after two refused connections the leader took the process of a worker for dead. What refuses a connection may be the network. Evidence: for each of these runs the log has worker.silent failure=refused with 5.9 s of the lease left, then run.lost reason=workerDead.

Change: what proves that a run is not on its worker is one rule, src/cell/decisions/run_absence.ts: a report that was requested after the worker had received the run, another process at the address that was called after that, or the end of all leases. A failed call proves nothing. run.lost shows whether the worker was reachable and how much of its lease was left.

Ruled out: the announcement of a worker in the store as a proof of its death; an entry also lapses when the worker is cut off from the store.

--- /dev/null
+++ b/src/cell/decisions/run_absence.ts
@@ -0,0 +1,74 @@
+/**
+ * What proves that a run is no longer on its worker, so that its task may be
+ * started again.
+ *
+ * Load pattern: workers that are cut off or slow to report while tasks wait for
+ * capacity. A wrong conclusion starts a task twice; without a conclusion the
+ * capacity of a lost run stays reserved until its lease has ended.
+ *
+ * A failed request proves nothing about the runs: a network that is cut off may
+ * drop, reset or refuse connections, and the worker runs on.
+ *
+ * @module
+ */
+import type { Run } from "../fleet.ts";
+import type { WorkerReport } from "../ports.ts";
+
+/** What the leader has learned about the runs of one worker. */
+export type Evidence =
+  /** The worker has reported. `requestedMs`: when, monotonic milliseconds. */
+  | {
+    readonly type: "report";
+    readonly requestedMs: number;
+    readonly report: WorkerReport;
+  }
+  /**
+   * Another process answers at the worker's address. `requestedMs`: when it was
+   * called, monotonic milliseconds.
+   */
+  | { readonly type: "otherProcess"; readonly requestedMs: number }
+  /** The time has passed, monotonic milliseconds. */
+  | { readonly type: "time"; readonly nowMs: number };
+
+/** The given runs of one worker that are certainly not on it. */
+export function findAbsentRuns(
+  runs: Iterable<Run>,
+  evidence: Evidence,
+): readonly Run[] {
+  switch (evidence.type) {
+    case "report": {
+      const { report, requestedMs } = evidence;
+      const listed = listedRuns(report);
+      return [...runs].filter((run) =>
+        isProvable(run, requestedMs) && !listed.has(runKey(run.task.id, run))
+      );
+    }
+    case "otherProcess":
+      return [...runs].filter((run) => isProvable(run, evidence.requestedMs));
+    case "time":
+      return [...runs].filter(({ worker }) =>
+        !worker.reachable && worker.leaseBoundMs <= evidence.nowMs
+      );
+  }
+}
+
+/** Whether the worker had received the run, or a stop of it, before a request. */
+function isProvable(
+  { absenceProvableAfterMs }: Run,
+  requestedMs: number,
+): boolean {
+  return absenceProvableAfterMs !== undefined &&
+    absenceProvableAfterMs < requestedMs;
+}
+
+/** Keys of all runs that a report lists as running or ended. */
+function listedRuns({ running, completions }: WorkerReport): Set<string> {
+  return new Set([
+    ...running.map((one) => runKey(one.task, { number: one.run })),
+    ...completions.map((one) => runKey(one.task, { number: one.run })),
+  ]);
+}
+
+function runKey(task: string, { number }: Pick<Run, "number">): string {
+  return `${task} ${number}`;
+}
--- a/src/cell/ports.ts
+++ b/src/cell/ports.ts
@@ -169,12 +169,11 @@
 /**
  * Why a poll returned no report. `fenced`: the worker has seen a newer fencing
  * token. `otherBoot`: another process than the expected one answers at the
- * address. `refused`: the connection was refused. `unreached`: the request was
- * not sent. `lost`: the worker may have carried out the request, but no usable
- * response arrived.
+ * address. `unreached`: the request was not sent. `lost`: the worker may have
+ * carried out the request, but no usable response arrived.
  */
 export interface PollFailure {
-  readonly type: "fenced" | "otherBoot" | "refused" | "unreached" | "lost";
+  readonly type: "fenced" | "otherBoot" | "unreached" | "lost";
   readonly message: string;
 }
 
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -17,6 +17,7 @@
 import { timeFactorOf } from "./decisions/worker_ranking.ts";
 import type { StartResponse } from "./ports.ts";
 import { findBarredRuns } from "./decisions/barred_runs.ts";
+import { type Evidence, findAbsentRuns } from "./decisions/run_absence.ts";
 import { isActive, retryStart } from "./start_retry.ts";
 import { addressOf, gangCheckpoint, leaseBoundMs, newRun } from "./run.ts";
 
@@ -113,7 +114,7 @@
    * task waits for a new placement.
    */
   markLost(run: Run, reason: string): void {
-    const { fleet, log, metrics, fence } = this.#context;
+    const { fleet, log, metrics, fence, clock } = this.#context;
     if (!fleet.removeRun(run)) return;
     const { task, step, worker } = run;
     log.info("run.lost", {
@@ -123,6 +124,8 @@
       worker: worker.id,
       fence,
       reason,
+      reachable: worker.reachable,
+      leaseLeftMs: Math.round(worker.leaseBoundMs - clock.monotonic()),
     });
     metrics.count("runs_lost", { reason });
     if (task.phase !== "assigned" || task.run !== run.number) return;
@@ -138,9 +141,14 @@
     metrics.observe("first_start_ms", waitedMs, { queue: job.queue });
   }
 
-  /** Declares all runs on a worker lost. */
-  markAllLost(worker: FleetWorker, reason: string): void {
-    for (const run of [...worker.runs.values()]) this.markLost(run, reason);
+  /** Declares the runs of a worker lost that are certainly not on it. */
+  markAbsent(worker: FleetWorker, { evidence, reason }: {
+    readonly evidence: Evidence;
+    readonly reason: string;
+  }): void {
+    for (const run of findAbsentRuns(worker.runs.values(), evidence)) {
+      this.markLost(run, reason);
+    }
   }
 
   /** Stops the remaining runs of a job that has ended. */
@@ -188,9 +196,10 @@
   tick(): void {
     const now = this.#context.clock.monotonic();
     for (const worker of this.#context.fleet.workers.values()) {
-      if (!worker.reachable && worker.leaseBoundMs <= now) {
-        this.markAllLost(worker, "leaseEnded");
-      }
+      this.markAbsent(worker, {
+        evidence: { type: "time", nowMs: now },
+        reason: "leaseEnded",
+      });
       for (const run of worker.runs.values()) {
         if (run.stopping) this.stop(run);
         else if (this.#isStalled(run, now)) this.#stopStalled(run);
--- a/src/cell/worker_poll_requests.ts
+++ b/src/cell/worker_poll_requests.ts
@@ -9,14 +9,12 @@
 import type { PollFailure, WorkerReport } from "./ports.ts";
 import type { Runs } from "./runs.ts";
 
-/**
- * The report of a worker and when it was requested (monotonic milliseconds), or
- * the failure of the poll.
- */
-export type PollResult = Result<
-  { readonly report: WorkerReport; readonly sentMs: number },
-  PollFailure
->;
+/** Result of a poll. */
+export interface PollResult {
+  /** When the poll was sent, monotonic milliseconds. */
+  readonly sentMs: number;
+  readonly outcome: Result<WorkerReport, PollFailure>;
+}
 
 /** Sends the polls of one leader. */
 export class WorkerPollRequests {
@@ -43,15 +41,15 @@
       waitMs,
       wasReachable: worker.reachable,
     });
-    const isLost = firstResult?.isErr() === true &&
-      firstResult.error.type === "lost";
+    const isLost = firstResult?.outcome.isErr() === true &&
+      firstResult.outcome.error.type === "lost";
     if (!isLost || waitMs === 0 || !worker.reachable) return firstResult;
     metrics.count("look_failures", { type: "repeated" });
     const secondResult = await this.#pollOnce(worker, {
       waitMs: 0,
       wasReachable: false,
     });
-    if (secondResult?.isOk()) lostAnswers.recordLoss(clock.monotonic());
+    if (secondResult?.outcome.isOk()) lostAnswers.recordLoss(clock.monotonic());
     return secondResult;
   }
 
@@ -77,7 +75,10 @@
       leaseUntilMs: wasReachable ? this.#runs.grantLease(worker) : undefined,
       waitMs,
     };
-    const result = await workerClient.poll({ id: worker.id, address }, request);
-    return result.map((report) => ({ report, sentMs }));
+    const outcome = await workerClient.poll(
+      { id: worker.id, address },
+      request,
+    );
+    return { sentMs, outcome };
   }
 }
--- a/src/cell/worker_poller.ts
+++ b/src/cell/worker_poller.ts
@@ -20,11 +20,6 @@
 const POLL_RETRY_DELAY_MS = 250;
 /** Maximum error in the time at which a run is taken to have completed: a tenth of a short run. */
 const COMPLETION_TIME_TOLERANCE_MS = 50;
-/**
- * After this number of refused connections in a row, the worker's process
- * counts as dead.
- */
-const MAX_REFUSED_CONNECTIONS = 2;
 /**
  * A worker that is unlisted, unreachable and without runs for this long is
  * removed.
@@ -94,20 +89,14 @@
 
   async #pollRepeatedly(worker: FleetWorker): Promise<void> {
     const { clock, fleet, workerClient, lostAnswers } = this.#context;
-    let refusals = 0;
     while (!this.#closed) {
       if (this.#isRemovable(worker)) break;
       const waitMs = lostAnswers.waitMs(clock.monotonic());
       const outcome = await this.#poll(worker, { waitMs });
       if (outcome === "report") {
-        refusals = 0;
         if (worker.applied > worker.acknowledged) await this.#savesDone(worker);
         continue;
       }
-      refusals = outcome === "refused" ? refusals + 1 : 0;
-      if (refusals >= MAX_REFUSED_CONNECTIONS) {
-        this.#runs.markAllLost(worker, "workerDead");
-      }
       await sleep(clock, POLL_RETRY_DELAY_MS);
     }
     this.#polled.delete(worker.id);
@@ -143,8 +132,11 @@
   ): PollOutcome {
     const { clock } = this.#context;
     if (result === undefined || this.#closed) return "failed";
-    if (result.isErr()) return this.#handleFailure(worker, result.error);
-    const { report, sentMs } = result.value;
+    const { sentMs } = result;
+    if (result.outcome.isErr()) {
+      return this.#handleFailure(worker, result.outcome.error, sentMs);
+    }
+    const report = result.outcome.value;
     if (
       worker.processStartMs !== undefined &&
       (report.processStartMs ?? 0) < worker.processStartMs
@@ -173,7 +165,11 @@
       sentMs - worker.reportReceivedMs < COMPLETION_TIME_TOLERANCE_MS;
   }
 
-  #handleFailure(worker: FleetWorker, failure: PollFailure): PollOutcome {
+  #handleFailure(
+    worker: FleetWorker,
+    failure: PollFailure,
+    sentMs: number,
+  ): PollOutcome {
     const { log, stepDown, metrics, clock, fence } = this.#context;
     metrics.count("look_failures", { type: failure.type });
     if (failure.type === "fenced") {
@@ -192,9 +188,12 @@
     }
     worker.reachable = false;
     if (failure.type === "otherBoot") {
-      this.#runs.markAllLost(worker, "otherBoot");
+      this.#runs.markAbsent(worker, {
+        evidence: { type: "otherProcess", requestedMs: sentMs },
+        reason: "otherBoot",
+      });
     }
-    return failure.type === "refused" ? "refused" : "failed";
+    return "failed";
   }
 
   #markReachable(
@@ -238,10 +237,8 @@
     },
   ): void {
     const changedJobs = new Set<Job>();
-    const reportedRuns = new Set<string>();
     const nowMs = this.#context.clock.monotonic();
     for (const completion of report.completions) {
-      reportedRuns.add(`${completion.task} ${completion.run}`);
       if (completion.sequence <= worker.applied) continue;
       const found = findTask(this.#context.jobs, completion.task);
       const current = worker.runs.get(completion.task);
@@ -262,16 +259,12 @@
     const numbers = report.completions.map((ended) => ended.sequence);
     worker.applied = Math.max(worker.applied, ...numbers);
     for (const reported of report.running) {
-      reportedRuns.add(`${reported.task} ${reported.run}`);
       this.#applyRunning(worker, reported);
     }
-    for (const run of [...worker.runs.values()]) {
-      const provableAfterMs = run.absenceProvableAfterMs;
-      if (reportedRuns.has(`${run.task.id} ${run.number}`)) continue;
-      if (provableAfterMs !== undefined && provableAfterMs < sentMs) {
-        this.#runs.markLost(run, "notThere");
-      }
-    }
+    this.#runs.markAbsent(worker, {
+      evidence: { type: "report", requestedMs: sentMs, report },
+      reason: "notThere",
+    });
     if (report.completions.length > 0) this.#context.requestPass();
     if (numbers.length > 0) this.#acknowledgeOnceSaved(worker, changedJobs);
   }
@@ -361,5 +354,5 @@
   }
 }
 
-/** Outcome of a poll. `refused`: the connection was refused. */
-type PollOutcome = "report" | "refused" | "failed";
+/** Outcome of a poll. */
+type PollOutcome = "report" | "failed";
