Take no report for complete that may omit completions

All instances are restarted while 700 runs end on one worker; the new leader starts 200 of their tasks again and acknowledges the first completions half a second later.

Cause: a worker returns its unacknowledged completions 500 at a time. A run that was neither running nor among the completions of a report counted as lost (run.lost reason=notThere, then run.end counted=false how=done for the same runs). The stand-in of a worker returned all completions at once, which hid it.

Change: a report says whether it may omit completions, and such a report proves the absence of no run. The first 500 are acknowledged once the store has them, and the next report brings the others. The stand-ins and the model of workers return 500 at a time. Metric: reports_truncated.

Ruled out: acknowledging only numbers without gaps; the pages do not say that a worker counts by one, and completions would never be acknowledged.

--- a/bench/model/model_workers.ts
+++ b/bench/model/model_workers.ts
@@ -21,6 +21,8 @@
 export const TICKET_VALIDITY_MS = 1_500;
 /** Highest progress reported for a run that has not completed. */
 const MAX_REPORTED_PERCENT = 99;
+/** Maximum number of completions in a report, the oldest first. */
+const MAX_REPORTED = 500;
 /** Workers per rack. */
 const WORKERS_PER_RACK = 12;
 
@@ -309,7 +311,8 @@
         checkpoint: "",
         percent: this.#percentOf(running),
       })),
-      completions: [...worker.completions],
+      completions: worker.completions.slice(0, MAX_REPORTED),
+      mayOmitCompletions: worker.completions.length >= MAX_REPORTED,
     };
   }
 
--- a/src/cell/_fake_workers_test.ts
+++ b/src/cell/_fake_workers_test.ts
@@ -39,6 +39,8 @@
   >();
   /** Acknowledgments get lost, so completions are reported again. */
   keepsCompletions = false;
+  /** Maximum number of completions in a report, the oldest first. */
+  maxReported = 500;
   /** How long a poll waits for a completion, milliseconds. */
   maxPollMs = 50;
   /** Runs make no progress. */
@@ -147,7 +149,8 @@
       clockMs: this.clock.monotonic(),
       processStartMs: this.processStartMs,
       running,
-      completions: [...this.ended],
+      completions: this.ended.slice(0, this.maxReported),
+      mayOmitCompletions: this.ended.length >= this.maxReported,
     };
   }
 }
--- a/src/cell/cell_test.ts
+++ b/src/cell/cell_test.ts
@@ -136,6 +136,24 @@
   t.is(worker.acknowledged, 0);
 });
 
+// Guards against a new leader that takes a truncated report for a complete one
+// and starts tasks again whose completions are reported later.
+test("completions that a report omits are not taken for lost runs", async (t) => {
+  const harness = new Harness();
+  const worker = harness.addWorker("w1");
+  worker.maxReported = 2;
+  const first = await harness.open();
+  await harness.submit(first, [testStep({ tasks: 4 })]);
+  await harness.clock.run(300);
+  first.close();
+  for (const task of [...worker.running.keys()]) worker.end(task, "done");
+  const second = await harness.open();
+  await harness.clock.run(2_000);
+  t.is(second.state(JOB), "done");
+  t.is(worker.starts.length, 4);
+  t.is(worker.acknowledged, 4);
+});
+
 test("a job fails after the attempts that its queue permits", async (t) => {
   const harness = new Harness();
   const worker = harness.addWorker("w1");
--- a/src/cell/decisions/run_absence.ts
+++ b/src/cell/decisions/run_absence.ts
@@ -38,6 +38,8 @@
   switch (evidence.type) {
     case "report": {
       const { report, requestedMs } = evidence;
+      // The run may be among the completions that are reported later.
+      if (report.mayOmitCompletions) return [];
       const listed = listedRuns(report);
       return [...runs].filter((run) =>
         isProvable(run, requestedMs) && !listed.has(runKey(run.task.id, run))
--- a/src/cell/decisions/run_absence_test.ts
+++ b/src/cell/decisions/run_absence_test.ts
@@ -9,6 +9,7 @@
   processStartMs: 1,
   running: [],
   completions: [],
+  mayOmitCompletions: false,
 };
 
 /** A run on a worker, whose start the worker confirmed at 100 ms. */
@@ -54,6 +55,14 @@
   t.true(isAbsent(run, { type: "report", requestedMs: 101, report: earlier }));
 });
 
+// Guards against a task that is started again although its completion is still
+// to be reported.
+test("a report that may omit completions proves no absence", (t) => {
+  const { run } = confirmedRun();
+  const report = { ...REPORT, mayOmitCompletions: true };
+  t.false(isAbsent(run, { type: "report", requestedMs: 101, report }));
+});
+
 // Guards against a late response of the worker's former process.
 test("another process at the address proves nothing about a run that was started after the call", (t) => {
   const { run } = confirmedRun();
--- a/src/cell/ports.ts
+++ b/src/cell/ports.ts
@@ -164,6 +164,11 @@
   readonly processStartMs: number | undefined;
   readonly running: readonly ReportedRun[];
   readonly completions: readonly ReportedCompletion[];
+  /**
+   * Whether the worker may have further unacknowledged completions, which it
+   * reports once these are acknowledged.
+   */
+  readonly mayOmitCompletions: boolean;
 }
 
 /**
--- a/src/cell/worker_poller.ts
+++ b/src/cell/worker_poller.ts
@@ -261,6 +261,9 @@
     for (const reported of report.running) {
       this.#applyRunning(worker, reported);
     }
+    if (report.mayOmitCompletions) {
+      this.#context.metrics.count("reports_truncated");
+    }
     this.#runs.markAbsent(worker, {
       evidence: { type: "report", requestedMs: sentMs, report },
       reason: "notThere",
