Refuse submissions that arrive after their cancellation

A client sends a submission to an instance that stands still, leaves, and cancels it at another instance, which answers 410. The first one goes on, passes the submission on, and its tasks start and run to their end.

Cause: the cancellation of an id that the leader did not know was answered and forgotten. How late a submission arrives is not bounded: it waits unread in an instance, on a connection, or for the next leader.

Change: the leader records the cancellation of an unknown id in the store, like the end of a job and for as long, and answers once the store has it. A submission with that id is refused from then on (503, without retry-after, since it never runs), also by later leaders. Queries still get 410.

Other places that say "there is no such job", or that let an id in, were read: - a leader that had been replaced without noticing it answered a cancellation with 410 for a job of the next leader. The answer now needs a write that is conditional on the term (test). The same leader answered queries with 410; it now does so only while its term is confirmed (test). - a cancellation during a submission waited for one attempt; now for all. - a repeated submission of a canceled or ended job is accepted as the same one, as before.

Ruled out: rejecting at the entry what may have waited unread longer than the client does. The age is only known as an upper bound, so it would turn away clients that still wait, and the next leader's queue of calls stays open.

Not covered: an instance that stands still longer than the records are kept (240 s) with a submission unread.

--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -10,6 +10,7 @@
 import { recoverAdvice } from "./advice_recovery.ts";
 import type { CellOptions } from "./cell_options.ts";
 import { type CellContext, saveJob, updateBacklogOfJob } from "./context.ts";
+import { EarlyCancellations } from "./early_cancellations.ts";
 import { Fleet } from "./fleet.ts";
 import { WorkerPoller } from "./worker_poller.ts";
 import { Housekeeping } from "./housekeeping.ts";
@@ -45,6 +46,7 @@
   readonly #workerPoller: WorkerPoller;
   readonly #scheduler: Scheduler;
   readonly #submissionsInProgress = new Map<string, Promise<SubmitOutcome>>();
+  readonly #earlyCancellations: EarlyCancellations;
   readonly #weightMeter: TeamShareMeter;
   readonly #workerList: WorkerList;
   readonly #housekeeping: Housekeeping;
@@ -89,6 +91,7 @@
       stepDown: options.stepDown,
       requestPass: () => this.#scheduler.requestPass(),
     };
+    this.#earlyCancellations = new EarlyCancellations(this.#context);
     this.#runs = new Runs(
       this.#context,
       (worker) => this.#workerPoller.pollNow(worker),
@@ -146,7 +149,9 @@
   /** Accepts a submission; resolves once it is stored. Idempotent: a repeated id refers to the same submission. */
   submit(submission: Submission): Promise<SubmitOutcome> {
     const { jobs, ended } = this.#context;
-    if (jobs.get(submission.id)?.stored || ended.has(submission.id)) {
+    const end = ended.get(submission.id);
+    if (end?.neverArrived === true) return this.#refuseCanceled(submission);
+    if (jobs.get(submission.id)?.stored || end !== undefined) {
       return Promise.resolve({ type: "accepted" });
     }
     const inProgress = this.#submissionsInProgress.get(submission.id);
@@ -157,23 +162,33 @@
     return outcome;
   }
 
-  /** The state of a job as the store holds it; `undefined` if there is no such job. */
-  state(id: string): JobState | undefined {
-    const job = this.#context.jobs.get(id);
-    if (job !== undefined) return job.stored ? job.visibleState : undefined;
-    return this.#context.ended.get(id)?.state;
+  /**
+   * The state of a job as the store holds it. `absent`: there is no such job.
+   * `unknown`: the job may have been accepted by a later leader.
+   */
+  state(id: string): JobState | "absent" | "unknown" {
+    const { jobs, ended, isLeading } = this.#context;
+    const job = jobs.get(id);
+    if (job?.stored) return job.visibleState;
+    const end = ended.get(id);
+    if (end !== undefined && end.neverArrived !== true) return end.state;
+    return isLeading() ? "absent" : "unknown";
   }
 
   /**
    * Cancels a job; resolves once the cancellation is stored. `absent`: there is
-   * no such job. `unknown`: the term ended before the store confirmed the write.
+   * no such job, and none will be accepted if its submission arrives late.
+   * `unknown`: the term ended before the store confirmed the write.
    */
   async cancel(id: string): Promise<"canceled" | "absent" | "unknown"> {
-    await this.#submissionsInProgress.get(id);
+    while (this.#submissionsInProgress.has(id)) {
+      await this.#submissionsInProgress.get(id);
+    }
     const { jobs, ended, log, fence } = this.#context;
-    if (ended.has(id)) return "canceled";
+    const end = ended.get(id);
+    if (end !== undefined && end.neverArrived !== true) return "canceled";
     const job = jobs.get(id);
-    if (job === undefined || !job.stored) return "absent";
+    if (job === undefined) return await this.#earlyCancellations.record(id);
     job.canceled = true;
     updateBacklogOfJob(this.#context, job);
     const saved = await saveJob(this.#context, job);
@@ -216,6 +231,13 @@
     this.#context.jobLog.close();
   }
 
+  #refuseCanceled({ id, queue, team }: Submission): Promise<SubmitOutcome> {
+    const { log, fence } = this.#context;
+    const reason = "canceled";
+    log.info("job.refused", { job: id, queue, team, fence, reason });
+    return Promise.resolve({ type: "refused", reason });
+  }
+
   async #accept(submission: Submission): Promise<SubmitOutcome> {
     const { jobs, set, log, clock, metrics, fence } = this.#context;
     const policy = findQueue(set(), submission.queue);
--- a/src/cell/cell_test.ts
+++ b/src/cell/cell_test.ts
@@ -234,7 +234,7 @@
   harness.store.unavailable = false;
   await harness.clock.run(1_000);
   t.is(worker.starts.length, 0);
-  t.is(cell.state("00000000000000b2"), undefined);
+  t.is(cell.state("00000000000000b2"), "absent");
   t.is(await harness.submit(cell, [testStep()]), "accepted");
 });
 
@@ -247,7 +247,7 @@
   await harness.clock.run(40);
   harness.store.unavailable = true;
   await harness.clock.run(1_500);
-  t.is(cell.state(JOB), undefined);
+  t.is(cell.state(JOB), "absent");
   harness.store.unavailable = false;
   await harness.clock.run(500);
   t.is((await outcome).type, "accepted");
@@ -338,7 +338,7 @@
   const refused = harness.beginSubmit(cell, [whole]);
   await harness.clock.run(700);
   t.deepEqual(await refused, { type: "refused", reason: "storeAway" });
-  t.is(cell.state(JOB), undefined);
+  t.is(cell.state(JOB), "absent");
   harness.store.unavailable = false;
   await harness.clock.run(500);
   const other = "00000000000000b1";
--- a/src/cell/decisions/admission.ts
+++ b/src/cell/decisions/admission.ts
@@ -39,9 +39,13 @@
 
 /**
  * Why a request was rejected without any effect. `noHolder`: the cell has no
- * leader.
+ * leader. `canceled`: the job was canceled before its submission arrived.
  */
-export type RejectionReason = "noHolder" | "storeAway" | "overload";
+export type RejectionReason =
+  | "noHolder"
+  | "storeAway"
+  | "overload"
+  | "canceled";
 
 /**
  * How long a submission waits for a store that does not respond, milliseconds.
@@ -78,12 +82,17 @@
   return stuckMs > slackMs;
 }
 
-/** Seconds after which the client of a rejected request may retry. */
+/**
+ * Seconds after which the client of a rejected request may retry; `undefined`
+ * if a retry would be rejected as well.
+ */
 export function retryAfterS(
   reason: RejectionReason,
   { priority }: Pick<Queue, "priority">,
-): number {
+): number | undefined {
   switch (reason) {
+    case "canceled":
+      return undefined;
     // Another instance becomes the leader within a second.
     case "noHolder":
       return URGENT_RETRY_DELAY_S;
--- a/src/cell/decisions/admission_test.ts
+++ b/src/cell/decisions/admission_test.ts
@@ -62,7 +62,7 @@
 test("after an outage urgent clients retry before the others", (t) => {
   const reasons: readonly RejectionReason[] = ["storeAway", "overload"];
   for (const reason of reasons) {
-    t.true(retryAfterS(reason, URGENT) < retryAfterS(reason, BATCH));
+    t.true(retryAfterS(reason, URGENT)! < retryAfterS(reason, BATCH)!);
   }
 });
 
@@ -70,3 +70,7 @@
   t.is(retryAfterS("noHolder", URGENT), 1);
   t.is(retryAfterS("noHolder", BATCH), 1);
 });
+
+test("no retry is announced for a submission whose job was canceled", (t) => {
+  t.is(retryAfterS("canceled", URGENT), undefined);
+});
--- a/src/cell/gateway.ts
+++ b/src/cell/gateway.ts
@@ -283,7 +283,14 @@
 
 function toStateReply(cell: Cell, id: string): StateReply {
   const state = cell.state(id);
-  return state === undefined ? { type: "absent" } : { type: "found", state };
+  switch (state) {
+    case "absent":
+      return { type: "absent" };
+    case "unknown":
+      return NOT_LEADER;
+    default:
+      return { type: "found", state };
+  }
 }
 
 function toWireStep(step: StepSpec): StepSpec & { after: number[] } {
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -123,6 +123,11 @@
   readonly queue: string;
   readonly state: "done" | "failed" | "canceled";
   readonly endedMs: number;
+  /**
+   * Whether the job was canceled before its submission arrived. To clients no
+   * such job exists.
+   */
+  readonly neverArrived?: boolean;
 }
 
 /** The fixed properties of a new job. */
--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -31,6 +31,7 @@
   type PendingWrite,
   probeBatch,
   progressKey,
+  type RecordedChange,
   resolveWaiters,
   type SaveResult,
   type TransactionBatch,
@@ -107,13 +108,34 @@
     job: Job,
     { submission = false, withinMs = 0 } = {},
   ): Promise<SaveResult> {
+    const change = { type: "job", job } as const;
+    return this.#enqueue(job.id, { change, submission, withinMs });
+  }
+
+  /** Schedules a write of the end of a job that never arrived; resolves once it is stored. */
+  saveEnd(end: EndedJob): Promise<SaveResult> {
+    const change = { type: "end", end } as const;
+    return this.#enqueue(end.id, { change, submission: false, withinMs: 0 });
+  }
+
+  #enqueue(id: string, { change, submission, withinMs }: {
+    readonly change: RecordedChange;
+    readonly submission: boolean;
+    readonly withinMs: number;
+  }): Promise<SaveResult> {
     if (this.#closed) return Promise.resolve("deposed");
     const nowMs = this.#options.clock.monotonic();
-    const pending = this.#pending.get(job.id) ??
-      { job, submission: false, retryAtMs: 0, notBeforeMs: 0, waiters: [] };
+    const pending = this.#pending.get(id) ?? {
+      id,
+      change,
+      submission: false,
+      retryAtMs: 0,
+      notBeforeMs: 0,
+      waiters: [],
+    };
     pending.submission ||= submission;
     pending.notBeforeMs = withinMs === 0 ? 0 : nowMs + withinMs;
-    this.#pending.set(job.id, pending);
+    this.#pending.set(id, pending);
     const saved = new Promise<SaveResult>((resolve) =>
       pending.waiters.push(resolve)
     );
@@ -202,9 +224,7 @@
     }
     const { clock } = this.#options;
     const isIdle = (id: string) => !this.#inFlight.has(id);
-    const idle = [...this.#pending.values()].filter(({ job }) =>
-      isIdle(job.id)
-    );
+    const idle = [...this.#pending.values()].filter(({ id }) => isIdle(id));
     const nowMs = clock.monotonic();
     const due = idle.filter(({ retryAtMs, notBeforeMs }) =>
       retryAtMs <= nowMs && notBeforeMs <= nowMs
@@ -248,9 +268,9 @@
   #markInFlight(
     { pending, endRecordsToRemove }: TransactionBatch,
   ): void {
-    for (const { job } of pending) {
-      this.#pending.delete(job.id);
-      this.#inFlight.add(job.id);
+    for (const { id } of pending) {
+      this.#pending.delete(id);
+      this.#inFlight.add(id);
     }
     for (const id of endRecordsToRemove) {
       this.#endRecordsToRemove.delete(id);
@@ -267,7 +287,7 @@
   }
 
   #applyOutcome(batch: TransactionBatch, outcome: TransactionOutcome): void {
-    for (const { job } of batch.pending) this.#inFlight.delete(job.id);
+    for (const { id } of batch.pending) this.#inFlight.delete(id);
     for (const id of batch.endRecordsToRemove) this.#inFlight.delete(id);
     switch (outcome.type) {
       case "written":
@@ -292,7 +312,7 @@
     const putKeys = new Set(
       writes.flatMap((write) => write.type === "put" ? [write.key] : []),
     );
-    for (const { job: { id } } of pending) {
+    for (const { id } of pending) {
       if (putKeys.has(progressKey(id))) this.#revisions.set(id, revision);
     }
     for (const id of endRecordsToRemove) this.#revisions.delete(id);
@@ -306,8 +326,8 @@
     const retryAtMs = this.#options.clock.monotonic() + RETRY_DELAY_MS;
     for (const entry of pending) {
       entry.retryAtMs = retryAtMs;
-      const newer = this.#pending.get(entry.job.id);
-      if (newer === undefined) this.#pending.set(entry.job.id, entry);
+      const newer = this.#pending.get(entry.id);
+      if (newer === undefined) this.#pending.set(entry.id, entry);
       else {
         newer.submission ||= entry.submission;
         newer.retryAtMs = retryAtMs;
--- a/src/cell/leader_change_test.ts
+++ b/src/cell/leader_change_test.ts
@@ -15,7 +15,7 @@
   harness.store.unavailable = false;
   await harness.clock.run(500);
   t.is(await harness.submit(cell, [testStep()]), "accepted");
-  t.is(cell.state("00000000000000b1"), undefined);
+  t.is(cell.state("00000000000000b1"), "absent");
 });
 
 test("a submission with an objective of seconds waits up to a second for the store", async (t) => {
--- a/src/cell/protocol.ts
+++ b/src/cell/protocol.ts
@@ -109,7 +109,11 @@
   t.type({ type: t.literal("accepted") }),
   t.type({
     type: t.literal("refused"),
-    reason: t.union([t.literal("storeAway"), t.literal("overload")]),
+    reason: t.union([
+      t.literal("storeAway"),
+      t.literal("overload"),
+      t.literal("canceled"),
+    ]),
   }),
   t.type({ type: t.literal("unknown") }),
   t.type({ type: t.literal("notHolder") }),
--- a/src/cell/records.ts
+++ b/src/cell/records.ts
@@ -96,11 +96,18 @@
     ]),
   ),
 });
-const EndRecord = t.type({
-  end: t.union([t.literal("done"), t.literal("failed"), t.literal("canceled")]),
-  queue: t.string,
-  atMs: t.number,
-});
+const EndRecord = t.intersection([
+  t.type({
+    end: t.union([
+      t.literal("done"),
+      t.literal("failed"),
+      t.literal("canceled"),
+    ]),
+    queue: t.string,
+    atMs: t.number,
+  }),
+  t.partial({ neverArrived: t.boolean }),
+]);
 
 /** Every end record starts with this text, no progress record does. */
 const END_RECORD_PREFIX = '{"end":';
@@ -138,6 +145,7 @@
     end: ended.state,
     queue: ended.queue,
     atMs: ended.endedMs,
+    neverArrived: ended.neverArrived,
   });
 }
 
@@ -163,6 +171,7 @@
     queue: record.queue,
     state: record.end,
     endedMs: record.atMs,
+    ...(record.neverArrived === true ? { neverArrived: true } : {}),
   };
 }
 
--- a/src/cell/submission.ts
+++ b/src/cell/submission.ts
@@ -3,12 +3,16 @@
  *
  * @module
  */
+import type { RejectionReason } from "./decisions/admission.ts";
 import type { JobSpec } from "./types.ts";
 
 /** Outcome of a submission. */
 export type SubmitOutcome =
   | { readonly type: "accepted" }
-  | { readonly type: "refused"; readonly reason: "storeAway" | "overload" }
+  | {
+    readonly type: "refused";
+    readonly reason: Exclude<RejectionReason, "noHolder">;
+  }
   /**
    * The leader's term ended before the outcome was known; the job may have been
    * stored.
--- a/src/cell/transaction_batch.ts
+++ b/src/cell/transaction_batch.ts
@@ -6,7 +6,7 @@
 import type { Condition, Write } from "../ports/store.ts";
 import type { EndedJob, Job } from "./job.ts";
 import { endedJobOf, writesOf } from "./job_writes.ts";
-import { PROGRESS_PREFIX } from "./records.ts";
+import { encodeEnd, PROGRESS_PREFIX } from "./records.ts";
 
 /** The store's limit on the conditions and writes of a transaction; source: the platform's pages. */
 const MAX_ENTRIES_PER_TRANSACTION = 32;
@@ -18,9 +18,16 @@
 /** Result of writing a job. `deposed`: this instance's term ended before the write was confirmed. */
 export type SaveResult = "saved" | "deposed";
 
-/** A job with changes that are not stored yet. */
+/** What a pending write records: the current state of a job, or the end of a job that never arrived. */
+export type RecordedChange =
+  | { readonly type: "job"; readonly job: Job }
+  | { readonly type: "end"; readonly end: EndedJob };
+
+/** Changes of one job that are not stored yet. */
 export interface PendingWrite {
-  readonly job: Job;
+  /** Id of the job. */
+  readonly id: string;
+  readonly change: RecordedChange;
   /** Whether the submission itself is not stored yet. */
   submission: boolean;
   /**
@@ -82,15 +89,26 @@
   });
   const sorted = [...pending].sort((a, b) => a.retryAtMs - b.retryAtMs);
   for (const entry of sorted) {
-    const { job, submission, retryAtMs } = entry;
+    const { id, change, submission, retryAtMs } = entry;
     const batch = batchWithSpaceFor(
       retryAtMs > 0 ? MAX_ENTRIES_PER_TRANSACTION : MAX_ENTRIES_PER_JOB,
     );
-    const end = endedJobOf(job, endedMs);
-    if (end !== undefined) batch.ended.push(end);
     batch.pending.push(entry);
-    batch.conditions.push(unchangedSinceLastWrite(job.id));
-    batch.writes.push(...writesOf(job, { submission, end }));
+    batch.conditions.push(unchangedSinceLastWrite(id));
+    switch (change.type) {
+      case "job": {
+        const end = endedJobOf(change.job, endedMs);
+        if (end !== undefined) batch.ended.push(end);
+        batch.writes.push(...writesOf(change.job, { submission, end }));
+        break;
+      }
+      case "end":
+        batch.writes.push({
+          type: "put",
+          key: progressKey(id),
+          value: encodeEnd(change.end),
+        });
+    }
   }
   for (const id of endRecordsToRemove) {
     const batch = batchWithSpaceFor(ENTRIES_PER_REMOVAL);
