--- a/src/cell/worker_list.ts
+++ b/src/cell/worker_list.ts
@@ -32,6 +32,8 @@
   #lastFailureMs: number | undefined;
   /** Whether a list has been applied. */
   #hasList = false;
+  /** Entries of the last list that describe no worker. */
+  #foreignEntries = 0;
   #closed = false;
 
   /** `onListed` is called for each worker of every list. */
@@ -61,8 +63,9 @@
     return ResultAsync.combine([
       this.#directory.workers(),
       this.#directory.evacuations(),
-    ]).map(([{ workers }, state]) => {
+    ]).map(([{ workers, foreign }, state]) => {
       evacuations.replace(state, { readMs });
+      this.#recordForeign(foreign);
       return workers;
     });
   }
@@ -77,7 +80,10 @@
       if (this.#closed) return;
       const result = await this.#directory.workers();
       result.match(
-        ({ workers }) => this.apply(workers),
+        ({ workers, foreign }) => {
+          this.#recordForeign(foreign);
+          this.apply(workers);
+        },
         (failure) => {
           this.#lastFailureMs = clock.monotonic();
           log.warn("list.unread", {
@@ -160,6 +166,16 @@
     this.#onListed(entry.id);
   }
 
+  /** Logs a change of the number of entries that describe no worker. */
+  #recordForeign(entries: number): void {
+    if (entries === this.#foreignEntries) return;
+    this.#foreignEntries = entries;
+    this.#context.log.warn("list.foreign", {
+      fence: this.#context.fence,
+      entries,
+    });
+  }
+
   #mayBeIncomplete(): boolean {
     if (this.#lastFailureMs === undefined) return false;
     const sinceMs = this.#context.clock.monotonic() - this.#lastFailureMs;
