Let workers refuse connections and clients leave early in the soak

The users saw TWICE and UNASKED with real processes on three deployments, each with one leader or around a change of leader. To reproduce that, the soak gets what it lacked: the proxy of a worker refuses connections for a while, and the client of every seventh job leaves before the response and cancels the job at another daemon until that is acknowledged with 200 or 410.

Why the soak had not found them: its proxies reset connections only after they had been accepted, and its clients canceled accepted jobs only.

--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -19,6 +19,10 @@
 const JOBS_TIMEOUT_MS = 40_000;
 /** Every job whose number is a multiple of this is canceled. */
 const CANCEL_INTERVAL_JOBS = 12;
+/** The client of every job whose number is a multiple of this leaves early and cancels the job at another daemon. */
+const LEAVE_INTERVAL_JOBS = 7;
+/** Shortest and longest time after which such a client leaves, milliseconds. */
+const PATIENCE_MS = { min: 20, max: 400 } as const;
 
 /** Returns a random integer between both bounds, inclusive. */
 export type RandomInteger = (from: number, to: number) => number;
@@ -59,6 +63,9 @@
       state: "",
     };
     this.jobs.push(job);
+    if (number % LEAVE_INTERVAL_JOBS === 0) {
+      return await this.#submitAndLeave(job, body);
+    }
     while (job.statuses.length < MAX_TRIES && !job.statuses.includes(200)) {
       const { status } = await this.#site.call(
         this.#chooseDaemon(),
@@ -74,14 +81,36 @@
     }
   }
 
-  async #cancel(job: ClientJob): Promise<void> {
-    job.canceled = true;
+  /** Submits a job, leaves before the response and cancels the job until that is acknowledged. */
+  async #submitAndLeave(job: ClientJob, body: unknown): Promise<void> {
+    const { daemons } = this.#site;
+    const index = this.#random(0, daemons.length - 1);
+    const timeoutMs = this.#random(PATIENCE_MS.min, PATIENCE_MS.max);
     const { status } = await this.#site.call(
-      this.#chooseDaemon(),
-      "DELETE",
+      daemons[index]!,
+      "POST",
       job.id,
+      body,
+      { timeoutMs },
     );
-    if (status === 200) this.canceledMs.set(job.id, Date.now());
+    job.statuses.push(status);
+    const other = daemons[(index + 1) % daemons.length]!;
+    for (let tries = 0; tries < MAX_TRIES; tries++) {
+      if (await this.#cancel(job, other)) return;
+      await pause(RETRY_DELAY_MS);
+    }
+  }
+
+  /** Returns whether the cancelation was acknowledged. */
+  async #cancel(
+    job: ClientJob,
+    daemon = this.#chooseDaemon(),
+  ): Promise<boolean> {
+    job.canceled = true;
+    const { status } = await this.#site.call(daemon, "DELETE", job.id);
+    const isAcknowledged = status === 200 || status === 410;
+    if (isAcknowledged) this.canceledMs.set(job.id, Date.now());
+    return isAcknowledged;
   }
 
   /** Records the final state of every accepted job; waits for it up to the timeout. Called after the last fault. */
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -9,9 +9,18 @@
 /**
  * Simulated network fault. `well`: none. `delay`: data is delayed. `silent`: data is
  * dropped in both directions. `reset`: connections are closed and new ones reset.
- * `upstreamOnly`: responses are dropped, requests are forwarded.
+ * `refuse`: connections are closed and new ones refused. `upstreamOnly`: responses
+ * are dropped, requests are forwarded.
  */
-export type ProxyFault = "well" | "delay" | "silent" | "reset" | "upstreamOnly";
+export type ProxyFault =
+  | "well"
+  | "delay"
+  | "silent"
+  | "reset"
+  | "refuse"
+  | "upstreamOnly";
+
+const HOST = "127.0.0.1";
 
 /** Delay of each chunk of data: fifty times the latency of a link within a zone. */
 const DELAY_MS = 50;
@@ -29,6 +38,7 @@
   readonly #server: Server;
   readonly #connections = new Set<ProxiedConnection>();
   #fault: ProxyFault = "well";
+  #port = 0;
 
   /** `target` returns the `host:port` to forward to; it is called for each connection. */
   constructor(target: () => string) {
@@ -39,23 +49,25 @@
   /** Starts listening on a free port; returns `host:port`. */
   listen(): Promise<string> {
     return new Promise((resolve) => {
-      this.#server.listen(0, "127.0.0.1", () => {
-        const { port } = this.#server.address() as AddressInfo;
-        resolve(`127.0.0.1:${port}`);
+      this.#server.listen(0, HOST, () => {
+        this.#port = (this.#server.address() as AddressInfo).port;
+        resolve(`${HOST}:${this.#port}`);
       });
     });
   }
 
-  /** Sets the fault; `reset` also closes the open connections. */
+  /** Sets the fault; `reset` and `refuse` also close the open connections. */
   set fault(fault: ProxyFault) {
     this.#fault = fault;
-    if (fault !== "reset") return;
+    if (fault === "refuse") this.#server.close();
+    else if (!this.#server.listening) this.#server.listen(this.#port, HOST);
+    if (fault !== "reset" && fault !== "refuse") return;
     for (const pair of this.#connections) close(pair);
   }
 
   /** Closes the listener and all connections. */
   close(): void {
-    this.#server.close();
+    if (this.#server.listening) this.#server.close();
     for (const pair of this.#connections) close(pair);
   }
 
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -40,6 +40,9 @@
 /** Zone that is evacuated; the other one stays in service. */
 const EVACUATED_ZONE = "b";
 
+/** Part of a seed that selects the generator of refused connections. */
+const REFUSALS = 0x5eed;
+
 /** Executes one soak run; rejects if the site does not start. Jobs that do not end in time are findings. */
 export async function soak(options: SoakOptions): Promise<SoakResult> {
   const random = createRandom(options.seed);
@@ -104,6 +107,7 @@
       this.#injectFaults(),
       this.#injectFaults(),
       this.#evacuateRepeatedly(),
+      this.#refuseRepeatedly(),
     ];
     await Promise.all([submitted, ...faults]);
     await this.#clients.waitForJobs();
@@ -155,6 +159,22 @@
     }
   }
 
+  /** Lets a worker refuse connections from time to time; its runs go on. */
+  async #refuseRepeatedly(): Promise<void> {
+    // A separate generator, so that these faults do not change the others of a seed.
+    const random = createRandom(this.#options.seed ^ REFUSALS);
+    const { workers } = this.#site;
+    while (Date.now() < this.#endMs) {
+      await pause(random(500, 3_000));
+      const { id } = workers[random(0, workers.length - 1)]!;
+      await this.#applyNetworkFault(
+        `worker:${id}`,
+        "refuse",
+        random(300, 3_000),
+      );
+    }
+  }
+
   async #injectFault(): Promise<void> {
     const durationMs = this.#random(200, 4_000);
     const daemon = this.#chooseDaemon();
@@ -233,6 +253,14 @@
       "upstreamOnly",
     ];
     const fault = faults[this.#random(0, faults.length - 1)]!;
+    await this.#applyNetworkFault(name, fault, durationMs);
+  }
+
+  async #applyNetworkFault(
+    name: string,
+    fault: ProxyFault,
+    durationMs: number,
+  ): Promise<void> {
     this.#logFault(`${fault} ${name} ${durationMs}`);
     const proxy = this.#proxies.get(name);
     if (proxy === undefined) return;
