Confirm a term as of the time when the request was sent

Cause: a suspension stops the monotonic clock, so a confirmation also notes the offset of the wall clock. For responses to job writes, and for the write by which a term is gained, the offset was taken when the response was read. A leader that resumed with such a response unread counted its term as confirmed and could renew leases for 2 s, after any length of suspension.

Change: a request's send time holds both clocks, and a confirmation counts as of that time. A response without it extends the confirmation only if there was no suspension since; then the term is confirmed by a new write, as before.

Ruled out: ending the term at once after a suspension; most are short, and the leader is still the leader.

Test: term_confirmation_test "a response to a request from before a suspension does not confirm the term".

--- a/src/cell/heartbeat_sender.ts
+++ b/src/cell/heartbeat_sender.ts
@@ -98,7 +98,7 @@
     // If a majority has seen no later leader, the term is confirmed without the store.
     const accepting = accepted.filter((isAccepted) => isAccepted).length;
     if (names.length === 0 || 2 * accepting <= names.length) return;
-    if (!confirmation.wasSuspended) confirmation.confirm(sentMs);
+    confirmation.extend(sentMs);
   }
 
   #sendToWatchers(): void {
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -19,7 +19,7 @@
 import { MAX_ISOLATED_LEADER_MS } from "./cell.ts";
 import { selectWatchers } from "./candidates.ts";
 import type { LeaderRecord, LeaderTerm, Member } from "./leader_record.ts";
-import { TermConfirmation } from "./term_confirmation.ts";
+import { type SendTime, TermConfirmation } from "./term_confirmation.ts";
 import { LeaderMonitor } from "./leader_monitor.ts";
 import {
   LeaderRecordStore,
@@ -85,7 +85,8 @@
       sendHello: (record) => void this.#knownLeader.sendHello(record),
       refreshRecord: () => this.#knownLeader.refresh(),
       observeRecord: (versioned) => this.#knownLeader.observe(versioned),
-      startTerm: (versioned) => this.#startTerm(versioned),
+      sendTime: () => this.#confirmation.now(),
+      startTerm: (versioned, sent) => this.#startTerm(versioned, sent),
     });
     this.#heartbeatSender = new HeartbeatSender({
       ...options,
@@ -154,7 +155,7 @@
 
   /** Records that the store has committed a write of this leader, sent at `sentMs` (monotonic milliseconds). */
   recordConfirmation(sentMs: number): void {
-    this.#confirmation.confirm(sentMs);
+    this.#confirmation.extend(sentMs);
   }
 
   /** Ends this process's term, since a worker or the store has shown that another process leads. */
@@ -239,14 +240,14 @@
   /** Called when a peer has a newer operator set than this process; the owner assigns a function that fetches it. */
   onNewerSet: (peer: string, version: number) => void = () => {};
 
-  #startTerm(versioned: VersionedRecord): void {
-    const { log, listener, clock } = this.#options;
+  #startTerm(versioned: VersionedRecord, sent: SendTime): void {
+    const { log, listener } = this.#options;
     this.#knownLeader.setOwn(versioned);
     const { fence } = versioned.record;
     const term = { fence, revision: versioned.revision };
     this.#term = term;
     this.#leadershipTransfer.termStarted();
-    this.#confirmation.confirm(clock.monotonic());
+    this.#confirmation.confirm(sent);
     log.info("hold.gained", {
       fence,
       revision: versioned.revision,
@@ -271,11 +272,10 @@
   async #confirmTerm(): Promise<void> {
     const term = this.#term;
     if (term === undefined) return;
-    const sentMs = this.#options.clock.monotonic();
-    const clockOffsetMs = this.#confirmation.clockOffsetMs();
+    const sent = this.#confirmation.now();
     const outcome = await this.#recordStore.confirm(term);
     if (outcome.type === "replaced") this.#knownLeader.observe(outcome.stored);
     if (outcome.type !== "held") return;
-    this.#confirmation.confirm(sentMs, clockOffsetMs);
+    this.#confirmation.confirm(sent);
   }
 }
--- a/src/cell/takeover.ts
+++ b/src/cell/takeover.ts
@@ -22,6 +22,7 @@
 } from "./leader_record_store.ts";
 import type { CellStore } from "./ports.ts";
 import type { Membership } from "./membership.ts";
+import type { SendTime } from "./term_confirmation.ts";
 
 /** Delay before the next candidate in rank makes an attempt, milliseconds: time to write the record and announce the new leader. */
 const DELAY_PER_RANK_MS = 100;
@@ -53,8 +54,10 @@
   readonly refreshRecord: () => Promise<void>;
   /** Called when the store contains the leader record of another instance. */
   readonly observeRecord: (versioned: VersionedRecord) => void;
-  /** Called with this process's own leader record once the store has committed it. */
-  readonly startTerm: (versioned: VersionedRecord) => void;
+  /** The send time of a request that is sent now. */
+  readonly sendTime: () => SendTime;
+  /** Called with this process's own leader record once the store has committed it; `sent`: when its write was sent. */
+  readonly startTerm: (versioned: VersionedRecord, sent: SendTime) => void;
 }
 
 /** Attempts to become leader, one attempt at a time. */
@@ -188,6 +191,7 @@
       leaderMonitor,
       observeRecord,
       startTerm,
+      sendTime,
       refreshRecord,
       recordStore,
     } = this.#options;
@@ -197,10 +201,11 @@
       if (latestRecord() !== undefined) return;
     }
     const revision = latestRecord()?.revision ?? 0;
+    const sent = sendTime();
     const outcome = await recordStore.acquire(this.#fence() + 1, revision);
     switch (outcome.type) {
       case "held":
-        return startTerm(outcome.stored);
+        return startTerm(outcome.stored, sent);
       case "replaced":
         observeRecord(outcome.stored);
         leaderMonitor.recordNewLeader();
--- a/src/cell/term_confirmation.ts
+++ b/src/cell/term_confirmation.ts
@@ -9,21 +9,27 @@
 /** Change of the offset between wall clock and monotonic clock that indicates a suspension, milliseconds. */
 const MIN_SUSPENSION_MS = 700;
 
+/** When a request was sent whose success confirms the term. */
+export interface SendTime {
+  /** Monotonic milliseconds. */
+  readonly sentMs: number;
+  /** Wall clock minus monotonic clock at that time, milliseconds. */
+  readonly clockOffsetMs: number;
+}
+
 /** The last confirmation of a term, by the store or by a majority of members. */
 export class TermConfirmation {
   readonly #clock: Clock;
-  #confirmedAtMs = -Infinity;
-  /** Clock offset at the last confirmation, milliseconds. */
-  #confirmedClockOffsetMs: number;
+  #confirmed: SendTime;
 
   constructor(clock: Clock) {
     this.#clock = clock;
-    this.#confirmedClockOffsetMs = this.clockOffsetMs();
+    this.#confirmed = { ...this.now(), sentMs: -Infinity };
   }
 
   /** Milliseconds since the last confirmed write or heartbeat was sent. */
   get ageMs(): number {
-    return this.#clock.monotonic() - this.#confirmedAtMs;
+    return this.#clock.monotonic() - this.#confirmed.sentMs;
   }
 
   /**
@@ -33,18 +39,29 @@
    * clock has the same effect.
    */
   get wasSuspended(): boolean {
-    return Math.abs(this.clockOffsetMs() - this.#confirmedClockOffsetMs) >
+    const { clockOffsetMs } = this.now();
+    return Math.abs(clockOffsetMs - this.#confirmed.clockOffsetMs) >
       MIN_SUSPENSION_MS;
   }
 
-  /** Wall clock minus monotonic clock, milliseconds. */
-  clockOffsetMs(): number {
-    return this.#clock.now().getTime() - this.#clock.monotonic();
+  /** The send time of a request that is sent now. */
+  now(): SendTime {
+    const sentMs = this.#clock.monotonic();
+    return { sentMs, clockOffsetMs: this.#clock.now().getTime() - sentMs };
+  }
+
+  /** Records the confirmation of a request. */
+  confirm(sent: SendTime): void {
+    const sentMs = Math.max(this.#confirmed.sentMs, sent.sentMs);
+    this.#confirmed = { ...sent, sentMs };
   }
 
-  /** Records the confirmation of a request sent at `sentMs` (monotonic), when the clock offset was `clockOffsetMs`. */
-  confirm(sentMs: number, clockOffsetMs = this.clockOffsetMs()): void {
-    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, sentMs);
-    this.#confirmedClockOffsetMs = clockOffsetMs;
+  /**
+   * Records the confirmation of a request that was sent at `sentMs`, monotonic
+   * milliseconds. It has no effect after a suspension: the request may have been
+   * sent before, and another instance may lead since.
+   */
+  extend(sentMs: number): void {
+    if (!this.wasSuspended) this.confirm({ ...this.now(), sentMs });
   }
 }
