Acknowledge nothing to a worker that a start shows as restarted

What could happen: a worker restarts under its id while the leader waits for the store before it polls again, and a run on the new process ends at once. The next poll acknowledges the numbers of the former process. The new one, which counts from 1 again, forgets the completion, the report omits it, and the task runs twice.

Cause: a restart was seen in reports only, after the poll had acknowledged.

Change: the response to a start holds the worker's clock, which starts anew with the process. If it lags behind the expected time by more than 500 ms, the worker counts as unreachable until its next report, and such a poll acknowledges nothing and renews no lease.

Ruled out: polls without an acknowledgment before each start, which would cost a request for each; the time of start in the list of workers, which may be 700 ms old.

The clock of the in-memory worker starts anew with its process.

--- a/src/cell/_fake_store_test.ts
+++ b/src/cell/_fake_store_test.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { errAsync, okAsync, type ResultAsync } from "neverthrow";
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import type { StoreFailure } from "../errors.ts";
 import type { CommitResult, Condition, Entry, Write } from "../ports/store.ts";
 import type { CellStore } from "./ports.ts";
@@ -15,6 +15,8 @@
   unavailable = false;
   /** Transactions with a condition on one of these keys fail without being executed. */
   readonly stuckKeys = new Set<string>();
+  /** If set, transactions with a condition on this key are executed, and answered once the promise resolves. */
+  held: { readonly key: string; readonly until: Promise<void> } | undefined;
   /** Number of further transactions that are executed but whose response is lost. */
   responsesToLose = 0;
   /** Revision of the last executed transaction. */
@@ -66,7 +68,11 @@
       this.responsesToLose--;
       return errAsync({ type: "storeAnswerLost", message: "lost" });
     }
-    return okAsync({ type: "committed", revision: this.revision });
+    const result: CommitResult = { type: "committed", revision: this.revision };
+    const { held } = this;
+    const isHeld = conditions.some(({ key }) => key === held?.key);
+    if (held === undefined || !isHeld) return okAsync(result);
+    return ResultAsync.fromSafePromise(held.until.then(() => result));
   }
 
   changes(): ReturnType<CellStore["changes"]> {
--- a/src/cell/_fake_workers_test.ts
+++ b/src/cell/_fake_workers_test.ts
@@ -51,6 +51,7 @@
   ended: ReportedCompletion[] = [];
   acknowledged = 0;
   #completions = 0;
+  #clockStartMs = 0;
   readonly id: string;
   readonly clock: ManualClock;
 
@@ -83,6 +84,12 @@
     this.#completions = 0;
     this.fence = 0;
     this.processStartMs++;
+    this.#clockStartMs = this.clock.monotonic();
+  }
+
+  /** The worker's clock, which starts anew with its process, milliseconds. */
+  #clockMs(): number {
+    return this.clock.monotonic() - this.#clockStartMs;
   }
 
   /** Whether the response to the current call is lost. */
@@ -103,11 +110,11 @@
       return { type: "rejected", reason: "fenced" };
     }
     this.fence = request.fence;
-    if (request.leaseUntilMs < this.clock.monotonic()) {
+    if (request.leaseUntilMs < this.#clockMs()) {
       return { type: "rejected", reason: "tooLate" };
     }
     if (this.running.get(request.task)?.run === request.run) {
-      return { type: "started", clockMs: this.clock.monotonic() };
+      return { type: "started", clockMs: this.#clockMs() };
     }
     if (request.run <= (this.forbidden.get(request.task) ?? 0)) {
       return { type: "rejected", reason: "staleRun" };
@@ -122,7 +129,7 @@
       this.forbidden.set(request.task, request.run);
       this.end(request.task, "done");
     }
-    return { type: "started", clockMs: this.clock.monotonic() };
+    return { type: "started", clockMs: this.#clockMs() };
   }
 
   /** Stops a run, or makes the worker reject it if it is not there. */
@@ -146,7 +153,7 @@
       percent: entry.percent += this.stalled || entry.percent > 90 ? 0 : 1,
     }));
     return {
-      clockMs: this.clock.monotonic(),
+      clockMs: this.#clockMs(),
       processStartMs: this.processStartMs,
       running,
       completions: this.ended.slice(0, this.maxReported),
--- a/src/cell/lost_responses_test.ts
+++ b/src/cell/lost_responses_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { sleep } from "../clock.ts";
 import { Harness, testStep } from "./_fixtures_test.ts";
 
 const JOB = "00000000000000aa";
@@ -52,6 +53,27 @@
   t.is(worker.starts.length + other.starts.length, 1);
 });
 
+// Guards against an acknowledgment that reaches the next process of a worker,
+// which counts its completions from 1 again and forgets those.
+test("completions of a restarted worker are not acknowledged for its former process", async (t) => {
+  const harness = new Harness();
+  const worker = harness.addWorker("w1");
+  const cell = await harness.open();
+  await harness.submit(cell, [testStep()]);
+  await harness.clock.run(2_000);
+  // The leader waits for this write before it polls the worker again.
+  const until = sleep(harness.clock, 300);
+  harness.store.held = { key: `progress/${JOB}`, until };
+  worker.end(TASK, "done");
+  await harness.clock.run(80);
+  worker.restart();
+  worker.completesInstantly = true;
+  await harness.submit(cell, [testStep()], "00000000000000b1");
+  await harness.clock.run(1_000);
+  t.is(cell.state("00000000000000b1"), "done");
+  t.is(worker.starts.length, 2);
+});
+
 test("a completion in a lost report is seen at once, and its worker gets new runs", async (t) => {
   const harness = new Harness();
   const worker = harness.addWorker("w1");
--- a/src/cell/run.ts
+++ b/src/cell/run.ts
@@ -26,6 +26,25 @@
   return maxLeaseMs * (1 + MAX_CLOCK_DRIFT) + LEASE_END_MARGIN_MS;
 }
 
+/**
+ * Largest lag of a worker's clock behind the expected time, milliseconds: its
+ * drift over a few seconds without a report, and a margin.
+ */
+const MAX_CLOCK_LAG_MS = 500;
+
+/**
+ * Whether the worker's process has restarted since its last report, as its clock
+ * has started anew. `clockMs`: its clock in the response to a request that was
+ * sent at `sentMs`, monotonic milliseconds.
+ */
+export function hasClockRestarted(
+  { clockOffsetMs }: FleetWorker,
+  { clockMs, sentMs }: { readonly clockMs: number; readonly sentMs: number },
+): boolean {
+  return clockOffsetMs !== undefined &&
+    clockMs < sentMs + clockOffsetMs - MAX_CLOCK_LAG_MS;
+}
+
 /**
  * Creates the run of a task that was just placed on a worker. `nowMs`:
  * monotonic milliseconds.
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -19,7 +19,13 @@
 import { findBarredRuns } from "./decisions/barred_runs.ts";
 import { type Evidence, findAbsentRuns } from "./decisions/run_absence.ts";
 import { isActive, retryStart } from "./start_retry.ts";
-import { addressOf, gangCheckpoint, leaseBoundMs, newRun } from "./run.ts";
+import {
+  addressOf,
+  gangCheckpoint,
+  hasClockRestarted,
+  leaseBoundMs,
+  newRun,
+} from "./run.ts";
 
 /**
  * Leases are this much shorter than the maximum, to cover the time between the
@@ -293,16 +299,21 @@
       })
       : firstResponse;
     this.#logStart(run, response, sentMs);
-    this.#handleStartResponse(run, response);
+    this.#handleStartResponse(run, response, sentMs);
   }
 
-  #handleStartResponse(run: Run, response: StartResponse): void {
+  #handleStartResponse(
+    run: Run,
+    response: StartResponse,
+    sentMs: number,
+  ): void {
     const { clock, stepDown } = this.#context;
     const now = clock.monotonic();
     const { worker, step } = run;
     switch (response.type) {
       case "started":
         run.absenceProvableAfterMs ??= now;
+        this.#detectRestart(worker, { clockMs: response.clockMs, sentMs });
         if (run.stopping || isFinished(step.job)) this.stop(run);
         return;
       case "unreached":
@@ -321,6 +332,26 @@
     }
   }
 
+  /**
+   * Takes a restarted worker for unreachable until its next report: an
+   * acknowledgment for its former process would discard completions of the new
+   * one.
+   */
+  #detectRestart(
+    worker: FleetWorker,
+    { clockMs, sentMs }: {
+      readonly clockMs: number | undefined;
+      readonly sentMs: number;
+    },
+  ): void {
+    if (clockMs === undefined) return;
+    if (!hasClockRestarted(worker, { clockMs, sentMs })) return;
+    const { log, fence } = this.#context;
+    log.warn("worker.clockRestarted", { worker: worker.id, fence, clockMs });
+    worker.reachable = false;
+    worker.clockOffsetMs = undefined;
+  }
+
   /**
    * Polls the worker to find out whether a start without a response was carried
    * out. If it was not, a stop request makes the worker reject it later.
