Check the end of a worker's leases once, not once for each of its runs

It now takes the worker and decides first. Behaviour and the assertions of its tests stay as they are.

Ruled out: a guard in Runs.tick, which would state a part of the rule twice.

--- a/src/cell/decisions/run_absence.ts
+++ b/src/cell/decisions/run_absence.ts
@@ -11,7 +11,7 @@
  *
  * @module
  */
-import type { Run } from "../fleet.ts";
+import type { FleetWorker, Run } from "../fleet.ts";
 import type { WorkerReport } from "../ports.ts";
 
 /** What the leader has learned about the runs of one worker. */
@@ -30,9 +30,9 @@
   /** The time has passed, monotonic milliseconds. */
   | { readonly type: "time"; readonly nowMs: number };
 
-/** The given runs of one worker that are certainly not on it. */
+/** The runs of a worker that are certainly not on it. */
 export function findAbsentRuns(
-  runs: Iterable<Run>,
+  worker: FleetWorker,
   evidence: Evidence,
 ): readonly Run[] {
   switch (evidence.type) {
@@ -41,16 +41,19 @@
       // The run may be among the completions that are reported later.
       if (report.mayOmitCompletions) return [];
       const listed = listedRuns(report);
-      return [...runs].filter((run) =>
+      return [...worker.runs.values()].filter((run) =>
         isProvable(run, requestedMs) && !listed.has(runKey(run.task.id, run))
       );
     }
     case "otherProcess":
-      return [...runs].filter((run) => isProvable(run, evidence.requestedMs));
-    case "time":
-      return [...runs].filter(({ worker }) =>
-        !worker.reachable && worker.leaseBoundMs <= evidence.nowMs
+      return [...worker.runs.values()].filter((run) =>
+        isProvable(run, evidence.requestedMs)
       );
+    // Checked for each worker in every tick, so the runs are not walked first.
+    case "time":
+      return !worker.reachable && worker.leaseBoundMs <= evidence.nowMs
+        ? [...worker.runs.values()]
+        : [];
   }
 }
 
--- a/src/cell/decisions/run_absence_test.ts
+++ b/src/cell/decisions/run_absence_test.ts
@@ -14,15 +14,17 @@
 
 /** A run on a worker, whose start the worker confirmed at 100 ms. */
 function confirmedRun(): { readonly worker: FleetWorker; readonly run: Run } {
-  const worker = openWorker(new Fleet(), "w1");
+  const fleet = new Fleet();
+  const worker = openWorker(fleet, "w1");
   const step = stepOf({});
   const run = newRun(step, { task: step.tasks[0]!, worker, nowMs: 0 });
   run.absenceProvableAfterMs = 100;
+  fleet.addRun(run);
   return { worker, run };
 }
 
 function isAbsent(run: Run, evidence: Evidence): boolean {
-  return findAbsentRuns([run], evidence).length > 0;
+  return findAbsentRuns(run.worker, evidence).includes(run);
 }
 
 test("a report proves the absence of a run only if it was requested after the start", (t) => {
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -152,7 +152,7 @@
     readonly evidence: Evidence;
     readonly reason: string;
   }): void {
-    for (const run of findAbsentRuns(worker.runs.values(), evidence)) {
+    for (const run of findAbsentRuns(worker, evidence)) {
       this.markLost(run, reason);
     }
   }
