Give no number of waiting jobs before it is known

Cause: the heartbeats of a term start with the term and carried the numbers of waiting jobs; before the recovery there is no cell to count, and "no cell" was written as an empty list. The members dated it with its arrival and answered from it.

Evidence: hold.gained and cell.recovered of the successor enclose the wrong answers.

Change: counts are known or unknown. A process counts only while it has read the jobs back and its term is confirmed. The latest counts and their time are kept in one place; a heartbeat of a leader that cannot count yet is marked and does not replace them. After 1.8 s without counts, instances answer 503.

The same conclusion elsewhere: a leader that was replaced without having noticed answered and sent its own counts (now only while its term is confirmed); a process that has just won or lost a term fell back to an old heartbeat (now to the latest counts, its own included); instances of an older build, which don't know the mark, are sent the former leader's counts. Read and left: job states, 404 and 401, evacuations, the health check.

The soak asks every daemon for its number and checks it.

Ruled out: a lost or late heartbeat (the wrong numbers came in fresh ones), and wrong counting after the recovery (the numbers were right again at once).

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -13,16 +13,28 @@
   /** HTTP status of each try; 0 for a broken connection. */
   readonly statuses: number[];
   canceled: boolean;
+  /** When the submission was acknowledged, Unix milliseconds; `undefined` if it was not. */
+  acceptedMs?: number;
   /** Last state that a daemon reported; empty if none has. */
   state: string;
 }
 
+/** Number of waiting jobs that a daemon gave a client. */
+export interface WaitingAnswer {
+  readonly daemon: string;
+  readonly waiting: number;
+  /** When the client sent the request and received the response, Unix milliseconds. */
+  readonly sentMs: number;
+  readonly receivedMs: number;
+}
+
 /** Violated guarantee. */
 export interface Finding {
   /**
    * `lost`: an accepted job is not done. `twice`: a task ran twice. `refused`: a
    * refused job ran. `overfilled`: a worker had more runs than fit. `canceled` and
    * `evacuated`: a run started too late after the cancelation or evacuation.
+   * `miscounted`: a daemon gave less than half of the waiting jobs.
    */
   readonly promise:
     | "lost"
@@ -30,13 +42,17 @@
     | "refused"
     | "overfilled"
     | "canceled"
-    | "evacuated";
+    | "evacuated"
+    | "miscounted";
   readonly about: string;
 }
 
 /** Time after the response to a cancelation from which no task of the job may start, milliseconds; source: the platform's pages. */
 const MAX_CANCEL_DELAY_MS = 3_000;
 
+/** Age from which a waiting job must be counted, milliseconds; source: the platform's pages. */
+const COUNTED_AFTER_MS = 5_000;
+
 /** Time after the response to an evacuation request from which no task may start in the zone, milliseconds: the bound plus its extension while the store is unstable. */
 const MAX_EVACUATION_DELAY_MS = 5_000 + 6_000;
 
@@ -60,6 +76,7 @@
     /** When cancelations were acknowledged, Unix milliseconds, by job. */
     readonly canceledMs: ReadonlyMap<string, number>;
     readonly evacuated?: readonly EvacuationPeriod[];
+    readonly waitingAnswers?: readonly WaitingAnswer[];
   },
 ): readonly Finding[] {
   return [
@@ -69,9 +86,37 @@
     ...findOverfilledWorkers(record, options.runsPerWorker),
     ...findStartsAfterCancelation(record, options.canceledMs),
     ...findStartsInEvacuatedZones(record, options.evacuated ?? []),
+    ...findMiscounts(jobs, record, options.waitingAnswers ?? []),
   ];
 }
 
+/** Finds answers with less than half of the jobs that had waited for long and were still waiting afterwards. */
+function findMiscounts(
+  jobs: readonly ClientJob[],
+  record: readonly RecordedRun[],
+  answers: readonly WaitingAnswer[],
+): readonly Finding[] {
+  const firstStartMs = new Map<string, number>();
+  for (const { task, startedMs } of record) {
+    const id = task.split(".")[0] ?? "";
+    const earliestMs = Math.min(firstStartMs.get(id) ?? Infinity, startedMs);
+    firstStartMs.set(id, earliestMs);
+  }
+  return answers.flatMap(({ daemon, waiting, sentMs, receivedMs }) => {
+    const expected = jobs.filter(({ id, acceptedMs, canceled }) =>
+      !canceled && (acceptedMs ?? Infinity) < sentMs - COUNTED_AFTER_MS &&
+      (firstStartMs.get(id) ?? Infinity) > receivedMs
+    ).length;
+    return 2 * waiting < expected
+      ? [{
+        promise: "miscounted" as const,
+        about: `${daemon} gave ${waiting} waiting jobs at ${sentMs}; ` +
+          `${expected} had waited for long`,
+      }]
+      : [];
+  });
+}
+
 function findStartsInEvacuatedZones(
   record: readonly RecordedRun[],
   zones: readonly EvacuationPeriod[],
--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -7,12 +7,14 @@
 import type { PlatformSite, SiteDaemon } from "../platform/standins/site.ts";
 import { waitFor } from "../platform/standins/site.ts";
 import { submissionBody } from "../platform/standins/site_client.ts";
-import type { ClientJob } from "./checks.ts";
+import type { ClientJob, WaitingAnswer } from "./checks.ts";
 
 /** Interval between submissions. */
 const SUBMIT_INTERVAL_MS = 60;
 /** Maximum number of tries per submission. */
 const MAX_TRIES = 5;
+/** Interval at which every daemon is asked for the number of waiting jobs. */
+const COUNT_INTERVAL_MS = 50;
 /** Delay before a retry of a submission. */
 const RETRY_DELAY_MS = 400;
 /** Maximum time for all jobs to end after the last fault: two leases plus the jobs' run time. */
@@ -32,6 +34,8 @@
   readonly jobs: ClientJob[] = [];
   /** When cancelations were acknowledged, Unix milliseconds, by job. */
   readonly canceledMs = new Map<string, number>();
+  /** Numbers of waiting jobs that the daemons gave. */
+  readonly waitingAnswers: WaitingAnswer[] = [];
   readonly #site: PlatformSite;
   readonly #random: RandomInteger;
 
@@ -50,6 +54,25 @@
     await Promise.all(pending);
   }
 
+  /** Asks every daemon for the number of waiting jobs until `endMs`, Unix milliseconds. */
+  async countUntil(endMs: number): Promise<void> {
+    await Promise.all(this.#site.daemons.map(async (daemon) => {
+      while (Date.now() < endMs) {
+        const sentMs = Date.now();
+        const { status, body } = await this.#site.call(daemon, "GET", "");
+        if (status === 200) {
+          this.waitingAnswers.push({
+            daemon: daemon.name,
+            waiting: body.waiting ?? 0,
+            sentMs,
+            receivedMs: Date.now(),
+          });
+        }
+        await pause(COUNT_INTERVAL_MS);
+      }
+    }));
+  }
+
   async #submitJob(number: number): Promise<void> {
     const id = number.toString(16).padStart(16, "0");
     const width = this.#random(1, 3);
@@ -74,6 +97,7 @@
         body,
       );
       job.statuses.push(status);
+      if (status === 200) job.acceptedMs = Date.now();
       if (status !== 200) await pause(RETRY_DELAY_MS);
     }
     if (number % CANCEL_INTERVAL_JOBS === 0 && job.statuses.includes(200)) {
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -103,20 +103,22 @@
       worker.workMs = this.#random(100, 900);
     }
     const submitted = this.#clients.submitUntil(this.#endMs);
+    const counted = this.#clients.countUntil(this.#endMs);
     const faults = [
       this.#injectFaults(),
       this.#injectFaults(),
       this.#evacuateRepeatedly(),
       this.#refuseRepeatedly(),
     ];
-    await Promise.all([submitted, ...faults]);
+    await Promise.all([submitted, counted, ...faults]);
     await this.#clients.waitForJobs();
-    const { jobs, canceledMs } = this.#clients;
+    const { jobs, canceledMs, waitingAnswers } = this.#clients;
     const record = this.#site.recordedRuns;
     const findings = check(jobs, record, {
       runsPerWorker: RUNS_PER_WORKER,
       canceledMs,
       evacuated: this.#evacuated,
+      waitingAnswers,
     });
     return {
       findings,
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -54,6 +54,25 @@
   t.is(started(12_000, "w2"), 0);
 });
 
+// Guards against a check that misses a daemon that reports an empty backlog.
+test("checks: a number of waiting jobs that is less than half of those that have waited for long", (t) => {
+  const waits = { ...JOB, state: "pending", acceptedMs: 0 };
+  const jobs = [waits, { ...waits, id: "b" }, { ...waits, id: "c" }];
+  const record = [{ ...RUN, task: "c.0.0.0", startedMs: 7_000 }];
+  const found = (waiting: number, sentMs: number) =>
+    check(jobs, record, {
+      ...LIMITS,
+      waitingAnswers: [{
+        daemon: "a",
+        waiting,
+        sentMs,
+        receivedMs: sentMs + 1,
+      }],
+    }).filter(({ promise }) => promise === "miscounted").length;
+  t.deepEqual([found(1, 6_000), found(2, 6_000), found(0, 5_000)], [1, 0, 0]);
+  t.deepEqual([found(1, 7_000), found(0, 7_000)], [0, 1]);
+});
+
 /** Seeds of short runs: an arbitrary fixed one, and those that have had findings. */
 const SEEDS = [
   { seed: 7, about: "a fixed seed" },
--- a/src/cell/_instances_test.ts
+++ b/src/cell/_instances_test.ts
@@ -59,6 +59,10 @@
   readonly network = new Network();
   /** Names of the instances that lead the cell by their own view. */
   readonly leaders = new Set<string>();
+  /** Waiting jobs as every leader counts them once it has read them back. */
+  waiting: ReadonlyMap<string, number> = new Map([["receipts", 2]]);
+  /** Names of the instances that cannot read the jobs back. */
+  readonly unrecovered = new Set<string>();
   /** Fencing tokens of all terms, in order. */
   readonly fences: number[] = [];
 
@@ -84,7 +88,8 @@
           this.fences.push(fence);
         },
         termEnded: () => void this.leaders.delete(name),
-        waitingJobs: () => [["receipts", 2]],
+        waitingJobs: () =>
+          this.unrecovered.has(name) ? undefined : this.waiting,
       },
     });
     void leadership.run();
--- a/src/cell/gateway.ts
+++ b/src/cell/gateway.ts
@@ -33,8 +33,8 @@
 const LEADER_CHECK_INTERVAL_MS = 25;
 /** Timeout of one attempt to call the leader, milliseconds. */
 const CALL_TIMEOUT_MS = 1_200;
-/** Age up to which counts of waiting jobs are returned to clients, milliseconds; source: the platform's pages. */
-const MAX_WAITING_COUNTS_AGE_MS = 1_800;
+/** Time without a message from the leader up to which calls are likely to succeed, milliseconds: a takeover and the recovery that follows. */
+const MAX_READY_SILENCE_MS = 1_800;
 
 /** Result of a client's call. `refused`: it had no effect; `unknown`: it may have taken effect. */
 export type GatewayResult<A> =
@@ -156,20 +156,12 @@
     }
   }
 
-  /** Number of accepted jobs of a queue that have not started. */
+  /** Number of accepted jobs of a queue that have not started; refused while no recent number is known. */
   waitingJobs(queue: string): GatewayResult<number> {
-    const cell = this.#options.cell();
-    if (cell !== undefined) {
-      return {
-        type: "answered",
-        answer: cell.pendingByQueue().get(queue) ?? 0,
-      };
-    }
-    const { counts, ageMs } = this.#options.leadership.waitingJobs();
-    if (ageMs > MAX_WAITING_COUNTS_AGE_MS) {
-      return { type: "refused", reason: "noHolder" };
-    }
-    return { type: "answered", answer: counts.get(queue) ?? 0 };
+    const counts = this.#options.leadership.waitingJobs();
+    return counts === undefined
+      ? { type: "refused", reason: "noHolder" }
+      : { type: "answered", answer: counts.get(queue) ?? 0 };
   }
 
   /** Whether calls are likely to succeed: an operator set is loaded, and this process leads or heard of a leader recently. */
@@ -177,7 +169,7 @@
     const { leadership, set, cell } = this.#options;
     if (set.set === undefined) return false;
     return cell() !== undefined ||
-      leadership.silenceMs < MAX_WAITING_COUNTS_AGE_MS;
+      leadership.silenceMs < MAX_READY_SILENCE_MS;
   }
 
   #serveCalls(): void {
--- a/src/cell/gateway_test.ts
+++ b/src/cell/gateway_test.ts
@@ -7,6 +7,7 @@
 import type { Leadership } from "./leadership.ts";
 import { submitCall } from "./protocol.ts";
 import type { ActiveSet } from "./active_set.ts";
+import type { QueueCounts } from "./waiting_counts.ts";
 
 const SUBMISSION = {
   id: "00000000000000aa",
@@ -27,6 +28,7 @@
     failure: "peerSilent" as "peerSilent" | "peerUnreached",
     calls: [] as string[],
     handlers: new Map<string, Handler>(),
+    waiting: undefined as QueueCounts | undefined,
   };
   const peers = {
     call(peer: string) {
@@ -47,6 +49,7 @@
         : { name, address: `${name}:1`, cores: 1 };
     },
     onLeaderChange: () => () => {},
+    waitingJobs: () => harness.waiting,
   } as unknown as Leadership;
   const gateway = new Gateway({
     peers,
@@ -105,3 +108,14 @@
   await clock.run(10);
   t.deepEqual(await Promise.race([result, "waits"]), { type: "notHolder" });
 });
+
+test("the number of waiting jobs is refused while it is unknown", (t) => {
+  const { harness, gateway } = open();
+  t.deepEqual(gateway.waitingJobs("receipts"), {
+    type: "refused",
+    reason: "noHolder",
+  });
+  harness.waiting = new Map([["receipts", 3]]);
+  t.deepEqual(gateway.waitingJobs("receipts"), { type: "answered", answer: 3 });
+  t.deepEqual(gateway.waitingJobs("billing"), { type: "answered", answer: 0 });
+});
--- a/src/cell/heartbeat_sender.ts
+++ b/src/cell/heartbeat_sender.ts
@@ -14,9 +14,10 @@
   HEARTBEAT_INTERVAL_MS,
   heartbeatIntervalMs,
 } from "./leader_monitor.ts";
-import { heartbeatCall } from "./protocol.ts";
+import { type Heartbeat, heartbeatCall } from "./protocol.ts";
 import type { Membership } from "./membership.ts";
 import type { ActiveSet } from "./active_set.ts";
+import type { QueueCounts, WaitingCounts } from "./waiting_counts.ts";
 
 /** Timeout of a heartbeat call, milliseconds. */
 const HEARTBEAT_TIMEOUT_MS = 700;
@@ -38,8 +39,10 @@
   readonly term: () => LeaderTerm | undefined;
   /** Names of the members that watch the leader. */
   readonly watchers: () => readonly string[];
-  /** Queues and their number of accepted jobs that have not started. */
-  readonly waitingJobs: () => readonly (readonly [string, number])[];
+  /** Waiting jobs as this process counts them; `undefined` while it cannot tell. */
+  readonly ownCounts: () => QueueCounts | undefined;
+  /** The latest counts, also of a former leader. */
+  readonly waitingCounts: WaitingCounts;
   /** Called when a member's reply has a higher fence. */
   readonly onLaterLeader: () => void;
   /** Called when a member has a newer operator set. */
@@ -91,8 +94,11 @@
     this.#sentAllMs = sentMs;
     const names = membership.members.map((member) => member.name);
     const watchers = new Set(this.#activeWatchers());
+    const counts = this.#countWaiting();
     const accepted = await Promise.all(
-      names.map((name) => this.#send(name, watchers.has(name))),
+      names.map((name) =>
+        this.#send(name, { ...counts, watches: watchers.has(name) })
+      ),
     );
     if (term() === undefined) return;
     // If a majority has seen no later leader, the term is confirmed without the store.
@@ -102,7 +108,12 @@
   }
 
   #sendToWatchers(): void {
-    for (const name of this.#activeWatchers()) void this.#send(name, true);
+    const watchers = this.#activeWatchers();
+    if (watchers.length === 0) return;
+    const counts = this.#countWaiting();
+    for (const name of watchers) {
+      void this.#send(name, { ...counts, watches: true });
+    }
   }
 
   #activeWatchers(): readonly string[] {
@@ -111,9 +122,27 @@
     return termAgeMs < WATCH_DELAY_MS ? [] : watchers();
   }
 
+  /**
+   * Counts the waiting jobs. While this process cannot tell, the latest counts
+   * of the former leader are sent, marked as such: instances of an older build
+   * ignore the mark.
+   */
+  #countWaiting(): Pick<Heartbeat, "waiting" | "waitingKnown"> {
+    const { ownCounts, waitingCounts } = this.#options;
+    const counts = ownCounts();
+    if (counts !== undefined) waitingCounts.record(counts);
+    return {
+      waiting: [...waitingCounts.latest ?? []],
+      waitingKnown: counts !== undefined,
+    };
+  }
+
   /** Sends a heartbeat; `true` if the member replied and has seen no later leader. */
-  async #send(name: string, watches: boolean): Promise<boolean> {
-    const { peers, set, self, boot, membership, waitingJobs } = this.#options;
+  async #send(
+    name: string,
+    content: Pick<Heartbeat, "waiting" | "waitingKnown" | "watches">,
+  ): Promise<boolean> {
+    const { peers, set, self, boot, membership } = this.#options;
     const term = this.#options.term();
     if (term === undefined) return false;
     const result = await peers.call(name, heartbeatCall, {
@@ -123,11 +152,7 @@
         fence: term.fence,
         revision: term.revision,
         setVersion: set.version,
-        watches,
-        waiting: waitingJobs().map(([queue, count]): [string, number] => [
-          queue,
-          count,
-        ]),
+        ...content,
         membersVersion: membership.version,
         members: this.#memberVersions.get(name) === membership.version
           ? null
--- a/src/cell/leader_monitor.ts
+++ b/src/cell/leader_monitor.ts
@@ -28,8 +28,6 @@
 
 /** The fields of a heartbeat that {@linkcode LeaderMonitor} uses. */
 export interface HeartbeatContent {
-  /** Queues and their number of accepted jobs that have not started. */
-  readonly waiting: readonly (readonly [string, number])[];
   /** Whether the receiver is a watcher. */
   readonly watches: boolean;
 }
@@ -42,8 +40,6 @@
   #hasContact = false;
   #linkLost = false;
   #isWatcher = false;
-  #waitingJobs: ReadonlyMap<string, number> = new Map();
-  #waitingJobsAtMs = -Infinity;
 
   /** `memberCount` returns the number of members besides this instance. */
   constructor(clock: Clock, memberCount: () => number) {
@@ -71,25 +67,14 @@
     return this.silenceMs > timeoutMs + extraMs;
   }
 
-  /** Accepted jobs that have not started, by queue, and the age of these counts in milliseconds. */
-  waitingJobs(): {
-    readonly counts: ReadonlyMap<string, number>;
-    readonly ageMs: number;
-  } {
-    const ageMs = this.#clock.monotonic() - this.#waitingJobsAtMs;
-    return { counts: this.#waitingJobs, ageMs };
-  }
-
   /** Whether this instance is a watcher of the current leader. */
   get isWatcher(): boolean {
     return this.#isWatcher;
   }
 
   /** Records a heartbeat of the leader. */
-  recordHeartbeat({ waiting, watches }: HeartbeatContent): void {
+  recordHeartbeat({ watches }: HeartbeatContent): void {
     this.#isWatcher = watches;
-    this.#waitingJobs = new Map(waiting);
-    this.#waitingJobsAtMs = this.#clock.monotonic();
     this.recordResponse();
   }
 
--- a/src/cell/leader_monitor_test.ts
+++ b/src/cell/leader_monitor_test.ts
@@ -2,8 +2,6 @@
 import { ManualClock } from "../clock.ts";
 import { heartbeatIntervalMs, LeaderMonitor } from "./leader_monitor.ts";
 
-const WAITING = [] as const;
-
 function startMonitor(members: number): {
   readonly clock: ManualClock;
   readonly monitor: LeaderMonitor;
@@ -15,7 +13,7 @@
 test("a watcher detects a silent leader as soon among 300 members as among 3", (t) => {
   for (const members of [3, 97, 300]) {
     const { clock, monitor } = startMonitor(members);
-    monitor.recordHeartbeat({ waiting: WAITING, watches: true });
+    monitor.recordHeartbeat({ watches: true });
     clock.advance(300);
     t.true(monitor.hasContact, `${members} members`);
     clock.advance(200);
@@ -25,7 +23,7 @@
 
 test("a member that is not a watcher waits for three of its longer intervals", (t) => {
   const { clock, monitor } = startMonitor(300);
-  monitor.recordHeartbeat({ waiting: WAITING, watches: false });
+  monitor.recordHeartbeat({ watches: false });
   clock.advance(3 * heartbeatIntervalMs(300));
   t.false(monitor.isSilent(0));
   clock.advance(100);
@@ -34,7 +32,7 @@
 
 test("no instance is a watcher before the first heartbeat of a new leader", (t) => {
   const { monitor } = startMonitor(97);
-  monitor.recordHeartbeat({ waiting: WAITING, watches: true });
+  monitor.recordHeartbeat({ watches: true });
   t.true(monitor.isWatcher);
   monitor.recordNewLeader();
   t.false(monitor.isWatcher);
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -32,6 +32,7 @@
 import { HeartbeatSender } from "./heartbeat_sender.ts";
 import { LeadershipTransfer } from "./leadership_transfer.ts";
 import { Takeover } from "./takeover.ts";
+import { type QueueCounts, WaitingCounts } from "./waiting_counts.ts";
 
 /** Interval at which leadership is checked, milliseconds. */
 const TICK_INTERVAL_MS = 50;
@@ -43,6 +44,7 @@
   readonly #options: LeadershipOptions;
   readonly #membership: Membership;
   readonly #leaderMonitor: LeaderMonitor;
+  readonly #waitingCounts: WaitingCounts;
   readonly #confirmation: TermConfirmation;
   readonly #heartbeatSender: HeartbeatSender;
   readonly #recordStore: LeaderRecordStore;
@@ -60,6 +62,7 @@
       options.clock,
       () => this.#membership.members.length,
     );
+    this.#waitingCounts = new WaitingCounts(options.clock);
     this.#confirmation = new TermConfirmation(options.clock);
     this.#recordStore = new LeaderRecordStore(options);
     this.#knownLeader = new KnownLeader({
@@ -94,7 +97,8 @@
       confirmation: this.#confirmation,
       term: () => this.#term,
       watchers: () => selectWatchers(this.#takeover.rankedCandidates()),
-      waitingJobs: () => options.listener.waitingJobs(),
+      ownCounts: () => this.#ownCounts(),
+      waitingCounts: this.#waitingCounts,
       onLaterLeader: () => void this.#knownLeader.refresh(),
       onNewerSet: (peer, version) => this.onNewerSet(peer, version),
     });
@@ -138,12 +142,9 @@
     return this.#leaderMonitor.hasContact ? this.reachableInstances() : [];
   }
 
-  /** Waiting jobs by queue from the leader's last heartbeat, and the age of those counts in milliseconds. */
-  waitingJobs(): {
-    readonly counts: ReadonlyMap<string, number>;
-    readonly ageMs: number;
-  } {
-    return this.#leaderMonitor.waitingJobs();
+  /** Number of accepted jobs that have not started, by queue, from this process or from a leader's recent heartbeat; `undefined` if neither is known. */
+  waitingJobs(): QueueCounts | undefined {
+    return this.#ownCounts() ?? this.#waitingCounts.latest;
   }
 
   /** Whether this process has a term that was confirmed recently; requests may be sent to workers only then. */
@@ -203,6 +204,9 @@
       if (heartbeat.fence >= this.fence) {
         this.#knownLeader.observe({ record, revision: heartbeat.revision });
         this.#leaderMonitor.recordHeartbeat(heartbeat);
+        if (heartbeat.waitingKnown ?? true) {
+          this.#waitingCounts.record(new Map(heartbeat.waiting));
+        }
         if (heartbeat.members !== null) {
           this.#membership.replaceAll(heartbeat.members, heartbeat);
         }
@@ -240,6 +244,11 @@
   /** Called when a peer has a newer operator set than this process; the owner assigns a function that fetches it. */
   onNewerSet: (peer: string, version: number) => void = () => {};
 
+  /** Counts of this process's term; `undefined` unless it leads for certain and has read the jobs back. */
+  #ownCounts(): QueueCounts | undefined {
+    return this.isLeading() ? this.#options.listener.waitingJobs() : undefined;
+  }
+
   #startTerm(versioned: VersionedRecord, sent: SendTime): void {
     const { log, listener } = this.#options;
     this.#knownLeader.setOwn(versioned);
--- a/src/cell/leadership_options.ts
+++ b/src/cell/leadership_options.ts
@@ -10,6 +10,7 @@
 import type { LeaderTerm, Member } from "./leader_record.ts";
 import type { CellStore } from "./ports.ts";
 import type { ActiveSet } from "./active_set.ts";
+import type { QueueCounts } from "./waiting_counts.ts";
 
 /** Starts and stops the cell's scheduler with the terms of this process. */
 export interface LeadershipListener {
@@ -17,8 +18,8 @@
   termStarted(term: LeaderTerm): void;
   /** Another process leads; this process's term with `fence` has ended. */
   termEnded(fence: number, reason: string): void;
-  /** Queues and their number of accepted jobs that have not started, for heartbeats. */
-  waitingJobs(): readonly (readonly [string, number])[];
+  /** Number of accepted jobs that have not started, by queue; `undefined` while this process has not read the jobs back. */
+  waitingJobs(): QueueCounts | undefined;
 }
 
 /** Dependencies of {@linkcode Leadership}. */
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { Instances } from "./_instances_test.ts";
+import type { Heartbeat } from "./protocol.ts";
 
 test("one of several instances becomes leader and sends heartbeats to the others", async (t) => {
   const harness = new Instances();
@@ -9,7 +10,7 @@
   t.deepEqual(harness.fences, [1]);
   const others = all.filter((instance) => instance.leader !== undefined);
   t.is(others.length, 2);
-  t.deepEqual([...others[0]!.waitingJobs().counts], [["receipts", 2]]);
+  t.deepEqual(others[0]!.waitingJobs(), harness.waiting);
   t.true(all.some((instance) => instance.isLeading()));
 });
 
@@ -226,3 +227,76 @@
   await harness.clock.run(1_500);
   t.true(lists.length >= 1 && lists.length <= 3, String(lists.length));
 });
+
+// Guards against a new leader that reports an empty backlog before it has read
+// the jobs back.
+test("the counts of waiting jobs outlast a change of leader, but not for long", async (t) => {
+  const harness = new Instances();
+  harness.start("a");
+  await harness.clock.run(1_000);
+  const others = ["b", "c"].map((name) => harness.start(name));
+  await harness.clock.run(1_000);
+  for (const name of ["b", "c"]) harness.unrecovered.add(name);
+  harness.network.cut.add("a");
+  await harness.clock.run(1_000);
+  t.deepEqual(harness.fences, [1, 2]);
+  for (const other of others) t.deepEqual(other.waitingJobs(), harness.waiting);
+  await harness.clock.run(1_000);
+  for (const other of others) t.is(other.waitingJobs(), undefined);
+  harness.waiting = new Map([["receipts", 3]]);
+  harness.unrecovered.clear();
+  await harness.clock.run(300);
+  for (const other of others) t.deepEqual(other.waitingJobs(), harness.waiting);
+});
+
+// Guards against instances of an older build that take a recovering leader's
+// heartbeat for a count.
+test("a recovering leader's heartbeats repeat the former leader's counts, marked as unknown", async (t) => {
+  const harness = new Instances();
+  harness.start("a");
+  await harness.clock.run(1_000);
+  harness.start("b", { cores: 2 });
+  harness.start("c");
+  await harness.clock.run(1_000);
+  const heartbeats: unknown[] = [];
+  const handlers = harness.network.handlers.get("c")!;
+  const handler = handlers.get("cell.status")!;
+  handlers.set("cell.status", (params, from) => {
+    const { waiting, waitingKnown } = params as Heartbeat;
+    if (from === "b") heartbeats.push({ waiting, waitingKnown });
+    return handler(params, from);
+  });
+  harness.unrecovered.add("b");
+  harness.network.cut.add("a");
+  await harness.clock.run(1_000);
+  t.deepEqual(heartbeats[0], {
+    waiting: [["receipts", 2]],
+    waitingKnown: false,
+  });
+});
+
+// Guards against counts of a leader that may have been replaced without having
+// noticed.
+test("a leader whose term is not confirmed gives no counts of waiting jobs", async (t) => {
+  const harness = new Instances();
+  const first = harness.start("a");
+  await harness.clock.run(1_000);
+  harness.start("b");
+  harness.start("c");
+  await harness.clock.run(1_000);
+  harness.network.cut.add("a");
+  harness.store.unavailable = true;
+  await harness.clock.run(1_500);
+  t.deepEqual(first.waitingJobs(), harness.waiting);
+  await harness.clock.run(3_000);
+  t.false(first.isLeading());
+  t.is(first.waitingJobs(), undefined);
+});
+
+test("a process that has heard of no leader gives no counts of waiting jobs", async (t) => {
+  const harness = new Instances();
+  harness.store.unavailable = true;
+  const instance = harness.start("a");
+  await harness.clock.run(100);
+  t.is(instance.waitingJobs(), undefined);
+});
--- a/src/cell/node.ts
+++ b/src/cell/node.ts
@@ -127,7 +127,7 @@
       listener: {
         termStarted: (term) => this.#startTerm(term),
         termEnded: () => this.#endTerm(),
-        waitingJobs: () => [...(this.#cell?.pendingByQueue() ?? [])],
+        waitingJobs: () => this.#cell?.pendingByQueue(),
       },
     });
     const setFetches = new SetFetcher({
--- a/src/cell/protocol.ts
+++ b/src/cell/protocol.ts
@@ -34,23 +34,31 @@
   t.partial({ startedMs: t.number }),
 ]);
 
-const Heartbeat = t.type({
-  holder: Member,
-  /** Identifier of the leader's process start, different after each restart. */
-  boot: t.string,
-  fence: t.number,
-  /** Store revision at which the leader record was written. */
-  revision: t.number,
-  setVersion: t.number,
-  /** Whether the receiver is a watcher, which checks on the leader when heartbeats stop. */
-  watches: t.boolean,
-  /** Queues and their number of accepted jobs that have not started. */
-  waiting: t.array(t.tuple([t.string, t.number])),
-  /** Version of the member list in this process; increases with each change. */
-  membersVersion: t.number,
-  /** `null` if the receiver already has this version. */
-  members: t.union([t.array(Member), t.null]),
-});
+const Heartbeat = t.intersection([
+  t.type({
+    holder: Member,
+    /** Identifier of the leader's process start, different after each restart. */
+    boot: t.string,
+    fence: t.number,
+    /** Store revision at which the leader record was written. */
+    revision: t.number,
+    setVersion: t.number,
+    /** Whether the receiver is a watcher, which checks on the leader when heartbeats stop. */
+    watches: t.boolean,
+    /** Queues and their number of accepted jobs that have not started. */
+    waiting: t.array(t.tuple([t.string, t.number])),
+    /** Version of the member list in this process; increases with each change. */
+    membersVersion: t.number,
+    /** `null` if the receiver already has this version. */
+    members: t.union([t.array(Member), t.null]),
+  }),
+  t.partial({
+    /** Whether the leader itself has counted `waiting`; an older build sends no such field. */
+    waitingKnown: t.boolean,
+  }),
+]);
+/** Content of a heartbeat. */
+export type Heartbeat = typeof Heartbeat._A;
 const HeartbeatReply = t.type({
   /** Highest fence that the member has seen. */
   fence: t.number,
@@ -63,7 +71,7 @@
 
 /** Heartbeat of the leader to a member. */
 export const heartbeatCall: RpcMethod<
-  typeof Heartbeat._A,
+  Heartbeat,
   typeof HeartbeatReply._A
 > = {
   method: "cell.status",
