Bound what clients together make an instance hold

Callers saw: while clients sent many bodies in chunks, most of them stopping short of the end and staying open, a process ran out of memory and ended; a crowd of connections kept all others out.

Cause: a body was bounded by itself, in bytes. Each chunk was kept as the object in which it arrived (262,143 chunks of one byte took a small server to 183 MB), and bodies, connections and requests in progress had no limit in common. A body above the limit was read to its end before it was refused.

A body is collected in one buffer; when the memory for bodies is used up, the one that has been read for the longest gives way, since refusing newcomers would let those who stay open keep all others out. The connection that has done nothing for the longest gives way likewise. Clients that are not admitted cannot send a body. A refusal is 503 with retry-after before anything has run.

The same conclusion elsewhere: the other daemon kept chunks too, and refused new bodies and connections in favour of unfinished ones; it uses the same code. Read and left: messages between instances, responses of the platform's services.

Ruled out: pausing connections over the limit (Node.js buffers what it has parsed, in small chunks a hundred times its size); a longer wait instead of an eviction (the crowd stays).

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -137,7 +137,7 @@
   #routes(operatorKey: string) {
     const instance = this.#instance;
     const log = this.#log;
-    const bodies = new BodyMemory();
+    const bodies = new BodyMemory({ clock: systemClock });
     const admission: Admission = {
       stopping: () => false,
       configured: () => instance.configured(),
--- a/src/http/_fixtures_test.ts
+++ b/src/http/_fixtures_test.ts
@@ -49,7 +49,7 @@
   const clock = options.clock ?? systemClock;
   const log = new EventLog();
   const metrics = new Metrics();
-  const bodies = new BodyMemory();
+  const bodies = new BodyMemory({ clock });
   const exchanges: Exchange[] = [];
   const abandoned: string[] = [];
   const routes = callerRoutes({
--- a/src/http/answers.ts
+++ b/src/http/answers.ts
@@ -46,6 +46,7 @@
     case "deadlineTooClose":
     case "noRoom":
     case "noOwner":
+    case "overloaded":
     case "isolated":
     case "stopping":
     case "storeAway":
@@ -164,6 +165,8 @@
       return `no worker of the fleet could ever hold ${reason.workload}`;
     case "noOwner":
       return "no instance is responsible for it at the moment";
+    case "overloaded":
+      return "other requests take all the memory of this instance";
     case "isolated":
       return "this instance has lost contact; another will take it";
     case "stopping":
--- a/src/http/caller_routes.ts
+++ b/src/http/caller_routes.ts
@@ -9,6 +9,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { endToEndHeaders } from "../adapters/headers.ts";
 import type { Clock } from "../clock.ts";
+import { assertNever } from "../errors.ts";
 import type { Exchange, Next } from "../filters/chain.ts";
 import type { Log } from "../logger.ts";
 import type { Metrics } from "../metrics.ts";
@@ -18,6 +19,9 @@
 import { type BodyFailure, type BodyMemory } from "./bodies.ts";
 import type { Route, RouteCall } from "./routes.ts";
 
+/** Suggested retry delay while the bodies of other requests take all the memory. */
+const OVERLOAD_RETRY_DELAY_MS = 1_000;
+
 /** Dependencies of the routes. */
 export interface CallerRoutesOptions {
   /** The filter chain. */
@@ -57,16 +61,26 @@
   response: ServerResponse,
   failure: BodyFailure,
 ): void {
-  if (failure.type === "callerGone") {
-    response.destroy();
-    return;
-  }
-  const { limitBytes } = failure;
   response.setHeader("connection", "close");
-  sendFailure(response, {
-    type: "notRun",
-    reason: { type: "tooLarge", limitBytes },
-  });
+  switch (failure.type) {
+    case "tooSlow":
+    case "callerGone":
+      response.destroy();
+      return;
+    case "overloaded":
+      return sendFailure(response, {
+        type: "notRun",
+        reason: { type: "overloaded" },
+        retryAfterMs: OVERLOAD_RETRY_DELAY_MS,
+      });
+    case "tooLarge": {
+      const { limitBytes } = failure;
+      const reason: Reason = { type: "tooLarge", limitBytes };
+      return sendFailure(response, { type: "notRun", reason });
+    }
+    default:
+      return assertNever(failure);
+  }
 }
 
 async function serveCall(
@@ -78,10 +92,13 @@
   const body = await bodies.read(call.message);
   if (body.isErr()) return sendBodyFailure(call.response, body.error);
   try {
-    const exchange = exchangeOf(call, { body: body.value, arrivedAtMs });
+    const exchange = exchangeOf(call, {
+      body: body.value.bytes,
+      arrivedAtMs,
+    });
     await serveExchange(options, { call, exchange });
   } finally {
-    bodies.free(body.value.length);
+    body.value.free();
   }
 }
 
--- a/src/http/reasons_test.ts
+++ b/src/http/reasons_test.ts
@@ -104,6 +104,7 @@
   noRoom: { type: "noRoom", workload: "w" },
   neverFits: { type: "neverFits", workload: "w" },
   noOwner: { type: "noOwner" },
+  overloaded: { type: "overloaded" },
   isolated: { type: "isolated" },
   stopping: { type: "stopping" },
   storeAway: { type: "storeAway" },
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -15,6 +15,7 @@
 import type { Log } from "../logger.ts";
 import { splitAddress } from "../peers/outbound_connection.ts";
 import { OUTCOME_HEADER, sendJson } from "./answers.ts";
+import { ConnectionLimiter } from "./connection_limits.ts";
 import { findRoute, type Route } from "./routes.ts";
 
 /** How long idle connections are kept open. */
@@ -31,6 +32,8 @@
 const MAX_HEADERS_BYTES = 16 * 1024;
 /** Maximum number of open connections. */
 const MAX_CONNECTIONS = 10_000;
+/** Maximum number of requests on one connection that have not been answered. */
+const MAX_PIPELINED = 32;
 
 /** Dependencies of the server. */
 export interface HttpServerOptions {
@@ -65,9 +68,16 @@
       connectionsCheckingInterval: HEADERS_CHECK_INTERVAL_MS,
       maxHeaderSize: MAX_HEADERS_BYTES,
       noDelay: true,
-    }, (message, response) => this.#serve(message, response));
+    });
+    new ConnectionLimiter(this.#server, {
+      maxConnections: MAX_CONNECTIONS,
+      maxPipelined: MAX_PIPELINED,
+    });
     this.#server.on("connection", (socket) => this.#onConnection(socket));
-    this.#server.maxConnections = MAX_CONNECTIONS;
+    this.#server.on(
+      "request",
+      (message, response) => this.#serve(message, response),
+    );
   }
 
   /** Number of requests in progress. */
@@ -146,6 +156,8 @@
   }
 
   #serve(message: IncomingMessage, response: ServerResponse): void {
+    // One of too many requests on a connection, which has been closed.
+    if (message.socket.destroyed) return;
     this.#onRequestStart(message, response);
     if (this.#draining) closeAfterResponse(response);
     const url = urlOf(message.url ?? "/");
--- a/src/http/work_routes.ts
+++ b/src/http/work_routes.ts
@@ -97,10 +97,10 @@
   const { bodies, deferred, log } = options;
   const body = await bodies.read(call.message);
   if (body.isErr()) return sendBodyFailure(call.response, body.error);
-  bodies.free(body.value.length);
+  body.value.free();
   const accepted = acceptSubmission(options, {
     call,
-    text: body.value.toString(),
+    text: body.value.bytes.toString(),
   });
   if (accepted.isErr()) {
     return sendFailure(call.response, accepted.error);
--- a/src/types.ts
+++ b/src/types.ts
@@ -91,6 +91,7 @@
   | { readonly type: "noRoom"; readonly workload: string }
   | { readonly type: "neverFits"; readonly workload: string }
   | { readonly type: "noOwner" }
+  | { readonly type: "overloaded" }
   | { readonly type: "isolated" }
   | { readonly type: "stopping" }
   | { readonly type: "storeAway" }
--- a/src/wire/codecs.ts
+++ b/src/wire/codecs.ts
@@ -37,6 +37,7 @@
   noRoom: true,
   neverFits: true,
   noOwner: true,
+  overloaded: true,
   isolated: true,
   stopping: true,
   storeAway: true,
