Place nothing before there is an operators' set

Callers would see: after a restart of all instances with a large set, a team runs more than its limit allows.

Cause: a leader without a set used an empty one, in which no team has a limit. It is the rule behind the empty backlog of a new leader: unknown was spelled like none. Change: the cell's set is undefined until there is one, and the scheduler places nothing then, as while the evacuated zones are not known.

Evidence: teams_test "a new leader starts nothing before it has an operators' set" had 12 cores in use instead of 8 before.

--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -240,10 +240,12 @@
 
   async #accept(submission: Submission): Promise<SubmitOutcome> {
     const { jobs, set, log, clock, metrics, fence } = this.#context;
-    const policy = findQueue(set(), submission.queue);
+    const active = set();
+    if (active === undefined) return { type: "unknown" };
+    const policy = findQueue(active, submission.queue);
     if (policy === undefined) return { type: "unknown" };
     const startedMs = clock.monotonic();
-    const team = findTeam(set(), submission.team);
+    const team = findTeam(active, submission.team);
     const stuckMs = this.#context.jobLog.stuckMs();
     const timing = this.#timingOf({ spec: submission.spec, policy });
     if (isRejectedOnArrival(timing, stuckMs)) {
@@ -251,7 +253,7 @@
         job: submission.id,
         queue: submission.queue,
         team: submission.team,
-        set: set().version,
+        set: active.version,
         fence,
         storeStuckMs: Math.round(stuckMs),
         reason: "storeAway",
@@ -283,7 +285,7 @@
       team: job.team,
       owed: job.owed,
       objectiveMs: Math.round(timing.objectiveMs),
-      set: set().version,
+      set: active.version,
       fence,
       tookMs: Math.round(elapsedMs),
       outcome: outcome.type === "refused" ? outcome.reason : outcome.type,
--- a/src/cell/cell_options.ts
+++ b/src/cell/cell_options.ts
@@ -31,8 +31,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
-  /** The active operator set. */
-  readonly set: () => ClusterSet;
+  /** The active operator set; `undefined` while this instance has none. */
+  readonly set: () => ClusterSet | undefined;
   readonly evacuations: ZoneEvacuations;
   /** Longest lease that a worker accepts, milliseconds. */
   readonly maxLeaseMs: number;
--- a/src/cell/completions.ts
+++ b/src/cell/completions.ts
@@ -116,7 +116,7 @@
       run: task.run,
       failures,
       attempts,
-      set: set().version,
+      set: set()?.version,
       fence,
     });
   }
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -47,8 +47,8 @@
   readonly ended: Map<string, EndedJob>;
   /** The backlog: steps with waiting tasks that may start. */
   readonly backlog: Set<StepRun>;
-  /** The active set of the operators. */
-  readonly set: () => ClusterSet;
+  /** The active set of the operators; `undefined` while this instance has none. */
+  readonly set: () => ClusterSet | undefined;
   readonly evacuations: ZoneEvacuations;
   /** Longest lease that a worker accepts, milliseconds. */
   readonly maxLeaseMs: number;
@@ -68,12 +68,14 @@
  * absent from the set, its definition when the job was accepted.
  */
 export function queueOf(context: CellContext, job: Job): Queue {
-  return findQueue(context.set(), job.queue) ?? job.policy;
+  const set = context.set();
+  return (set && findQueue(set, job.queue)) ?? job.policy;
 }
 
-/** Team of a job; `undefined` if the active set has none of that name. */
+/** Team of a job; `undefined` if the active set has none of that name, or there is no set. */
 export function teamOf(context: CellContext, job: Job): Team | undefined {
-  return findTeam(context.set(), job.team);
+  const set = context.set();
+  return set && findTeam(set, job.team);
 }
 
 /**
--- a/src/cell/node.ts
+++ b/src/cell/node.ts
@@ -37,14 +37,6 @@
 const SETTLE_TIMEOUT_MS = 300;
 /** Delay before a failed recovery is retried, milliseconds. */
 const RECOVERY_RETRY_DELAY_MS = 200;
-/** Used while there is no operator set, for example in an empty deployment. */
-const EMPTY_SET: ClusterSet = {
-  version: 0,
-  queues: [],
-  teams: [],
-  maxBodyBytes: 0,
-};
-
 /** Dependencies and settings of a {@linkcode Node}. */
 export interface NodeOptions {
   readonly self: Member;
@@ -245,7 +237,7 @@
       clock,
       log,
       metrics,
-      set: () => this.set.set ?? EMPTY_SET,
+      set: () => this.set.set,
       evacuations: this.#evacuations,
       maxLeaseMs,
       retentionMs,
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -104,7 +104,7 @@
     this.#context = context;
     this.#runs = runs;
     this.#requester = new AdviceRequester(context, desk, (step) => {
-      if (!context.evacuations.isStale) {
+      if (this.#knowsOperatorState()) {
         this.#tryPlace(step, this.#capacityOutsidePass(step));
       }
       this.requestPass(CHANNEL_DELAY_MS);
@@ -153,10 +153,16 @@
     this.#timer?.cancel();
   }
 
+  /** Whether the limits of teams and the evacuated zones are known. Nothing is placed before. */
+  #knowsOperatorState(): boolean {
+    const { set, evacuations } = this.#context;
+    return set() !== undefined && !evacuations.isStale;
+  }
+
   #runPass(): void {
-    const { isLeading, jobLog, evacuations } = this.#context;
+    const { isLeading, jobLog } = this.#context;
     if (!isLeading() || jobLog.stuckMs() > MAX_STORE_SILENCE_MS) return;
-    if (evacuations.isStale) return;
+    if (!this.#knowsOperatorState()) return;
     const startedMs = this.#context.clock.monotonic();
     this.#schedule(this.#sortedBacklog());
     const elapsedMs = this.#context.clock.monotonic() - startedMs;
--- a/src/cell/teams_test.ts
+++ b/src/cell/teams_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { Harness, testQueue, testStep } from "./_fixtures_test.ts";
 import type { Cell } from "./cell.ts";
-import type { StepSpec } from "./types.ts";
+import type { ClusterSet, StepSpec } from "./types.ts";
 
 /** Cores that the team may use. The workers have more. */
 const LIMIT = 8;
@@ -83,3 +83,27 @@
   t.is(runningOf(harness, "0b"), LIMIT);
   cell.close();
 });
+
+// Guards against a new leader that has the jobs but not the operators' set yet,
+// and takes a team whose limit it does not know for one without a limit.
+test("a new leader starts nothing before it has an operators' set", async (t) => {
+  const harness = limitedHarness();
+  const first = await harness.open();
+  await send(harness, first, BATCH);
+  t.is(runningOf(harness, BATCH.id), LIMIT);
+  first.close();
+  let set: ClusterSet | undefined;
+  const second = await harness.open({ set: () => set });
+  await harness.clock.run(2_000);
+  t.is(runningOf(harness, BATCH.id), LIMIT);
+  set = {
+    ...harness.set,
+    teams: harness.set.teams.map((team) => ({
+      ...team,
+      limit: { ...team.limit, cpuMillis: 12_000 },
+    })),
+  };
+  await harness.clock.run(2_000);
+  t.is(runningOf(harness, BATCH.id), 12);
+  second.close();
+});
