Stop unanswered starts at the next process of a worker

Callers would see a task run twice at the same time (TWICE).

Cause: a report without a run proved its absence if the worker had received the run before. A retry of a start without a response may reach the next process of the worker after its first report, and that process knows nothing of the first one. Change: a run knows whether a start of it is unanswered; when a report comes from another process, such runs are stopped there unless it lists them, and only a report after the confirmation proves their absence.

Evidence: run.lost reason=notThere with worker.reborn, run.start run=2 elsewhere 0.05 s later, then run.stray of run 1 on the new process. lost_responses_test "a start without a response is stopped at the next process of its worker before the task starts elsewhere" had run 1 on the new process before.

--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -46,6 +46,11 @@
    * not list the run, the run is not on the worker.
    */
   absenceProvableAfterMs: number | undefined;
+  /**
+   * Whether a start request of this leader has had no response, or is on its
+   * way. The next process of the worker may still carry it out.
+   */
+  startUnanswered: boolean;
   /** Whether a report has shown the run. */
   seen: boolean;
   /** Whether the run is to be stopped. */
--- a/src/cell/lost_responses_test.ts
+++ b/src/cell/lost_responses_test.ts
@@ -87,3 +87,32 @@
   await harness.submit(cell, [testStep()], "00000000000000b1");
   t.is(worker.starts.length, 2);
 });
+
+// Guards against a retried start that reaches the next process of a worker,
+// after a report of that process has shown that the run is gone.
+test("a start without a response is stopped at the next process of its worker before the task starts elsewhere", async (t) => {
+  const harness = new Harness();
+  const worker = harness.addWorker("w1");
+  const cell = await harness.open();
+  const start = harness.workerClient.start.bind(harness.workerClient);
+  let calls = 0;
+  harness.workerClient.start = async (address, request) => {
+    calls++;
+    if (calls > 2) return await start(address, request);
+    // The first request is carried out, and the second one stays in the network.
+    if (calls === 1) await start(address, request);
+    else worker.delayedStarts.push(request);
+    await sleep(harness.clock, 300);
+    return { type: "unknown", message: "no answer" };
+  };
+  await harness.submit(cell, [testStep()]);
+  t.is(worker.running.get(TASK)?.run, 1);
+  await harness.clock.run(400);
+  t.is(calls, 2);
+  worker.restart();
+  await harness.clock.run(120);
+  worker.runDelayedStarts();
+  t.not(worker.running.get(TASK)?.run, 1);
+  await harness.clock.run(1_000);
+  t.deepEqual(worker.starts.map(({ run }) => run), [1, 2]);
+});
--- a/src/cell/run.ts
+++ b/src/cell/run.ts
@@ -68,6 +68,7 @@
     startedMs: undefined,
     nextReviewMs: 0,
     absenceProvableAfterMs: undefined,
+    startUnanswered: false,
     seen: false,
     stopping: false,
     stopSentMs: 0,
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -284,7 +284,9 @@
     };
     // The completion of the run may be reported before this response arrives.
     run.startedMs = sentMs;
+    run.startUnanswered = true;
     const firstResponse = await workerClient.start(address, request);
+    run.startUnanswered = firstResponse.type === "unknown";
     // The request and the response take about the same time, so the start is in
     // the middle. The time of receipt alone is late if this process is busy.
     run.startedMs = firstResponse.type === "started"
--- a/src/cell/teams_test.ts
+++ b/src/cell/teams_test.ts
@@ -92,7 +92,7 @@
   await send(harness, first, BATCH);
   t.is(runningOf(harness, BATCH.id), LIMIT);
   first.close();
-  let set: ClusterSet | undefined;
+  let set = undefined as ClusterSet | undefined;
   const second = await harness.open({ set: () => set });
   await harness.clock.run(2_000);
   t.is(runningOf(harness, BATCH.id), LIMIT);
--- a/src/cell/worker_poller.ts
+++ b/src/cell/worker_poller.ts
@@ -226,6 +226,25 @@
     worker.processStartMs = report.processStartMs;
     worker.acknowledged = 0;
     worker.applied = 0;
+    this.#stopUnansweredStarts(worker, report);
+  }
+
+  /**
+   * Stops the runs whose starts the new process of a worker may still receive:
+   * it knows nothing of those that its predecessor has received.
+   */
+  #stopUnansweredStarts(
+    worker: FleetWorker,
+    { running }: WorkerReport,
+  ): void {
+    const received = new Set(running.map(({ task, run }) => `${task} ${run}`));
+    for (const run of worker.runs.values()) {
+      if (!run.startUnanswered) continue;
+      if (received.has(`${run.task.id} ${run.number}`)) continue;
+      run.absenceProvableAfterMs = undefined;
+      run.stopSentMs = -Infinity;
+      this.#runs.stop(run);
+    }
   }
 
   #applyReport(
