Take counts of waiting jobs from before a suspension for unknown

The age of the counts was measured with the monotonic clock, which may stop while a machine is suspended: on waking, an instance would give numbers that are seconds old for up to 1.8 s more. They count as unknown now, as a term does; the detection is shared (suspension.ts).

--- a/src/cell/term_confirmation.ts
+++ b/src/cell/term_confirmation.ts
@@ -5,9 +5,7 @@
  * @module
  */
 import type { Clock } from "../clock.ts";
-
-/** Change of the offset between wall clock and monotonic clock that indicates a suspension, milliseconds. */
-const MIN_SUSPENSION_MS = 700;
+import { clockOffsetMs, wasSuspendedSince } from "./suspension.ts";
 
 /** When a request was sent whose success confirms the term. */
 export interface SendTime {
@@ -32,22 +30,17 @@
     return this.#clock.monotonic() - this.#confirmed.sentMs;
   }
 
-  /**
-   * Whether the process was suspended since the last confirmation. The
-   * monotonic clock may stop during a suspension, so `ageMs` alone could miss
-   * it; the wall clock then runs ahead of the monotonic one. A step of the wall
-   * clock has the same effect.
-   */
+  /** Whether the process was suspended since the last confirmation; `ageMs` is too low then. */
   get wasSuspended(): boolean {
-    const { clockOffsetMs } = this.now();
-    return Math.abs(clockOffsetMs - this.#confirmed.clockOffsetMs) >
-      MIN_SUSPENSION_MS;
+    return wasSuspendedSince(this.#clock, this.#confirmed.clockOffsetMs);
   }
 
   /** The send time of a request that is sent now. */
   now(): SendTime {
-    const sentMs = this.#clock.monotonic();
-    return { sentMs, clockOffsetMs: this.#clock.now().getTime() - sentMs };
+    return {
+      sentMs: this.#clock.monotonic(),
+      clockOffsetMs: clockOffsetMs(this.#clock),
+    };
   }
 
   /** Records the confirmation of a request. */
--- a/src/cell/term_confirmation_test.ts
+++ b/src/cell/term_confirmation_test.ts
@@ -1,20 +1,7 @@
 import test from "ava";
-import { ManualClock } from "../clock.ts";
+import { SuspendableClock } from "./_suspendable_clock_test.ts";
 import { TermConfirmation } from "./term_confirmation.ts";
 
-/** A machine whose monotonic clock stops while it is suspended. */
-class SuspendableClock extends ManualClock {
-  #suspendedMs = 0;
-
-  suspend(milliseconds: number): void {
-    this.#suspendedMs += milliseconds;
-  }
-
-  override now(): Date {
-    return new Date(super.now().getTime() + this.#suspendedMs);
-  }
-}
-
 // Guards against a suspended leader that, when it resumes, reads the response to
 // a write from before and renews leases that the next leader takes for ended.
 test("a response to a request from before a suspension does not confirm the term", (t) => {
