Test that a refused body leaves its connection open

The rest of a body that is given up is discarded, and its connection closed after 5 s unless the body ends: bodies_test "a connection whose refused body has ended stays open" fails if that timer is not cancelled.

--- a/src/http/bodies_test.ts
+++ b/src/http/bodies_test.ts
@@ -194,3 +194,15 @@
   await setImmediate();
   t.true(closed());
 });
+
+// Guards against a connection that is closed during a later request on it.
+test("a connection whose refused body has ended stays open", async (t) => {
+  const { memory, clock } = openMemory(1_000);
+  const { message, send, end, closed } = openMessage();
+  memory.discard(message);
+  send("x".repeat(500));
+  end();
+  for (let turn = 0; turn < 3; turn++) await setImmediate();
+  await clock.run(10_000);
+  t.false(closed());
+});
