--- a/bench/model/cell_harness.ts
+++ b/bench/model/cell_harness.ts
@@ -42,7 +42,7 @@
     freeAtMs.set(instance, endMs);
     await sleep(clock, endMs + roundTripMs - now);
     const good = workers.filter((worker) =>
-      pseudoRandom(`${step} ${worker}`) < goodShare(step)
+      isAllowed(step, worker, goodShare(step))
     );
     const ticket = String(clock.monotonic());
     const tickets = new Map(good.map((worker) => [worker, ticket]));
@@ -50,6 +50,15 @@
   };
 }
 
+/** Whether the simulated advice service allows a step to run on a worker. */
+export function isAllowed(
+  step: string,
+  worker: string,
+  goodShare: number,
+): boolean {
+  return pseudoRandom(`${step} ${worker}`) < goodShare;
+}
+
 /** Pseudo-random number in [0, 1) that depends on the text alone; source: the FNV-1a hash. */
 function pseudoRandom(text: string): number {
   let hash = 0x811c9dc5;
--- a/bench/model/deployment_profiles.ts
+++ b/bench/model/deployment_profiles.ts
@@ -129,6 +129,75 @@
   ],
 };
 
+/**
+ * The profile of tkcs-counters.
+ *
+ * `instances`: how many of its seven are left.
+ */
+export function counters(instances: number): DeploymentProfile {
+  return {
+    name: `counters_${instances}`,
+    workers: 33,
+    capacity: LARGE_WORKER,
+    adviceRoundTripMs: 5,
+    ratePerWorker: 38.3 / 33,
+    channels: instances,
+    kinds: [
+      {
+        queue: "billing",
+        share: 0.807 / 38.3,
+        tasks: 8,
+        cpuMillis: 18_000,
+        memoryMib: 52_000,
+        runMs: 6_200,
+        gangShare: 1,
+        steps: 1.2,
+        priority: 1,
+        stretch: 2.2,
+        objectiveMs: 1_000,
+        credit: 19.5,
+        baseMs: 814,
+        perWorkerMs: 8.1,
+        goodShare: 0.25,
+      },
+      {
+        queue: "reconciliation",
+        share: 3.81 / 38.3,
+        tasks: 10,
+        cpuMillis: 3_900,
+        memoryMib: 8_000,
+        runMs: 2_700,
+        gangShare: 0,
+        steps: 1.5,
+        priority: 2,
+        stretch: 4,
+        objectiveMs: 3_000,
+        credit: 2.59,
+        baseMs: 82,
+        perWorkerMs: 0.82,
+        goodShare: 0.45,
+      },
+      {
+        queue: "receipts",
+        share: 33.7 / 38.3,
+        tasks: 2,
+        cpuMillis: 5_600,
+        memoryMib: 11_000,
+        runMs: 640,
+        gangShare: 0.3,
+        steps: 1,
+        priority: 0,
+        stretch: 1.5,
+        objectiveMs: 250,
+        credit: 0.41,
+        baseMs: 9.3,
+        perWorkerMs: 0.093,
+        goodShare: 0.7,
+      },
+    ],
+  };
+}
+
 /** Source: the profile of the deployment with 380 workers. */
 export const LARGE: DeploymentProfile = {
   name: "large",
--- a/bench/model/generated_jobs.ts
+++ b/bench/model/generated_jobs.ts
@@ -323,6 +323,11 @@
     }
   }
 
+  /** Whether a submission has ended. */
+  hasEnded(id: string): boolean {
+    return this.#ended.has(id);
+  }
+
   /** Number of submissions that ended. */
   get endedCount(): number {
     return this.#ended.size;
--- a/bench/model/load_patterns.ts
+++ b/bench/model/load_patterns.ts
@@ -40,6 +40,8 @@
     readonly share: number;
     readonly unreachable: number;
   };
+  /** Maximum number of tries for each submission; unlimited if absent. */
+  readonly maxTries?: number;
   /** When the leader is killed, milliseconds. */
   readonly leaderKilledMs?: number;
   /** Teams that replace the default ones of `generated_jobs.ts`. */
--- a/bench/model/model_workers.ts
+++ b/bench/model/model_workers.ts
@@ -227,6 +227,20 @@
 
   disconnect(): void {}
 
+  /** Ids of the jobs that have a task running. */
+  runningJobs(): ReadonlySet<string> {
+    const tasks = [...this.#workers.values()].flatMap(({ running }) => [
+      ...running.keys(),
+    ]);
+    return new Set(tasks.map((task) => task.slice(0, task.indexOf("."))));
+  }
+
+  /** Processors in use on all workers, thousandths of a core. */
+  get usedMillis(): number {
+    return [...this.#workers.values()]
+      .reduce((sum, { usedMillis }) => sum + usedMillis, 0);
+  }
+
   #workerState(id: string): ModelWorker {
     const known = this.#workers.get(id) ?? {
       fence: 0,
--- a/bench/replay.ts
+++ b/bench/replay.ts
@@ -7,11 +7,16 @@
  */
 import process from "node:process";
 import type { Cell } from "../src/cell/cell.ts";
+import { tasksThatFit } from "../src/cell/fleet.ts";
 import type { StartRequest } from "../src/cell/ports.ts";
 import { NO_AMOUNTS, type Team } from "../src/cell/types.ts";
 import { ManualClock } from "../src/clock.ts";
 import { Metrics } from "../src/metrics.ts";
-import { createCell, simulatedAdvice } from "./model/cell_harness.ts";
+import {
+  createCell,
+  isAllowed,
+  simulatedAdvice,
+} from "./model/cell_harness.ts";
 import {
   CreditLog,
   type GeneratedJob,
@@ -128,6 +133,7 @@
   const harness = new ReplayHarness(profile, jobs, {
     random: new Random(seed),
     teams: load.teams?.map(({ team }) => team) ?? defaultTeams(profile),
+    ...(load.maxTries === undefined ? {} : { maxTries: load.maxTries }),
   });
   await harness.startLeader();
   let at = 0;
@@ -162,16 +168,21 @@
   #fence = 0;
   /** Submissions that arrived while the cell had no leader. */
   #pendingJobs: GeneratedJob[] = [];
+  readonly #accepted = new Map<string, GeneratedJob>();
+  readonly #maxTries: number;
 
   constructor(
     profile: DeploymentProfile,
     jobs: readonly GeneratedJob[],
-    { random, teams }: {
+    { random, teams, maxTries = Infinity }: {
       readonly random: Random;
       readonly teams: readonly Team[];
+      /** Maximum number of tries for each submission. */
+      readonly maxTries?: number;
     },
   ) {
     this.#profile = profile;
+    this.#maxTries = maxTries;
     this.#teams = teams;
     const { capacity } = profile;
     const tasks = createTaskModel(jobs, profile);
@@ -245,16 +256,38 @@
     this.#cell = undefined;
   }
 
+  /** Accepted jobs that have not ended and of which nothing runs, without those that would not fit twice on the workers that they may use. */
+  idleJobs(): readonly string[] {
+    const running = this.workers.runningJobs();
+    return [...this.#accepted.values()].filter((job) =>
+      !running.has(job.id) && !this.credit.hasEnded(job.id) &&
+      this.#fitsTwice(job)
+    ).map(({ id }) => id);
+  }
+
+  #fitsTwice({ id, spec }: GeneratedJob): boolean {
+    const { kinds, capacity, workers } = this.#profile;
+    const goodShare = kinds[Number(id[0])]?.goodShare ?? 1;
+    return spec.steps.every(({ tasks, amounts, gang }, index) => {
+      const step = `${id}.0.${index}`;
+      const allowed = workerEntries(workers, capacity)
+        .filter((worker) => isAllowed(step, worker.id, goodShare));
+      const slots = allowed.length * tasksThatFit(capacity, amounts);
+      return slots >= 2 * (gang ? tasks : 1);
+    });
+  }
+
   /** Submits a job; retries after a second if it is rejected. */
-  submit(job: GeneratedJob): void {
+  submit(job: GeneratedJob, tries = 1): void {
     const { id, queue, team, spec } = job;
     if (this.#cell === undefined) {
       this.#pendingJobs.push(job);
       return;
     }
     this.#cell.submit({ id, queue, team, spec }).then((outcome) => {
-      if (outcome.type !== "accepted") {
-        this.clock.after(1_000, () => this.submit(job));
+      if (outcome.type === "accepted") this.#accepted.set(id, job);
+      else if (tries < this.#maxTries) {
+        this.clock.after(1_000, () => this.submit(job, tries + 1));
       }
     });
   }
