Log steps that wait for long while they wait

Cause: step.waited is logged only when a wait ends, and cell.load counts the waiting steps of the backlog by reason, without job or age. A wait that never ends left no line, and a step outside the backlog (a gang whose members are being stopped, a start whose record is not written or whose request is not answered, a run that no report shows) was counted nowhere.

The line has the reason (of the backlog, or store, start, report, stop, missing), what distinguishes the causes, and despiteRoom: whether the platform's rule would count the wait. The gauges longest_step_wait_ms and steps_waiting_despite_room and the fields longestWaitMs, longestWaitJob, waitsDespiteRoom and waitsUnlogged of cell.load show the same. No decision uses any of it.

--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -16,6 +16,7 @@
 import { Housekeeping } from "./housekeeping.ts";
 import { type EndedJob, type Job, newJob, pendingJobsByQueue } from "./job.ts";
 import { JobLog } from "./job_log.ts";
+import { LongWaits } from "./long_waits.ts";
 import {
   firstStartWaitMs,
   isRejectedOnArrival,
@@ -113,6 +114,10 @@
       retentionMs: options.retentionMs,
       adviceInFlight: () => options.adviceDispatcher.inFlight,
       passMs: () => this.#scheduler.takePassMs(),
+      longWaits: new LongWaits(this.#context, {
+        dispatcher: options.adviceDispatcher,
+        passAgeMs: () => this.#scheduler.passAgeMs(),
+      }),
     });
   }
 
--- a/src/cell/housekeeping.ts
+++ b/src/cell/housekeeping.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { sleep } from "../clock.ts";
+import type { Fields } from "../logger.ts";
 import { type CellContext, updateBacklogOfJob } from "./context.ts";
 import {
   formatCoverages,
@@ -11,6 +12,7 @@
 } from "./decisions/forecast_accuracy.ts";
 import { acceptsRuns, freeCapacityOf, runsInEvacuatedZones } from "./fleet.ts";
 import { dueMs, occurrenceCount, openOccurrence, type StepRun } from "./job.ts";
+import type { LongWaits } from "./long_waits.ts";
 import type { Runs } from "./runs.ts";
 import { WAIT_REASONS, type WaitReason } from "./step_waits.ts";
 
@@ -40,13 +42,14 @@
   readonly #retentionMs: number;
   readonly #adviceInFlight: () => number;
   readonly #passMs: () => number;
+  readonly #longWaits: LongWaits;
   #closed = false;
   /** Longest delay of a timer since the last load line, milliseconds. */
   #maxTimerDelayMs = 0;
 
   constructor(
     context: CellContext,
-    { runs, retentionMs, adviceInFlight, passMs }: {
+    { runs, retentionMs, adviceInFlight, passMs, longWaits }: {
       readonly runs: Runs;
       /** How long clients can query ended jobs, milliseconds. */
       readonly retentionMs: number;
@@ -57,6 +60,7 @@
        * milliseconds.
        */
       readonly passMs: () => number;
+      readonly longWaits: LongWaits;
     },
   ) {
     this.#context = context;
@@ -64,6 +68,7 @@
     this.#retentionMs = retentionMs;
     this.#adviceInFlight = adviceInFlight;
     this.#passMs = passMs;
+    this.#longWaits = longWaits;
   }
 
   /** Runs until {@linkcode close} is called. */
@@ -81,6 +86,7 @@
       if (isLeading()) this.#runs.tick();
       this.#openDueOccurrences();
       this.#removeExpiredJobs();
+      this.#longWaits.tick();
       if (backlog.size > 0) requestPass();
       if (clock.monotonic() - loadAtMs < LOAD_INTERVAL_MS) continue;
       loadAtMs = clock.monotonic();
@@ -91,6 +97,7 @@
   /** Stops the periodic work. */
   close(): void {
     this.#closed = true;
+    this.#longWaits.close();
   }
 
   /** Opens the occurrences of recurring jobs that are due or about to be. */
@@ -151,6 +158,7 @@
       jobs: jobs.size,
       openSteps: backlog.size,
       ...waitCountsByReason(backlog),
+      ...longWaitFields(this.#longWaits),
       runs: workers.reduce((sum, one) => sum + one.runs.size, 0),
       workers: workers.length,
       usable: usable.length,
@@ -174,6 +182,16 @@
   }
 }
 
+/** The longest wait and its job, if there is one, and the numbers of long waits. */
+function longWaitFields({ oldest, despiteRoom, unlogged }: LongWaits): Fields {
+  return {
+    longestWaitMs: oldest?.waitedMs,
+    longestWaitJob: oldest?.job,
+    waitsDespiteRoom: despiteRoom === 0 ? undefined : despiteRoom,
+    waitsUnlogged: unlogged === 0 ? undefined : unlogged,
+  };
+}
+
 /** Number of waiting steps by reason, with keys such as `waitNoRoom`. */
 function waitCountsByReason(
   backlog: Iterable<StepRun>,
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -96,6 +96,7 @@
   #paused = false;
   #passMs = 0;
   #lastPassMs = 0;
+  #lastPassEndedMs: number;
 
   constructor(
     context: CellContext,
@@ -103,6 +104,7 @@
   ) {
     this.#context = context;
     this.#runs = runs;
+    this.#lastPassEndedMs = context.clock.monotonic();
     this.#requester = new AdviceRequester(context, desk, (step) => {
       if (this.#knowsOperatorState()) {
         this.#tryPlace(step, this.#capacityOutsidePass(step));
@@ -136,6 +138,14 @@
     return elapsedMs;
   }
 
+  /**
+   * Time since the end of the last pass that could start steps, milliseconds;
+   * since the beginning of the term if there was none.
+   */
+  passAgeMs(): number {
+    return this.#context.clock.monotonic() - this.#lastPassEndedMs;
+  }
+
   /** Starts nothing until {@linkcode resume} is called. */
   pause(): void {
     this.#paused = true;
@@ -165,7 +175,9 @@
     if (!this.#knowsOperatorState()) return;
     const startedMs = this.#context.clock.monotonic();
     this.#schedule(this.#sortedBacklog());
-    const elapsedMs = this.#context.clock.monotonic() - startedMs;
+    const endedMs = this.#context.clock.monotonic();
+    if (!this.#paused) this.#lastPassEndedMs = endedMs;
+    const elapsedMs = endedMs - startedMs;
     this.#passMs += elapsedMs;
     this.#lastPassMs = elapsedMs;
     this.#context.metrics.observe("pass_ms", elapsedMs);
