Find the cause of submissions that still wait in their logs

Cause: account took the causes of waits from step.waited alone, so a submission that never ran counted as unfinished with the cause untold.

Change: step.waiting is analyzed beside step.waited. A step outside the backlog counts by its reason, two of which are new causes: stopping and missing. explain prints the event already, as it prints every line of the job.

--- a/src/log_analysis/job_summary.ts
+++ b/src/log_analysis/job_summary.ts
@@ -24,6 +24,10 @@
   | "gangIncomplete"
   /** A step waited in the backlog until the scheduler reached it. */
   | "queueOrder"
+  /** A gang waited until its remaining runs were stopped. */
+  | "stopping"
+  /** A step that could start was neither in the backlog nor assigned to workers. */
+  | "missing"
   /** Runs failed, by a fault of the task or of its worker. */
   | "failedRuns"
   /** A start request was not answered, or the worker did not have the run. */
@@ -49,7 +53,10 @@
   readonly timeFactor?: number;
 }
 
-/** Fields of `step.waited` with the cause that each stands for; a field holds the time waited. */
+/**
+ * Fields of `step.waited` and `step.waiting` with the cause that each stands for; a field holds the
+ * time waited.
+ */
 const WAIT_CAUSES: readonly (readonly [string, Cause])[] = [
   ["turnMs", "queueOrder"],
   ["adviceMs", "advice"],
@@ -60,6 +67,15 @@
   ["gangIncompleteMs", "gangIncomplete"],
 ];
 
+/** Reasons in `step.waiting` of steps outside the backlog, with the cause that each stands for. */
+const START_CAUSES: ReadonlyMap<string, Cause> = new Map([
+  ["store", "storeAway"],
+  ["start", "unansweredOrder"],
+  ["report", "workerLost"],
+  ["stop", "stopping"],
+  ["missing", "missing"],
+]);
+
 /** Reasons in `run.lost` that stand for a failed start request and not for a lost worker. */
 const UNANSWERED_REASONS: ReadonlySet<string> = new Set([
   "notThere",
@@ -111,9 +127,8 @@
         }
         return;
       case "step.waited":
-        for (const [field, cause] of WAIT_CAUSES) {
-          this.#delay(cause, parseNumber(fields[field]) ?? 0);
-        }
+      case "step.waiting":
+        this.#addWait(fields);
         return;
       case "run.start":
         this.#addRunStart(fields, atMs);
@@ -137,6 +152,15 @@
     }
   }
 
+  #addWait(fields: LogLine["fields"]): void {
+    for (const [field, cause] of WAIT_CAUSES) {
+      this.#delay(cause, parseNumber(fields[field]) ?? 0);
+    }
+    const cause = START_CAUSES.get(fields["reason"] ?? "");
+    if (cause === undefined) return;
+    this.#delay(cause, parseNumber(fields["reasonMs"]) ?? 0);
+  }
+
   #addCall(fields: LogLine["fields"], atMs: number): void {
     const outcome = fields["outcome"] ?? "";
     const sentMs = atMs - (parseNumber(fields["tookMs"]) ?? 0);
--- a/src/log_analysis/job_timeline_test.ts
+++ b/src/log_analysis/job_timeline_test.ts
@@ -15,6 +15,7 @@
     `event=run.start task=${JOB}.0.0.0 worker=w1 outcome=started`,
   ),
   logLine("10.200", "event=run.start task=00000000000000bb.0.0.0 worker=w2"),
+  logLine("10.900", `event=step.waiting job=${JOB} step=1 reason=noRoom`),
   logLine("11.000", 'event=worker.silent worker=w1 reason="no answer in time"'),
   logLine("11.500", "event=worker.silent worker=w2"),
   logLine("12.000", "event=hold.gained fence=2"),
@@ -27,6 +28,7 @@
   t.deepEqual(timelineOf(lines, JOB).map(({ event }) => event), [
     "job.submitted",
     "run.start",
+    "step.waiting",
     "worker.silent",
     "hold.gained",
     "job.ended",
--- a/src/log_analysis/submission_analyzer.ts
+++ b/src/log_analysis/submission_analyzer.ts
@@ -63,6 +63,7 @@
   "client.call",
   "job.submitted",
   "step.waited",
+  "step.waiting",
   "run.start",
   "run.end",
   "run.lost",
@@ -211,7 +212,13 @@
       "noHolder",
       this.#leaderlessTime.overlapMs(sentMs, endMs),
     );
-    lostMsByCause.set("storeAway", this.#storeOutages.overlapMs(sentMs, endMs));
+    lostMsByCause.set(
+      "storeAway",
+      Math.max(
+        lostMsByCause.get("storeAway") ?? 0,
+        this.#storeOutages.overlapMs(sentMs, endMs),
+      ),
+    );
     if (summary.averageWorkerRunMs > LONG_RUN_FACTOR * typicalRunMs) {
       lostMsByCause.set("longRuns", summary.averageWorkerRunMs - typicalRunMs);
     }
--- a/src/log_analysis/submission_analyzer_test.ts
+++ b/src/log_analysis/submission_analyzer_test.ts
@@ -121,6 +121,46 @@
   { cause: "untold", lines: [] },
 ];
 
+/** Reasons and the fields of a step that still waits, with the cause of an unfinished submission. */
+const WAITING_CASES: readonly {
+  readonly cause: Cause;
+  readonly fields: string;
+}[] = [
+  {
+    cause: "advice",
+    fields: "reason=noAdvice reasonMs=3000 noAdviceMs=3000 turnMs=10",
+  },
+  { cause: "noRoom", fields: "reason=noRoom reasonMs=3900 noRoomMs=3900" },
+  {
+    cause: "teamLimit",
+    fields: "reason=limitHeadroom reasonMs=3900 limitHeadroomMs=3900",
+  },
+  { cause: "queueOrder", fields: "reason=turn reasonMs=4000 turnMs=4000" },
+  { cause: "storeAway", fields: "reason=store reasonMs=3000" },
+  { cause: "unansweredOrder", fields: "reason=start reasonMs=3000" },
+  { cause: "workerLost", fields: "reason=report reasonMs=3000" },
+  { cause: "stopping", fields: "reason=stop reasonMs=3000" },
+  { cause: "missing", fields: "reason=missing reasonMs=3000" },
+];
+
+for (const { cause, fields } of WAITING_CASES) {
+  test(`the cause of a submission that still waits is ${cause}: ${fields}`, (t) => {
+    const lines = [
+      ...jobLines(LATE_JOB, { fromMs: 0, endMs: 9_000 }).slice(0, -1),
+      logLine(
+        4_100,
+        `event=step.waiting job=${LATE_JOB} step=0 waitedMs=4000 ${fields}`,
+      ),
+    ];
+    for (const order of [lines, lines.toReversed()]) {
+      const [analyzed] = analyze(order).jobs;
+      t.is(analyzed?.outcome, "unfinished");
+      t.is(analyzed?.cause, cause);
+      t.true(Number(analyzed?.lostMs) >= 3_000);
+    }
+  });
+}
+
 for (const { cause, lines } of CAUSE_CASES) {
   test(`the cause of a late submission is ${cause}`, (t) => {
     const all = jobLines(LATE_JOB, { fromMs: 0, endMs: 2_600, between: lines });
