Test that a wait beside a half-full service does not count as despite room

Cause: no test failed when the share of the service in use was left out of despiteRoom.

Change: a test in long_waits_test.

Evidence: it failed on a build without that condition.

--- a/src/cell/long_waits_test.ts
+++ b/src/cell/long_waits_test.ts
@@ -373,6 +373,24 @@
   );
 });
 
+test("a step does not wait despite room while half of the service is in use", async (t) => {
+  const harness = new LoggingHarness();
+  harness.addWorker("w1");
+  const cell = await harness.open();
+  const other = testStep({ amounts: TWO_CORES, longRunning: true });
+  await harness.submit(cell, [other], OTHER);
+  await harness.clock.run(300);
+  await cell.quiesce(0);
+  await harness.submit(cell, [testStep()]);
+  await harness.clock.run(3_500);
+  t.like(harness.waits[0], {
+    job: JOB,
+    fitWorkers: 1,
+    usedShare: "0.50",
+    despiteRoom: false,
+  });
+});
+
 test("a sweep logs the oldest waits and counts the others", async (t) => {
   const harness = new LoggingHarness();
   const cell = await harness.open();
