Bound how long a queue waits for a channel to the advice service

Callers saw accepted submissions that did not start although most workers were free, with few instances left or while another queue sent a stream of requests.

Cause: each class of advice requests (quick, medium, slow) had a fixed part of the channels, one channel for each instance. A medium or slow request needs an idle channel. Nothing bounded how long the requests of other classes could keep a channel from being idle, and a class never used the idle channels of others. With two instances the medium class shared its only channel with the slow one, whose steps took it again each time that it was free; with three, slow requests went out one after the other while two channels were idle; a stream of quick requests starved the slow ones with any number of instances. A queue behind a more urgent one of its class, and a class whose preferred channel always failed, could wait without end in the same way.

Change: the demand of each queue is recorded. A queue that is refused a channel may use idle channels of other classes after half the duration of a request, or at once if nobody else uses any. After three times that duration without an answer it claims a channel, which takes no other requests until that of the queue is sent. Without a claim, slow requests leave one channel to the other queues, so that urgent work goes first. Requests that fail do not count as served, and a channel that fails again and again is left for up to 4 s.

--- a/src/cell/advice_dispatcher.ts
+++ b/src/cell/advice_dispatcher.ts
@@ -8,11 +8,13 @@
  */
 import type { Clock } from "../clock.ts";
 import type { Metrics } from "../metrics.ts";
+import { ChannelDemand } from "./decisions/channel_demand.ts";
 import {
   channelsFor,
   type DurationClass,
   durationClassOf,
   freeSlots,
+  otherChannelsFor,
   queueDurationClass,
   typicalRequestMs,
 } from "./decisions/channels.ts";
@@ -22,6 +24,8 @@
 const TIMEOUT_SLACK_MS = 400;
 /** A channel with a failed request is not used for this long. */
 const CHANNEL_COOLDOWN_MS = 1_000;
+/** The same for a channel that has failed several times in a row. */
+const MAX_CHANNEL_COOLDOWN_MS = 4_000;
 /**
  * A channel whose requests in flight have a total expected duration below this
  * counts as idle: the rest is a rounding error.
@@ -35,6 +39,8 @@
 
 /** One advice request: which of the workers may run the step. */
 export interface AdviceRequest {
+  /** Name of the step's queue. */
+  readonly queue: string;
   readonly step: string;
   readonly workers: readonly string[];
   /** Expected duration at the service, milliseconds. */
@@ -48,6 +54,28 @@
   options: { readonly timeoutMs: number },
 ) => Promise<Advice>;
 
+/** A queue whose steps need advice. */
+export interface AdvisedQueue {
+  readonly name: string;
+  readonly advice: AdvicePolicy;
+}
+
+/** The requests of a queue that look for a channel. */
+interface ChannelSearch {
+  readonly queue: string;
+  readonly durationClass: DurationClass;
+  /** Expected duration of one of them, milliseconds. */
+  readonly expectedMs: number;
+}
+
+/** The channels of a duration class that are not in cooldown. */
+interface ClassChannels {
+  /** Channels that the class may always use, the preferred ones first. */
+  readonly own: readonly string[];
+  /** The others, the preferred ones first. */
+  readonly others: readonly string[];
+}
+
 /**
  * Spreads the advice requests of one cell over the channels. Each instance is
  * one channel, since the service handles one request of an instance at a time.
@@ -63,15 +91,25 @@
   readonly #inFlightMs = new Map<string, number>();
   #inFlight = 0;
   readonly #cooldownUntilMs = new Map<string, number>();
+  /** Number of requests in a row that have failed, by channel. */
+  readonly #failures = new Map<string, number>();
   #channels: readonly string[] = [];
   #channelsReadMs = -Infinity;
+  /** Channels with a slow request in flight. */
+  readonly #slowChannels = new Set<string>();
+  readonly #demand = new ChannelDemand();
+  /**
+   * Number of requests that could be sent now, by queue. Cleared when a request
+   * is sent or answered.
+   */
+  readonly #freeSlots = new Map<string, number>();
+  /** Channels that are not in cooldown, by duration class. */
+  readonly #availableChannels = new Map<DurationClass, ClassChannels>();
   /**
-   * Number of requests that could be sent now, by the queue's advice policy.
-   * Cleared when a request is sent or answered.
+   * Queues that claim a channel, by channel; `undefined` when they have to be
+   * determined anew.
    */
-  readonly #freeSlots = new Map<AdvicePolicy, number>();
-  /** Usable channels that are not in cooldown, by duration class. */
-  readonly #availableChannels = new Map<DurationClass, readonly string[]>();
+  #claims: ReadonlyMap<string, string> | undefined;
 
   /** `instances`: returns the instances that can pass on requests now. */
   constructor(
@@ -91,19 +129,35 @@
   }
 
   /** Number of requests of a queue that could be sent now. */
-  freeSlotsFor(advice: AdvicePolicy): number {
-    const durationClass = queueDurationClass(advice);
-    const channels = this.#channelsFor(durationClass);
-    const cached = this.#freeSlots.get(advice);
+  freeSlotsFor({ name, advice }: AdvisedQueue): number {
+    this.#refreshChannels();
+    const cached = this.#freeSlots.get(name);
     if (cached !== undefined) return cached;
-    const expectedMs = typicalRequestMs(advice);
-    const slots = channels.reduce(
-      (sum, channel) =>
-        sum + this.#freeSlotsIn(channel, durationClass, expectedMs),
+    const search = {
+      queue: name,
+      durationClass: queueDurationClass(advice),
+      expectedMs: typicalRequestMs(advice),
+    };
+    const slots = this.#channelsOf(search.durationClass).own.reduce(
+      (sum, channel) => sum + this.#freeSlotsIn(channel, search),
       0,
     );
-    this.#freeSlots.set(advice, slots);
-    return slots;
+    const usable = slots > 0 || this.#findBorrowed(search) === undefined
+      ? slots
+      : 1;
+    this.#freeSlots.set(name, usable);
+    return usable;
+  }
+
+  /**
+   * Records that a queue has a request to send and no free slot. After a while
+   * it gets one, even if others have to wait for it.
+   */
+  recordRefusal({ name, advice }: AdvisedQueue): void {
+    this.#demand.recordRefusal(name, {
+      typicalMs: typicalRequestMs(advice),
+      nowMs: this.#clock.monotonic(),
+    });
   }
 
   /**
@@ -111,30 +165,47 @@
    * is none.
    */
   async send(request: AdviceRequest): Promise<Advice> {
-    const { expectedMs } = request;
+    const { queue, expectedMs } = request;
+    this.#refreshChannels();
     const durationClass = durationClassOf(expectedMs);
-    const channel = this.#channelsFor(durationClass)
-      .find((candidate) =>
-        this.#freeSlotsIn(candidate, durationClass, expectedMs) > 0
-      );
+    const channel = this.#findChannel({ queue, durationClass, expectedMs });
     if (channel === undefined) return { type: "busy" };
     const startedMs = this.#clock.monotonic();
+    if (durationClass === "slow") this.#slowChannels.add(channel);
+    this.#demand.recordSent(queue, startedMs);
     const timeoutMs = 2 * this.#addInFlight(channel, expectedMs) +
       TIMEOUT_SLACK_MS;
     this.#inFlight++;
     const advice = await this.#sendThrough(channel, request, { timeoutMs });
     this.#inFlight--;
-    this.#addInFlight(channel, -expectedMs);
     const now = this.#clock.monotonic();
-    if (advice.type !== "advised") {
-      this.#cooldownUntilMs.set(channel, now + CHANNEL_COOLDOWN_MS);
-      this.#invalidateCaches();
-    }
+    const answered = advice.type === "advised";
+    if (durationClass === "slow") this.#slowChannels.delete(channel);
+    this.#demand.recordEnd(queue, { answered, nowMs: now });
+    this.#addInFlight(channel, -expectedMs);
+    if (answered) this.#failures.delete(channel);
+    else this.#coolDown(channel, now);
     this.#metrics.count("advice_calls", { answer: advice.type });
     this.#metrics.observe("advice_ms", now - startedMs);
     return advice;
   }
 
+  /**
+   * Does not use a channel for a while, which is longer each time that it fails
+   * in a row: a queue that prefers it would otherwise wait for it again and
+   * again.
+   */
+  #coolDown(channel: string, nowMs: number): void {
+    const failures = (this.#failures.get(channel) ?? 0) + 1;
+    this.#failures.set(channel, failures);
+    const cooldownMs = Math.min(
+      MAX_CHANNEL_COOLDOWN_MS,
+      CHANNEL_COOLDOWN_MS * 2 ** (failures - 1),
+    );
+    this.#cooldownUntilMs.set(channel, nowMs + cooldownMs);
+    this.#invalidateCaches();
+  }
+
   /**
    * Adds to the expected duration of the requests in flight on a channel and
    * returns the new sum, milliseconds.
@@ -145,36 +216,102 @@
     if (inFlightMs < MIN_IN_FLIGHT_MS) this.#inFlightMs.delete(channel);
     else this.#inFlightMs.set(channel, inFlightMs);
     this.#freeSlots.clear();
+    this.#claims = undefined;
     return inFlightMs;
   }
 
   #invalidateCaches(): void {
     this.#availableChannels.clear();
     this.#freeSlots.clear();
+    this.#claims = undefined;
+  }
+
+  #findChannel(search: ChannelSearch): string | undefined {
+    return this.#channelsOf(search.durationClass).own.find((channel) =>
+      this.#freeSlotsIn(channel, search) > 0
+    ) ?? this.#findBorrowed(search);
   }
 
+  /**
+   * An idle channel of other classes that a queue may use because it has
+   * waited.
+   */
+  #findBorrowed(search: ChannelSearch): string | undefined {
+    const { queue, durationClass } = search;
+    if (!this.#demand.mayBorrow(queue, this.#clock.monotonic())) {
+      return undefined;
+    }
+    return this.#channelsOf(durationClass).others.find((channel) =>
+      !this.#inFlightMs.has(channel) && this.#freeSlotsIn(channel, search) > 0
+    );
+  }
+
+  /** Number of requests that a channel takes now. */
   #freeSlotsIn(
     channel: string,
-    durationClass: DurationClass,
-    expectedMs: number,
+    { queue, durationClass, expectedMs }: ChannelSearch,
   ): number {
+    const claimedBy = this.#claimedChannels().get(channel);
+    if (claimedBy !== undefined && claimedBy !== queue) return 0;
+    if (claimedBy === undefined && this.#isKeptFree(queue, durationClass)) {
+      return 0;
+    }
     const inFlightMs = this.#inFlightMs.get(channel) ?? 0;
     return freeSlots(durationClass, { inFlightMs, expectedMs });
   }
 
-  #channelsFor(durationClass: DurationClass): readonly string[] {
-    const now = this.#clock.monotonic();
-    if (now - this.#channelsReadMs >= CHANNELS_REFRESH_INTERVAL_MS) {
-      this.#channelsReadMs = now;
-      this.#channels = this.#instances();
-      this.#invalidateCaches();
+  /**
+   * Whether the last channel without a slow request is kept for the other
+   * queues that use channels. A slow request needs a claim for it.
+   */
+  #isKeptFree(queue: string, durationClass: DurationClass): boolean {
+    return durationClass === "slow" &&
+      this.#slowChannels.size + 1 >= this.#channelsOf("quick").own.length &&
+      this.#demand.othersActive(queue, this.#clock.monotonic());
+  }
+
+  /**
+   * Assigns each claim to the channel that is idle first. A channel is the
+   * target of one claim at most.
+   */
+  #claimedChannels(): ReadonlyMap<string, string> {
+    if (this.#claims !== undefined) return this.#claims;
+    const claims = new Map<string, string>();
+    const queues = this.#demand.claimingQueues(this.#clock.monotonic());
+    for (const queue of queues) {
+      const channel = this.#channelsOf("quick").own
+        .filter((candidate) => !claims.has(candidate))
+        .sort((a, b) => this.#inFlightMsOn(a) - this.#inFlightMsOn(b))[0];
+      if (channel !== undefined) claims.set(channel, queue);
     }
+    this.#claims = claims;
+    return claims;
+  }
+
+  #inFlightMsOn(channel: string): number {
+    return this.#inFlightMs.get(channel) ?? 0;
+  }
+
+  #refreshChannels(): void {
+    const now = this.#clock.monotonic();
+    if (now - this.#channelsReadMs < CHANNELS_REFRESH_INTERVAL_MS) return;
+    this.#channelsReadMs = now;
+    this.#channels = this.#instances();
+    this.#invalidateCaches();
+  }
+
+  #channelsOf(durationClass: DurationClass): ClassChannels {
     const cached = this.#availableChannels.get(durationClass);
     if (cached !== undefined) return cached;
-    const available = channelsFor(this.#channels, durationClass).filter((
-      channel,
-    ) => (this.#cooldownUntilMs.get(channel) ?? 0) <= now);
-    this.#availableChannels.set(durationClass, available);
-    return available;
+    const now = this.#clock.monotonic();
+    const usable = this.#channels.filter((channel) =>
+      (this.#cooldownUntilMs.get(channel) ?? 0) <= now
+    );
+    const channels = {
+      own: channelsFor(usable, durationClass),
+      others: otherChannelsFor(usable, durationClass),
+    };
+    this.#availableChannels.set(durationClass, channels);
+    return channels;
   }
 }
--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Timer } from "../clock.ts";
-import type { AdviceDispatcher } from "./advice_dispatcher.ts";
+import type { AdviceDispatcher, AdvisedQueue } from "./advice_dispatcher.ts";
 import { type CellContext, queueOf } from "./context.ts";
 import {
   type AdviceRequestContext,
@@ -12,7 +12,7 @@
 } from "./decisions/advice_requests.ts";
 import type { FleetWorker } from "./fleet.ts";
 import { addTicket, stepKey, type StepRun } from "./job.ts";
-import type { Advice, AdvicePolicy, Queue } from "./types.ts";
+import type { Advice, Queue } from "./types.ts";
 
 /** Delay before a failed advice request is retried. */
 const REQUEST_RETRY_DELAY_MS = 200;
@@ -45,6 +45,10 @@
   readonly expectedMs: number;
 }
 
+function isAdvised(queue: Queue): queue is Queue & AdvisedQueue {
+  return queue.advice !== undefined;
+}
+
 /** Sends the advice requests of one leader. */
 export class AdviceRequester {
   readonly #context: CellContext;
@@ -70,9 +74,9 @@
 
   /** Whether a step needs a ticket, has none, and cannot request one now. */
   mustWait(step: StepRun): boolean {
-    const { advice } = queueOf(this.#context, step.job);
-    if (advice === undefined || step.advice.tickets.size > 0) return false;
-    return !this.#ready(step, advice);
+    const queue = queueOf(this.#context, step.job);
+    if (!isAdvised(queue) || step.advice.tickets.size > 0) return false;
+    return !this.#ready(step, queue);
   }
 
   /** Sends advice requests for a step if that is possible and useful now. */
@@ -81,11 +85,11 @@
     context: Omit<AdviceRequestContext, "goodShare" | "freeChannels">,
   ): void {
     const { queue, nowMs } = context;
-    if (queue.advice === undefined || !this.#ready(step, queue.advice)) return;
+    if (!isAdvised(queue) || !this.#ready(step, queue)) return;
     const workerLists = planAdviceRequests(step, {
       ...context,
       goodShare: this.#goodShareOf(queue),
-      freeChannels: this.#dispatcher.freeSlotsFor(queue.advice),
+      freeChannels: this.#dispatcher.freeSlotsFor(queue),
     });
     if (workerLists.length === 0) return this.#scheduleSearch(step, nowMs);
     const { baseMs, perWorkerMs } = queue.advice;
@@ -97,11 +101,13 @@
     for (const request of planned) void this.#sendRequest(step, request);
   }
 
-  #ready(step: StepRun, advice: AdvicePolicy): boolean {
+  #ready(step: StepRun, queue: AdvisedQueue): boolean {
     const { requestsInFlight, retryAtMs } = step.advice;
-    return requestsInFlight === 0 &&
-      retryAtMs <= this.#context.clock.monotonic() &&
-      this.#dispatcher.freeSlotsFor(advice) > 0;
+    if (requestsInFlight > 0) return false;
+    if (retryAtMs > this.#context.clock.monotonic()) return false;
+    if (this.#dispatcher.freeSlotsFor(queue) > 0) return true;
+    this.#dispatcher.recordRefusal(queue);
+    return false;
   }
 
   async #sendRequest(step: StepRun, planned: PlannedRequest): Promise<void> {
@@ -117,6 +123,7 @@
       requestPass();
     });
     const response = await this.#dispatcher.send({
+      queue: planned.queue.name,
       step: stepKey(step),
       workers: workers.map(({ id }) => id),
       expectedMs,
--- /dev/null
+++ b/src/cell/decisions/channel_demand.ts
@@ -0,0 +1,144 @@
+/**
+ * How long each queue has waited for a channel to the advice service, and what
+ * a queue that has waited too long may do.
+ *
+ * Load pattern: few instances are left, and so few channels. Slow and medium
+ * requests need an idle channel, which a stream of other requests may never
+ * leave them, while channels that belong to other classes are idle in between.
+ * So a queue that waits may first use idle channels of other classes. If it
+ * still gets none, it claims one: the channel takes no other requests until
+ * that of the queue is sent.
+ *
+ * @module
+ */
+
+/**
+ * A queue may use idle channels of other classes after this many times the
+ * duration of its requests.
+ */
+const BORROW_FACTOR = 0.5;
+/**
+ * A queue without any request in flight claims a channel after this many times
+ * the duration of its requests, so its claims take at most a quarter of one.
+ */
+const CLAIM_FACTOR = 3;
+/**
+ * A queue waits for a channel if it wanted one within this time, milliseconds:
+ * several scheduling passes, which are rare while they are long.
+ */
+const DEMAND_LIFETIME_MS = 500;
+
+/** Demand of one queue. */
+interface Demand {
+  /** Duration of a typical request, milliseconds. */
+  typicalMs: number;
+  /** When the queue was last refused a channel, monotonic milliseconds. */
+  refusedMs: number;
+  /** Since when it has wanted channels, monotonic milliseconds. */
+  wantedSinceMs: number;
+  inFlight: number;
+  /** When its last request was sent, monotonic milliseconds. */
+  sentMs: number;
+  /** When its last request ended, monotonic milliseconds. */
+  endedMs: number;
+  /** When a request was last answered, monotonic milliseconds. */
+  answeredMs: number;
+}
+
+/** Tracks the demand of all queues. Times are monotonic milliseconds. */
+export class ChannelDemand {
+  readonly #byQueue = new Map<string, Demand>();
+
+  /** Records that a queue has a request to send and no channel for it. */
+  recordRefusal(
+    queue: string,
+    { typicalMs, nowMs }: {
+      /** Duration of a typical request of the queue, milliseconds. */
+      readonly typicalMs: number;
+      readonly nowMs: number;
+    },
+  ): void {
+    const demand = this.#demandOf(queue);
+    if (!isWaiting(demand, nowMs)) demand.wantedSinceMs = nowMs;
+    demand.typicalMs = typicalMs;
+    demand.refusedMs = nowMs;
+  }
+
+  /** Records that a request of a queue was sent. */
+  recordSent(queue: string, nowMs: number): void {
+    const demand = this.#demandOf(queue);
+    demand.inFlight++;
+    demand.sentMs = nowMs;
+  }
+
+  /**
+   * Records that a request of a queue has ended. A request without an answer
+   * does not make the queue wait any longer.
+   */
+  recordEnd(
+    queue: string,
+    { answered, nowMs }: { readonly answered: boolean; readonly nowMs: number },
+  ): void {
+    const demand = this.#demandOf(queue);
+    demand.inFlight--;
+    demand.endedMs = nowMs;
+    if (answered) demand.answeredMs = nowMs;
+  }
+
+  /** Whether a queue may use idle channels that belong to other classes. */
+  mayBorrow(queue: string, nowMs: number): boolean {
+    const demand = this.#byQueue.get(queue);
+    if (demand === undefined || !isWaiting(demand, nowMs)) return false;
+    if (!this.othersActive(queue, nowMs)) return true;
+    const sinceMs = Math.max(demand.wantedSinceMs, demand.sentMs);
+    return nowMs - sinceMs >= BORROW_FACTOR * demand.typicalMs;
+  }
+
+  /** Whether another queue waits for a channel or has a request in flight. */
+  othersActive(queue: string, nowMs: number): boolean {
+    for (const [other, demand] of this.#byQueue) {
+      if (other === queue) continue;
+      if (demand.inFlight > 0 || isWaiting(demand, nowMs)) return true;
+      if (nowMs - demand.endedMs < DEMAND_LIFETIME_MS) return true;
+    }
+    return false;
+  }
+
+  /** Queues that claim a channel, the one that has waited longest first. */
+  claimingQueues(nowMs: number): readonly string[] {
+    return [...this.#byQueue]
+      .filter(([, demand]) => isClaiming(demand, nowMs))
+      .sort(([, a], [, b]) => waitStartMs(a) - waitStartMs(b))
+      .map(([queue]) => queue);
+  }
+
+  #demandOf(queue: string): Demand {
+    const known = this.#byQueue.get(queue);
+    if (known !== undefined) return known;
+    const demand: Demand = {
+      typicalMs: 0,
+      refusedMs: -Infinity,
+      wantedSinceMs: -Infinity,
+      inFlight: 0,
+      sentMs: -Infinity,
+      endedMs: -Infinity,
+      answeredMs: -Infinity,
+    };
+    this.#byQueue.set(queue, demand);
+    return demand;
+  }
+}
+
+function isWaiting({ refusedMs }: Demand, nowMs: number): boolean {
+  return nowMs - refusedMs <= DEMAND_LIFETIME_MS;
+}
+
+function isClaiming(demand: Demand, nowMs: number): boolean {
+  return demand.inFlight === 0 && isWaiting(demand, nowMs) &&
+    nowMs - waitStartMs(demand) >= CLAIM_FACTOR * demand.typicalMs;
+}
+
+/** Since when a queue has waited for an answer. */
+function waitStartMs({ wantedSinceMs, answeredMs }: Demand): number {
+  return Math.max(wantedSinceMs, answeredMs);
+}
--- a/src/cell/decisions/channels.ts
+++ b/src/cell/decisions/channels.ts
@@ -114,6 +114,18 @@
   }
 }
 
+/**
+ * The channels that a class may use only when it has waited, the preferred ones
+ * first.
+ */
+export function otherChannelsFor(
+  channels: readonly string[],
+  durationClass: DurationClass,
+): readonly string[] {
+  const own = new Set(channelsFor(channels, durationClass));
+  return channels.filter((channel) => !own.has(channel));
+}
+
 function maxDurationMs(durationClass: DurationClass): number {
   switch (durationClass) {
     case "quick":
--- a/src/cell/step_room.ts
+++ b/src/cell/step_room.ts
@@ -118,7 +118,10 @@
       tickets: tickets.size,
       adviceInFlight: requestsInFlight,
       retryInMs: Math.round(Math.max(0, retryAtMs - this.#nowMs)),
-      freeChannels: dispatcher.freeSlotsFor(queue.advice),
+      freeChannels: dispatcher.freeSlotsFor({
+        name: queue.name,
+        advice: queue.advice,
+      }),
     };
   }
 
