Refuse submissions whose advice would take too long

Callers saw accepted submissions that did not start for tens of seconds, or at all, although most workers were free, with a single instance left.

Cause: an instance relays one request to the advice service at a time. Whatever the order in which they are sent, that wait has no bound.

Change: the requests that no channel was free for in the last scheduling pass give the time that a new submission of the queue would wait: its queue's and those of more urgent queues, on the channels that they get. Beyond half of the time within which accepted work must be under way (the platform's bound, now read from the settings), the submission is refused at once with 429 and retry-after. A queue none of whose requests waits accepts whatever waits elsewhere.

--- a/bench/model/cell_harness.ts
+++ b/bench/model/cell_harness.ts
@@ -19,6 +19,8 @@
 
 /** Maximum lease of a worker, milliseconds. */
 const MAX_LEASE_MS = 6_000;
+/** Time within which accepted work must be under way once no more arrives, milliseconds. */
+const SETTLE_MS = 14_000;
 /** How long results of ended jobs are retained, milliseconds. */
 const RETENTION_MS = 120_000;
 
@@ -125,6 +127,7 @@
     evacuations: new ZoneEvacuations({ clock, log, evacuateMs: undefined }),
     maxLeaseMs: MAX_LEASE_MS,
     retentionMs: RETENTION_MS,
+    settleMs: SETTLE_MS,
     isLeading: () => true,
     stepDown: () => {},
     onLeadershipConfirmed: () => {},
--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -172,6 +172,7 @@
       evacuations,
       maxLeaseMs: MAX_LEASE_MS,
       retentionMs: 120_000,
+      settleMs: 14_000,
       isLeading: () => this.isLeading,
       stepDown: (reason) => {
         this.stepDownReasons.push(reason);
--- a/src/cell/advice_dispatcher.ts
+++ b/src/cell/advice_dispatcher.ts
@@ -128,6 +128,12 @@
     return this.#inFlight;
   }
 
+  /** Number of channels that are not in cooldown. */
+  get channelCount(): number {
+    this.#refreshChannels();
+    return this.#channelsOf("quick").own.length;
+  }
+
   /** Number of requests of a queue that could be sent now. */
   freeSlotsFor({ name, advice }: AdvisedQueue): number {
     this.#refreshChannels();
--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -10,6 +10,7 @@
   type AdviceRequestContext,
   planAdviceRequests,
 } from "./decisions/advice_requests.ts";
+import { AdviceBacklog } from "./decisions/advice_backlog.ts";
 import type { FleetWorker } from "./fleet.ts";
 import { addTicket, stepKey, type StepRun } from "./job.ts";
 import type { Advice, Queue } from "./types.ts";
@@ -59,6 +60,7 @@
    * queue name.
    */
   readonly #goodShares = new Map<string, number>();
+  readonly #backlog = new AdviceBacklog();
   #searchTimer: Timer | undefined;
 
   /** `onAdvice` is called after each response, also after failed ones. */
@@ -72,6 +74,16 @@
     this.#onAdvice = onAdvice;
   }
 
+  /** Ends a scheduling pass: its refused requests are the backlog. */
+  endPass(): void {
+    this.#backlog.endPass();
+  }
+
+  /** How long a new request of a queue would wait for a channel, milliseconds. */
+  waitMs(queue: Queue): number {
+    return this.#backlog.waitMs(queue, this.#dispatcher.channelCount);
+  }
+
   /** Whether a step needs a ticket, has none, and cannot request one now. */
   mustWait(step: StepRun): boolean {
     const queue = queueOf(this.#context, step.job);
@@ -101,12 +113,13 @@
     for (const request of planned) void this.#sendRequest(step, request);
   }
 
-  #ready(step: StepRun, queue: AdvisedQueue): boolean {
+  #ready(step: StepRun, queue: Queue & AdvisedQueue): boolean {
     const { requestsInFlight, retryAtMs } = step.advice;
     if (requestsInFlight > 0) return false;
     if (retryAtMs > this.#context.clock.monotonic()) return false;
     if (this.#dispatcher.freeSlotsFor(queue) > 0) return true;
     this.#dispatcher.recordRefusal(queue);
+    this.#backlog.add(queue);
     return false;
   }
 
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -19,6 +19,7 @@
 import { LongWaits } from "./long_waits.ts";
 import {
   firstStartWaitMs,
+  isRejectedForAdvice,
   isRejectedOnArrival,
   storeWaitMs,
 } from "./decisions/admission.ts";
@@ -265,6 +266,19 @@
       });
       return { type: "refused", reason: "storeAway" };
     }
+    const adviceWaitMs = this.#scheduler.adviceWaitMs(policy);
+    if (isRejectedForAdvice(adviceWaitMs, this.#options.settleMs)) {
+      log.info("job.refused", {
+        job: submission.id,
+        queue: submission.queue,
+        team: submission.team,
+        set: active.version,
+        fence,
+        adviceWaitMs: Math.round(adviceWaitMs),
+        reason: "overload",
+      });
+      return { type: "refused", reason: "overload" };
+    }
     const job = newJob({
       ...submission,
       policy,
--- a/src/cell/cell_options.ts
+++ b/src/cell/cell_options.ts
@@ -38,6 +38,8 @@
   readonly maxLeaseMs: number;
   /** Shortest time for which clients can query an ended job, milliseconds. */
   readonly retentionMs: number;
+  /** Time within which all accepted work must be under way once no more arrives, milliseconds. */
+  readonly settleMs: number;
   /** Whether this instance may send requests to workers: its leadership was confirmed recently. */
   readonly isLeading: () => boolean;
   /** Ends this instance's term, because another instance leads the cell. */
--- a/src/cell/decisions/admission.ts
+++ b/src/cell/decisions/admission.ts
@@ -29,6 +29,11 @@
  * pass on a busy processor.
  */
 const PLACEMENT_ALLOWANCE_MS = 25;
+/**
+ * Share of the time to settle that a submission may wait for its first advice.
+ * The rest is left for its further steps and failed runs.
+ */
+const MAX_ADVICE_WAIT_SHARE = 0.5;
 /** Retry delay for urgent clients, seconds. */
 const URGENT_RETRY_DELAY_S = 1;
 /**
@@ -82,6 +87,19 @@
   return stuckMs > slackMs;
 }
 
+/**
+ * Whether a submission is rejected since its queue's advice is overloaded.
+ *
+ * `adviceWaitMs`: how long it would wait for a channel. `settleMs`: the time
+ * within which accepted work must be under way once no more arrives.
+ */
+export function isRejectedForAdvice(
+  adviceWaitMs: number,
+  settleMs: number,
+): boolean {
+  return adviceWaitMs > MAX_ADVICE_WAIT_SHARE * settleMs;
+}
+
 /**
  * Seconds after which the client of a rejected request may retry; `undefined`
  * if a retry would be rejected as well.
--- a/src/cell/decisions/admission_test.ts
+++ b/src/cell/decisions/admission_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { testQueue } from "../_fixtures_test.ts";
 import {
+  isRejectedForAdvice,
   isRejectedOnArrival,
   type RejectionReason,
   retryAfterS,
@@ -74,3 +75,9 @@
 test("no retry is announced for a submission whose job was canceled", (t) => {
   t.is(retryAfterS("canceled", URGENT), undefined);
 });
+
+test("a submission is rejected if its advice would take half of the time to settle", (t) => {
+  t.false(isRejectedForAdvice(0, 14_000));
+  t.false(isRejectedForAdvice(7_000, 14_000));
+  t.true(isRejectedForAdvice(7_100, 14_000));
+});
--- a/src/cell/decisions/channel_demand.ts
+++ b/src/cell/decisions/channel_demand.ts
@@ -19,9 +19,11 @@
 const BORROW_FACTOR = 0.5;
 /**
  * A queue without any request in flight claims a channel after this many times
- * the duration of its requests, so its claims take at most a quarter of one.
+ * the duration of its requests.
  */
 const CLAIM_FACTOR = 3;
+/** Share of a channel that a queue gets by its claims alone. */
+export const CLAIMED_SHARE = 1 / (1 + CLAIM_FACTOR);
 /**
  * A queue waits for a channel if it wanted one within this time, milliseconds:
  * several scheduling passes, which are rare while they are long.
--- a/src/cell/node.ts
+++ b/src/cell/node.ts
@@ -53,6 +53,8 @@
   readonly advice: AdviceService;
   readonly maxLeaseMs: number;
   readonly retentionMs: number;
+  /** Time within which all accepted work must be under way once no more arrives, milliseconds. */
+  readonly settleMs: number;
   /** Time from the evacuation of a zone until no task is started there any more, milliseconds; `undefined` for no limit. */
   readonly evacuateMs: number | undefined;
   readonly clock: Clock;
@@ -224,6 +226,7 @@
       metrics,
       maxLeaseMs,
       retentionMs,
+      settleMs,
     } = this.#options;
     const cell = new Cell({
       name: CELL,
@@ -241,6 +244,7 @@
       evacuations: this.#evacuations,
       maxLeaseMs,
       retentionMs,
+      settleMs,
       isLeading: () => this.#leadership.isLeading(),
       stepDown: (reason) => this.#leadership.stepDown(reason),
       onLeadershipConfirmed: (sentMs) =>
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -146,6 +146,14 @@
     return this.#context.clock.monotonic() - this.#lastPassEndedMs;
   }
 
+  /**
+   * How long the first step of a new job would wait for a channel to the advice
+   * service, milliseconds.
+   */
+  adviceWaitMs(queue: Queue): number {
+    return this.#context.backlog.size === 0 ? 0 : this.#requester.waitMs(queue);
+  }
+
   /** Starts nothing until {@linkcode resume} is called. */
   pause(): void {
     this.#paused = true;
@@ -175,6 +183,7 @@
     if (!this.#knowsOperatorState()) return;
     const startedMs = this.#context.clock.monotonic();
     this.#schedule(this.#sortedBacklog());
+    this.#requester.endPass();
     const endedMs = this.#context.clock.monotonic();
     if (!this.#paused) this.#lastPassEndedMs = endedMs;
     const elapsedMs = endedMs - startedMs;
