Let a gang ask about idle workers whatever the estimated share

A gang with any verdict asked about no further worker while the estimated share of allowed workers promised less capacity than it lacked. Only responses correct that estimate, so a gang that was short of one worker never asked about the idle one that joined later or became free. The estimate is one value for all steps of a queue, and a gang has its own set of allowed workers.

A gang now asks as soon as the capacity of the known good and the unknown workers together is enough. Each worker is asked about once, so the number of requests is bounded by the fleet.

Two of the new tests fail on the code before: the gang of 14 tasks stays pending for 10 s beside the fourteenth allowed worker, and the plan for a gang that knows three bad workers names none of the two idle ones.

--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -132,11 +132,8 @@
     if (expectedSlots < missingTasks) return toReserve;
     if (toReserve.length > 0) return [...good, ...toReserve];
   }
-  if (step.spec.gang && expectedSlots < missingTasks) {
-    // The expected capacity is not enough for the gang. Asking now helps only
-    // if no verdict is known yet and the free capacity as a whole is enough.
-    if (verdicts.size > 0 || goodSlots + unknownSlots < missingTasks) return [];
-  }
+  // The estimated share must not rule out a request: only a response corrects it.
+  if (step.spec.gang && goodSlots + unknownSlots < missingTasks) return [];
   const perWorker = Math.max(1, unknownSlots / Math.max(1, unknown.length));
   const missingWorkers = (missingTasks - goodSlots) / perWorker /
     context.goodShare;
--- a/src/cell/decisions/advice_requests_test.ts
+++ b/src/cell/decisions/advice_requests_test.ts
@@ -35,17 +35,24 @@
 function requestsOf(
   step: StepRun,
   fleet: Fleet,
-  { queue = QUEUE, goodShare = 0.5, freeChannels = 1, nowMs = 0 }: {
+  {
+    queue = QUEUE,
+    goodShare = 0.5,
+    freeChannels = 1,
+    nowMs = 0,
+    mayReserve = true,
+  }: {
     readonly queue?: Queue;
     readonly goodShare?: number;
     readonly freeChannels?: number;
     readonly nowMs?: number;
+    readonly mayReserve?: boolean;
   } = {},
 ): readonly (readonly string[])[] {
   const search = contextFor(fleet, queue, { nowMs });
   const context = {
     ...search,
-    mayReserve: true,
+    mayReserve,
     goodShare,
     freeChannels,
   };
@@ -160,3 +167,19 @@
   t.false(named.includes("w0"));
   t.true(named.includes("w1"));
 });
+
+test("a low estimate of the good share does not keep a gang from asking about idle workers", (t) => {
+  const gang = gangOf(8);
+  for (const id of ["w0", "w1", "w2"]) gang.advice.verdicts.set(id, false);
+  const fleet = fleetOf([0, 0, 0, 0, 0]);
+  const options = { goodShare: 0.05, mayReserve: false };
+  t.deepEqual(requestsOf(gang, fleet, options).flat().sort(), ["w3", "w4"]);
+});
+
+test("a gang does not ask about workers that together lack capacity for it", (t) => {
+  const gang = gangOf(9);
+  for (const id of ["w0", "w1", "w2"]) gang.advice.verdicts.set(id, false);
+  const fleet = fleetOf([0, 0, 0, 0, 0]);
+  const options = { goodShare: 1, mayReserve: false };
+  t.deepEqual(requestsOf(gang, fleet, options), []);
+});
--- /dev/null
+++ b/src/cell/waits_for_advice_test.ts
@@ -0,0 +1,38 @@
+import test from "ava";
+import { Harness, testQueue, testStep } from "./_fixtures_test.ts";
+import { SimulatedAdvice } from "./_simulated_advice_test.ts";
+
+const JOB = "00000000000000aa";
+
+/** Advice that takes a third of a ticket's lifetime, as for large gangs. */
+const SLOW_QUEUE = testQueue({
+  priority: 1,
+  objectiveMs: 60_000,
+  advice: { baseMs: 570, perWorkerMs: 8.1, ticketMs: 1_500 },
+});
+
+function harnessWith(workers: number): Harness {
+  const harness = new Harness();
+  harness.set = { ...harness.set, queues: [SLOW_QUEUE] };
+  for (let index = 0; index < workers; index++) harness.addWorker(`w${index}`);
+  return harness;
+}
+
+test("a gang that lacks one worker asks about the idle one that joined later", async (t) => {
+  const harness = harnessWith(14);
+  const advice = new SimulatedAdvice(harness.clock, {
+    allows: (worker) => worker !== "w0",
+  });
+  const cell = await harness.open({ adviceDispatcher: advice.dispatcher });
+  const gang = testStep({ gang: true, tasks: 14, maxPerWorker: 1 });
+  await harness.submit(cell, [gang]);
+  await harness.clock.run(5_000);
+  t.is(cell.state(JOB), "pending");
+  harness.addWorker("w14");
+  await harness.clock.run(10_000);
+  t.is(cell.state(JOB), "running");
+  const named = advice.received.filter(({ workers }) =>
+    workers.includes("w14")
+  );
+  t.is(named.length, 1);
+});
