Keep a verdict only for the worker's process

Callers saw a step that asked about no worker again although a worker that it had been refused on had restarted as one that it may run on, and the other way round.

Verdicts were kept by worker id, but a worker's next process may be of another kind. A response that arrived after the restart was even taken for a verdict on the new process. With few workers, a step whose last allowed worker restarts could so have nothing left to ask about.

Verdicts now belong to a process of a worker. Read for the same conclusion: the planning of requests, gangs that ask ahead, reservations, recovery of verdicts from the instances' caches, the search of room for logged waits.

Both new tests fail on the code before: the step stays pending for 5 s after the restart.

--- a/src/cell/advice_recovery.ts
+++ b/src/cell/advice_recovery.ts
@@ -8,6 +8,7 @@
 import { queueOf } from "./context.ts";
 import { addTicket, stepKey, type StepRun } from "./job.ts";
 import type { CachedAdvice } from "./types.ts";
+import type { WorkerProcess } from "./verdicts.ts";
 
 /**
  * Maximum number of steps to recover. More are not started within the first
@@ -41,7 +42,7 @@
   let verdicts = 0;
   for (const entry of cachedAdvice) {
     const step = byKey.get(entry.step);
-    if (step !== undefined) verdicts += merge(step, entry, clock.monotonic());
+    if (step !== undefined) verdicts += merge(context, step, entry);
   }
   log.info("advice.recalled", {
     fence,
@@ -54,15 +55,27 @@
 
 /** Returns the number of verdicts. */
 function merge(
+  context: CellContext,
   step: StepRun,
   { bad, good }: CachedAdvice,
-  nowMs: number,
 ): number {
   const { verdicts } = step.advice;
-  for (const worker of bad) verdicts.set(worker, false);
-  for (const { worker, ticket, ageMs } of good) {
-    verdicts.set(worker, true);
-    addTicket(step, worker, { ticket, atMs: nowMs - ageMs });
+  const nowMs = context.clock.monotonic();
+  for (const id of bad) verdicts.record(processOf(context, id), false);
+  for (const { worker: id, ticket, ageMs } of good) {
+    verdicts.record(processOf(context, id), true);
+    addTicket(step, id, { ticket, atMs: nowMs - ageMs });
   }
   return bad.length + good.length;
 }
+
+/**
+ * The current process of a worker: as it has reported or, before its first
+ * report, as the platform lists it.
+ */
+function processOf({ fleet }: CellContext, id: string): WorkerProcess {
+  const worker = fleet.workers.get(id);
+  const processStartMs = worker?.processStartMs ??
+    worker?.entry?.processStartMs;
+  return { id, processStartMs };
+}
--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -11,9 +11,9 @@
   planAdviceRequests,
 } from "./decisions/advice_requests.ts";
 import { AdviceBacklog } from "./decisions/advice_backlog.ts";
-import type { FleetWorker } from "./fleet.ts";
 import { addTicket, stepKey, type StepRun } from "./job.ts";
 import type { Advice, Queue } from "./types.ts";
+import type { WorkerProcess } from "./verdicts.ts";
 
 /** Delay before a failed advice request is retried. */
 const REQUEST_RETRY_DELAY_MS = 200;
@@ -42,7 +42,7 @@
 /** An advice request for a step that is about to be sent. */
 interface PlannedRequest {
   readonly queue: Queue;
-  readonly workers: readonly FleetWorker[];
+  readonly workers: readonly WorkerProcess[];
   readonly expectedMs: number;
 }
 
@@ -107,7 +107,10 @@
     const { baseMs, perWorkerMs } = queue.advice;
     const planned = workerLists.map((workers): PlannedRequest => ({
       queue,
-      workers,
+      workers: workers.map(({ id, processStartMs }) => ({
+        id,
+        processStartMs,
+      })),
       expectedMs: baseMs + workers.length * perWorkerMs,
     }));
     for (const request of planned) void this.#sendRequest(step, request);
@@ -197,16 +200,21 @@
       readonly tickets: ReadonlyMap<string, string>;
     },
   ): void {
-    const atMs = this.#context.clock.monotonic();
+    const { clock, fleet } = this.#context;
+    const { verdicts } = step.advice;
+    const atMs = clock.monotonic();
     let newVerdicts = 0;
     let newGood = 0;
     for (const worker of workers) {
+      // Both the verdict and the ticket are void for another process.
+      const current = fleet.workers.get(worker.id);
+      if (current?.processStartMs !== worker.processStartMs) continue;
       const ticket = tickets.get(worker.id);
-      if (!step.advice.verdicts.has(worker.id)) {
+      if (verdicts.on(worker) === undefined) {
         newVerdicts++;
         if (ticket !== undefined) newGood++;
       }
-      step.advice.verdicts.set(worker.id, ticket !== undefined);
+      verdicts.record(worker, ticket !== undefined);
       if (ticket !== undefined) addTicket(step, worker.id, { ticket, atMs });
     }
     if (newVerdicts === 0) return;
--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -102,7 +102,7 @@
   const { verdicts } = step.advice;
   const { reserved } = context;
   const candidates = unrankedWithCapacity(step, context)
-    .filter(({ id }) => verdicts.get(id) !== false);
+    .filter((worker) => verdicts.on(worker) !== false);
   const withLastingTicket = candidates.filter((worker) =>
     willTicketBeUsable(step, worker, context)
   );
@@ -111,7 +111,7 @@
   const requestable = candidates.filter((worker) =>
     !withLastingTicket.includes(worker)
   );
-  const good = requestable.filter(({ id }) => verdicts.get(id) === true);
+  const good = requestable.filter((worker) => verdicts.on(worker) === true);
   const goodSlots = taskCapacity(step, good, reserved);
   if (goodSlots >= missingTasks) {
     const best = orderByPreference(step, good, context);
@@ -121,7 +121,9 @@
     const ahead = chooseAhead(step, context);
     if (ahead !== undefined) return ahead;
   }
-  const unknown = requestable.filter(({ id }) => !verdicts.has(id));
+  const unknown = requestable.filter((worker) =>
+    verdicts.on(worker) === undefined
+  );
   const unknownSlots = taskCapacity(step, unknown, reserved);
   const expectedSlots = goodSlots + unknownSlots * context.goodShare;
   if (
--- a/src/cell/decisions/advice_requests_test.ts
+++ b/src/cell/decisions/advice_requests_test.ts
@@ -3,6 +3,7 @@
 import { Fleet } from "../fleet.ts";
 import { addTicket, type StepRun } from "../job.ts";
 import type { Queue } from "../types.ts";
+import type { WorkerProcess } from "../verdicts.ts";
 import {
   contextFor,
   LARGE_FLEET,
@@ -31,6 +32,19 @@
   return fleet;
 }
 
+/** A worker of the fleets of this file, which have had no report yet. */
+function processOf(id: string): WorkerProcess {
+  return { id, processStartMs: undefined };
+}
+
+function recordVerdict(step: StepRun, id: string, good: boolean): void {
+  step.advice.verdicts.record(processOf(id), good);
+}
+
+function hasVerdict({ advice }: StepRun, id: string): boolean {
+  return advice.verdicts.on(processOf(id)) !== undefined;
+}
+
 /** The worker ids that each advice request about a step names. */
 function requestsOf(
   step: StepRun,
@@ -83,14 +97,14 @@
   const gang = gangOf(2);
   const fleet = fleetOf(Array.from({ length: 14 }, () => 4));
   for (const id of [...fleet.workers.keys()].slice(0, 12)) {
-    gang.advice.verdicts.set(id, true);
+    recordVerdict(gang, id, true);
   }
   t.deepEqual(workersAskedAbout(gang, fleet, 0.5), []);
 });
 
 test("a gang that knows few workers of a nearly full fleet asks about more", (t) => {
   const gang = gangOf(2);
-  for (const id of ["w0", "w1"]) gang.advice.verdicts.set(id, true);
+  for (const id of ["w0", "w1"]) recordVerdict(gang, id, true);
   const named = workersAskedAbout(gang, fleetOf([4, 4, 4, 4]), 0.5);
   t.deepEqual(named, ["w2", "w3"]);
 });
@@ -98,20 +112,20 @@
 test("a gang asks ahead for tickets once most of its capacity is free", (t) => {
   const gang = gangOf(5);
   for (let index = 0; index < 8; index++) {
-    gang.advice.verdicts.set(`w${index}`, true);
+    recordVerdict(gang, `w${index}`, true);
   }
   const askedWith = (usedCores: readonly number[]) =>
     workersAskedAbout(gang, fleetOf(usedCores), 0.5);
   const mostIsFree = [3, 3, 3, 4, 4, 4, 4, 4, 0, 0, 0, 0];
   t.deepEqual(askedWith(mostIsFree).slice(0, 3).sort(), ["w0", "w1", "w2"]);
   t.true(askedWith(mostIsFree).length > 3);
-  t.true(askedWith(mostIsFree).every((id) => gang.advice.verdicts.has(id)));
+  t.true(askedWith(mostIsFree).every((id) => hasVerdict(gang, id)));
 });
 
 test("a gang does not ask again while its tickets stay usable", (t) => {
   const gang = gangOf(4);
   for (let index = 0; index < 8; index++) {
-    gang.advice.verdicts.set(`w${index}`, true);
+    recordVerdict(gang, `w${index}`, true);
     addTicket(gang, `w${index}`, { ticket: `t${index}`, atMs: 0 });
   }
   const fleet = fleetOf([3, 3, 3, 4, 4, 4, 4, 4, 0, 0, 0, 0]);
@@ -121,13 +135,13 @@
 test("tickets are requested for as many good workers as needed and a few more", (t) => {
   const gang = gangOf(4);
   const fleet = fleetOf(Array.from({ length: 30 }, () => 3));
-  for (const id of fleet.workers.keys()) gang.advice.verdicts.set(id, true);
+  for (const id of fleet.workers.keys()) recordVerdict(gang, id, true);
   t.is(workersAskedAbout(gang, fleet, 0.5).length, 7);
 });
 
 test("workers with a negative verdict are not asked about again", (t) => {
   const gang = gangOf(2);
-  for (const id of ["w0", "w1"]) gang.advice.verdicts.set(id, false);
+  for (const id of ["w0", "w1"]) recordVerdict(gang, id, false);
   t.deepEqual(workersAskedAbout(gang, fleetOf([0, 0, 0]), 0.5), ["w2"]);
 });
 
@@ -161,7 +175,7 @@
   const gang = largeGang(6);
   addTicket(gang, "w0", { ticket: "lasting", atMs: 1_000 });
   addTicket(gang, "w1", { ticket: "ending", atMs: 200 });
-  for (const id of ["w0", "w1"]) gang.advice.verdicts.set(id, true);
+  for (const id of ["w0", "w1"]) recordVerdict(gang, id, true);
   const named = requestsOf(gang, fleet, { queue: SLOW_QUEUE, nowMs: 1_100 })
     .flat();
   t.false(named.includes("w0"));
@@ -170,7 +184,7 @@
 
 test("a low estimate of the good share does not keep a gang from asking about idle workers", (t) => {
   const gang = gangOf(8);
-  for (const id of ["w0", "w1", "w2"]) gang.advice.verdicts.set(id, false);
+  for (const id of ["w0", "w1", "w2"]) recordVerdict(gang, id, false);
   const fleet = fleetOf([0, 0, 0, 0, 0]);
   const options = { goodShare: 0.05, mayReserve: false };
   t.deepEqual(requestsOf(gang, fleet, options).flat().sort(), ["w3", "w4"]);
@@ -178,7 +192,7 @@
 
 test("a gang does not ask about workers that together lack capacity for it", (t) => {
   const gang = gangOf(9);
-  for (const id of ["w0", "w1", "w2"]) gang.advice.verdicts.set(id, false);
+  for (const id of ["w0", "w1", "w2"]) recordVerdict(gang, id, false);
   const fleet = fleetOf([0, 0, 0, 0, 0]);
   const options = { goodShare: 1, mayReserve: false };
   t.deepEqual(requestsOf(gang, fleet, options), []);
--- a/src/cell/decisions/gang_advice.ts
+++ b/src/cell/decisions/gang_advice.ts
@@ -63,10 +63,10 @@
   const expectedSlots = (workers: readonly FleetWorker[]) =>
     workers.reduce((sum, worker) => sum + share * maxTasksOn(step, worker), 0);
   const knownSlots = expectedSlots(
-    eligible.filter(({ id }) => verdicts.get(id) === true),
+    eligible.filter((worker) => verdicts.on(worker) === true),
   );
   if (knownSlots >= missingTasks) return [];
-  const unknown = eligible.filter(({ id }) => !verdicts.has(id))
+  const unknown = eligible.filter((worker) => verdicts.on(worker) === undefined)
     .sort((a, b) => a.used.cpuMillis - b.used.cpuMillis);
   const perWorker = expectedSlots(unknown) / Math.max(1, unknown.length);
   const missingWorkers = (missingTasks - knownSlots) / perWorker / goodShare;
@@ -86,7 +86,7 @@
   const needed = waitingTasks(step).length;
   const share = expectedShare(context);
   const candidates = eligibleWorkers(step, context)
-    .filter(({ id }) => step.advice.verdicts.get(id) === true)
+    .filter((worker) => step.advice.verdicts.on(worker) === true)
     .map((worker) => {
       const free = Math.max(0, taskCapacity(step, [worker], context.reserved));
       const expected = Math.min(
--- a/src/cell/decisions/reservations.ts
+++ b/src/cell/decisions/reservations.ts
@@ -210,7 +210,7 @@
   const { verdicts } = step.advice;
   const eligible: FleetWorker[] = [];
   for (const worker of fleet.workers.values()) {
-    if (queue.advice !== undefined && verdicts.get(worker.id) !== true) {
+    if (queue.advice !== undefined && verdicts.on(worker) !== true) {
       continue;
     }
     if (!isEligible(step, worker, context)) continue;
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -5,6 +5,7 @@
  */
 import { StepWaits } from "./step_waits.ts";
 import type { JobSpec, JobState, Queue, StepSpec, TaskId } from "./types.ts";
+import { Verdicts } from "./verdicts.ts";
 
 /**
  * State of a task. `assigned`: it has capacity on a worker, whether or not it
@@ -64,10 +65,7 @@
 
 /** What the advice service has answered about a step. */
 export interface StepAdvice {
-  /**
-   * Whether a worker may run the step, by worker id. A verdict never changes.
-   */
-  readonly verdicts: Map<string, boolean>;
+  readonly verdicts: Verdicts;
   readonly tickets: Map<string, Ticket>;
   /**
    * When the newest ticket was issued, monotonic milliseconds; -Infinity if
@@ -176,7 +174,7 @@
     gangFailures: 0,
     lastFailedGangRun: 0,
     advice: {
-      verdicts: new Map(),
+      verdicts: new Verdicts(),
       tickets: new Map(),
       newestTicketMs: -Infinity,
       requestsInFlight: 0,
--- a/src/cell/step_room.ts
+++ b/src/cell/step_room.ts
@@ -111,8 +111,8 @@
       fit.filter(test).length;
     return {
       ...common,
-      askedWorkers: count(({ id }) => verdicts.has(id)),
-      goodWorkers: count(({ id }) => verdicts.get(id) === true),
+      askedWorkers: count((worker) => verdicts.on(worker) !== undefined),
+      goodWorkers: count((worker) => verdicts.on(worker) === true),
       usableTickets: count((worker) => hasUsableTicket(step, worker, context)),
       verdicts: verdicts.size,
       tickets: tickets.size,
@@ -132,7 +132,7 @@
     for (const worker of this.#workersOf(service)) {
       if (this.#examined === MAX_EXAMINED_WORKERS) return undefined;
       this.#examined++;
-      if (verdicts.get(worker.worker.id) === false) continue;
+      if (verdicts.on(worker.worker) === false) continue;
       room += taskRoom(step, worker);
       if (room >= tasks) return true;
     }
--- a/src/cell/waits_for_advice_test.ts
+++ b/src/cell/waits_for_advice_test.ts
@@ -36,3 +36,34 @@
   );
   t.is(named.length, 1);
 });
+
+test("a step asks again about a worker that has restarted since it was left out", async (t) => {
+  const harness = harnessWith(1);
+  const worker = harness.workerClient.workers.get("w0")!;
+  const advice = new SimulatedAdvice(harness.clock, {
+    allows: () => worker.processStartMs > 1,
+  });
+  const cell = await harness.open({ adviceDispatcher: advice.dispatcher });
+  await harness.submit(cell, [testStep()]);
+  await harness.clock.run(5_000);
+  t.is(advice.received.length, 1);
+  worker.restart();
+  await harness.clock.run(5_000);
+  t.is(cell.state(JOB), "running");
+  t.is(advice.received.length, 2);
+});
+
+test("a response about a worker's former process is no verdict on its next one", async (t) => {
+  const harness = harnessWith(1);
+  const worker = harness.workerClient.workers.get("w0")!;
+  const advice = new SimulatedAdvice(harness.clock, {
+    allows: () => harness.clock.monotonic() > 1_500,
+  });
+  const cell = await harness.open({ adviceDispatcher: advice.dispatcher });
+  await harness.submit(cell, [testStep()]);
+  await harness.clock.run(200);
+  t.is(advice.received.length, 1);
+  worker.restart();
+  await harness.clock.run(5_000);
+  t.is(cell.state(JOB), "running");
+});
