Name workers without a verdict first in advice requests

Callers saw a wide gang wait beside enough idle workers.

A request names a limited number of workers. Those with a positive verdict came first, so for a gang that knew more of them than one request takes, the workers without a verdict were cut off from each request, and the gang learned nothing new. As long as suitable workers are missing, tickets for the known ones alone don't start the gang, so those without a verdict now come first.

The new test, with 110 known workers, 50 unknown ones and one channel, fails on the code before.

--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -92,8 +92,10 @@
 }
 
 /**
- * Chooses the workers to ask about: those with a positive verdict, and as many
- * without a verdict as are expected to provide the missing capacity.
+ * Chooses the workers to ask about: as many without a verdict as are expected
+ * to provide the missing capacity, and those with a positive verdict. The former
+ * are first in case that not all fit into the requests: as long as suitable
+ * workers are missing, tickets for the others alone are of no use.
  */
 function chooseWorkers(
   step: StepRun,
@@ -132,7 +134,7 @@
   ) {
     const toReserve = chooseForReservation(step, missingTasks, context);
     if (expectedSlots < missingTasks) return toReserve;
-    if (toReserve.length > 0) return [...good, ...toReserve];
+    if (toReserve.length > 0) return [...toReserve, ...good];
   }
   // The estimated share must not rule out a request: only a response corrects it.
   if (step.spec.gang && goodSlots + unknownSlots < missingTasks) return [];
@@ -149,7 +151,7 @@
   // Of workers in the same tier, the emptiest are the most likely to still have
   // capacity when the response arrives.
   const named = orderForAdvice(step, unknown, context).slice(0, number);
-  return [...good, ...named];
+  return [...named, ...good];
 }
 
 /** Number of workers that a request may name at little extra cost. */
--- a/src/cell/decisions/advice_requests_test.ts
+++ b/src/cell/decisions/advice_requests_test.ts
@@ -197,3 +197,14 @@
   const options = { goodShare: 1, mayReserve: false };
   t.deepEqual(requestsOf(gang, fleet, options), []);
 });
+
+test("a wide gang asks about unknown workers before more than one request of known ones", (t) => {
+  const gang = stepOf({ gang: true, tasks: 130, maxPerWorker: 1 }, {
+    queue: QUEUE,
+  });
+  const fleet = fleetOf(Array.from({ length: 160 }, () => 0));
+  const ids = [...fleet.workers.keys()];
+  for (const id of ids.slice(0, 110)) recordVerdict(gang, id, true);
+  const [named] = requestsOf(gang, fleet, { mayReserve: false });
+  t.true(ids.slice(110).every((id) => named!.includes(id)));
+});
