Request a gang's tickets again that expire before the responses

Callers saw a gang on most of a fleet request tickets again and again beside enough idle allowed workers and never start.

A gang needs all tickets at the same moment. The plan took a ticket as lasting if it was usable after the shortest request, but the request that it planned names many workers and takes longer, so the tickets of the previous request had expired when the response arrived.

The plan now takes the duration of its longest request and the margin of a late response, and plans again if that makes further tickets expire.

The new test, a gang of 115 tasks on 200 workers through one channel, fails on the code before: it is still pending after 15 s.

--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -8,6 +8,7 @@
 import { type CellContext, queueOf } from "./context.ts";
 import {
   type AdviceRequestContext,
+  MAX_RESPONSE_DELAY_MS,
   planAdviceRequests,
 } from "./decisions/advice_requests.ts";
 import { AdviceBacklog } from "./decisions/advice_backlog.ts";
@@ -24,11 +25,6 @@
 const GANG_SEARCH_DELAY_MS = 50;
 /** Delay before the next search of workers for a step that is not a gang. */
 const STEP_SEARCH_DELAY_MS = 20;
-/**
- * A response that is later than expected by more than this counts as overdue,
- * and the step may send other requests.
- */
-const OVERDUE_MARGIN_MS = 250;
 /** Estimated share of workers that may run a step, before the first advice. */
 const INITIAL_GOOD_SHARE = 0.4;
 /**
@@ -133,7 +129,7 @@
     const sentMs = clock.monotonic();
     let overdue = false;
     advice.requestsInFlight++;
-    const timer = clock.after(expectedMs + OVERDUE_MARGIN_MS, () => {
+    const timer = clock.after(expectedMs + MAX_RESPONSE_DELAY_MS, () => {
       overdue = true;
       advice.requestsInFlight--;
       requestPass();
--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -12,7 +12,7 @@
 import type { StepRun } from "../job.ts";
 import type { AdvicePolicy, Queue } from "../types.ts";
 import { maxRequestWorkers } from "./channels.ts";
-import type { NoPlacementReason } from "./placement.ts";
+import { countUsableTickets, type NoPlacementReason } from "./placement.ts";
 import {
   orderByPreference,
   orderForAdvice,
@@ -49,11 +49,17 @@
  * need: much of it is gone when the response arrives.
  */
 const AMPLE_CAPACITY_FACTOR = 2;
+/**
+ * A response that is later than expected by more than this counts as overdue,
+ * milliseconds.
+ */
+export const MAX_RESPONSE_DELAY_MS = 250;
 /** Share of the free channels that the requests of one step may use. */
 const STEP_CHANNEL_SHARE = 0.34;
 
 /** Input for choosing the workers of advice requests. */
-export interface AdviceRequestContext extends GangAdviceContext {
+export interface AdviceRequestContext
+  extends Omit<GangAdviceContext, "responseMs"> {
   /** Whether gangs of the service may reserve capacity that is not free yet. */
   readonly mayReserve: boolean;
   /** Channels that are free for requests of the queue. */
@@ -77,18 +83,46 @@
 /**
  * Plans the advice requests to send for a step now. Each request is a list of
  * the workers that it names.
+ *
+ * A gang needs all its tickets at the same moment, so tickets that expire
+ * before the responses are requested along. These requests take longer, which
+ * may make further tickets expire.
  */
 export function planAdviceRequests(
   step: StepRun,
   context: AdviceRequestContext,
 ): readonly (readonly FleetWorker[])[] {
-  const { advice } = context.queue;
-  if (advice === undefined || context.freeChannels === 0) return [];
-  return splitIntoRequests(
-    chooseWorkers(step, context),
-    advice,
-    context.freeChannels,
+  const { queue: { advice }, freeChannels, nowMs } = context;
+  if (advice === undefined || freeChannels === 0) return [];
+  let durationMs = advice.baseMs;
+  while (true) {
+    const responseMs = nowMs + durationMs + MAX_RESPONSE_DELAY_MS;
+    const workers = chooseWorkers(step, { ...context, responseMs });
+    const requests = splitIntoRequests(workers, advice, freeChannels);
+    const longest = requests[0]?.length ?? 0;
+    const longestMs = advice.baseMs + longest * advice.perWorkerMs;
+    if (longestMs <= durationMs) return requests;
+    if (!expiresWithin(step, context, [durationMs, longestMs])) return requests;
+    durationMs = longestMs;
+  }
+}
+
+/**
+ * Whether a ticket of a step that is usable after the first of two request
+ * durations, milliseconds, is not usable after the second.
+ */
+function expiresWithin(
+  step: StepRun,
+  { queue, nowMs }: AdviceRequestContext,
+  durationsMs: readonly [number, number],
+): boolean {
+  const usableAfter = durationsMs.map((durationMs) =>
+    countUsableTickets(step, {
+      queue,
+      nowMs: nowMs + durationMs + MAX_RESPONSE_DELAY_MS,
+    })
   );
+  return usableAfter[0] !== usableAfter[1];
 }
 
 /**
@@ -99,7 +133,7 @@
  */
 function chooseWorkers(
   step: StepRun,
-  context: AdviceRequestContext,
+  context: AdviceRequestContext & GangAdviceContext,
 ): readonly FleetWorker[] {
   const { verdicts } = step.advice;
   const { reserved } = context;
--- a/src/cell/decisions/gang_advice.ts
+++ b/src/cell/decisions/gang_advice.ts
@@ -45,6 +45,11 @@
    * queue's steps to run.
    */
   readonly goodShare: number;
+  /**
+   * Latest time at which the responses to requests sent now are expected,
+   * monotonic milliseconds.
+   */
+  readonly responseMs: number;
 }
 
 /**
@@ -119,15 +124,14 @@
 }
 
 /**
- * Whether the step's ticket for a worker will still be valid when the response
- * to an advice request sent now arrives.
+ * Whether the step's ticket for a worker will still be valid when the responses
+ * to advice requests sent now arrive.
  */
 export function willTicketBeUsable(
   step: StepRun,
   worker: FleetWorker,
-  { queue, nowMs }: SearchContext,
+  { queue, responseMs }: GangAdviceContext,
 ): boolean {
-  const responseMs = nowMs + (queue.advice?.baseMs ?? 0);
   return hasUsableTicket(step, worker, { queue, nowMs: responseMs });
 }
 
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -111,6 +111,15 @@
   return ticket !== undefined && isFresh(ticket.atMs, queue, nowMs);
 }
 
+/** Number of a step's tickets that can be used at a time. */
+export function countUsableTickets(
+  { advice }: StepRun,
+  { queue, nowMs }: Pick<SearchContext, "queue" | "nowMs">,
+): number {
+  return [...advice.tickets.values()]
+    .filter(({ atMs }) => isFresh(atMs, queue, nowMs)).length;
+}
+
 /** Whether a ticket issued at `atMs` can still be used. */
 function isFresh(atMs: number, { advice }: Queue, nowMs: number): boolean {
   return advice === undefined ||
--- a/src/cell/waits_for_advice_test.ts
+++ b/src/cell/waits_for_advice_test.ts
@@ -37,6 +37,25 @@
   t.is(named.length, 1);
 });
 
+test("a gang on most of a fleet gets all its tickets through one channel", async (t) => {
+  const harness = harnessWith(200);
+  const queue = testQueue({
+    priority: 1,
+    objectiveMs: 60_000,
+    advice: { baseMs: 857, perWorkerMs: 8.6, ticketMs: 1_500 },
+  });
+  harness.set = { ...harness.set, queues: [queue] };
+  const advice = new SimulatedAdvice(harness.clock, {
+    allows: (worker) => Number(worker.slice(1)) % 5 < 3,
+    roundTripMs: 30,
+  });
+  const cell = await harness.open({ adviceDispatcher: advice.dispatcher });
+  const gang = testStep({ gang: true, tasks: 115, maxPerWorker: 1 });
+  await harness.submit(cell, [gang]);
+  await harness.clock.run(15_000);
+  t.is(cell.state(JOB), "running");
+});
+
 test("a step asks again about a worker that has restarted since it was left out", async (t) => {
   const harness = harnessWith(1);
   const worker = harness.workerClient.workers.get("w0")!;
