Ask about idle workers when a gang knows enough busy ones

Callers saw a gang with nothing running although idle workers had room for it, for as long as the other work on its known workers went on.

A gang that may reserve capacity asks about more workers only while those that it knows are expected to have too little capacity, where a part of a busy worker counts as expected. If the idle workers that it hadn't asked about promised less than it needed, by the estimated share of positive verdicts, the result was final even if no request was left to send: the workers with room were never named. Now this case goes on to the check that counts all capacity that may turn out usable.

The new test fails before the change: the gang asks about no worker.

--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -167,8 +167,11 @@
     expectedSlots < AMPLE_CAPACITY_FACTOR * missingTasks
   ) {
     const toReserve = chooseForReservation(step, missingTasks, context);
-    if (expectedSlots < missingTasks) return toReserve;
-    if (toReserve.length > 0) return [...toReserve, ...good];
+    if (toReserve.length > 0) {
+      return expectedSlots < missingTasks
+        ? toReserve
+        : [...toReserve, ...good];
+    }
   }
   // The estimated share must not rule out a request: only a response corrects it.
   if (step.spec.gang && goodSlots + unknownSlots < missingTasks) return [];
--- a/src/cell/decisions/advice_requests_test.ts
+++ b/src/cell/decisions/advice_requests_test.ts
@@ -190,6 +190,16 @@
   t.deepEqual(requestsOf(gang, fleet, options).flat().sort(), ["w3", "w4"]);
 });
 
+test("a gang that knows enough busy workers asks about idle ones that may be enough", (t) => {
+  const gang = gangOf(8);
+  const usedCores = Array.from({ length: 43 }, (_, i) => i < 40 ? 4 : 0);
+  const fleet = fleetOf(usedCores);
+  const ids = [...fleet.workers.keys()];
+  for (const id of ids.slice(0, 40)) recordVerdict(gang, id, true);
+  const named = workersAskedAbout(gang, fleet, 0.25);
+  t.deepEqual([...named].sort(), ids.slice(40));
+});
+
 test("a gang does not ask about workers that together lack capacity for it", (t) => {
   const gang = gangOf(9);
   for (const id of ["w0", "w1", "w2"]) recordVerdict(gang, id, false);
