Ask about idle workers while a gang waits for busy ones

Callers saw a gang with nothing running although workers that it had never asked about had room for it.

Once 60% of its need is free on workers with a positive verdict, a gang asks for tickets ahead of time: it counts on a part of its busy workers becoming free. The part is that of the service's processors that are free now, also if what holds the others is a service that never ends. Nothing corrected that expectation: the gang asked for the same tickets, or for none, again and again.

Now the idle workers without a verdict are named as well, and first, whenever they could make the gang start at once. Each response leaves fewer of them, so this ends with a start or with a verdict on each.

Two tests of asking ahead had idle workers without a verdict only to make the fleet less busy, and so required the fault. They now give these workers negative verdicts, and check for positive ones where they checked for any. The new test fails before the change: the idle workers are not named.

--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -153,14 +153,22 @@
     const best = orderByPreference(step, good, context);
     return takeEnough(step, best, { missingTasks, context });
   }
-  if (step.spec.gang && context.mayReserve) {
-    const ahead = chooseAhead(step, context);
-    if (ahead !== undefined) return ahead;
-  }
   const unknown = requestable.filter((worker) =>
     verdicts.on(worker) === undefined
   );
   const unknownSlots = taskCapacity(step, unknown, reserved);
+  // The estimated share must not rule out a request: only a response corrects it.
+  const mayStart = !step.spec.gang || goodSlots + unknownSlots >= missingTasks;
+  const named = mayStart
+    ? takeUnknown(step, unknown, {
+      missingTasks: missingTasks - goodSlots,
+      context,
+    })
+    : [];
+  if (step.spec.gang && context.mayReserve) {
+    const ahead = chooseAhead(step, context);
+    if (ahead !== undefined) return [...named, ...ahead];
+  }
   const expectedSlots = goodSlots + unknownSlots * context.goodShare;
   if (
     step.spec.gang && context.mayReserve &&
@@ -168,16 +176,27 @@
   ) {
     const toReserve = chooseForReservation(step, missingTasks, context);
     if (toReserve.length > 0) {
-      return expectedSlots < missingTasks
-        ? toReserve
-        : [...toReserve, ...good];
+      return expectedSlots < missingTasks ? toReserve : [...toReserve, ...good];
     }
   }
-  // The estimated share must not rule out a request: only a response corrects it.
-  if (step.spec.gang && goodSlots + unknownSlots < missingTasks) return [];
-  const perWorker = Math.max(1, unknownSlots / Math.max(1, unknown.length));
-  const missingWorkers = (missingTasks - goodSlots) / perWorker /
-    context.goodShare;
+  return mayStart ? [...named, ...good] : [];
+}
+
+/**
+ * Takes as many workers without a verdict as are expected to provide capacity
+ * for the missing tasks, and more.
+ */
+function takeUnknown(
+  step: StepRun,
+  unknown: readonly FleetWorker[],
+  { missingTasks, context }: {
+    readonly missingTasks: number;
+    readonly context: AdviceRequestContext;
+  },
+): readonly FleetWorker[] {
+  const slots = taskCapacity(step, unknown, context.reserved);
+  const perWorker = Math.max(1, slots / Math.max(1, unknown.length));
+  const missingWorkers = missingTasks / perWorker / context.goodShare;
   const factor = step.spec.gang
     ? GANG_OVERSAMPLING_FACTOR
     : OVERSAMPLING_FACTOR;
@@ -187,8 +206,7 @@
   );
   // Of workers in the same tier, the emptiest are the most likely to still have
   // capacity when the response arrives.
-  const named = orderForAdvice(step, unknown, context).slice(0, number);
-  return [...named, ...good];
+  return orderForAdvice(step, unknown, context).slice(0, number);
 }
 
 /** Number of workers that a request may name at little extra cost. */
--- a/src/cell/decisions/advice_requests_test.ts
+++ b/src/cell/decisions/advice_requests_test.ts
@@ -41,8 +41,8 @@
   step.advice.verdicts.record(processOf(id), good);
 }
 
-function hasVerdict({ advice }: StepRun, id: string): boolean {
-  return advice.verdicts.on(processOf(id)) !== undefined;
+function isGood({ advice }: StepRun, id: string): boolean {
+  return advice.verdicts.on(processOf(id)) === true;
 }
 
 /** The worker ids that each advice request about a step names. */
@@ -109,27 +109,45 @@
   t.deepEqual(named, ["w2", "w3"]);
 });
 
-test("a gang asks ahead for tickets once most of its capacity is free", (t) => {
+/** A gang of five that knows eight busy workers; the idle ones are unsuitable. */
+function gangWithBusyWorkers(): { gang: StepRun; usedCores: number[] } {
   const gang = gangOf(5);
   for (let index = 0; index < 8; index++) {
     recordVerdict(gang, `w${index}`, true);
   }
-  const askedWith = (usedCores: readonly number[]) =>
-    workersAskedAbout(gang, fleetOf(usedCores), 0.5);
-  const mostIsFree = [3, 3, 3, 4, 4, 4, 4, 4, 0, 0, 0, 0];
-  t.deepEqual(askedWith(mostIsFree).slice(0, 3).sort(), ["w0", "w1", "w2"]);
-  t.true(askedWith(mostIsFree).length > 3);
-  t.true(askedWith(mostIsFree).every((id) => hasVerdict(gang, id)));
+  for (let index = 8; index < 12; index++) {
+    recordVerdict(gang, `w${index}`, false);
+  }
+  return { gang, usedCores: [3, 3, 3, 4, 4, 4, 4, 4, 0, 0, 0, 0] };
+}
+
+test("a gang asks ahead for tickets once most of its capacity is free", (t) => {
+  const { gang, usedCores } = gangWithBusyWorkers();
+  const named = workersAskedAbout(gang, fleetOf(usedCores), 0.5);
+  t.deepEqual(named.slice(0, 3).sort(), ["w0", "w1", "w2"]);
+  t.true(named.length > 3);
+  t.true(named.every((id) => isGood(gang, id)));
 });
 
 test("a gang does not ask again while its tickets stay usable", (t) => {
-  const gang = gangOf(4);
+  const { gang, usedCores } = gangWithBusyWorkers();
   for (let index = 0; index < 8; index++) {
-    recordVerdict(gang, `w${index}`, true);
     addTicket(gang, `w${index}`, { ticket: `t${index}`, atMs: 0 });
   }
-  const fleet = fleetOf([3, 3, 3, 4, 4, 4, 4, 4, 0, 0, 0, 0]);
-  t.deepEqual(workersAskedAbout(gang, fleet, 0.5), []);
+  t.deepEqual(workersAskedAbout(gang, fleetOf(usedCores), 0.5), []);
+});
+
+test("a gang that asks ahead about busy workers asks about idle ones that may be enough", (t) => {
+  const { gang, usedCores } = gangWithBusyWorkers();
+  const idle = ["w12", "w13"];
+  const fleet = fleetOf([...usedCores, 0, 0]);
+  const named = workersAskedAbout(gang, fleet, 0.5);
+  t.deepEqual([...named.slice(0, 2)].sort(), idle);
+  t.true(named.length > 2);
+  for (let index = 0; index < 8; index++) {
+    addTicket(gang, `w${index}`, { ticket: `t${index}`, atMs: 0 });
+  }
+  t.deepEqual([...workersAskedAbout(gang, fleet, 0.5)].sort(), idle);
 });
 
 test("tickets are requested for as many good workers as needed and a few more", (t) => {
