Keep the time of a write that is due

Callers saw tasks that were placed beside room and not started while other tasks of the same job kept ending. A start is sent once it is stored. Each completion moved the job's unwritten changes back by up to 100 ms, also those that were due at once, so with a slow store and a completion at least that often the starts of the job were not stored at all, nor were its completions acknowledged.

A pending write now keeps the earliest time that any of its changes asks for. Changes that may wait still share the transaction of an earlier one.

Two tests fail before: with the former rule a write at once and a write within 100 ms are both unstored after 100 and 200 ms of further changes every 10 ms.

--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -130,11 +130,11 @@
       change,
       submission: false,
       retryAtMs: 0,
-      notBeforeMs: 0,
+      notBeforeMs: Infinity,
       waiters: [],
     };
     pending.submission ||= submission;
-    pending.notBeforeMs = withinMs === 0 ? 0 : nowMs + withinMs;
+    pending.notBeforeMs = Math.min(pending.notBeforeMs, nowMs + withinMs);
     this.#pending.set(id, pending);
     const saved = new Promise<SaveResult>((resolve) =>
       pending.waiters.push(resolve)
--- a/src/cell/job_log_test.ts
+++ b/src/cell/job_log_test.ts
@@ -279,6 +279,32 @@
   t.is(store.commits, 1);
 });
 
+// Guards against starts that stay unwritten, and so unsent, while completions of
+// the same job keep coming.
+test("a write that is due is not delayed by later changes of its job", async (t) => {
+  const { clock, log } = await open();
+  const [job] = jobs(1);
+  const saved: string[] = [];
+  void log.save(job!).then((result) => saved.push(result));
+  for (let change = 0; change < 10; change++) {
+    await clock.run(10);
+    void log.save(job!, { withinMs: 100 });
+  }
+  t.deepEqual(saved, ["saved"]);
+});
+
+test("a write that may wait is not delayed by later changes of its job", async (t) => {
+  const { clock, log } = await open();
+  const [job] = jobs(1);
+  const saved: string[] = [];
+  void log.save(job!, { withinMs: 100 }).then((result) => saved.push(result));
+  for (let change = 0; change < 20; change++) {
+    await clock.run(10);
+    void log.save(job!, { withinMs: 100 });
+  }
+  t.deepEqual(saved, ["saved"]);
+});
+
 test("waiting for writes covers pending changes but not later ones", async (t) => {
   const { clock, log } = await open();
   const [first, ...later] = jobs(40);
--- a/src/cell/transaction_batch.ts
+++ b/src/cell/transaction_batch.ts
@@ -35,7 +35,7 @@
    * failure. A retry is not batched with other pending jobs.
    */
   retryAtMs: number;
-  /** Earliest time of the write, monotonic milliseconds; 0 for at once. A further change of the job replaces it. */
+  /** Earliest time of the write, monotonic milliseconds. A further change of the job never moves it back. */
   notBeforeMs: number;
   readonly waiters: ((saved: SaveResult) => void)[];
 }
