Bound the pause after a long scheduling pass

Callers saw accepted work with nothing running beside free workers on machines that are suspended or short of processors.

A pass is followed by a pause of four times its duration. The duration is taken from the clock, so it includes any time for which the process didn't run: a pass during which the machine stood still for 30 s was followed by two minutes without another one.

The pause is now at most one second, a third of the time after which such work counts as lost. Passes that really take longer than 250 ms use more than a fifth of the processor, as they must to come in time.

The new test fails before: a task that arrives after a pass with a long suspension isn't started within the bound. The clock of the test harness can be passed in for it.

--- a/src/cell/_fixtures_test.ts
+++ b/src/cell/_fixtures_test.ts
@@ -83,9 +83,9 @@
 
 /** Everything that a cell depends on, in memory. */
 export class Harness {
-  readonly clock = new ManualClock();
+  readonly clock: ManualClock;
   readonly store = new FakeStore();
-  readonly workerClient = new FakeWorkerClient(this.clock);
+  readonly workerClient: FakeWorkerClient;
   entries: WorkerEntry[] = [];
   set: ClusterSet = {
     version: 1,
@@ -112,6 +112,11 @@
   /** Metrics of the last leader. */
   metrics = new Metrics();
 
+  constructor(clock = new ManualClock()) {
+    this.clock = clock;
+    this.workerClient = new FakeWorkerClient(clock);
+  }
+
   /** Adds a worker to the list and starts its process. */
   addWorker(id: string, change: Partial<WorkerEntry> = {}): FakeWorker {
     const worker = new FakeWorker(id, this.clock);
--- a/src/cell/_suspendable_clock_test.ts
+++ b/src/cell/_suspendable_clock_test.ts
@@ -1,5 +1,5 @@
 /**
- * A clock of a machine that can be suspended, for tests.
+ * Clocks of machines that can be suspended, for tests.
  *
  * @module
  */
@@ -17,3 +17,15 @@
     return new Date(super.now().getTime() + this.#suspendedMs);
   }
 }
+
+/** A machine whose monotonic clock continues while it is suspended. */
+export class StallableClock extends ManualClock {
+  /** Duration of a suspension at each reading of the monotonic clock, milliseconds. */
+  stallMs = 0;
+  #stalledMs = 0;
+
+  override monotonic(): number {
+    this.#stalledMs += this.stallMs;
+    return super.monotonic() + this.#stalledMs;
+  }
+}
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -49,6 +49,12 @@
  * of the processor.
  */
 const PASS_REST_FACTOR = 4;
+/**
+ * Longest pause after a pass: its duration includes the time for which the
+ * process was suspended or had no processor. A third of the time for which work
+ * may have nothing running beside free workers; source: the platform's pages.
+ */
+const MAX_PASS_REST_MS = 1_000;
 /**
  * Nothing is started while a store write has been unanswered for longer than
  * this, since every start is recorded first.
@@ -121,7 +127,7 @@
     if (this.#closed) return;
     const effectiveDelayMs = Math.max(
       delayMs,
-      PASS_REST_FACTOR * this.#lastPassMs,
+      Math.min(PASS_REST_FACTOR * this.#lastPassMs, MAX_PASS_REST_MS),
     );
     this.#timer ??= this.#context.clock.after(effectiveDelayMs, () => {
       this.#timer = undefined;
