Recognize a worker's next process whatever its start time

Callers saw tasks that stayed assigned to a worker that no longer had them, with nothing running until the next change of leader.

A report with an earlier start time than the last one was taken for a late one of the worker's former process and ignored. If the wall clock of a machine is set back before its worker restarts, this holds for all reports of the new process: the worker stayed reachable with its old runs, which were never declared lost, and its polls renewed its lease.

Reports of another process are now told apart by the time of their request. A process that is seen replaces the former one, so what was requested after its first report had arrived can't come from the former one. Reports that were requested before and differ are ignored, also those with a later start time; the next poll settles it.

Two tests fail before: the task of a worker that restarts with its clock set back isn't started again, and the new process isn't recognized while a late report is on its way. A third test covers a late report from a process with the lower start time.

--- a/src/cell/_fake_workers_test.ts
+++ b/src/cell/_fake_workers_test.ts
@@ -75,15 +75,18 @@
     });
   }
 
-  /** Restarts the worker's process under the same id. */
-  restart(): void {
+  /**
+   * Restarts the worker's process under the same id. `processStartMs`: the wall
+   * clock at its start.
+   */
+  restart(processStartMs = this.processStartMs + 1): void {
     this.running.clear();
     this.forbidden.clear();
     this.ended = [];
     this.acknowledged = 0;
     this.#completions = 0;
     this.fence = 0;
-    this.processStartMs++;
+    this.processStartMs = processStartMs;
     this.#clockStartMs = this.clock.monotonic();
   }
 
--- a/src/cell/fleet.ts
+++ b/src/cell/fleet.ts
@@ -96,6 +96,11 @@
    */
   completionsSaved: Promise<void>;
   processStartMs: number | undefined;
+  /**
+   * When the first report of the worker's current process was received,
+   * monotonic milliseconds.
+   */
+  processSeenMs: number;
   /** Whether the platform lists the worker. */
   listed: boolean;
   /** Whether the zone of the worker is evacuated. */
@@ -145,6 +150,7 @@
       applied: 0,
       completionsSaved: Promise.resolve(),
       processStartMs: undefined,
+      processSeenMs: -Infinity,
       listed: false,
       evacuated: false,
       reachable: false,
--- a/src/cell/worker_poller.ts
+++ b/src/cell/worker_poller.ts
@@ -137,12 +137,7 @@
       return this.#handleFailure(worker, result.outcome.error, sentMs);
     }
     const report = result.outcome.value;
-    if (
-      worker.processStartMs !== undefined &&
-      (report.processStartMs ?? 0) < worker.processStartMs
-    ) {
-      return "failed";
-    }
+    if (isFromFormerProcess(worker, report, sentMs)) return "failed";
     this.#detectRestart(worker, report);
     worker.clockOffsetMs = report.clockMs - clock.monotonic();
     const before = worker.reportRequestedMs === 0 ? "unknown" : "silent";
@@ -224,6 +219,7 @@
       this.#context.workerSpeeds.recordRestart(worker);
     }
     worker.processStartMs = report.processStartMs;
+    worker.processSeenMs = this.#context.clock.monotonic();
     worker.acknowledged = 0;
     worker.applied = 0;
     this.#stopUnansweredStarts(worker, report);
@@ -378,3 +374,17 @@
 
 /** Outcome of a poll. */
 type PollOutcome = "report" | "failed";
+
+/**
+ * Whether a report may be from a former process of a worker: it is from another
+ * one than the current, and was requested before the current one was known. The
+ * times at which the processes started tell nothing: a wall clock may be set
+ * back.
+ */
+function isFromFormerProcess(
+  { processStartMs, processSeenMs }: FleetWorker,
+  report: WorkerReport,
+  sentMs: number,
+): boolean {
+  return report.processStartMs !== processStartMs && sentMs < processSeenMs;
+}
