Ask a silent worker for a report at once

Callers saw work wait for more than two seconds beside workers that had returned after a silence.

Polls of a silent worker let it wait up to a second for a completion, as those of other workers do. A worker that returns without a run has none to report, so its capacity was usable a second later; and a poll that got lost just before took another second longer to time out. With the timeout and the delay between polls that made up to 2.65 s, computed from the constants.

A worker that didn't answer the last poll is now asked to report at once, which by the same sum takes 0.65 s.

The new test fails before: a returned worker starts no task within 350 ms.

--- a/src/cell/lost_responses_test.ts
+++ b/src/cell/lost_responses_test.ts
@@ -116,3 +116,18 @@
   await harness.clock.run(1_000);
   t.deepEqual(worker.starts.map(({ run }) => run), [1, 2]);
 });
+
+test("a worker that returns after a silence gets new runs at once", async (t) => {
+  const harness = new Harness();
+  const worker = harness.addWorker("w1");
+  // As on real workers.
+  worker.maxPollMs = 1_000;
+  const cell = await harness.open();
+  worker.silent = true;
+  await harness.clock.run(2_000);
+  await harness.submit(cell, [testStep()]);
+  worker.silent = false;
+  // The delay before the next poll, and the start.
+  await harness.clock.run(250 + 100);
+  t.is(worker.running.size, 1);
+});
--- a/src/cell/worker_poller.ts
+++ b/src/cell/worker_poller.ts
@@ -91,7 +91,11 @@
     const { clock, fleet, workerClient, lostAnswers } = this.#context;
     while (!this.#closed) {
       if (this.#isRemovable(worker)) break;
-      const waitMs = lostAnswers.waitMs(clock.monotonic());
+      // A worker that returns without a completion to report answers at once, so
+      // its capacity is usable again; and a poll that is lost times out sooner.
+      const waitMs = worker.reachable
+        ? lostAnswers.waitMs(clock.monotonic())
+        : 0;
       const outcome = await this.#poll(worker, { waitMs });
       if (outcome === "report") {
         if (worker.applied > worker.acknowledged) await this.#savesDone(worker);
