Give every start request an outcome

A start request whose client fails in an unexpected way, or never responds, left its run assigned for as long as the worker reported: the run had no start to wait for, and no report could prove its absence. If it happened to a retry, the worker got no further runs either, as its count of unanswered starts was never taken back. The client over HTTP has a timeout for each part of a call, so this takes a fault in it or in another client.

Both cases now have an unknown outcome, which is resolved as after a lost response: retry, report, stop. The failure is logged.

Four tests fail before: after a failed or unanswered first request, and after three of them, no task runs on the worker.

--- a/src/cell/lost_responses_test.ts
+++ b/src/cell/lost_responses_test.ts
@@ -131,3 +131,41 @@
   await harness.clock.run(250 + 100);
   t.is(worker.running.size, 1);
 });
+
+for (
+  const [behavior, response] of [
+    ["fails", () => Promise.reject(new Error("broken"))],
+    ["never responds", () => new Promise<never>(() => {})],
+  ] as const
+) {
+  test(`a task runs after a start request whose client ${behavior}`, async (t) => {
+    const harness = new Harness();
+    const worker = harness.addWorker("w1");
+    const cell = await harness.open();
+    const { workerClient } = harness;
+    const start = workerClient.start.bind(workerClient);
+    workerClient.start = response;
+    await harness.submit(cell, [testStep()]);
+    await harness.clock.run(200);
+    workerClient.start = start;
+    await harness.clock.run(2_500);
+    t.is(worker.running.size, 1);
+    // The worker gets further runs.
+    await harness.submit(cell, [testStep()], "00000000000000b1");
+    t.is(worker.running.size, 2);
+  });
+
+  test(`a worker gets new runs after all requests of a start whose client ${behavior}`, async (t) => {
+    const harness = new Harness();
+    const worker = harness.addWorker("w1");
+    const cell = await harness.open();
+    const { workerClient } = harness;
+    const start = workerClient.start.bind(workerClient);
+    workerClient.start = response;
+    await harness.submit(cell, [testStep()]);
+    await harness.clock.run(1_700);
+    workerClient.start = start;
+    await harness.clock.run(2_000);
+    t.is(worker.running.size, 1);
+  });
+}
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -18,7 +18,7 @@
 import type { StartResponse } from "./ports.ts";
 import { findBarredRuns } from "./decisions/barred_runs.ts";
 import { type Evidence, findAbsentRuns } from "./decisions/run_absence.ts";
-import { isActive, retryStart } from "./start_retry.ts";
+import { isActive, retryStart, sendStart } from "./start_retry.ts";
 import {
   addressOf,
   gangCheckpoint,
@@ -257,7 +257,7 @@
   }
 
   async #sendStart(run: Run, ticket: string | undefined): Promise<void> {
-    const { clock, workerClient, fence, isLeading } = this.#context;
+    const { clock, fence, isLeading } = this.#context;
     const { step, task, worker } = run;
     const address = addressOf(worker);
     if (!isActive(run)) return;
@@ -285,7 +285,8 @@
     // The completion of the run may be reported before this response arrives.
     run.startedMs = sentMs;
     run.startUnanswered = true;
-    const firstResponse = await workerClient.start(address, request);
+    const start = () => sendStart(this.#context, address, request);
+    const firstResponse = await start();
     run.startUnanswered = firstResponse.type === "unknown";
     // The request and the response take about the same time, so the start is in
     // the middle. The time of receipt alone is late if this process is busy.
@@ -295,10 +296,7 @@
       // not be known.
       : undefined;
     const response = firstResponse.type === "unknown"
-      ? await retryStart(this.#context, {
-        run,
-        start: () => workerClient.start(address, request),
-      })
+      ? await retryStart(this.#context, { run, start })
       : firstResponse;
     this.#logStart(run, response, sentMs);
     this.#handleStartResponse(run, response, sentMs);
--- a/src/cell/start_retry.ts
+++ b/src/cell/start_retry.ts
@@ -1,24 +1,52 @@
 /**
- * Retries start requests whose response was lost.
+ * Sends start requests, and retries those whose response was lost.
  *
  * @module
  */
+import { sleep } from "../clock.ts";
 import type { CellContext } from "./context.ts";
 import type { Run } from "./fleet.ts";
 import { isFinished } from "./job.ts";
-import type { StartResponse } from "./ports.ts";
+import type { StartRequest, StartResponse, WorkerAddress } from "./ports.ts";
 
 /**
  * Maximum number of retries. On a bad network, one or two of twenty responses
  * are lost.
  */
 const MAX_RETRIES = 2;
+/**
+ * Time after which a start request counts as unanswered whatever its client
+ * does: three times the client's own timeout.
+ */
+const MAX_START_MS = 500;
 
 /** Whether a run still has its capacity and is not to be stopped. */
 export function isActive(run: Run): boolean {
   return run.worker.runs.get(run.task.id) === run && !run.stopping;
 }
 
+/**
+ * Sends a start request once. Never rejects and always resolves: the outcome is
+ * unknown if the client fails or does not respond.
+ */
+export async function sendStart(
+  { clock, workerClient, log, fence }: CellContext,
+  address: WorkerAddress,
+  request: StartRequest,
+): Promise<StartResponse> {
+  const overdue = sleep(clock, MAX_START_MS).then((): StartResponse => ({
+    type: "unknown",
+    message: "no response from the client",
+  }));
+  try {
+    return await Promise.race([workerClient.start(address, request), overdue]);
+  } catch (error) {
+    const reason = String((error as Error).stack ?? error);
+    log.error("start.failed", { worker: address.id, fence, reason });
+    return { type: "unknown", message: "the client has failed" };
+  }
+}
+
 /**
  * Retries a start request whose response was lost. If the worker has already
  * started the run, it confirms that again. If it rejects the retry, it may still
@@ -28,7 +56,7 @@
   { clock, isLeading, lostAnswers, evacuations }: CellContext,
   { run, start }: {
     readonly run: Run;
-    /** Sends the start request. Never rejects. */
+    /** Sends the start request; see {@linkcode sendStart}. */
     readonly start: () => Promise<StartResponse>;
   },
 ): Promise<StartResponse> {
