Free advice channels and steps after unexpected failures

The count of requests in flight of a channel, and that of a step whose cached advice is read back, were only taken back if the call resolved. A call that was rejected, for instance since an instance of another build had sent what can't be decoded, took the channel from all queues for the life of the process, and made the step wait for advice for the rest of the term.

Such calls now count as failed: the channel is used again after its cooldown, and the advice is requested anew.

Two tests fail before, each with a call that is rejected.

--- a/src/cell/advice_dispatcher.ts
+++ b/src/cell/advice_dispatcher.ts
@@ -182,7 +182,9 @@
     const timeoutMs = 2 * this.#addInFlight(channel, expectedMs) +
       TIMEOUT_SLACK_MS;
     this.#inFlight++;
-    const advice = await this.#sendThrough(channel, request, { timeoutMs });
+    const advice = await this.#sendThrough(channel, request, { timeoutMs })
+      // Whatever has failed, the channel must become free again.
+      .catch((error): Advice => ({ type: "failed", message: String(error) }));
     this.#inFlight--;
     const now = this.#clock.monotonic();
     const answered = advice.type === "advised";
--- a/src/cell/advice_dispatcher_test.ts
+++ b/src/cell/advice_dispatcher_test.ts
@@ -56,6 +56,20 @@
   t.is(dispatcher.freeSlotsFor(QUICK), 1);
 });
 
+test("a channel whose request fails in an unexpected way is free again after its cooldown", async (t) => {
+  const clock = new ManualClock();
+  const dispatcher = new AdviceDispatcher(
+    () => Promise.reject(new Error("broken")),
+    () => ["i0"],
+    { clock, metrics: new Metrics() },
+  );
+  const response = await dispatcher.send(request(QUICK)).catch(() => undefined);
+  t.is(response?.type, "failed");
+  await clock.run(1_100);
+  t.is(dispatcher.inFlight, 0);
+  t.is(dispatcher.freeSlotsFor(QUICK), 1);
+});
+
 test("hundreds of slow requests leave channels for medium and quick ones", (t) => {
   const { dispatcher, sent } = openDispatcher(97);
   for (let count = 0; count < 300; count++) void dispatcher.send(request(SLOW));
--- a/src/cell/advice_recovery.ts
+++ b/src/cell/advice_recovery.ts
@@ -37,7 +37,14 @@
   const byKey = new Map(steps.map((step) => [stepKey(step), step]));
   for (const step of steps) step.advice.requestsInFlight++;
   const startedMs = clock.monotonic();
-  const cachedAdvice = await readCaches([...byKey.keys()]);
+  const cachedAdvice = await readCaches([...byKey.keys()])
+    // Instances of another build may send what can't be decoded. Their advice is
+    // requested again.
+    .catch((error): readonly CachedAdvice[] => {
+      const reason = String((error as Error).stack ?? error);
+      log.error("advice.unrecalled", { fence, reason });
+      return [];
+    });
   for (const step of steps) step.advice.requestsInFlight--;
   let verdicts = 0;
   for (const entry of cachedAdvice) {
--- a/src/cell/advice_recovery_test.ts
+++ b/src/cell/advice_recovery_test.ts
@@ -57,3 +57,17 @@
   t.is(worker.starts.length, 0);
   t.true(harness.adviceRequests.length > 0);
 });
+
+test("the next leader requests advice anew if cached advice can't be read", async (t) => {
+  const harness = new Harness();
+  harness.set = { ...harness.set, queues: [ADVISED] };
+  const first = await harness.open();
+  await harness.submit(first, [testStep()]);
+  first.close();
+  harness.addWorker("w1");
+  await harness.open({
+    recoverAdvice: () => Promise.reject(new Error("broken")),
+  });
+  await harness.clock.run(300);
+  t.true(harness.adviceRequests.length > 0);
+});
