Free runs that are stopped before their start is sent

A run that was stopped while its start was being recorded, as the members of a gang that has become incomplete or the rest of a failed job, was not sent, but it kept its task and its capacity until its worker had confirmed a stop and reported once more: about a second with a worker that responds, and without bound with one that reports but doesn't confirm the stop.

The worker has never received such a run. It is now declared lost when its start would be sent, as are runs that aren't sent for another reason.

The new test fails before: a run of a failed job keeps its worker from the next job.

--- a/src/cell/cell_test.ts
+++ b/src/cell/cell_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
-import { Harness, testStep } from "./_fixtures_test.ts";
+import { sleep } from "../clock.ts";
+import { Harness, testQueue, testStep } from "./_fixtures_test.ts";
 
 const JOB = "00000000000000aa";
 const TASK = `${JOB}.0.0.0`;
@@ -208,6 +209,33 @@
   t.is(cell.state(JOB), "canceled");
 });
 
+test("a run that is stopped before its start is sent frees its capacity without the worker's help", async (t) => {
+  const harness = new Harness();
+  harness.set = { ...harness.set, queues: [testQueue({ attempts: 1 })] };
+  const workers = ["w1", "w2"].map((id) => harness.addWorker(id));
+  harness.workerClient.stop = () => Promise.resolve(false);
+  const cell = await harness.open();
+  const amounts = { cpuMillis: 4_000, memoryMib: 100, accelerators: 0 };
+  await harness.submit(cell, [testStep({ tasks: 3, amounts })]);
+  await harness.clock.run(300);
+  // The job fails while the start of its last task is being recorded.
+  const until = sleep(harness.clock, 300);
+  harness.store.held = { key: `progress/${JOB}`, until };
+  for (const [index, kind] of (["done", "failed"] as const).entries()) {
+    const [task] = workers[index]!.running.keys();
+    workers[index]!.end(task!, kind);
+    await harness.clock.run(150);
+  }
+  await harness.clock.run(100);
+  harness.store.held = undefined;
+  const next = "00000000000000b1";
+  await harness.submit(cell, [testStep({ tasks: 2, amounts })], next);
+  await harness.clock.run(500);
+  const running = workers.flatMap((worker) => [...worker.running.keys()]);
+  t.deepEqual(running.sort(), [`${next}.0.0.0`, `${next}.0.0.1`]);
+  t.is(cell.state(JOB), "failed");
+});
+
 test("no worker gets more tasks than its capacity permits", async (t) => {
   const harness = new Harness();
   const worker = harness.addWorker("w1");
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -260,8 +260,10 @@
     const { clock, fence, isLeading } = this.#context;
     const { step, task, worker } = run;
     const address = addressOf(worker);
-    if (!isActive(run)) return;
-    if (isFinished(step.job) || !isLeading() || address === undefined) {
+    // A run that is to be stopped has not reached its worker either, which thus
+    // has no part in its end.
+    const isStartable = isActive(run) && !isFinished(step.job) && isLeading();
+    if (!isStartable || address === undefined) {
       return this.markLost(run, "notOrdered");
     }
     const sentMs = clock.monotonic();
