Stop the runs of incomplete gangs after a change of leader

If the leader changed while the runs of an incomplete gang were being stopped, nothing stopped the rest of them: the next leader looks at a gang only when one of its members changes, and a gang starts only when all its tasks wait. It stayed assigned until the remaining members ended by themselves.

The next leader now stops the remaining runs of the incomplete gangs that it reads from the store.

The new test fails before: the gang isn't started again.

--- a/src/cell/gangs_test.ts
+++ b/src/cell/gangs_test.ts
@@ -104,3 +104,24 @@
   await harness.clock.run(2_000);
   t.deepEqual(workers.map((worker) => worker.acknowledged), [1, 1]);
 });
+
+// Guards against a gang whose other members run on after a change of leader.
+test("the next leader stops the runs of a gang that is incomplete in the store", async (t) => {
+  const harness = new Harness();
+  const workers = ["w1", "w2"].map((id) => harness.addWorker(id));
+  const cell = await harness.open();
+  const amounts = { cpuMillis: 3_000, memoryMib: 100, accelerators: 0 };
+  await harness.submit(cell, [testStep({ gang: true, tasks: 2, amounts })]);
+  await harness.clock.run(300);
+  // The other member does not stop before the leader fails.
+  workers[1]!.slowToStop = true;
+  const [task] = workers[0]!.running.keys();
+  workers[0]!.end(task!, "failed");
+  await harness.clock.run(300);
+  cell.close();
+  workers[1]!.slowToStop = false;
+  workers[1]!.stops.length = 0;
+  await harness.open();
+  await harness.clock.run(1_000);
+  t.deepEqual(workers.map((worker) => worker.starts.length), [2, 2]);
+});
--- a/src/cell/recovery.ts
+++ b/src/cell/recovery.ts
@@ -79,11 +79,15 @@
 }
 
 /**
- * Resumes the restored jobs: adds the steps that may start to the backlog. For
- * jobs that have ended, stops their remaining runs and writes their end records.
+ * Resumes the restored jobs: adds the steps that may start to the backlog, and
+ * stops the runs of incomplete gangs, as the former leader would have. For jobs
+ * that have ended, stops their remaining runs and writes their end records.
  */
 export function resumeRestoredJobs(context: CellContext, runs: Runs): void {
   for (const job of context.jobs.values()) {
+    for (const steps of job.occurrences.values()) {
+      for (const step of steps) runs.stopIfIncomplete(step);
+    }
     updateBacklogOfJob(context, job);
     if (stateOf(job) === "pending" || stateOf(job) === "running") continue;
     runs.stopJob(job);
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -183,14 +183,18 @@
   }
 
   /**
-   * Updates the backlog after a change of a step. A gang runs as a whole or not
-   * at all, so the remaining runs of an incomplete gang are stopped.
+   * Stops the remaining runs of a step if it is an incomplete gang: a gang runs
+   * as a whole or not at all.
    */
+  stopIfIncomplete(step: StepRun): void {
+    if (!step.spec.gang || step.remainingTasks === 0) return;
+    const isIncomplete = step.tasks.some((task) => task.phase === "waiting");
+    if (isIncomplete) this.#stopAssignedTasks(step);
+  }
+
+  /** Updates the backlog and the runs of a gang after a change of a step. */
   reconcile(step: StepRun): void {
-    if (step.spec.gang && step.remainingTasks > 0) {
-      const incomplete = step.tasks.some((task) => task.phase === "waiting");
-      if (incomplete) this.#stopAssignedTasks(step);
-    }
+    this.stopIfIncomplete(step);
     updateBacklogOfJob(this.#context, step.job);
     this.#context.requestPass();
   }
