Request no advice for steps at their team's limit

Callers of other teams saw their submissions refused for overload, or wait beside idle workers, while one team was at its limit.

The limit was checked only for steps with a usable ticket. A step that its team's limit kept from starting got a ticket, let it expire, and requested the next one, again and again. It also counted as waiting for a channel, so its queue claimed channels and new submissions were refused. With a few such steps at the front of the backlog, the channels had no time for the steps behind them that could run.

The limit, and the headroom below it, now come before anything about advice. Nothing is lost in the rank order: a step is tried again in each pass, and requests its advice in the pass in which the limit has room.

The new test fails before the change: of a team with four blocked jobs and another team's job, the latter is refused.

--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -71,28 +71,20 @@
   context: SearchContext,
 ): PlacementResult {
   const { queue } = context;
-  const { gang, amounts } = step.spec;
+  const { gang } = step.spec;
+  const limit = blockingLimit(step, context);
+  if (limit !== undefined) return noPlacements(limit);
   if (!mayHaveUsableTicket(step, context)) return noPlacements("noAdvice");
   const waiting = waitingTasks(step);
-  const used = context.fleet.usedBy(step.job.team);
-  const reserved = context.limitHeadroom ?? NO_AMOUNTS;
-  const allowance = teamAllowance(context.team, plus(used, reserved), amounts);
-  const minTasks = gang ? waiting.length : 1;
-  if (allowance < minTasks) {
-    const withoutHeadroom = teamAllowance(context.team, used, amounts);
-    return noPlacements(
-      withoutHeadroom < minTasks ? "teamLimit" : "limitHeadroom",
-    );
-  }
   const candidates = queue.advice === undefined
     ? workersWithCapacity(step, context)
     : filterAndOrder(step, workersWithTicket(step, context), context);
   if (candidates.length === 0) {
     return noPlacements(queue.advice === undefined ? "noRoom" : "noAdvice");
   }
-  const limit = Math.min(waiting.length, allowance);
+  const allowance = allowanceOf(step, context, context.limitHeadroom);
   const placements = assignTasks(step, {
-    waiting: waiting.slice(0, limit),
+    waiting: waiting.slice(0, Math.min(waiting.length, allowance)),
     candidates,
     context,
   });
@@ -101,6 +93,22 @@
     : { placements, reason: undefined };
 }
 
+/**
+ * What keeps a step from starting by its team's limit, with or without
+ * tickets; `undefined` if nothing does.
+ */
+export function blockingLimit(
+  step: StepRun,
+  context: SearchContext,
+): "teamLimit" | "limitHeadroom" | undefined {
+  if (context.team === undefined) return undefined;
+  const minTasks = step.spec.gang ? waitingTasks(step).length : 1;
+  if (allowanceOf(step, context, context.limitHeadroom) >= minTasks) {
+    return undefined;
+  }
+  return allowanceOf(step, context) < minTasks ? "teamLimit" : "limitHeadroom";
+}
+
 /** Whether the step has a usable ticket for a worker. */
 export function hasUsableTicket(
   step: StepRun,
@@ -126,6 +134,19 @@
     nowMs < atMs + advice.ticketMs - TICKET_MARGIN_MS;
 }
 
+/**
+ * Number of tasks of a step that may start within its team's limit, beside
+ * `headroom`.
+ */
+function allowanceOf(
+  { job, spec }: StepRun,
+  { fleet, team }: SearchContext,
+  headroom = NO_AMOUNTS,
+): number {
+  const unavailable = plus(fleet.usedBy(job.team), headroom);
+  return teamAllowance(team, unavailable, spec.amounts);
+}
+
 function mayHaveUsableTicket(
   { advice }: StepRun,
   { queue, nowMs }: SearchContext,
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -15,7 +15,7 @@
   rankOf,
   timeBudgetFor,
 } from "./decisions/backlog_order.ts";
-import { findPlacements } from "./decisions/placement.ts";
+import { blockingLimit, findPlacements } from "./decisions/placement.ts";
 import type { SearchContext } from "./decisions/suitable_workers.ts";
 import { adviceMayHelp } from "./decisions/advice_requests.ts";
 import {
@@ -242,8 +242,11 @@
   #tryPlace(step: StepRun, available: AvailableCapacity): void {
     if (this.#paused || !this.#context.backlog.has(step)) return;
     const nowMs = this.#context.clock.monotonic();
-    if (this.#requester.mustWait(step)) return step.waits.note("advice", nowMs);
     const context = this.#searchContext(step, available);
+    // A step at its team's limit needs no channel to the advice service.
+    const limit = blockingLimit(step, context);
+    if (limit !== undefined) return step.waits.note(limit, nowMs);
+    if (this.#requester.mustWait(step)) return step.waits.note("advice", nowMs);
     const search = findPlacements(step, context);
     if (search.placements.length > 0) {
       this.#logWait(step, search.placements.length);
--- a/src/cell/waits_for_advice_test.ts
+++ b/src/cell/waits_for_advice_test.ts
@@ -86,3 +86,44 @@
   await harness.clock.run(5_000);
   t.is(cell.state(JOB), "running");
 });
+
+/** Ids of jobs of a team that has reached its limit. */
+const LIMITED_JOBS = ["01", "02", "03", "04"];
+
+test("steps at their team's limit leave the channels to others", async (t) => {
+  const harness = harnessWith(2);
+  const limit = { cpuMillis: 2_000, memoryMib: 0, accelerators: 0 };
+  harness.set = {
+    ...harness.set,
+    queues: [SLOW_QUEUE, testQueue({ name: "plain", priority: 2 })],
+    teams: [{ name: "limited", keys: [], weight: 0, limit }],
+  };
+  const advice = new SimulatedAdvice(harness.clock, { allows: () => true });
+  const cell = await harness.open({ adviceDispatcher: advice.dispatcher });
+  const submit = async (id: string, queue: string, team: string) => {
+    const steps = [testStep({ tasks: queue === "plain" ? 2 : 1 })];
+    const outcome = cell.submit({
+      id,
+      queue,
+      team,
+      spec: { payload: "text", steps },
+    });
+    await harness.clock.run(100);
+    t.is((await outcome).type, "accepted");
+  };
+  await submit("0d", "plain", "limited");
+  for (const id of LIMITED_JOBS) await submit(id, "receipts", "limited");
+  await submit(JOB, "receipts", "");
+  await harness.clock.run(2_000);
+  t.is(cell.state(JOB), "running");
+  t.deepEqual(advice.received.map(({ step }) => step), [`${JOB}.0.0`]);
+
+  for (const worker of harness.workerClient.workers.values()) {
+    for (const task of [...worker.running.keys()]) {
+      if (task.startsWith("0d")) worker.end(task, "done");
+    }
+  }
+  await harness.clock.run(3_000);
+  const running = LIMITED_JOBS.filter((id) => cell.state(id) === "running");
+  t.is(running.length, 2);
+});
