Bound the pause after a long scheduling pass

Callers saw accepted work with nothing running beside idle workers for seconds after the leader's process had been frozen, or had got no processor for a while.

The pause after a pass is four times its duration, so that passes use at most a fifth of the processor. The duration is that of the wall clock: a process that is frozen for a second and a half in the middle of a pass made no pass for the next six seconds, and nothing shortened the pause.

It is now a second at most, a third of the time for which the platform's rules let work wait beside room. A backlog whose passes take longer than a quarter of a second gets a larger share of the processor than a fifth.

--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -45,10 +45,15 @@
  */
 const CHANNEL_DELAY_MS = 2;
 /**
- * Pause after a pass, as a multiple of its duration: passes use at most a fifth
- * of the processor.
+ * Pause after a pass, as a multiple of its duration: passes of up to a quarter
+ * of a second use at most a fifth of the processor.
  */
 const PASS_REST_FACTOR = 4;
+/**
+ * Longest such pause, milliseconds. A pass also takes long if the process is
+ * frozen or gets no processor meanwhile, and work may wait for 3 s at most.
+ */
+const MAX_PASS_REST_MS = 1_000;
 /**
  * Nothing is started while a store write has been unanswered for longer than
  * this, since every start is recorded first.
@@ -121,7 +126,7 @@
     if (this.#closed) return;
     const effectiveDelayMs = Math.max(
       delayMs,
-      PASS_REST_FACTOR * this.#lastPassMs,
+      Math.min(PASS_REST_FACTOR * this.#lastPassMs, MAX_PASS_REST_MS),
     );
     this.#timer ??= this.#context.clock.after(effectiveDelayMs, () => {
       this.#timer = undefined;
