Ask for tickets of known workers first unless a step is a gang

Callers saw a step with nothing running although a worker that it was known to be allowed on was idle.

A request names a limited number of workers, those without a verdict first, since tickets for the known ones alone don't start a gang. For a step that is not a gang they do: a step with many tasks that knows few workers asked about full requests of unknown ones, one after the other, before it got a ticket for the known worker that had become free.

The known workers now come first for such a step. They can't keep it from the others: their tickets start tasks, which fill them.

The new test fails before the change: of four known idle workers, none is named in the first request.

--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -127,9 +127,10 @@
 
 /**
  * Chooses the workers to ask about: as many without a verdict as are expected
- * to provide the missing capacity, and those with a positive verdict. The former
- * are first in case that not all fit into the requests: as long as suitable
- * workers are missing, tickets for the others alone are of no use.
+ * to provide the missing capacity, and those with a positive verdict. For a gang
+ * the former are first in case that not all fit into the requests: as long as
+ * suitable workers are missing, tickets for the others alone are of no use. For
+ * another step they start tasks at once.
  */
 function chooseWorkers(
   step: StepRun,
@@ -179,6 +180,7 @@
       return expectedSlots < missingTasks ? toReserve : [...toReserve, ...good];
     }
   }
+  if (!step.spec.gang) return [...good, ...named];
   return mayStart ? [...named, ...good] : [];
 }
 
--- a/src/cell/decisions/advice_requests_test.ts
+++ b/src/cell/decisions/advice_requests_test.ts
@@ -236,3 +236,14 @@
   const [named] = requestsOf(gang, fleet, { mayReserve: false });
   t.true(ids.slice(110).every((id) => named!.includes(id)));
 });
+
+test("a step that is not a gang asks for tickets of known workers before it asks about unknown ones", (t) => {
+  const step = stepOf({ tasks: 300 }, { queue: QUEUE });
+  const fleet = fleetOf(Array.from({ length: 160 }, () => 0));
+  const ids = [...fleet.workers.keys()];
+  const known = ids.slice(0, 4);
+  for (const id of known) recordVerdict(step, id, true);
+  const [named] = requestsOf(step, fleet, { goodShare: 0.25 });
+  t.true(known.every((id) => named!.includes(id)));
+  t.true(named!.length > known.length);
+});
