Keep a channel free only for quicker requests

Callers saw slow advice take twice as long as it had to with few instances left: of two queues with slow requests and nothing else to ask, each waited for a claim while the only channel was idle.

A slow request leaves the last channel without one to others. Any other active queue counted as such, also one with slow requests, so two slow queues kept the channel free for each other. Now only queues with quicker requests count.

The new test fails before: the second queue has no free slot.

--- a/src/cell/advice_dispatcher.ts
+++ b/src/cell/advice_dispatcher.ts
@@ -161,6 +161,7 @@
    */
   recordRefusal({ name, advice }: AdvisedQueue): void {
     this.#demand.recordRefusal(name, {
+      slow: queueDurationClass(advice) === "slow",
       typicalMs: typicalRequestMs(advice),
       nowMs: this.#clock.monotonic(),
     });
@@ -177,8 +178,9 @@
     const channel = this.#findChannel({ queue, durationClass, expectedMs });
     if (channel === undefined) return { type: "busy" };
     const startedMs = this.#clock.monotonic();
-    if (durationClass === "slow") this.#slowChannels.add(channel);
-    this.#demand.recordSent(queue, startedMs);
+    const slow = durationClass === "slow";
+    if (slow) this.#slowChannels.add(channel);
+    this.#demand.recordSent(queue, { slow, nowMs: startedMs });
     const timeoutMs = 2 * this.#addInFlight(channel, expectedMs) +
       TIMEOUT_SLACK_MS;
     this.#inFlight++;
@@ -188,7 +190,7 @@
     this.#inFlight--;
     const now = this.#clock.monotonic();
     const answered = advice.type === "advised";
-    if (durationClass === "slow") this.#slowChannels.delete(channel);
+    if (slow) this.#slowChannels.delete(channel);
     this.#demand.recordEnd(queue, { answered, nowMs: now });
     this.#addInFlight(channel, -expectedMs);
     if (answered) this.#failures.delete(channel);
@@ -261,21 +263,19 @@
   ): number {
     const claimedBy = this.#claimedChannels().get(channel);
     if (claimedBy !== undefined && claimedBy !== queue) return 0;
-    if (claimedBy === undefined && this.#isKeptFree(queue, durationClass)) {
-      return 0;
-    }
+    if (claimedBy === undefined && this.#isKeptFree(durationClass)) return 0;
     const inFlightMs = this.#inFlightMs.get(channel) ?? 0;
     return freeSlots(durationClass, { inFlightMs, expectedMs });
   }
 
   /**
-   * Whether the last channel without a slow request is kept for the other
-   * queues that use channels. A slow request needs a claim for it.
+   * Whether the last channel without a slow request is kept for queues with
+   * quicker requests that use channels. A slow request needs a claim for it.
    */
-  #isKeptFree(queue: string, durationClass: DurationClass): boolean {
+  #isKeptFree(durationClass: DurationClass): boolean {
     return durationClass === "slow" &&
       this.#slowChannels.size + 1 >= this.#channelsOf("quick").own.length &&
-      this.#demand.othersActive(queue, this.#clock.monotonic());
+      this.#demand.quickerActive(this.#clock.monotonic());
   }
 
   /**
--- a/src/cell/advice_dispatcher_test.ts
+++ b/src/cell/advice_dispatcher_test.ts
@@ -56,6 +56,17 @@
   t.is(dispatcher.freeSlotsFor(QUICK), 1);
 });
 
+test("slow queues alone use the only channel one after the other", async (t) => {
+  const { dispatcher, sent } = openDispatcher(1);
+  const other = { ...SLOW, name: "other" };
+  for (const queue of [SLOW, other, SLOW]) {
+    t.is(dispatcher.freeSlotsFor(queue), 1);
+    const response = dispatcher.send(request(queue));
+    sent.at(-1)!.respond({ type: "advised", tickets: new Map() });
+    await response;
+  }
+});
+
 test("a channel whose request fails in an unexpected way is free again after its cooldown", async (t) => {
   const clock = new ManualClock();
   const dispatcher = new AdviceDispatcher(
--- a/src/cell/decisions/channel_demand.ts
+++ b/src/cell/decisions/channel_demand.ts
@@ -32,6 +32,8 @@
 
 /** Demand of one queue. */
 interface Demand {
+  /** Whether its requests are slow. */
+  slow: boolean;
   /** Duration of a typical request, milliseconds. */
   typicalMs: number;
   /** When the queue was last refused a channel, monotonic milliseconds. */
@@ -54,21 +56,28 @@
   /** Records that a queue has a request to send and no channel for it. */
   recordRefusal(
     queue: string,
-    { typicalMs, nowMs }: {
+    { slow, typicalMs, nowMs }: {
+      /** Whether the queue's requests are slow. */
+      readonly slow: boolean;
       /** Duration of a typical request of the queue, milliseconds. */
       readonly typicalMs: number;
       readonly nowMs: number;
     },
   ): void {
     const demand = this.#demandOf(queue);
+    demand.slow = slow;
     if (!isWaiting(demand, nowMs)) demand.wantedSinceMs = nowMs;
     demand.typicalMs = typicalMs;
     demand.refusedMs = nowMs;
   }
 
   /** Records that a request of a queue was sent. */
-  recordSent(queue: string, nowMs: number): void {
+  recordSent(
+    queue: string,
+    { slow, nowMs }: { readonly slow: boolean; readonly nowMs: number },
+  ): void {
     const demand = this.#demandOf(queue);
+    demand.slow = slow;
     demand.inFlight++;
     demand.sentMs = nowMs;
   }
@@ -96,14 +105,21 @@
     return nowMs - sinceMs >= BORROW_FACTOR * demand.typicalMs;
   }
 
-  /** Whether another queue waits for a channel or has a request in flight. */
+  /**
+   * Whether another queue waits for a channel, has a request in flight or had
+   * one shortly before.
+   */
   othersActive(queue: string, nowMs: number): boolean {
-    for (const [other, demand] of this.#byQueue) {
-      if (other === queue) continue;
-      if (demand.inFlight > 0 || isWaiting(demand, nowMs)) return true;
-      if (nowMs - demand.endedMs < DEMAND_LIFETIME_MS) return true;
-    }
-    return false;
+    return [...this.#byQueue].some(([other, demand]) =>
+      other !== queue && isActive(demand, nowMs)
+    );
+  }
+
+  /** The same for queues whose requests are not slow. */
+  quickerActive(nowMs: number): boolean {
+    return [...this.#byQueue.values()].some((demand) =>
+      !demand.slow && isActive(demand, nowMs)
+    );
   }
 
   /** Queues that claim a channel, the one that has waited longest first. */
@@ -118,6 +134,7 @@
     const known = this.#byQueue.get(queue);
     if (known !== undefined) return known;
     const demand: Demand = {
+      slow: false,
       typicalMs: 0,
       refusedMs: -Infinity,
       wantedSinceMs: -Infinity,
@@ -135,6 +152,11 @@
   return nowMs - refusedMs <= DEMAND_LIFETIME_MS;
 }
 
+function isActive(demand: Demand, nowMs: number): boolean {
+  return demand.inFlight > 0 || isWaiting(demand, nowMs) ||
+    nowMs - demand.endedMs < DEMAND_LIFETIME_MS;
+}
+
 function isClaiming(demand: Demand, nowMs: number): boolean {
   return demand.inFlight === 0 && isWaiting(demand, nowMs) &&
     nowMs - waitStartMs(demand) >= CLAIM_FACTOR * demand.typicalMs;
