Count only requests that could lead to a start as waiting for a channel

Callers saw urgent work wait although a channel to the advice service was idle, and submissions refused for want of channels although their work would have waited for room, not for advice.

A step that found no free channel counted as waiting for one, whether it had anything to ask about or not: a step in a full service, or one that may run on none of the workers that are left. Its queue claimed a channel that it couldn't use, again and again, and the channel took no other requests meanwhile. Each such step also counted as a request that waits, which refused new submissions with any number of instances.

A refused step is now checked for a request that it would send, a few times a second and for a limited number of steps in a pass. Requests beyond the number of steps that have room don't count for admission.

--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -5,13 +5,15 @@
  */
 import type { Timer } from "../clock.ts";
 import type { AdviceDispatcher, AdvisedQueue } from "./advice_dispatcher.ts";
-import { type CellContext, queueOf } from "./context.ts";
+import type { CellContext } from "./context.ts";
 import {
   type AdviceRequestContext,
+  countSimilarStarts,
   MAX_RESPONSE_DELAY_MS,
   planAdviceRequests,
 } from "./decisions/advice_requests.ts";
 import { AdviceBacklog } from "./decisions/advice_backlog.ts";
+import type { FleetWorker } from "./fleet.ts";
 import { addTicket, stepKey, type StepRun } from "./job.ts";
 import type { Advice, Queue } from "./types.ts";
 import type { WorkerProcess } from "./verdicts.ts";
@@ -35,6 +37,20 @@
 /** Lower bound of the estimated share. */
 const MIN_GOOD_SHARE = 0.05;
 
+/**
+ * A step that is refused a channel is checked this often for whether a request
+ * could let it start, milliseconds.
+ */
+const START_CHECK_INTERVAL_MS = 250;
+/** Such checks of a queue's steps in one scheduling pass: each is a search. */
+const MAX_START_CHECKS = 32;
+
+/** Input for the search of workers to ask about. */
+export type AdviceSearchContext = Omit<
+  AdviceRequestContext,
+  "goodShare" | "freeChannels"
+>;
+
 /** An advice request for a step that is about to be sent. */
 interface PlannedRequest {
   readonly queue: Queue;
@@ -57,6 +73,8 @@
    */
   readonly #goodShares = new Map<string, number>();
   readonly #backlog = new AdviceBacklog();
+  /** Such checks in this scheduling pass, by queue name. */
+  readonly #startChecks = new Map<string, number>();
   #searchTimer: Timer | undefined;
 
   /** `onAdvice` is called after each response, also after failed ones. */
@@ -73,6 +91,7 @@
   /** Ends a scheduling pass: its refused requests are the backlog. */
   endPass(): void {
     this.#backlog.endPass();
+    this.#startChecks.clear();
   }
 
   /** How long a new request of a queue would wait for a channel, milliseconds. */
@@ -81,24 +100,18 @@
   }
 
   /** Whether a step needs a ticket, has none, and cannot request one now. */
-  mustWait(step: StepRun): boolean {
-    const queue = queueOf(this.#context, step.job);
+  mustWait(step: StepRun, context: AdviceSearchContext): boolean {
+    const { queue } = context;
     if (!isAdvised(queue) || step.advice.tickets.size > 0) return false;
-    return !this.#ready(step, queue);
+    return !this.#ready(step, queue, context);
   }
 
   /** Sends advice requests for a step if that is possible and useful now. */
-  request(
-    step: StepRun,
-    context: Omit<AdviceRequestContext, "goodShare" | "freeChannels">,
-  ): void {
+  request(step: StepRun, context: AdviceSearchContext): void {
     const { queue, nowMs } = context;
-    if (!isAdvised(queue) || !this.#ready(step, queue)) return;
-    const workerLists = planAdviceRequests(step, {
-      ...context,
-      goodShare: this.#goodShareOf(queue),
-      freeChannels: this.#dispatcher.freeSlotsFor(queue),
-    });
+    if (!isAdvised(queue) || !this.#ready(step, queue, context)) return;
+    const freeChannels = this.#dispatcher.freeSlotsFor(queue);
+    const workerLists = this.#plan(step, context, freeChannels);
     if (workerLists.length === 0) return this.#scheduleSearch(step, nowMs);
     const { baseMs, perWorkerMs } = queue.advice;
     const planned = workerLists.map((workers): PlannedRequest => ({
@@ -112,16 +125,52 @@
     for (const request of planned) void this.#sendRequest(step, request);
   }
 
-  #ready(step: StepRun, queue: Queue & AdvisedQueue): boolean {
+  #ready(
+    step: StepRun,
+    queue: Queue & AdvisedQueue,
+    context: AdviceSearchContext,
+  ): boolean {
     const { requestsInFlight, retryAtMs } = step.advice;
     if (requestsInFlight > 0) return false;
     if (retryAtMs > this.#context.clock.monotonic()) return false;
     if (this.#dispatcher.freeSlotsFor(queue) > 0) return true;
-    this.#dispatcher.recordRefusal(queue);
-    this.#backlog.add(queue);
+    const similarStarts = this.#similarStarts(step, context);
+    if (similarStarts > 0) {
+      this.#dispatcher.recordRefusal(queue);
+      this.#backlog.add(queue, similarStarts);
+    }
     return false;
   }
 
+  /**
+   * How many steps like this one have room; 0 if this one would send no request
+   * through a free channel: without room or without further workers to ask
+   * about, it must not claim one.
+   */
+  #similarStarts(step: StepRun, context: AdviceSearchContext): number {
+    const { advice } = step;
+    const { queue, nowMs } = context;
+    const checks = this.#startChecks.get(queue.name) ?? 0;
+    const isDue = nowMs - advice.startsCheckedMs >= START_CHECK_INTERVAL_MS;
+    if (!isDue || checks >= MAX_START_CHECKS) return advice.similarStarts;
+    this.#startChecks.set(queue.name, checks + 1);
+    advice.startsCheckedMs = nowMs;
+    const requests = this.#plan(step, context, 1);
+    advice.similarStarts = requests.length > 0
+      ? countSimilarStarts(step, context)
+      : 0;
+    return advice.similarStarts;
+  }
+
+  #plan(
+    step: StepRun,
+    context: AdviceSearchContext,
+    freeChannels: number,
+  ): readonly (readonly FleetWorker[])[] {
+    const goodShare = this.#goodShareOf(context.queue);
+    return planAdviceRequests(step, { ...context, goodShare, freeChannels });
+  }
+
   async #sendRequest(step: StepRun, planned: PlannedRequest): Promise<void> {
     const { clock, requestPass } = this.#context;
     const { workers, expectedMs } = planned;
@@ -149,6 +198,7 @@
     if (response.type === "advised") {
       this.#recordVerdicts(step, { planned, tickets: response.tickets });
     } else advice.retryAtMs = clock.monotonic() + REQUEST_RETRY_DELAY_MS;
+    advice.startsCheckedMs = -Infinity;
     this.#onAdvice(step);
     if (!overdue) advice.requestsInFlight--;
   }
--- a/src/cell/decisions/advice_backlog.ts
+++ b/src/cell/decisions/advice_backlog.ts
@@ -19,7 +19,11 @@
 /** Requests of one queue that wait. */
 interface QueueBacklog {
   readonly priority: number;
-  durationMs: number;
+  /** Duration of a typical request, milliseconds. */
+  readonly typicalMs: number;
+  count: number;
+  /** How many of them have room for what they ask about. */
+  startable: number;
 }
 
 /** The requests that no channel was free for in the last scheduling pass. */
@@ -27,14 +31,22 @@
   #collected = new Map<string, QueueBacklog>();
   #lastPass: ReadonlyMap<string, QueueBacklog> = new Map();
 
-  /** Adds a request of a queue that waits for a channel. */
-  add({ name, priority, advice }: Queue): void {
+  /**
+   * Adds a request of a queue that waits for a channel. `similarStarts`: how many
+   * steps like the one that it is for have room. The others wait for room, with
+   * or without advice.
+   */
+  add({ name, priority, advice }: Queue, similarStarts: number): void {
     if (advice === undefined) return;
-    const durationMs = typicalRequestMs(advice);
-    const known = this.#collected.get(name);
-    if (known === undefined) {
-      this.#collected.set(name, { priority, durationMs });
-    } else known.durationMs += durationMs;
+    const known = this.#collected.get(name) ?? {
+      priority,
+      typicalMs: typicalRequestMs(advice),
+      count: 0,
+      startable: 0,
+    };
+    known.count++;
+    known.startable = Math.max(known.startable, similarStarts);
+    this.#collected.set(name, known);
   }
 
   /** Ends a scheduling pass: its requests replace those of the previous one. */
@@ -53,15 +65,22 @@
     let urgentMs = 0;
     for (const [other, backlog] of this.#lastPass) {
       if (other !== name && backlog.priority < priority) {
-        urgentMs += backlog.durationMs;
+        urgentMs += durationMsOf(backlog);
       }
     }
     return urgentMs / channels +
-      own.durationMs /
+      durationMsOf(own) /
         channelsAvailableTo(queueDurationClass(advice), channels);
   }
 }
 
+/** Total duration of the requests that can lead to a start, milliseconds. */
+function durationMsOf(
+  { typicalMs, count, startable }: QueueBacklog,
+): number {
+  return typicalMs * Math.min(count, startable);
+}
+
 /**
  * Number of channels that the requests of a class get while other classes use
  * channels too.
--- a/src/cell/decisions/advice_backlog_test.ts
+++ b/src/cell/decisions/advice_backlog_test.ts
@@ -23,7 +23,7 @@
   ...requests: readonly Parameters<AdviceBacklog["add"]>[0][]
 ) {
   const backlog = new AdviceBacklog();
-  for (const queue of requests) backlog.add(queue);
+  for (const queue of requests) backlog.add(queue, Infinity);
   backlog.endPass();
   return backlog;
 }
--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -16,6 +16,7 @@
 import {
   orderByPreference,
   orderForAdvice,
+  type SearchContext,
   unrankedWithCapacity,
 } from "./suitable_workers.ts";
 import { taskCapacity, waitingTasks } from "./capacity.ts";
@@ -107,6 +108,19 @@
   }
 }
 
+/** How many steps like this one have room now; at least 1. */
+export function countSimilarStarts(
+  step: StepRun,
+  context: SearchContext,
+): number {
+  const slots = taskCapacity(
+    step,
+    unrankedWithCapacity(step, context),
+    context.reserved,
+  );
+  return Math.max(1, Math.floor(slots / waitingTasks(step).length));
+}
+
 /**
  * Whether a ticket of a step that is usable after the first of two request
  * durations, milliseconds, is not usable after the second.
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -79,6 +79,13 @@
   requestsInFlight: number;
   /** No advice request is sent before this time, monotonic milliseconds. */
   retryAtMs: number;
+  /**
+   * How many steps like this one had room at the last check; 0 if this one had
+   * no request to send.
+   */
+  similarStarts: number;
+  /** When that was checked, monotonic milliseconds. */
+  startsCheckedMs: number;
 }
 
 /** A submission from its acceptance on. */
@@ -179,6 +186,8 @@
       newestTicketMs: -Infinity,
       requestsInFlight: 0,
       retryAtMs: 0,
+      similarStarts: Infinity,
+      startsCheckedMs: -Infinity,
     },
     waits: new StepWaits(),
   }));
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -252,7 +252,11 @@
     // A step at its team's limit needs no channel to the advice service.
     const limit = blockingLimit(step, context);
     if (limit !== undefined) return step.waits.note(limit, nowMs);
-    if (this.#requester.mustWait(step)) return step.waits.note("advice", nowMs);
+    const mayReserve = this.#reservations.mayReserve(context.queue.service);
+    const adviceContext = { ...context, mayReserve };
+    if (this.#requester.mustWait(step, adviceContext)) {
+      return step.waits.note("advice", nowMs);
+    }
     const search = findPlacements(step, context);
     if (search.placements.length > 0) {
       this.#logWait(step, search.placements.length);
@@ -262,8 +266,7 @@
     }
     step.waits.note(search.reason ?? "noRoom", nowMs);
     if (adviceMayHelp(search.reason)) {
-      const mayReserve = this.#reservations.mayReserve(context.queue.service);
-      this.#requester.request(step, { ...context, mayReserve });
+      this.#requester.request(step, adviceContext);
     }
   }
 
