Use channels within a second after an outage of the advice service

Callers saw work that waited for advice start up to four seconds after the service was back, with one or two instances left.

A channel that fails again and again is left for up to four seconds, so that no queue waits for it while others work. If all of them fail, there is no other to use, and each is now tried again after a second. Requests in flight together counted as failures in a row, so one reset connection made a cooldown of four seconds; now they count as one.

Both new tests fail before: three requests of each of two channels fail together, and no channel is usable 1.1 s later; with failures for ten seconds no slot is free 1.1 s after the third.

--- a/src/cell/advice_dispatcher.ts
+++ b/src/cell/advice_dispatcher.ts
@@ -68,6 +68,15 @@
   readonly expectedMs: number;
 }
 
+/** The failed requests in a row on a channel. */
+interface Failures {
+  readonly count: number;
+  /** When the last one failed, monotonic milliseconds. */
+  readonly atMs: number;
+  /** End of the cooldown, monotonic milliseconds. */
+  readonly untilMs: number;
+}
+
 /** The channels of a duration class that are not in cooldown. */
 interface ClassChannels {
   /** Channels that the class may always use, the preferred ones first. */
@@ -90,9 +99,7 @@
    */
   readonly #inFlightMs = new Map<string, number>();
   #inFlight = 0;
-  readonly #cooldownUntilMs = new Map<string, number>();
-  /** Number of requests in a row that have failed, by channel. */
-  readonly #failures = new Map<string, number>();
+  readonly #failures = new Map<string, Failures>();
   #channels: readonly string[] = [];
   #channelsReadMs = -Infinity;
   /** Channels with a slow request in flight. */
@@ -194,7 +201,7 @@
     this.#demand.recordEnd(queue, { answered, nowMs: now });
     this.#addInFlight(channel, -expectedMs);
     if (answered) this.#failures.delete(channel);
-    else this.#coolDown(channel, now);
+    else this.#coolDown(channel, { sentMs: startedMs, nowMs: now });
     this.#metrics.count("advice_calls", { answer: advice.type });
     this.#metrics.observe("advice_ms", now - startedMs);
     return advice;
@@ -205,17 +212,38 @@
    * in a row: a queue that prefers it would otherwise wait for it again and
    * again.
    */
-  #coolDown(channel: string, nowMs: number): void {
-    const failures = (this.#failures.get(channel) ?? 0) + 1;
-    this.#failures.set(channel, failures);
+  #coolDown(
+    channel: string,
+    { sentMs, nowMs }: { readonly sentMs: number; readonly nowMs: number },
+  ): void {
+    const last = this.#failures.get(channel);
+    // Requests that were in flight together usually fail for the same reason.
+    if (last !== undefined && sentMs <= last.atMs) return;
+    const count = (last?.count ?? 0) + 1;
     const cooldownMs = Math.min(
       MAX_CHANNEL_COOLDOWN_MS,
-      CHANNEL_COOLDOWN_MS * 2 ** (failures - 1),
+      CHANNEL_COOLDOWN_MS * 2 ** (count - 1),
     );
-    this.#cooldownUntilMs.set(channel, nowMs + cooldownMs);
+    const untilMs = nowMs + cooldownMs;
+    this.#failures.set(channel, { count, atMs: nowMs, untilMs });
     this.#invalidateCaches();
   }
 
+  /**
+   * The channels that are not in cooldown. If there is none, the shortest
+   * cooldown counts for all: no queue has another channel to use meanwhile.
+   */
+  #usableChannels(nowMs: number): readonly string[] {
+    const failures = this.#failures;
+    const usable = this.#channels.filter((channel) =>
+      (failures.get(channel)?.untilMs ?? 0) <= nowMs
+    );
+    if (usable.length > 0) return usable;
+    return this.#channels.filter((channel) =>
+      (failures.get(channel)?.atMs ?? 0) + CHANNEL_COOLDOWN_MS <= nowMs
+    );
+  }
+
   /**
    * Adds to the expected duration of the requests in flight on a channel and
    * returns the new sum, milliseconds.
@@ -311,10 +339,7 @@
   #channelsOf(durationClass: DurationClass): ClassChannels {
     const cached = this.#availableChannels.get(durationClass);
     if (cached !== undefined) return cached;
-    const now = this.#clock.monotonic();
-    const usable = this.#channels.filter((channel) =>
-      (this.#cooldownUntilMs.get(channel) ?? 0) <= now
-    );
+    const usable = this.#usableChannels(this.#clock.monotonic());
     const channels = {
       own: channelsFor(usable, durationClass),
       others: otherChannelsFor(usable, durationClass),
--- a/src/cell/advice_dispatcher_test.ts
+++ b/src/cell/advice_dispatcher_test.ts
@@ -56,6 +56,33 @@
   t.is(dispatcher.freeSlotsFor(QUICK), 1);
 });
 
+test("requests that fail together count as one failure of their channel", async (t) => {
+  const { clock, dispatcher, sent } = openDispatcher(2);
+  const short = { ...request(QUICK), expectedMs: 10 };
+  const responses = Array.from({ length: 6 }, () => dispatcher.send(short));
+  t.is(sent.length, 6);
+  for (const { respond } of sent) respond({ type: "failed", message: "reset" });
+  await Promise.all(responses);
+  t.is(dispatcher.channelCount, 0);
+  // One channel works again.
+  await clock.run(1_100);
+  const response = dispatcher.send(short);
+  sent.at(-1)!.respond({ type: "advised", tickets: new Map() });
+  await response;
+  t.is(dispatcher.channelCount, 2);
+});
+
+test("channels are used within a second after all of them have failed for long", async (t) => {
+  const { clock, dispatcher, sent } = openDispatcher(2);
+  for (let failures = 0; failures < 10; failures++) {
+    const response = dispatcher.send(request(QUICK));
+    sent.at(-1)!.respond({ type: "failed", message: "no advice service" });
+    await response;
+    await clock.run(1_100);
+    t.not(dispatcher.freeSlotsFor(QUICK), 0);
+  }
+});
+
 test("slow queues alone use the only channel one after the other", async (t) => {
   const { dispatcher, sent } = openDispatcher(1);
   const other = { ...SLOW, name: "other" };
