Estimate the wait for advice of submissions that arrive together

Callers saw submissions accepted that waited beside free workers for longer than the bound of admission, and others refused that could be served in time.

The estimate was that of the last scheduling pass: of 40 submissions that arrive together, none counted for the next. Without a usable channel nothing waited, so a channel that had just failed was better for a submission than one that works. And a slow queue was always taken to share its channels with quicker ones: alone on the only channel, it was refused the fourth submission in a row, with a real wait of about 4 s where 7 s are allowed.

Submissions since the last pass now count, a cell without a usable channel counts as having one, and a slow queue shares only with queues that are active.

--- a/src/cell/advice_dispatcher.ts
+++ b/src/cell/advice_dispatcher.ts
@@ -141,6 +141,11 @@
     return this.#channelsOf("quick").own.length;
   }
 
+  /** Whether queues whose requests are not slow use channels. */
+  get quickerActive(): boolean {
+    return this.#demand.quickerActive(this.#clock.monotonic());
+  }
+
   /** Number of requests of a queue that could be sent now. */
   freeSlotsFor({ name, advice }: AdvisedQueue): number {
     this.#refreshChannels();
@@ -303,7 +308,7 @@
   #isKeptFree(durationClass: DurationClass): boolean {
     return durationClass === "slow" &&
       this.#slowChannels.size + 1 >= this.#channelsOf("quick").own.length &&
-      this.#demand.quickerActive(this.#clock.monotonic());
+      this.quickerActive;
   }
 
   /**
--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -96,7 +96,15 @@
 
   /** How long a new request of a queue would wait for a channel, milliseconds. */
   waitMs(queue: Queue): number {
-    return this.#backlog.waitMs(queue, this.#dispatcher.channelCount);
+    return this.#backlog.waitMs(queue, {
+      channels: this.#dispatcher.channelCount,
+      quickerActive: this.#dispatcher.quickerActive,
+    });
+  }
+
+  /** Counts a submission that may request advice in the next scheduling pass. */
+  addSubmission(queue: Queue): void {
+    this.#backlog.addSubmission(queue);
   }
 
   /** Whether a step needs a ticket, has none, and cannot request one now. */
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -286,6 +286,7 @@
       owed: this.#weightMeter.tryConsume(team),
     });
     jobs.set(job.id, job);
+    this.#scheduler.addSubmission(policy);
     const stored = this.#waitUntilStored(job, timing);
     // The job is scheduled while it is being written, so that one transaction can
     // store the submission and its first placements. Start requests wait for it.
--- a/src/cell/decisions/advice_backlog.ts
+++ b/src/cell/decisions/advice_backlog.ts
@@ -10,11 +10,7 @@
  */
 import type { Queue } from "../types.ts";
 import { CLAIMED_SHARE } from "./channel_demand.ts";
-import {
-  type DurationClass,
-  queueDurationClass,
-  typicalRequestMs,
-} from "./channels.ts";
+import { queueDurationClass, typicalRequestMs } from "./channels.ts";
 
 /** Requests of one queue that wait. */
 interface QueueBacklog {
@@ -26,27 +22,41 @@
   startable: number;
 }
 
-/** The requests that no channel was free for in the last scheduling pass. */
+/** The channels to the advice service. */
+export interface ChannelSupply {
+  /** Number of channels that can be used. */
+  readonly channels: number;
+  /** Whether queues with requests that are not slow use them. */
+  readonly quickerActive: boolean;
+}
+
+/**
+ * The requests that no channel was free for in the last scheduling pass, and
+ * those of the submissions that were accepted since.
+ */
 export class AdviceBacklog {
   #collected = new Map<string, QueueBacklog>();
-  #lastPass: ReadonlyMap<string, QueueBacklog> = new Map();
+  /** Also contains the submissions since. */
+  #lastPass = new Map<string, QueueBacklog>();
 
   /**
    * Adds a request of a queue that waits for a channel. `similarStarts`: how many
    * steps like the one that it is for have room. The others wait for room, with
    * or without advice.
    */
-  add({ name, priority, advice }: Queue, similarStarts: number): void {
-    if (advice === undefined) return;
-    const known = this.#collected.get(name) ?? {
-      priority,
-      typicalMs: typicalRequestMs(advice),
-      count: 0,
-      startable: 0,
-    };
+  add(queue: Queue, similarStarts: number): void {
+    const known = backlogOf(this.#collected, queue);
+    if (known === undefined) return;
     known.count++;
     known.startable = Math.max(known.startable, similarStarts);
-    this.#collected.set(name, known);
+  }
+
+  /** Adds the request of a submission that was accepted after the last pass. */
+  addSubmission(queue: Queue): void {
+    const known = backlogOf(this.#lastPass, queue);
+    if (known === undefined) return;
+    known.count++;
+    known.startable++;
   }
 
   /** Ends a scheduling pass: its requests replace those of the previous one. */
@@ -56,21 +66,29 @@
   }
 
   /**
-   * Time until this many channels have answered the waiting requests of a queue
-   * and those of more urgent queues, milliseconds; 0 if none of the queue waits.
+   * Time until the channels have answered the waiting requests of a queue and
+   * those of more urgent queues, milliseconds; 0 if none of the queue waits.
    */
-  waitMs({ name, priority, advice }: Queue, channels: number): number {
+  waitMs(
+    { name, priority, advice }: Queue,
+    { channels: usableChannels, quickerActive }: ChannelSupply,
+  ): number {
     const own = this.#lastPass.get(name);
-    if (own === undefined || advice === undefined || channels === 0) return 0;
+    if (own === undefined || advice === undefined) return 0;
+    // Channels that have just failed are soon tried again.
+    const channels = Math.max(1, usableChannels);
     let urgentMs = 0;
     for (const [other, backlog] of this.#lastPass) {
       if (other !== name && backlog.priority < priority) {
         urgentMs += durationMsOf(backlog);
       }
     }
-    return urgentMs / channels +
-      durationMsOf(own) /
-        channelsAvailableTo(queueDurationClass(advice), channels);
+    const isSlow = queueDurationClass(advice) === "slow";
+    // Slow requests leave one channel to the others.
+    const ownChannels = isSlow && quickerActive
+      ? Math.max(channels - 1, CLAIMED_SHARE)
+      : channels;
+    return urgentMs / channels + durationMsOf(own) / ownChannels;
   }
 }
 
@@ -81,15 +99,18 @@
   return typicalMs * Math.min(count, startable);
 }
 
-/**
- * Number of channels that the requests of a class get while other classes use
- * channels too.
- */
-function channelsAvailableTo(
-  durationClass: DurationClass,
-  channels: number,
-): number {
-  if (durationClass !== "slow") return channels;
-  // Slow requests leave one channel to the others.
-  return Math.max(channels - 1, CLAIMED_SHARE);
+/** The backlog of a queue in `byQueue`; `undefined` if it needs no advice. */
+function backlogOf(
+  byQueue: Map<string, QueueBacklog>,
+  { name, priority, advice }: Queue,
+): QueueBacklog | undefined {
+  if (advice === undefined) return undefined;
+  const backlog = byQueue.get(name) ?? {
+    priority,
+    typicalMs: typicalRequestMs(advice),
+    count: 0,
+    startable: 0,
+  };
+  byQueue.set(name, backlog);
+  return backlog;
 }
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -160,6 +160,11 @@
     return this.#context.backlog.size === 0 ? 0 : this.#requester.waitMs(queue);
   }
 
+  /** Counts a new job whose first step may wait for advice. */
+  addSubmission(queue: Queue): void {
+    this.#requester.addSubmission(queue);
+  }
+
   /** Starts nothing until {@linkcode resume} is called. */
   pause(): void {
     this.#paused = true;
