Ignore late responses to a former term of the process

A response that shows a higher fence ends the term of the process. If it belonged to an earlier term of the same process, which had led again meanwhile, it ended the new term: work waited for one more change of leader.

A closed cell now ends no term.

The new test fails before: the next term ends with the reason "fenced by a worker".

--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -60,6 +60,10 @@
     const ended = new Map<string, EndedJob>();
     const jobs = new Map<string, Job>();
     this.#weightMeter = new TeamShareMeter(options.clock);
+    // A request of this term that is answered late must not end the next one.
+    const stepDown = (reason: string) => {
+      if (!this.#closed) options.stepDown(reason);
+    };
     const jobLog = new JobLog({
       cell: options.name,
       fence: options.fence,
@@ -68,7 +72,7 @@
       clock: options.clock,
       log: options.log,
       metrics: options.metrics,
-      stepDown: options.stepDown,
+      stepDown,
       onLeadershipConfirmed: options.onLeadershipConfirmed,
       onJobEnded: (end) => this.#recordEnd(end),
     });
@@ -90,7 +94,7 @@
       evacuations: options.evacuations,
       maxLeaseMs: options.maxLeaseMs,
       isLeading: () => !this.#closed && options.isLeading(),
-      stepDown: options.stepDown,
+      stepDown,
       requestPass: () => this.#scheduler.requestPass(),
     };
     this.#earlyCancellations = new EarlyCancellations(this.#context);
--- a/src/cell/leader_change_test.ts
+++ b/src/cell/leader_change_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { sleep } from "../clock.ts";
 import { ResultAsync } from "neverthrow";
 import { Harness, testQueue, testStep } from "./_fixtures_test.ts";
 
@@ -111,3 +112,23 @@
   await harness.submit(cell, [testStep()]);
   t.is(worker.starts.length, 1);
 });
+
+test("a late response to a former term does not end the next one", async (t) => {
+  const harness = new Harness();
+  harness.addWorker("w1");
+  const first = await harness.open();
+  const { workerClient, clock } = harness;
+  const start = workerClient.start.bind(workerClient);
+  let responses = 0;
+  workerClient.start = async () => {
+    await sleep(clock, 300);
+    responses++;
+    return { type: "rejected", reason: "fenced" };
+  };
+  await harness.submit(first, [testStep()]);
+  first.close();
+  workerClient.start = start;
+  await harness.open();
+  t.is(responses, 1);
+  t.deepEqual(harness.stepDownReasons, []);
+});
