End the term when a part of the leader's work fails

Callers saw accepted work with nothing running for the rest of a term after an exception in the leader. What ended, with a line in the log or none:

- a step that fails in a scheduling pass: each pass ended there, and the steps behind it weren't looked at
- housekeeping: no more lost leases, repeated stops or due occurrences
- the poll of a worker: it stayed reachable with its runs, whose completions were not read
- the list of workers: no further worker was used
- the start of a run: it stayed assigned, since no report could prove its absence
- the job log: the jobs of a transaction counted as being written
- the recovery: the process led without accepting or starting anything
- submissions and advice requests, whose counts weren't taken back

All of these now run inside endTermOnFailure: the failure is logged as leader.failed with its part and stack, and the term ends. The next leader, which may be the same process, starts from the store and the workers' reports.

Ten tests fail before, one for each part: the term goes on after the failure. In eight of them the next leader completes the job.

--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -5,7 +5,7 @@
  */
 import type { Timer } from "../clock.ts";
 import type { AdviceDispatcher, AdvisedQueue } from "./advice_dispatcher.ts";
-import { type CellContext, queueOf } from "./context.ts";
+import { type CellContext, endTermOnFailure, queueOf } from "./context.ts";
 import {
   type AdviceRequestContext,
   MAX_RESPONSE_DELAY_MS,
@@ -109,7 +109,13 @@
       })),
       expectedMs: baseMs + workers.length * perWorkerMs,
     }));
-    for (const request of planned) void this.#sendRequest(step, request);
+    for (const request of planned) {
+      void endTermOnFailure(
+        this.#context,
+        "advice request",
+        () => this.#sendRequest(step, request),
+      );
+    }
   }
 
   #ready(step: StepRun, queue: Queue & AdvisedQueue): boolean {
--- a/src/cell/cell.ts
+++ b/src/cell/cell.ts
@@ -4,12 +4,17 @@
  *
  * @module
  */
-import { ResultAsync } from "neverthrow";
+import { ok, type Result, ResultAsync } from "neverthrow";
 import { sleep } from "../clock.ts";
 import type { StoreFailure } from "../errors.ts";
 import { recoverAdvice } from "./advice_recovery.ts";
 import type { CellOptions } from "./cell_options.ts";
-import { type CellContext, saveJob, updateBacklogOfJob } from "./context.ts";
+import {
+  type CellContext,
+  endTermOnFailure,
+  saveJob,
+  updateBacklogOfJob,
+} from "./context.ts";
 import { EarlyCancellations } from "./early_cancellations.ts";
 import { Fleet } from "./fleet.ts";
 import { WorkerPoller } from "./worker_poller.ts";
@@ -126,8 +131,24 @@
     });
   }
 
-  /** Restores the jobs of earlier terms from the store, then starts scheduling. */
+  /**
+   * Restores the jobs of earlier terms from the store, then starts scheduling.
+   * After an unexpected failure the term has ended.
+   */
   recover(): ResultAsync<void, StoreFailure> {
+    const recovery = endTermOnFailure(
+      this.#context,
+      "recovery",
+      () => this.#recover(),
+    );
+    return new ResultAsync(
+      recovery.then((result): Result<void, StoreFailure> =>
+        result ?? ok(undefined)
+      ),
+    );
+  }
+
+  #recover(): ResultAsync<void, StoreFailure> {
     const { store, log, clock } = this.#options;
     const startedMs = clock.monotonic();
     return ResultAsync.combine([
@@ -141,10 +162,13 @@
         });
         this.#workerList.apply(workers);
         resumeRestoredJobs(this.#context, this.#runs);
-        void recoverAdvice(this.#context, this.#options.recoverAdvice);
-        void this.#workerList.run();
-        void this.#learnedState.run();
-        void this.#housekeeping.run();
+        this.#run(
+          "advice recovery",
+          () => recoverAdvice(this.#context, this.#options.recoverAdvice),
+        );
+        this.#run("worker list", () => this.#workerList.run());
+        this.#run("stored estimates", () => this.#learnedState.run());
+        this.#run("housekeeping", () => this.#housekeeping.run());
         this.#scheduler.requestPass();
         log.info("cell.recovered", {
           fence: this.#options.fence,
@@ -166,7 +190,11 @@
     }
     const inProgress = this.#submissionsInProgress.get(submission.id);
     if (inProgress !== undefined) return inProgress;
-    const outcome = this.#accept(submission);
+    const outcome = endTermOnFailure(
+      this.#context,
+      "submission",
+      () => this.#accept(submission),
+    ).then((outcome): SubmitOutcome => outcome ?? { type: "unknown" });
     this.#submissionsInProgress.set(submission.id, outcome);
     outcome.then(() => this.#submissionsInProgress.delete(submission.id));
     return outcome;
@@ -241,6 +269,10 @@
     this.#context.jobLog.close();
   }
 
+  #run(part: string, work: () => Promise<void>): void {
+    void endTermOnFailure(this.#context, part, work);
+  }
+
   #refuseCanceled({ id, queue, team }: Submission): Promise<SubmitOutcome> {
     const { log, fence } = this.#context;
     const reason = "canceled";
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -57,12 +57,36 @@
    * confirmed recently.
    */
   readonly isLeading: () => boolean;
-  /** Called when another instance turns out to be the leader. */
+  /**
+   * Ends the term: another instance turns out to be the leader, or a part of the
+   * leader's work has failed. Without effect after the end of the term.
+   */
   readonly stepDown: (reason: string) => void;
   /** Requests a scheduling pass. */
   readonly requestPass: () => void;
 }
 
+/**
+ * Runs a part of the leader's work, and ends the term if it fails: the state in
+ * memory may be incomplete, and a loop that has ended without notice would leave
+ * work waiting. The next leader, which may be this process, reads the state from
+ * the store. Resolves to `undefined` after a failure.
+ */
+export async function endTermOnFailure<A>(
+  { log, fence, stepDown }: Pick<CellContext, "log" | "fence" | "stepDown">,
+  part: string,
+  work: () => A | PromiseLike<A>,
+): Promise<A | undefined> {
+  try {
+    return await work();
+  } catch (error) {
+    const reason = String((error as Error)?.stack ?? error);
+    log.error("leader.failed", { fence, part, reason });
+    stepDown(`a failure of the ${part}`);
+    return undefined;
+  }
+}
+
 /**
  * Definition of a job's queue in the active operator set; if the queue is
  * absent from the set, its definition when the job was accepted.
--- a/src/cell/job_log.ts
+++ b/src/cell/job_log.ts
@@ -19,6 +19,7 @@
  */
 import { sleep, type Timer } from "../clock.ts";
 import type { Condition } from "../ports/store.ts";
+import { endTermOnFailure } from "./context.ts";
 import { confirmationKey, leaderRecordKey } from "./leader_record.ts";
 import {
   type TransactionOutcome,
@@ -212,7 +213,7 @@
     if (this.#closed) return;
     this.#timer ??= this.#options.clock.after(delayMs, () => {
       this.#timer = undefined;
-      this.#flush();
+      void endTermOnFailure(this.#options, "job log", () => this.#flush());
     });
   }
 
@@ -279,11 +280,11 @@
   }
 
   async #send(batch: TransactionBatch): Promise<void> {
-    try {
-      this.#applyOutcome(batch, await this.#sender.send(batch));
-    } catch (error) {
-      this.#options.log.error("joblog.failed", { reason: String(error) });
-    }
+    await endTermOnFailure(
+      this.#options,
+      "job log",
+      async () => this.#applyOutcome(batch, await this.#sender.send(batch)),
+    );
   }
 
   #applyOutcome(batch: TransactionBatch, outcome: TransactionOutcome): void {
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -6,6 +6,7 @@
  */
 import {
   type CellContext,
+  endTermOnFailure,
   queueOf,
   saveJob,
   updateBacklog,
@@ -84,13 +85,15 @@
     });
     this.#markStarted(step.job);
     updateBacklog(this.#context, step);
-    saveJob(this.#context, step.job).then((saved) => {
-      if (saved !== "saved") return;
+    void endTermOnFailure(this.#context, "start of runs", async () => {
+      if (await saveJob(this.#context, step.job) !== "saved") return;
       // Zones may have been evacuated while the start was being recorded.
       const recorded = runs.map(({ run }) => run);
       const { barred, reason } = findBarredRuns(recorded, evacuations);
       for (const run of barred) this.markLost(run, reason);
-      for (const { run, ticket } of runs) void this.#sendStart(run, ticket);
+      await Promise.all(
+        runs.map(({ run, ticket }) => this.#sendStart(run, ticket)),
+      );
     });
   }
 
@@ -327,7 +330,11 @@
         return this.markLost(run, "unreached");
       case "unknown":
         worker.avoidUntilMs = now + UNAVAILABLE_COOLDOWN_MS;
-        void this.#resolveUnknownStart(run);
+        void endTermOnFailure(
+          this.#context,
+          "start of runs",
+          () => this.#resolveUnknownStart(run),
+        );
         return;
       case "rejected":
         if (response.reason === "fenced") return stepDown("fenced by a worker");
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -7,7 +7,12 @@
 import type { Timer } from "../clock.ts";
 import type { AdviceDispatcher } from "./advice_dispatcher.ts";
 import { AdviceRequester } from "./advice_requester.ts";
-import { type CellContext, queueOf, teamOf } from "./context.ts";
+import {
+  type CellContext,
+  endTermOnFailure,
+  queueOf,
+  teamOf,
+} from "./context.ts";
 import { isUnlimited, LimitHeadroom } from "./decisions/limit_headroom.ts";
 import {
   compareRanks,
@@ -131,7 +136,11 @@
     );
     this.#timer ??= this.#context.clock.after(effectiveDelayMs, () => {
       this.#timer = undefined;
-      this.#runPass();
+      void endTermOnFailure(
+        this.#context,
+        "scheduling pass",
+        () => this.#runPass(),
+      );
     });
   }
 
--- a/src/cell/worker_poller.ts
+++ b/src/cell/worker_poller.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { sleep } from "../clock.ts";
-import { type CellContext, saveJob } from "./context.ts";
+import { type CellContext, endTermOnFailure, saveJob } from "./context.ts";
 import { Completions } from "./completions.ts";
 import { InitialPolls } from "./initial_polls.ts";
 import type { FleetWorker } from "./fleet.ts";
@@ -66,7 +66,11 @@
 
   /** Polls a worker once immediately, in addition to the loop that polls it. */
   pollNow(worker: FleetWorker): Promise<unknown> {
-    return this.#poll(worker, { waitMs: 0 });
+    return endTermOnFailure(
+      this.#context,
+      `poll of ${worker.id}`,
+      () => this.#poll(worker, { waitMs: 0 }),
+    );
   }
 
   /** Ends the polling of all workers. */
@@ -77,13 +81,11 @@
 
   /** Polls a worker for its first report, then starts the loop that polls it. */
   #pollFirst(worker: FleetWorker): Promise<unknown> {
-    const firstPoll = this.#poll(worker, { waitMs: 0 });
-    firstPoll.then(() => this.#pollRepeatedly(worker)).catch((error) =>
-      this.#context.log.error("follower.failed", {
-        worker: worker.id,
-        reason: String((error as Error).stack ?? error),
-      })
-    );
+    const firstPoll = this.pollNow(worker);
+    void endTermOnFailure(this.#context, `poll of ${worker.id}`, async () => {
+      await firstPoll;
+      await this.#pollRepeatedly(worker);
+    });
     return firstPoll;
   }
 
