Continue election, heartbeats and the operators' watch after a failure

Callers would see a cell without a leader, or a leader that starts nothing, after an exception in one of the loops that last as long as the process:

- the election: the instance never led again, or led without a cell if the start of its term had failed
- the heartbeats: the instance was replaced whenever it led
- the operators' watch: the evacuated zones became stale, and a leader starts nothing on stale zones

A failure of the first two now ends the process's term, if it has one, and the loops go on; the watch reads the whole state again after its usual delay.

Four tests fail before: no leader, no second start of a term, no replacement, zones that stay stale.

--- a/src/cell/heartbeat_sender.ts
+++ b/src/cell/heartbeat_sender.ts
@@ -7,8 +7,10 @@
  * @module
  */
 import { type Clock, sleep } from "../clock.ts";
+import type { Log } from "../logger.ts";
 import type { Peers } from "../ports/peers.ts";
 import type { LeaderTerm, Member } from "./leader_record.ts";
+import { endTermOnFailure } from "./context.ts";
 import type { TermConfirmation } from "./term_confirmation.ts";
 import {
   HEARTBEAT_INTERVAL_MS,
@@ -32,6 +34,7 @@
   readonly boot: string;
   readonly peers: Peers;
   readonly clock: Clock;
+  readonly log: Log;
   readonly set: ActiveSet;
   readonly membership: Membership;
   readonly confirmation: TermConfirmation;
@@ -43,6 +46,8 @@
   readonly ownCounts: () => QueueCounts | undefined;
   /** The latest counts, also of a former leader. */
   readonly waitingCounts: WaitingCounts;
+  /** Ends the term. */
+  readonly stepDown: (reason: string) => void;
   /** Called when a member's reply has a higher fence. */
   readonly onLaterLeader: () => void;
   /** Called when a member has a newer operator set. */
@@ -65,14 +70,21 @@
 
   /** Sends heartbeats until the process ends; the promise never resolves. */
   async run(): Promise<void> {
-    const { clock, term, membership } = this.#options;
+    const { clock, log, term, membership } = this.#options;
     let readAtMs = clock.monotonic();
     for (;;) {
       await sleep(clock, HEARTBEAT_INTERVAL_MS);
-      if (term() === undefined) continue;
-      const periodMs = heartbeatIntervalMs(membership.members.length);
-      if (clock.monotonic() - this.#sentAllMs >= periodMs) void this.sendAll();
-      else this.#sendToWatchers();
+      const current = term();
+      if (current === undefined) continue;
+      const { fence } = current;
+      const stepDown = (reason: string) => {
+        if (term()?.fence === fence) this.#options.stepDown(reason);
+      };
+      void endTermOnFailure(
+        { log, fence, stepDown },
+        "heartbeats",
+        () => this.#sendDue(),
+      );
       if (
         clock.monotonic() - readAtMs < MEMBERS_READ_INTERVAL_MS
       ) continue;
@@ -81,6 +93,13 @@
     }
   }
 
+  async #sendDue(): Promise<void> {
+    const { clock, membership } = this.#options;
+    const periodMs = heartbeatIntervalMs(membership.members.length);
+    if (clock.monotonic() - this.#sentAllMs >= periodMs) await this.sendAll();
+    else this.#sendToWatchers();
+  }
+
   /** Call when a term of this process starts; sends a heartbeat to all members. */
   async termStarted(): Promise<void> {
     this.#termStartMs = this.#options.clock.monotonic();
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -18,6 +18,7 @@
 import { sleep } from "../clock.ts";
 import { MAX_ISOLATED_LEADER_MS } from "./cell.ts";
 import { selectWatchers } from "./candidates.ts";
+import { endTermOnFailure } from "./context.ts";
 import type { LeaderRecord, LeaderTerm, Member } from "./leader_record.ts";
 import { type SendTime, TermConfirmation } from "./term_confirmation.ts";
 import { LeaderMonitor } from "./leader_monitor.ts";
@@ -99,6 +100,7 @@
       watchers: () => selectWatchers(this.#takeover.rankedCandidates()),
       ownCounts: () => this.#ownCounts(),
       waitingCounts: this.#waitingCounts,
+      stepDown: (reason) => this.stepDown(reason),
       onLaterLeader: () => void this.#knownLeader.refresh(),
       onNewerSet: (peer, version) => this.onNewerSet(peer, version),
     });
@@ -174,15 +176,10 @@
   async run(): Promise<void> {
     this.#serveCalls();
     const { clock } = this.#options;
-    await this.#membership.register();
-    await this.#membership.loadStored();
-    await this.#knownLeader.refresh();
+    await this.#endTermOnFailure("registration", () => this.#register());
     void this.#heartbeatSender.run();
     for (;;) {
-      if (this.#term !== undefined) this.#maintainTerm();
-      else if (!this.#isLeaving && this.#takeover.isDue()) {
-        await this.#takeover.attempt({ requested: false });
-      }
+      await this.#endTermOnFailure("election", () => this.#tick());
       await sleep(clock, TICK_INTERVAL_MS);
     }
   }
@@ -193,6 +190,25 @@
     return this.#leadershipTransfer.transferBeforeExit();
   }
 
+  async #register(): Promise<void> {
+    await this.#membership.register();
+    await this.#membership.loadStored();
+    await this.#knownLeader.refresh();
+  }
+
+  async #tick(): Promise<void> {
+    if (this.#term !== undefined) this.#maintainTerm();
+    else if (!this.#isLeaving && this.#takeover.isDue()) {
+      await this.#takeover.attempt({ requested: false });
+    }
+  }
+
+  #endTermOnFailure(part: string, work: () => Promise<void>): Promise<void> {
+    const { log } = this.#options;
+    const stepDown = (reason: string) => this.stepDown(reason);
+    return endTermOnFailure({ log, fence: this.fence, stepDown }, part, work);
+  }
+
   #serveCalls(): void {
     const { peers, boot, set, reachesStore } = this.#options;
     peers.serve(heartbeatCall, (heartbeat, from) => {
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -300,3 +300,51 @@
   await harness.clock.run(100);
   t.is(instance.waitingJobs(), undefined);
 });
+
+// Guards against an instance that takes no further part in the election.
+test("an instance becomes leader after a failure of its election", async (t) => {
+  const harness = new Instances();
+  const { store } = harness;
+  const commit = store.commit.bind(store);
+  const instance = harness.start("a");
+  store.commit = () => {
+    throw new Error("broken");
+  };
+  await harness.clock.run(2_000);
+  t.is(harness.leaders.size, 0);
+  store.commit = commit;
+  await harness.clock.run(2_000);
+  t.true(instance.isLeading());
+});
+
+test("a term whose start fails ends, and the next one starts", async (t) => {
+  const harness = new Instances();
+  const add = harness.leaders.add.bind(harness.leaders);
+  let starts = 0;
+  harness.leaders.add = (name) => {
+    if (starts++ === 0) throw new Error("broken");
+    return add(name);
+  };
+  const instance = harness.start("a");
+  await harness.clock.run(4_000);
+  t.is(starts, 2);
+  t.true(instance.isLeading());
+});
+
+test("a leader whose heartbeats fail is replaced", async (t) => {
+  const harness = new Instances();
+  harness.start("a");
+  await harness.clock.run(1_000);
+  harness.start("b");
+  await harness.clock.run(1_000);
+  t.deepEqual(harness.fences, [1]);
+  let failures = 0;
+  const has = harness.unrecovered.has.bind(harness.unrecovered);
+  harness.unrecovered.has = (name) => {
+    if (failures++ === 0) throw new Error("broken");
+    return has(name);
+  };
+  await harness.clock.run(2_000);
+  t.deepEqual(harness.fences, [1, 2]);
+  t.is(harness.leaders.size, 1);
+});
--- a/src/cell/operator_watch.ts
+++ b/src/cell/operator_watch.ts
@@ -34,15 +34,21 @@
 
   /** Runs until the process ends. */
   async run(): Promise<void> {
-    const { clock, evacuations } = this.#options;
+    const { clock, evacuations, log } = this.#options;
     let lastRevision: number | undefined;
     for (;;) {
       // After a suspension of the process the state is stale: read it at once
       // rather than wait for the next change.
       const knownRevision = evacuations.isStale ? undefined : lastRevision;
-      lastRevision = knownRevision === undefined
-        ? await this.#readState()
-        : await this.#waitForUpdate(knownRevision);
+      try {
+        lastRevision = knownRevision === undefined
+          ? await this.#readState()
+          : await this.#waitForUpdate(knownRevision);
+      } catch (error) {
+        const reason = String((error as Error)?.stack ?? error);
+        log.error("operators.failed", { reason });
+        lastRevision = undefined;
+      }
       if (lastRevision === undefined) await sleep(clock, RETRY_DELAY_MS);
     }
   }
--- a/src/cell/operator_watch_test.ts
+++ b/src/cell/operator_watch_test.ts
@@ -120,3 +120,20 @@
   t.false(evacuations.isStale);
   t.is(directory.calls.operators, 2);
 });
+
+// Guards against a leader that starts nothing because the zones stay unread.
+test("the state is read again after an unexpected failure", async (t) => {
+  const { clock, directory, evacuations } = open(5_000);
+  await clock.run(500);
+  const { state } = directory;
+  Object.defineProperty(directory, "state", {
+    configurable: true,
+    get: () => {
+      throw new Error("broken");
+    },
+  });
+  await clock.run(1_000);
+  Object.defineProperty(directory, "state", { value: state });
+  await clock.run(10_000);
+  t.false(evacuations.isStale);
+});
