Ask for a report once the stop of an unanswered start is confirmed

Callers saw a task wait for more than a second after a start whose response was lost and which its worker hadn't received.

After the confirmed stop, a report that is requested later and doesn't show the run proves that it is absent. A poll without a completion waits for a second, and the one under way doesn't count, so the proof came up to two seconds later.

The worker is now asked at once, if no report could prove the absence before the stop. That is one more request for each start without a response.

The new test fails before: the task isn't started again within 800 ms of its submission.

--- a/src/cell/lost_responses_test.ts
+++ b/src/cell/lost_responses_test.ts
@@ -169,3 +169,20 @@
     t.is(worker.running.size, 1);
   });
 }
+
+// Guards against waits for two polls without a completion, a second each.
+test("a task whose start was lost starts again soon after the stop is confirmed", async (t) => {
+  const harness = new Harness();
+  const worker = harness.addWorker("w1");
+  // As on real workers.
+  worker.maxPollMs = 1_000;
+  const cell = await harness.open();
+  await harness.clock.run(1_000);
+  worker.delaysStarts = true;
+  await harness.submit(cell, [testStep()]);
+  t.deepEqual(worker.stops, [{ task: TASK, run: 1 }]);
+  worker.delaysStarts = false;
+  // The worker gets no new runs for 700 ms after an unanswered start.
+  await harness.clock.run(700);
+  t.deepEqual(worker.starts.map(({ run }) => run), [2]);
+});
--- a/src/cell/runs.ts
+++ b/src/cell/runs.ts
@@ -38,6 +38,11 @@
  * visible effect.
  */
 const STOP_RETRY_DELAY_MS = 400;
+/**
+ * Delay from the confirmation of a stop to the request for a report that proves
+ * the absence of the run: the resolution of a coarse clock.
+ */
+const MIN_PROOF_DELAY_MS = 1;
 /**
  * A worker that could not be reached or rejected a start, for instance as
  * unhealthy, gets no new runs for this long.
@@ -111,13 +116,27 @@
     if (address === undefined) return;
     const request = { task: run.task.id, run: run.number, fence };
     workerClient.stop(address, request).then((confirmed) => {
-      // After a confirmed stop the worker rejects a start of this run, so a
-      // report without the run proves that it is not there.
-      if (confirmed) run.absenceProvableAfterMs ??= clock.monotonic();
+      if (confirmed) this.#recordStopped(run);
       else run.stopSentMs = clock.monotonic() - STOP_RETRY_DELAY_MS / 2;
     });
   }
 
+  /**
+   * After a confirmed stop the worker rejects a start of this run, so a report
+   * without the run proves that it is not there. The worker is asked for it: if
+   * the run is not there, no completion ends the wait of a poll.
+   */
+  #recordStopped(run: Run): void {
+    if (run.absenceProvableAfterMs !== undefined) return;
+    run.absenceProvableAfterMs = this.#context.clock.monotonic();
+    // A report that proves it must be requested later.
+    this.#context.clock.after(MIN_PROOF_DELAY_MS, () => {
+      if (run.worker.runs.get(run.task.id) === run) {
+        void this.#pollNow(run.worker);
+      }
+    });
+  }
+
   /**
    * Declares a run lost that is not on its worker and will not start there. Its
    * task waits for a new placement.
