--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -5,7 +5,7 @@
  */
 import type { Timer } from "../clock.ts";
 import type { AdviceDispatcher, AdvisedQueue } from "./advice_dispatcher.ts";
-import type { CellContext } from "./context.ts";
+import { type CellContext, endTermOnFailure } from "./context.ts";
 import {
   type AdviceRequestContext,
   countSimilarStarts,
@@ -130,7 +130,13 @@
       })),
       expectedMs: baseMs + workers.length * perWorkerMs,
     }));
-    for (const request of planned) void this.#sendRequest(step, request);
+    for (const request of planned) {
+      void endTermOnFailure(
+        this.#context,
+        "advice request",
+        () => this.#sendRequest(step, request),
+      );
+    }
   }
 
   #ready(
