Let a wide gang request all its tickets at once

Callers saw a gang of some 200 workers request tickets again and again beside idle allowed workers and idle channels, and never start.

The requests of one step use a third of the free channels, so only one with up to five of them. A request names 100 workers at most, and where it takes about as long as a ticket is valid, the tickets of one request have expired when the next one is answered. The rest of the plan then names them again.

A gang that knows enough workers now uses as many of the free channels as its tickets need that must arrive within the validity of one. Steps whose tickets can come one request after the other use the same share as before.

The new test, a gang of 220 tasks on 300 workers through five channels, fails before the change: it is pending after 15 s.

--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -12,7 +12,11 @@
 import type { StepRun } from "../job.ts";
 import type { AdvicePolicy, Queue } from "../types.ts";
 import { maxRequestWorkers } from "./channels.ts";
-import { countUsableTickets, type NoPlacementReason } from "./placement.ts";
+import {
+  countUsableTickets,
+  type NoPlacementReason,
+  TICKET_MARGIN_MS,
+} from "./placement.ts";
 import {
   orderByPreference,
   orderForAdvice,
@@ -98,8 +102,14 @@
   let durationMs = advice.baseMs;
   while (true) {
     const responseMs = nowMs + durationMs + MAX_RESPONSE_DELAY_MS;
-    const workers = chooseWorkers(step, { ...context, responseMs });
-    const requests = splitIntoRequests(workers, advice, freeChannels);
+    const { workers, together = 0 } = chooseWorkers(step, {
+      ...context,
+      responseMs,
+    });
+    const requests = splitIntoRequests(workers, advice, {
+      freeChannels,
+      together,
+    });
     const longest = requests[0]?.length ?? 0;
     const longestMs = advice.baseMs + longest * advice.perWorkerMs;
     if (longestMs <= durationMs) return requests;
@@ -139,6 +149,16 @@
   return usableAfter[0] !== usableAfter[1];
 }
 
+/** Workers to ask about, the most important ones first. */
+interface ChosenWorkers {
+  readonly workers: readonly FleetWorker[];
+  /**
+   * Number of the first workers whose tickets are of use only together; 0 if
+   * absent.
+   */
+  readonly together?: number;
+}
+
 /**
  * Chooses the workers to ask about: as many without a verdict as are expected
  * to provide the missing capacity, and those with a positive verdict. For a gang
@@ -149,7 +169,7 @@
 function chooseWorkers(
   step: StepRun,
   context: AdviceRequestContext & GangAdviceContext,
-): readonly FleetWorker[] {
+): ChosenWorkers {
   const { verdicts } = step.advice;
   const { reserved } = context;
   const candidates = unrankedWithCapacity(step, context)
@@ -182,7 +202,7 @@
     : [];
   if (step.spec.gang && context.mayReserve) {
     const ahead = chooseAhead(step, context);
-    if (ahead !== undefined) return [...named, ...ahead];
+    if (ahead !== undefined) return { workers: [...named, ...ahead] };
   }
   const expectedSlots = goodSlots + unknownSlots * context.goodShare;
   if (
@@ -191,11 +211,12 @@
   ) {
     const toReserve = chooseForReservation(step, missingTasks, context);
     if (toReserve.length > 0) {
-      return expectedSlots < missingTasks ? toReserve : [...toReserve, ...good];
+      const others = expectedSlots < missingTasks ? [] : good;
+      return { workers: [...toReserve, ...others] };
     }
   }
-  if (!step.spec.gang) return [...good, ...named];
-  return mayStart ? [...named, ...good] : [];
+  if (!step.spec.gang) return { workers: [...good, ...named] };
+  return { workers: mayStart ? [...named, ...good] : [] };
 }
 
 /**
@@ -245,7 +266,7 @@
     readonly missingTasks: number;
     readonly context: AdviceRequestContext;
   },
-): readonly FleetWorker[] {
+): ChosenWorkers {
   let number = 0;
   for (
     let capacity = 0;
@@ -258,27 +279,39 @@
     EXTRA_WORKERS + Math.ceil(EXTRA_WORKERS_SHARE * number),
     cheapWorkerCount(context.queue) - number,
   );
-  return good.slice(0, number + extra);
+  return {
+    workers: good.slice(0, number + extra),
+    together: step.spec.gang ? number : 0,
+  };
 }
 
 /**
  * Splits workers into requests, one for each channel. Both duration and cost
  * stay low when the workers of a request cost about as much as its constant
- * part.
+ * part. A step uses a share of the free channels, or as many of them as the
+ * workers need whose tickets are of use only together: with more requests one
+ * after the other, the first tickets would expire before the last ones arrive.
  */
 function splitIntoRequests(
   workers: readonly FleetWorker[],
   advice: AdvicePolicy,
-  freeChannels: number,
+  { freeChannels, together }: {
+    readonly freeChannels: number;
+    readonly together: number;
+  },
 ): readonly (readonly FleetWorker[])[] {
   const { baseMs, perWorkerMs } = advice;
   const maxWorkers = maxRequestWorkers(advice);
   const balanced = perWorkerMs === 0
     ? maxWorkers
     : Math.min(maxWorkers, Math.max(1, Math.round(baseMs / perWorkerMs)));
+  const longestMs = baseMs + maxWorkers * perWorkerMs;
+  const usableMs = advice.ticketMs - TICKET_MARGIN_MS - MAX_RESPONSE_DELAY_MS;
+  const rounds = 1 + Math.max(0, Math.floor(usableMs / longestMs));
   const maxRequests = Math.max(
     1,
     Math.floor(STEP_CHANNEL_SHARE * freeChannels),
+    Math.min(freeChannels, Math.ceil(together / (rounds * maxWorkers))),
   );
   const count = Math.min(maxRequests, Math.ceil(workers.length / balanced));
   const size = Math.min(maxWorkers, Math.ceil(workers.length / count));
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -60,7 +60,7 @@
  * A ticket is not used in the last part of its validity, milliseconds: the
  * commit and the start request take time.
  */
-const TICKET_MARGIN_MS = 120;
+export const TICKET_MARGIN_MS = 120;
 
 /**
  * Chooses workers for the waiting tasks of a step, for as many as possible now.
--- a/src/cell/waits_for_advice_test.ts
+++ b/src/cell/waits_for_advice_test.ts
@@ -127,3 +127,16 @@
   const running = LIMITED_JOBS.filter((id) => cell.state(id) === "running");
   t.is(running.length, 2);
 });
+
+test("a gang that needs more tickets than one request returns uses several free channels", async (t) => {
+  const harness = harnessWith(300);
+  const advice = new SimulatedAdvice(harness.clock, {
+    allows: () => true,
+    channels: 5,
+  });
+  const cell = await harness.open({ adviceDispatcher: advice.dispatcher });
+  const gang = testStep({ gang: true, tasks: 220, maxPerWorker: 1 });
+  await harness.submit(cell, [gang]);
+  await harness.clock.run(15_000);
+  t.is(cell.state(JOB), "running");
+});
