Let a gang reserve capacity that no single rack can hold

A gang that prefers a single rack reserved capacity only on the rack with the most suitable workers. If that rack could not hold it, the gang reserved none for as long as the fleet was busy, while smaller tasks took each part that became free. It also counted as a gang that fails to reserve, of which six keep all later ones from reserving.

Placement takes several racks if none has enough capacity. A gang now reserves on a rack that can hold it, and on all suitable workers if there is none.

The second of the new tests fails before the change: a gang of 10 tasks gets the two workers of one rack, which hold 8.

--- a/src/cell/decisions/reservations.ts
+++ b/src/cell/decisions/reservations.ts
@@ -199,8 +199,9 @@
 
 /**
  * Workers on which a gang can reserve capacity: eligible workers, with a
- * positive verdict if the queue needs advice. For a gang that needs a single
- * rack, only those of the rack with the most such workers.
+ * positive verdict if the queue needs advice. For a gang that prefers a single
+ * rack, only those of one rack that can hold it, if there is one: that with the
+ * most such workers.
  */
 export function reservableFor(
   step: StepRun,
@@ -217,8 +218,13 @@
     if (maxTasksOn(step, worker) > 0) eligible.push(worker);
   }
   if (!step.spec.sameRack) return eligible;
-  const racks = [...groupByRack(eligible)].sort((a, b) => b.length - a.length);
-  return racks[0] ?? [];
+  const needed = waitingTasks(step).length;
+  const racks = groupByRack(eligible)
+    .filter((rack) =>
+      rack.reduce((sum, worker) => sum + maxTasksOn(step, worker), 0) >= needed
+    )
+    .sort((a, b) => b.length - a.length);
+  return racks[0] ?? eligible;
 }
 
 /**
--- a/src/cell/decisions/reservations_test.ts
+++ b/src/cell/decisions/reservations_test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
 import { ManualClock } from "../../clock.ts";
-import { testEntry } from "../_fixtures_test.ts";
+import { testEntry, testQueue } from "../_fixtures_test.ts";
 import { Fleet, type FleetWorker } from "../fleet.ts";
 import type { StepRun } from "../job.ts";
-import { stepOf } from "./_fixtures_test.ts";
-import { Reservations } from "./reservations.ts";
+import { contextFor, openWorker, stepOf } from "./_fixtures_test.ts";
+import { reservableFor, Reservations } from "./reservations.ts";
 import { NOTHING_RESERVED, ReservedTotals } from "./capacity.ts";
 import { newRun } from "../run.ts";
 import type { StepSpec } from "../types.ts";
@@ -159,3 +159,28 @@
   t.false(reservations.renew(gang, 3, { service: "copier", nowMs: 1_200 }));
   t.deepEqual(reservedMillisOf(reservations, gang), {});
 });
+
+/** Ids of the workers on which a gang that prefers a single rack can reserve. */
+function reservableOf(
+  gang: StepRun,
+  racks: Readonly<Record<string, string>>,
+): readonly string[] {
+  const fleet = new Fleet();
+  for (const [id, rack] of Object.entries(racks)) {
+    openWorker(fleet, id, { labels: ["kind", rack] });
+  }
+  return reservableFor(gang, contextFor(fleet, testQueue()))
+    .map(({ id }) => id);
+}
+
+test("a gang that prefers a single rack reserves on one that can hold it", (t) => {
+  const racks = { w1: "r1", w2: "r2", w3: "r2" };
+  const gang = stepOf({ gang: true, sameRack: true, tasks: 8 });
+  t.deepEqual(reservableOf(gang, racks), ["w2", "w3"]);
+});
+
+test("a gang that no single rack can hold reserves on several", (t) => {
+  const racks = { w1: "r1", w2: "r2", w3: "r2" };
+  const gang = stepOf({ gang: true, sameRack: true, tasks: 10 });
+  t.deepEqual(reservableOf(gang, racks), ["w1", "w2", "w3"]);
+});
