Quarantine no service's last worker

Callers saw work of a small service with nothing running for three seconds at a time, although its worker was idle.

A worker that fails most of its runs gets no new ones for 3 s, but no more workers do so than a quarter of the fleet. That quarter was of the workers of all services together, so all workers of a small service could be quarantined at once, and even a worker that was the only one.

The quarter is now of the service's listed workers, and a worker is not quarantined if no other worker of its service takes runs.

The new test fails before the change: a job for a service of one worker, in a fleet of nine, is pending 300 ms after its submission.

--- a/src/cell/completions.ts
+++ b/src/cell/completions.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type CellContext, queueOf } from "./context.ts";
-import type { FleetWorker, Run } from "./fleet.ts";
+import { acceptsRuns, type FleetWorker, type Run } from "./fleet.ts";
 import type { EstimateUpdates } from "./estimate_updates.ts";
 import { isFinished, type Job, type StepRun, type Task } from "./job.ts";
 import { SpeedTerciles } from "./decisions/speed_terciles.ts";
@@ -18,8 +18,8 @@
 /** A quarantined worker gets no new runs for this long. */
 const QUARANTINE_MS = 3_000;
 /**
- * No more workers are quarantined once this share of all workers gets no new
- * runs.
+ * No more workers of a service are quarantined once this share of them gets no
+ * new runs.
  */
 const MAX_QUARANTINED_SHARE = 0.25;
 
@@ -150,9 +150,14 @@
   #quarantine(worker: FleetWorker): void {
     const { clock, fleet, log } = this.#context;
     const now = clock.monotonic();
-    const all = [...fleet.workers.values()];
-    const unavailable = all.filter((other) => other.avoidUntilMs > now).length;
-    if (unavailable >= all.length * MAX_QUARANTINED_SHARE) return;
+    const service = worker.entry?.service;
+    const others = [...fleet.workers.values()].filter((other) =>
+      other !== worker && other.listed && other.entry?.service === service
+    );
+    // Work that only this service may run would have no worker left.
+    if (!others.some((other) => acceptsRuns(other, now))) return;
+    const avoided = others.filter((other) => other.avoidUntilMs > now).length;
+    if (avoided >= (others.length + 1) * MAX_QUARANTINED_SHARE) return;
     worker.avoidUntilMs = now + QUARANTINE_MS;
     log.warn("worker.quarantined", {
       worker: worker.id,
