Recover advice only for a worker's process

Callers saw a step stay pending for good although the only worker that had refused it had restarted as one that it may run on, when the leader changed after the restart.

The instances' caches kept advice by worker id and without an age for refusals, and a new leader took whatever they had for verdicts on the workers' current processes. It then had no reason to ask about these workers again.

A request between instances now names the start of each worker's process; the advice service still gets the ids alone. The next leader recovers the advice on current processes, so that a change of leader costs no further request about workers that have not restarted.

The fields are optional. Advice that passed through an instance of an older build, or was requested by a leader of one, has no process, and of that only the positive verdicts are recovered, which the request for the ticket corrects: a refusal would not be corrected, and a void ticket keeps a whole gang from its start. A leader of an older build reads the caches as it did before.

Read for the same conclusion: the requester, which drops answers about another process; the dispatcher and the relay, which pass the request on; the search of room for logged waits.

--- a/src/cell/advice_dispatcher.ts
+++ b/src/cell/advice_dispatcher.ts
@@ -43,6 +43,11 @@
   readonly queue: string;
   readonly step: string;
   readonly workers: readonly string[];
+  /**
+   * Starts of the workers' processes, in the order of `workers`, for the caches
+   * of the instances; the service gets only the ids.
+   */
+  readonly processStartsMs?: readonly (number | undefined)[];
   /** Expected duration at the service, milliseconds. */
   readonly expectedMs: number;
 }
--- a/src/cell/advice_recovery.ts
+++ b/src/cell/advice_recovery.ts
@@ -60,7 +60,15 @@
   context.requestPass();
 }
 
-/** Returns the number of verdicts. */
+/**
+ * Adds the advice on the workers' current processes and returns the number of
+ * verdicts.
+ *
+ * Advice of an unknown process, as instances of an older build have it, may be
+ * about a former one. Nothing would correct a negative verdict, and a void
+ * ticket would keep a gang from starting as a whole. A positive verdict is
+ * corrected by the response to the request for the ticket.
+ */
 function merge(
   context: CellContext,
   step: StepRun,
@@ -68,19 +76,39 @@
 ): number {
   const { verdicts } = step.advice;
   const nowMs = context.clock.monotonic();
-  for (const id of bad) verdicts.record(processOf(context, id), false);
-  for (const { worker: id, ticket, ageMs } of good) {
-    verdicts.record(processOf(context, id), true);
-    addTicket(step, id, { ticket, atMs: nowMs - ageMs });
+  let count = 0;
+  for (const worker of bad) {
+    if (!isCurrent(context, worker)) continue;
+    verdicts.record(worker, false);
+    count++;
   }
-  return bad.length + good.length;
+  for (const { worker, ticket, ageMs } of good) {
+    if (isCurrent(context, worker)) {
+      verdicts.record(worker, true);
+      addTicket(step, worker.id, { ticket, atMs: nowMs - ageMs });
+      count++;
+    } else if (worker.processStartMs === undefined) {
+      const current = currentProcess(context, worker.id);
+      if (verdicts.on(current) !== undefined) continue;
+      verdicts.record(current, true);
+      count++;
+    }
+  }
+  return count;
+}
+
+/** Whether a process is known, and no other process of the worker is. */
+function isCurrent(context: CellContext, process: WorkerProcess): boolean {
+  const { processStartMs } = currentProcess(context, process.id);
+  return process.processStartMs !== undefined &&
+    (processStartMs ?? process.processStartMs) === process.processStartMs;
 }
 
 /**
  * The current process of a worker: as it has reported or, before its first
  * report, as the platform lists it.
  */
-function processOf({ fleet }: CellContext, id: string): WorkerProcess {
+function currentProcess({ fleet }: CellContext, id: string): WorkerProcess {
   const worker = fleet.workers.get(id);
   const processStartMs = worker?.processStartMs ??
     worker?.entry?.processStartMs;
--- a/src/cell/advice_relay.ts
+++ b/src/cell/advice_relay.ts
@@ -16,6 +16,7 @@
   type RecoveredAdviceMessage,
 } from "./protocol.ts";
 import type { Advice, CachedAdvice } from "./types.ts";
+import type { WorkerProcess } from "./verdicts.ts";
 
 /**
  * Timeout for reading the cache of another instance. A new advice request takes
@@ -45,7 +46,13 @@
     const { peers } = options;
     peers.serve(
       adviceRelayCall,
-      async (params) => toAdviceMessage(await this.#sendHere(params, params)),
+      async ({ step, workers, processStartsMs, timeoutMs }) => {
+        const request = {
+          step,
+          workers: toProcesses(workers, processStartsMs),
+        };
+        return toAdviceMessage(await this.#sendHere(request, { timeoutMs }));
+      },
     );
     peers.serve(
       adviceRecoveryCall,
@@ -56,12 +63,20 @@
   /** Sends an advice request through an instance. */
   async send(
     instance: string,
-    { step, workers }: AdviceRequest,
+    { step, workers, processStartsMs = [] }: AdviceRequest,
     { timeoutMs }: { readonly timeoutMs: number },
   ): Promise<Advice> {
     const { self, peers } = this.#options;
-    const params = { step, workers: [...workers], timeoutMs };
-    if (instance === self) return await this.#sendHere(params, { timeoutMs });
+    if (instance === self) {
+      const request = { step, workers: toProcesses(workers, processStartsMs) };
+      return await this.#sendHere(request, { timeoutMs });
+    }
+    const params = {
+      step,
+      workers: [...workers],
+      processStartsMs: toMessage(processStartsMs),
+      timeoutMs,
+    };
     const call = { params, timeoutMs };
     const response = await peers.call(instance, adviceRelayCall, call);
     if (response.isErr()) {
@@ -103,11 +118,15 @@
   }
 
   async #sendHere(
-    { step, workers }: Pick<AdviceRequest, "step" | "workers">,
+    { step, workers }: {
+      readonly step: string;
+      readonly workers: readonly WorkerProcess[];
+    },
     { timeoutMs }: { readonly timeoutMs: number },
   ): Promise<Advice> {
     const { service } = this.#options;
-    const advice = await service.requestAdvice(step, workers, { timeoutMs });
+    const ids = workers.map(({ id }) => id);
+    const advice = await service.requestAdvice(step, ids, { timeoutMs });
     if (advice.type === "advised") {
       this.#cache.add(step, workers, advice.tickets);
     }
@@ -121,22 +140,54 @@
     : advice;
 }
 
+/** Start of a process as known to an instance, and as a message. */
+type ProcessStart = number | undefined;
+type ProcessStartMessage = number | null;
+
+/** `starts` are in the order of `ids`, and may be missing. */
+function toProcesses(
+  ids: readonly string[],
+  starts: readonly (ProcessStart | ProcessStartMessage)[] = [],
+): readonly WorkerProcess[] {
+  return ids.map((id, index) => ({
+    id,
+    processStartMs: starts[index] ?? undefined,
+  }));
+}
+
+function toMessage(starts: readonly ProcessStart[]): ProcessStartMessage[] {
+  return starts.map((startMs) => startMs ?? null);
+}
+
 function toCachedMessage(
   { step, bad, good }: CachedAdvice,
 ): RecoveredAdviceMessage {
   return {
     step,
-    bad: [...bad],
-    good: good.map(({ worker, ticket, ageMs }) => [worker, ticket, ageMs]),
+    bad: bad.map(({ id }) => id),
+    badProcessStartsMs: toMessage(
+      bad.map(({ processStartMs }) => processStartMs),
+    ),
+    good: good.map(({ worker, ticket, ageMs }) => [worker.id, ticket, ageMs]),
+    goodProcessStartsMs: toMessage(
+      good.map(({ worker }) => worker.processStartMs),
+    ),
   };
 }
 
 function fromCachedMessage(
-  { step, bad, good }: RecoveredAdviceMessage,
+  { step, bad, badProcessStartsMs, good, goodProcessStartsMs }:
+    RecoveredAdviceMessage,
 ): CachedAdvice {
+  const goodIds = good.map(([id]) => id);
+  const goodWorkers = toProcesses(goodIds, goodProcessStartsMs);
   return {
     step,
-    bad,
-    good: good.map(([worker, ticket, ageMs]) => ({ worker, ticket, ageMs })),
+    bad: toProcesses(bad, badProcessStartsMs),
+    good: good.map(([, ticket, ageMs], index) => ({
+      worker: goodWorkers[index]!,
+      ticket,
+      ageMs,
+    })),
   };
 }
--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -138,6 +138,7 @@
       queue: planned.queue.name,
       step: stepKey(step),
       workers: workers.map(({ id }) => id),
+      processStartsMs: workers.map(({ processStartMs }) => processStartMs),
       expectedMs,
     });
     timer.cancel();
--- a/src/cell/protocol.ts
+++ b/src/cell/protocol.ts
@@ -203,30 +203,48 @@
 /** {@linkcode Advice} as a message; `tickets` are pairs of worker and ticket. */
 export type AdviceMessage = typeof AdviceMessage._A;
 
+/**
+ * Starts of workers' processes, Unix milliseconds; `null` if unknown. Older
+ * builds neither send nor read them.
+ */
+const ProcessStarts = t.array(t.union([t.number, t.null]));
+
+const AdviceRelayRequest = t.intersection([
+  t.type({
+    step: t.string,
+    workers: t.array(t.string),
+    timeoutMs: t.number,
+  }),
+  t.partial({
+    /** In the order of `workers`. */
+    processStartsMs: ProcessStarts,
+  }),
+]);
+
 /** Sends an advice request through another instance. */
 export const adviceRelayCall: RpcMethod<
-  {
-    readonly step: string;
-    readonly workers: string[];
-    readonly timeoutMs: number;
-  },
+  typeof AdviceRelayRequest._A,
   typeof AdviceMessage._A
 > = {
   method: "advice.ask",
-  params: t.type({
-    step: t.string,
-    workers: t.array(t.string),
-    timeoutMs: t.number,
-  }),
+  params: AdviceRelayRequest,
   result: AdviceMessage,
 };
 
-const RecoveredAdvice = t.type({
-  step: t.string,
-  bad: t.array(t.string),
-  /** Worker, ticket, and age of the ticket in milliseconds. */
-  good: t.array(t.tuple([t.string, t.string, t.number])),
-});
+const RecoveredAdvice = t.intersection([
+  t.type({
+    step: t.string,
+    bad: t.array(t.string),
+    /** Worker, ticket, and age of the ticket in milliseconds. */
+    good: t.array(t.tuple([t.string, t.string, t.number])),
+  }),
+  t.partial({
+    /** In the order of `bad`. */
+    badProcessStartsMs: ProcessStarts,
+    /** In the order of `good`. */
+    goodProcessStartsMs: ProcessStarts,
+  }),
+]);
 
 /** Advice on one step that an instance has in its cache. */
 export type RecoveredAdviceMessage = typeof RecoveredAdvice._A;
--- a/src/cell/types.ts
+++ b/src/cell/types.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { WorkerProcess } from "./verdicts.ts";
 
 /** Amounts of resources that a worker offers or a task takes. */
 export interface Amounts {
@@ -153,13 +154,16 @@
   | { readonly type: "busy" }
   | { readonly type: "failed"; readonly message: string };
 
-/** Advice on a step that an instance has cached. */
+/**
+ * Advice on a step that an instance has cached. The start of a process is
+ * `undefined` if it passed through an instance of an older build.
+ */
 export interface CachedAdvice {
   readonly step: string;
   /** Workers that may not run the step. */
-  readonly bad: readonly string[];
+  readonly bad: readonly WorkerProcess[];
   readonly good: readonly {
-    readonly worker: string;
+    readonly worker: WorkerProcess;
     readonly ticket: string;
     /** Age of the ticket, milliseconds. */
     readonly ageMs: number;
