Use a ticket only for the worker's process

Callers saw a gang whose worker had restarted start again, lose its start and start once more: a member was rejected for its ticket, and the others were stopped.

A ticket is valid during one life of its worker, but tickets were kept by worker id. Those of the former process stayed usable until they expired; only a response that arrived after the restart was dropped.

Tickets now name the process, as verdicts do, and one of another process is neither used nor counted, nor does it keep a ticket for the current process out. The other members' tickets stay usable, so that the gang asks about the restarted worker alone.

Read for the same conclusion: placement, the choice of workers to ask about and the time that their requests may take, gangs that ask ahead, recovery from the instances' caches, and the count of usable tickets in logged waits. Reservations use verdicts alone. Whether a step has any ticket, which only decides if a placement is tried, and the time of its newest, which only rules one out, are left as they are.

The simulated worker can now reject a ticket, and simulated tickets can name the process.

--- a/src/cell/_fake_workers_test.ts
+++ b/src/cell/_fake_workers_test.ts
@@ -45,6 +45,8 @@
   maxPollMs = 50;
   /** Runs make no progress. */
   stalled = false;
+  /** Whether this process accepts a ticket. */
+  acceptsTicket: (ticket: string | undefined) => boolean = () => true;
   readonly starts: StartRequest[] = [];
   readonly stops: { readonly task: string; readonly run: number }[] = [];
   readonly forbidden = new Map<string, number>();
@@ -122,6 +124,9 @@
     if (request.run <= (this.forbidden.get(request.task) ?? 0)) {
       return { type: "rejected", reason: "staleRun" };
     }
+    if (!this.acceptsTicket(request.ticket)) {
+      return { type: "rejected", reason: "ticket" };
+    }
     this.starts.push(request);
     this.running.set(request.task, {
       run: request.run,
--- a/src/cell/_simulated_advice_test.ts
+++ b/src/cell/_simulated_advice_test.ts
@@ -20,6 +20,8 @@
 export interface SimulatedAdviceOptions {
   /** Whether a worker may run a step. */
   readonly allows: (worker: string, step: string) => boolean;
+  /** The process of a worker now. Its tickets end with it. */
+  readonly processOf?: (worker: string) => number;
   /** Number of channels; each is served one request at a time. */
   readonly channels?: number;
   /** Network round trip, milliseconds. */
@@ -56,7 +58,7 @@
       readonly expectedMs: number;
     },
   ): Promise<Advice> {
-    const { allows, roundTripMs = 0 } = this.#options;
+    const { allows, processOf, roundTripMs = 0 } = this.#options;
     const atMs = this.#clock.monotonic();
     this.received.push({ atMs, step, workers });
     const endMs = Math.max(atMs, this.#freeAtMs.get(channel) ?? 0) + expectedMs;
@@ -65,7 +67,10 @@
     const good = workers.filter((worker) => allows(worker, step));
     return {
       type: "advised",
-      tickets: new Map(good.map((worker) => [worker, `${step} ${worker}`])),
+      tickets: new Map(good.map((worker) => {
+        const process = processOf === undefined ? "" : ` ${processOf(worker)}`;
+        return [worker, `${step} ${worker}${process}`];
+      })),
     };
   }
 }
--- a/src/cell/advice_recovery.ts
+++ b/src/cell/advice_recovery.ts
@@ -85,7 +85,7 @@
   for (const { worker, ticket, ageMs } of good) {
     if (isCurrent(context, worker)) {
       verdicts.record(worker, true);
-      addTicket(step, worker.id, { ticket, atMs: nowMs - ageMs });
+      addTicket(step, worker, { ticket, atMs: nowMs - ageMs });
       count++;
     } else if (worker.processStartMs === undefined) {
       const current = currentProcess(context, worker.id);
--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -212,7 +212,7 @@
         if (ticket !== undefined) newGood++;
       }
       verdicts.record(worker, ticket !== undefined);
-      if (ticket !== undefined) addTicket(step, worker.id, { ticket, atMs });
+      if (ticket !== undefined) addTicket(step, worker, { ticket, atMs });
     }
     if (newVerdicts === 0) return;
     const share = this.#goodShareOf(queue);
--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -113,11 +113,12 @@
  */
 function expiresWithin(
   step: StepRun,
-  { queue, nowMs }: AdviceRequestContext,
+  { fleet, queue, nowMs }: AdviceRequestContext,
   durationsMs: readonly [number, number],
 ): boolean {
   const usableAfter = durationsMs.map((durationMs) =>
     countUsableTickets(step, {
+      fleet,
       queue,
       nowMs: nowMs + durationMs + MAX_RESPONSE_DELAY_MS,
     })
--- a/src/cell/decisions/advice_requests_test.ts
+++ b/src/cell/decisions/advice_requests_test.ts
@@ -132,7 +132,7 @@
 test("a gang does not ask again while its tickets stay usable", (t) => {
   const { gang, usedCores } = gangWithBusyWorkers();
   for (let index = 0; index < 8; index++) {
-    addTicket(gang, `w${index}`, { ticket: `t${index}`, atMs: 0 });
+    addTicket(gang, processOf(`w${index}`), { ticket: `t${index}`, atMs: 0 });
   }
   t.deepEqual(workersAskedAbout(gang, fleetOf(usedCores), 0.5), []);
 });
@@ -145,7 +145,7 @@
   t.deepEqual([...named.slice(0, 2)].sort(), idle);
   t.true(named.length > 2);
   for (let index = 0; index < 8; index++) {
-    addTicket(gang, `w${index}`, { ticket: `t${index}`, atMs: 0 });
+    addTicket(gang, processOf(`w${index}`), { ticket: `t${index}`, atMs: 0 });
   }
   t.deepEqual([...workersAskedAbout(gang, fleet, 0.5)].sort(), idle);
 });
@@ -191,8 +191,8 @@
 test("a worker whose ticket stays usable until the response is not asked about", (t) => {
   const fleet = largeFleet(() => 0);
   const gang = largeGang(6);
-  addTicket(gang, "w0", { ticket: "lasting", atMs: 1_000 });
-  addTicket(gang, "w1", { ticket: "ending", atMs: 200 });
+  addTicket(gang, processOf("w0"), { ticket: "lasting", atMs: 1_000 });
+  addTicket(gang, processOf("w1"), { ticket: "ending", atMs: 200 });
   for (const id of ["w0", "w1"]) recordVerdict(gang, id, true);
   const named = requestsOf(gang, fleet, { queue: SLOW_QUEUE, nowMs: 1_100 })
     .flat();
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -109,23 +109,27 @@
   return allowanceOf(step, context) < minTasks ? "teamLimit" : "limitHeadroom";
 }
 
-/** Whether the step has a usable ticket for a worker. */
+/** Input for the choice of usable tickets. */
+type TicketContext = Pick<SearchContext, "fleet" | "queue" | "nowMs">;
+
+/** Whether the step has a usable ticket for a worker's current process. */
 export function hasUsableTicket(
   step: StepRun,
   worker: FleetWorker,
   { queue, nowMs }: Pick<SearchContext, "queue" | "nowMs">,
 ): boolean {
   const ticket = step.advice.tickets.get(worker.id);
-  return ticket !== undefined && isFresh(ticket.atMs, queue, nowMs);
+  return ticket !== undefined &&
+    ticket.processStartMs === worker.processStartMs &&
+    isFresh(ticket.atMs, queue, nowMs);
 }
 
 /** Number of a step's tickets that can be used at a time. */
 export function countUsableTickets(
-  { advice }: StepRun,
-  { queue, nowMs }: Pick<SearchContext, "queue" | "nowMs">,
+  step: StepRun,
+  context: TicketContext,
 ): number {
-  return [...advice.tickets.values()]
-    .filter(({ atMs }) => isFresh(atMs, queue, nowMs)).length;
+  return workersWithTicket(step, context).length;
 }
 
 /** Whether a ticket issued at `atMs` can still be used. */
@@ -157,14 +161,14 @@
 
 function workersWithTicket(
   step: StepRun,
-  context: SearchContext,
+  { fleet, queue, nowMs }: TicketContext,
 ): readonly FleetWorker[] {
-  const { fleet, queue, nowMs } = context;
   const workers: FleetWorker[] = [];
-  for (const [id, { atMs }] of step.advice.tickets) {
+  for (const [id, { atMs, processStartMs }] of step.advice.tickets) {
     if (!isFresh(atMs, queue, nowMs)) continue;
     const worker = fleet.workers.get(id);
-    if (worker !== undefined) workers.push(worker);
+    if (worker === undefined) continue;
+    if (worker.processStartMs === processStartMs) workers.push(worker);
   }
   return workers;
 }
--- a/src/cell/decisions/placement_test.ts
+++ b/src/cell/decisions/placement_test.ts
@@ -4,6 +4,7 @@
 import { addTicket, type StepRun } from "../job.ts";
 import { newRun } from "../run.ts";
 import type { Queue } from "../types.ts";
+import type { WorkerProcess } from "../verdicts.ts";
 import {
   contextFor,
   largeFleet,
@@ -29,6 +30,11 @@
   return placements.length;
 }
 
+/** A worker of the fleets of this file, which have had no report yet. */
+function processOf(id: string): WorkerProcess {
+  return { id, processStartMs: undefined };
+}
+
 function stepOfMillis(cpuMillis: number, tasks: number): StepRun {
   const amounts = { cpuMillis, memoryMib: 1, accelerators: 0 };
   return stepOf({ tasks, amounts });
@@ -67,8 +73,8 @@
   const at = (nowMs: number) =>
     findPlacements(step, contextFor(fleet, SLOW_QUEUE, { nowMs }));
   t.is(at(0).reason, "noAdvice");
-  addTicket(step, "w7", { ticket: "old", atMs: 0 });
-  addTicket(step, "w9", { ticket: "new", atMs: 1_000 });
+  addTicket(step, processOf("w7"), { ticket: "old", atMs: 0 });
+  addTicket(step, processOf("w9"), { ticket: "new", atMs: 1_000 });
   const { placements } = at(1_600);
   t.deepEqual(
     placements.map(({ worker, ticket }) => [worker.id, ticket]),
@@ -77,11 +83,26 @@
   t.is(at(3_000).reason, "noAdvice");
 });
 
+test("a step is not placed with a ticket of a worker's former process", (t) => {
+  const fleet = largeFleet(() => 0);
+  const step = stepOf({}, { queue: SLOW_QUEUE });
+  fleet.workers.get("w7")!.processStartMs = 2;
+  const place = () =>
+    findPlacements(step, contextFor(fleet, SLOW_QUEUE)).placements
+      .map(({ worker, ticket }) => [worker.id, ticket]);
+  const former = { id: "w7", processStartMs: 1 };
+  addTicket(step, former, { ticket: "former", atMs: 100 });
+  t.deepEqual(place(), []);
+  const current = { id: "w7", processStartMs: 2 };
+  addTicket(step, current, { ticket: "current", atMs: 50 });
+  t.deepEqual(place(), [["w7", "current"]]);
+});
+
 test("placing a step without a fresh ticket reads no worker", (t) => {
   const fleet = largeFleet(() => 0);
   const step = stepOf({}, { queue: SLOW_QUEUE });
   for (const id of fleet.workers.keys()) {
-    addTicket(step, id, { ticket: "old", atMs: 0 });
+    addTicket(step, processOf(id), { ticket: "old", atMs: 0 });
   }
   let reads = 0;
   const { get } = fleet.workers;
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -5,7 +5,7 @@
  */
 import { StepWaits } from "./step_waits.ts";
 import type { JobSpec, JobState, Queue, StepSpec, TaskId } from "./types.ts";
-import { Verdicts } from "./verdicts.ts";
+import { Verdicts, type WorkerProcess } from "./verdicts.ts";
 
 /**
  * State of a task. `assigned`: it has capacity on a worker, whether or not it
@@ -56,9 +56,13 @@
   readonly waits: StepWaits;
 }
 
-/** A permit of the advice service to start tasks of a step on one worker. */
+/**
+ * A permit of the advice service to start tasks of a step on one process of a
+ * worker. The next process rejects it.
+ */
 export interface Ticket {
   readonly ticket: string;
+  readonly processStartMs: number | undefined;
   /** When the ticket was issued, monotonic milliseconds. */
   readonly atMs: number;
 }
@@ -66,6 +70,7 @@
 /** What the advice service has answered about a step. */
 export interface StepAdvice {
   readonly verdicts: Verdicts;
+  /** The last ticket for each worker, by its id. */
   readonly tickets: Map<string, Ticket>;
   /**
    * When the newest ticket was issued, monotonic milliseconds; -Infinity if
@@ -186,16 +191,20 @@
   return steps;
 }
 
-/** Stores a ticket for a worker unless a newer one is known. */
+/**
+ * Stores a ticket for a process of a worker unless a newer one for the same
+ * process is known.
+ */
 export function addTicket(
   { advice }: StepRun,
-  worker: string,
-  ticket: Ticket,
+  { id, processStartMs }: WorkerProcess,
+  { ticket, atMs }: Omit<Ticket, "processStartMs">,
 ): void {
-  const before = advice.tickets.get(worker)?.atMs ?? -Infinity;
-  if (before > ticket.atMs) return;
-  advice.tickets.set(worker, ticket);
-  advice.newestTicketMs = Math.max(advice.newestTicketMs, ticket.atMs);
+  const before = advice.tickets.get(id);
+  const isNewer = before !== undefined && before.atMs > atMs;
+  if (isNewer && before.processStartMs === processStartMs) return;
+  advice.tickets.set(id, { ticket, processStartMs, atMs });
+  advice.newestTicketMs = Math.max(advice.newestTicketMs, atMs);
 }
 
 /** Name of a step in advice requests: `JOB.OCCURRENCE.STEP`. */
--- a/src/cell/waits_for_advice_test.ts
+++ b/src/cell/waits_for_advice_test.ts
@@ -87,6 +87,37 @@
   t.is(cell.state(JOB), "running");
 });
 
+test("a gang whose worker restarts starts again with tickets of the workers' current processes", async (t) => {
+  const harness = harnessWith(2);
+  const queue = testQueue({
+    advice: { baseMs: 100, perWorkerMs: 10, ticketMs: 15_000 },
+  });
+  harness.set = { ...harness.set, queues: [queue] };
+  const { workers } = harness.workerClient;
+  const [first, second] = ["w0", "w1"].map((id) => workers.get(id)!);
+  const advice = new SimulatedAdvice(harness.clock, {
+    allows: () => true,
+    processOf: (worker) => workers.get(worker)!.processStartMs,
+  });
+  for (const worker of workers.values()) {
+    worker.acceptsTicket = (ticket) =>
+      ticket === `${JOB}.0.0 ${worker.id} ${worker.processStartMs}`;
+  }
+  const cell = await harness.open({ adviceDispatcher: advice.dispatcher });
+  const gang = testStep({ gang: true, tasks: 2, maxPerWorker: 1 });
+  await harness.submit(cell, [gang]);
+  await harness.clock.run(1_000);
+  t.is(cell.state(JOB), "running");
+  first!.restart();
+  await harness.clock.run(5_000);
+  t.deepEqual(first!.starts.map(({ run }) => run), [1, 2]);
+  t.deepEqual(second!.starts.map(({ run }) => run), [1, 2]);
+  t.deepEqual(advice.received.map(({ workers }) => [...workers].sort()), [
+    ["w0", "w1"],
+    ["w0"],
+  ]);
+});
+
 /** Ids of jobs of a team that has reached its limit. */
 const LIMITED_JOBS = ["01", "02", "03", "04"];
 
