--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -201,6 +201,7 @@
       queue: planned.queue.name,
       step: stepKey(step),
       workers: workers.map(({ id }) => id),
+      processStartsMs: workers.map(({ processStartMs }) => processStartMs),
       expectedMs,
     });
     timer.cancel();
@@ -275,7 +276,7 @@
         if (ticket !== undefined) newGood++;
       }
       verdicts.record(worker, ticket !== undefined);
-      if (ticket !== undefined) addTicket(step, worker.id, { ticket, atMs });
+      if (ticket !== undefined) addTicket(step, worker, { ticket, atMs });
     }
     if (newVerdicts === 0) return;
     const share = this.#goodShareOf(queue);
--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -137,11 +137,12 @@
  */
 function expiresWithin(
   step: StepRun,
-  { queue, nowMs }: AdviceRequestContext,
+  { fleet, queue, nowMs }: AdviceRequestContext,
   durationsMs: readonly [number, number],
 ): boolean {
   const usableAfter = durationsMs.map((durationMs) =>
     countUsableTickets(step, {
+      fleet,
       queue,
       nowMs: nowMs + durationMs + MAX_RESPONSE_DELAY_MS,
     })
