--- a/src/cell/waits_for_advice_test.ts
+++ b/src/cell/waits_for_advice_test.ts
@@ -171,3 +171,30 @@
   await harness.clock.run(15_000);
   t.is(cell.state(JOB), "running");
 });
+
+test("a team at its limit does not keep the steps of others from any of seven channels", async (t) => {
+  const harness = harnessWith(100);
+  const limit = { cpuMillis: 1_000, memoryMib: 0, accelerators: 0 };
+  harness.set = {
+    ...harness.set,
+    teams: [{ name: "limited", keys: [], weight: 0, limit }],
+  };
+  const advice = new SimulatedAdvice(harness.clock, {
+    allows: () => true,
+    channels: 7,
+  });
+  const cell = await harness.open({ adviceDispatcher: advice.dispatcher });
+  const submit = (id: string, team: string) => {
+    const spec = { payload: "text", steps: [testStep()] };
+    return cell.submit({ id, queue: "receipts", team, spec });
+  };
+  for (let number = 10; number <= 22; number++) {
+    void submit(String(number).padStart(16, "0"), "limited");
+    await harness.clock.run(100);
+  }
+  await harness.clock.run(5_000);
+  const outcome = submit(JOB, "");
+  await harness.clock.run(3_000);
+  t.deepEqual(await outcome, { type: "accepted" });
+  t.is(cell.state(JOB), "running");
+});
