Check in the soak that accepted work starts beside room

The soak asked for no advice, knew no limits of teams, and checked only that work ends. Work that waited beside free workers passed as long as it ended within 40 s after the faults.

Its clients now also submit to the queues with quick, medium and slow advice and to those of teams with limits, with gangs of up to eight tasks on several workers, and go on for 8 s after the last fault. With `--left N`, daemons are ended for good from half of the time on until N are left; clients use each of them until its process has ended. `--no-advice` submits as before.

The new check `idle` finds an accepted job that has nothing running for over 3 s although its next step could run: room for it twice over on the workers that its advice allows, for a gang at the same moment, and its team under half of its limit. A worker that refuses connections, restarts or is evacuated is no room; during any other fault, and for 4 s after, the clock of the check stands.

The count of waiting jobs is still that of the first queue, so the check of it leaves out the jobs of the others.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -3,13 +3,22 @@
  *
  * @module
  */
+import { queueOfJob, QUEUES } from "../platform/standins/site_settings.ts";
 import type { RecordedRun } from "../platform/standins/worker_server.ts";
+import { findIdleJobs, type IdleOptions } from "./idle.ts";
+
+/** Shape of one step of a job. The steps of a job run one after the other. */
+export interface StepShape {
+  readonly tasks: number;
+  readonly gang: boolean;
+  /** Maximum number of its tasks on one worker; default: no limit. */
+  readonly maxPerWorker?: number;
+}
 
 /** Submission as its client saw it. */
 export interface ClientJob {
   readonly id: string;
-  /** Number of tasks in all steps of the job. */
-  readonly tasks: number;
+  readonly steps: readonly StepShape[];
   /** HTTP status of each try; 0 for a broken connection. */
   readonly statuses: number[];
   canceled: boolean;
@@ -19,7 +28,7 @@
   state: string;
 }
 
-/** Number of waiting jobs that a daemon gave a client. */
+/** Number of waiting jobs of the first queue that a daemon gave a client. */
 export interface WaitingAnswer {
   readonly daemon: string;
   readonly waiting: number;
@@ -34,7 +43,8 @@
    * `lost`: an accepted job is not done. `twice`: a task ran twice. `refused`: a
    * refused job ran. `overfilled`: a worker had more runs than fit. `canceled` and
    * `evacuated`: a run started too late after the cancelation or evacuation.
-   * `miscounted`: a daemon gave less than half of the waiting jobs.
+   * `miscounted`: a daemon gave less than half of the waiting jobs. `idle`: an
+   * accepted job had nothing running beside room for it.
    */
   readonly promise:
     | "lost"
@@ -43,7 +53,8 @@
     | "overfilled"
     | "canceled"
     | "evacuated"
-    | "miscounted";
+    | "miscounted"
+    | "idle";
   readonly about: string;
 }
 
@@ -77,9 +88,15 @@
     readonly canceledMs: ReadonlyMap<string, number>;
     readonly evacuated?: readonly EvacuationPeriod[];
     readonly waitingAnswers?: readonly WaitingAnswer[];
+    readonly idle?: Omit<IdleOptions, "runsPerWorker">;
   },
 ): readonly Finding[] {
+  const { runsPerWorker, idle } = options;
+  const idleJobs = idle === undefined
+    ? []
+    : findIdleJobs(jobs, record, { ...idle, runsPerWorker });
   return [
+    ...idleJobs.map(({ about }) => ({ promise: "idle" as const, about })),
     ...findLostJobs(jobs),
     ...findDuplicateRuns(record),
     ...findRefusedJobsThatRan(jobs, record),
@@ -104,7 +121,8 @@
   }
   return answers.flatMap(({ daemon, waiting, sentMs, receivedMs }) => {
     const expected = jobs.filter(({ id, acceptedMs, canceled }) =>
-      !canceled && (acceptedMs ?? Infinity) < sentMs - COUNTED_AFTER_MS &&
+      queueOfJob(id) === QUEUES[0] && !canceled &&
+      (acceptedMs ?? Infinity) < sentMs - COUNTED_AFTER_MS &&
       (firstStartMs.get(id) ?? Infinity) > receivedMs
     ).length;
     return 2 * waiting < expected
--- a/soak/clients.ts
+++ b/soak/clients.ts
@@ -7,10 +7,13 @@
 import type { PlatformSite, SiteDaemon } from "../platform/standins/site.ts";
 import { waitFor } from "../platform/standins/site.ts";
 import { submissionBody } from "../platform/standins/site_client.ts";
-import type { ClientJob, WaitingAnswer } from "./checks.ts";
+import { QUEUES } from "../platform/standins/site_settings.ts";
+import type { ClientJob, StepShape, WaitingAnswer } from "./checks.ts";
 
-/** Interval between submissions. */
-const SUBMIT_INTERVAL_MS = 60;
+/** Largest gang. */
+const MAX_GANG_TASKS = 8;
+/** Maximum number of tasks of a gang on one worker, so that a large one needs several. */
+const GANG_TASKS_PER_WORKER = 4;
 /** Maximum number of tries per submission. */
 const MAX_TRIES = 5;
 /** Interval at which every daemon is asked for the number of waiting jobs. */
@@ -44,14 +47,23 @@
     this.#random = random;
   }
 
-  /** Submits jobs until `endMs`, Unix milliseconds, and waits until every client is done. */
-  async submitUntil(endMs: number): Promise<void> {
-    const pending: Promise<void>[] = [];
-    while (Date.now() < endMs) {
-      pending.push(this.#submitJob(this.jobs.length + 1));
-      await pause(SUBMIT_INTERVAL_MS);
-    }
-    await Promise.all(pending);
+  /** Submits jobs to the first queue while `isOpen` and waits until every client is done. */
+  submitWhile(isOpen: () => boolean, intervalMs: number): Promise<void> {
+    return submitRepeatedly(
+      (number) => this.#submitPlainJob(number),
+      { isOpen, intervalMs },
+    );
+  }
+
+  /** Submits jobs to the other queues, with advice and limits of teams, while `isOpen`. */
+  submitToOthersWhile(
+    isOpen: () => boolean,
+    intervalMs: number,
+  ): Promise<void> {
+    return submitRepeatedly(
+      (number) => this.#submitToOther(number),
+      { isOpen, intervalMs },
+    );
   }
 
   /** Asks every daemon for the number of waiting jobs until `endMs`, Unix milliseconds. */
@@ -73,14 +85,41 @@
     }));
   }
 
-  async #submitJob(number: number): Promise<void> {
-    const id = number.toString(16).padStart(16, "0");
-    const width = this.#random(1, 3);
+  #submitPlainJob(number: number): Promise<void> {
+    const tasks = this.#random(1, 3);
     const gang = this.#random(1, 4) === 1;
-    const body = submissionBody({ payload: id, steps: 2, tasks: width, gang });
+    return this.#submitJob(number, { queue: 0, steps: 2, tasks, gang });
+  }
+
+  #submitToOther(number: number): Promise<void> {
+    const queue = this.#random(1, QUEUES.length - 1);
+    const gang = QUEUES[queue]!.name === "billing";
+    const steps = this.#random(1, 2);
+    return this.#submitJob(number, {
+      queue,
+      steps,
+      tasks: gang ? this.#random(2, MAX_GANG_TASKS) : this.#random(1, 3),
+      gang,
+      ...(gang ? { maxPerWorker: GANG_TASKS_PER_WORKER } : {}),
+    });
+  }
+
+  async #submitJob(
+    number: number,
+    { queue, steps, ...shape }: StepShape & {
+      /** Index of the queue. */
+      readonly queue: number;
+      readonly steps: number;
+    },
+  ): Promise<void> {
+    const id = `${queue}${number.toString(16).padStart(15, "0")}`;
+    const body = submissionBody({ payload: id, steps, ...shape });
     const job: ClientJob = {
       id,
-      tasks: 2 * width,
+      steps: Array.from({ length: steps }, (_, index) => ({
+        ...shape,
+        gang: shape.gang && index === 0,
+      })),
       statuses: [],
       canceled: false,
       state: "",
@@ -162,6 +201,21 @@
   }
 }
 
+async function submitRepeatedly(
+  submit: (number: number) => Promise<void>,
+  { isOpen, intervalMs }: {
+    readonly isOpen: () => boolean;
+    readonly intervalMs: number;
+  },
+): Promise<void> {
+  const pending: Promise<void>[] = [];
+  while (isOpen()) {
+    pending.push(submit(pending.length + 1));
+    await pause(intervalMs);
+  }
+  await Promise.all(pending);
+}
+
 /** Waits in real time. */
 export function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -15,7 +15,9 @@
   .option("--first <number>", "first seed", String(Date.now() % 1_000_000))
   .option("--seconds <number>", "duration of the faults", "15")
   .option("--daemons <number>", "processes", "4")
-  .option("--workers <number>", "workers", "5")
+  .option("--workers <number>", "workers", "8")
+  .option("--left <number>", "processes that are left at the end")
+  .option("--no-advice", "submit to the queue without advice only")
   .option(
     "--keep <folder>",
     "directory for logs of runs with findings",
@@ -28,7 +30,7 @@
   process.once(signal, () => process.exit(1));
 }
 
-const given = program.opts<Record<string, string>>();
+const given = program.opts<Record<string, string> & { advice: boolean }>();
 const first = Number(given.first);
 let broken = 0;
 for (let seed = first; seed < first + Number(given.seeds); seed++) {
@@ -37,6 +39,8 @@
     lengthMs: 1000 * Number(given.seconds),
     daemons: Number(given.daemons),
     workers: Number(given.workers),
+    advice: given.advice,
+    ...(given.left === undefined ? {} : { left: Number(given.left) }),
   });
   const { jobs, accepted, runs, faults, findings } = result;
   console.log(
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -6,9 +6,16 @@
  */
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { PlatformSite, type SiteDaemon } from "../platform/standins/site.ts";
+import { seededPolicy } from "../platform/standins/advice_server.ts";
+import {
+  PlatformSite,
+  type SiteDaemon,
+  waitFor,
+} from "../platform/standins/site.ts";
+import { queueOfJob } from "../platform/standins/site_settings.ts";
 import { check, type EvacuationPeriod, type Finding } from "./checks.ts";
 import { Clients, pause, type RandomInteger } from "./clients.ts";
+import type { Disturbance } from "./idle.ts";
 import { Proxy, type ProxyFault } from "./proxy.ts";
 
 /** Options of a soak run. */
@@ -18,6 +25,10 @@
   readonly lengthMs: number;
   readonly daemons: number;
   readonly workers: number;
+  /** Whether jobs are submitted to all queues, and for a calm while after the faults; default: to the first queue only. */
+  readonly advice?: boolean;
+  /** Number of daemons to which the site is reduced for good; default: none is removed. */
+  readonly left?: number;
 }
 
 /** Result of a soak run. */
@@ -40,8 +51,23 @@
 /** Zone that is evacuated; the other one stays in service. */
 const EVACUATED_ZONE = "b";
 
-/** Part of a seed that selects the generator of refused connections. */
+/** Parts of a seed that select the generators of refused connections and of removals. */
 const REFUSALS = 0x5eed;
+const REMOVALS = 0x1eff;
+
+/** Share of the workers that the advice service allows for a step. */
+const ALLOWED_SHARE = 0.5;
+/** Intervals between submissions, milliseconds: to the first queue alone, and beside the others. */
+const SUBMIT_INTERVAL_MS = 60;
+const SHARED_INTERVAL_MS = 150;
+/** Interval between submissions to the queues with advice or limits of teams, milliseconds. */
+const OTHERS_INTERVAL_MS = 300;
+/** How long submissions go on after the last fault, milliseconds. */
+const CALM_MS = 8_000;
+/** Time after which a restarted daemon counts as ready, milliseconds. */
+const READY_TIMEOUT_MS = 15_000;
+/** Interval at which a daemon to be removed is checked for a restart, milliseconds. */
+const RESTART_POLL_MS = 20;
 
 /** Executes one soak run; rejects if the site does not start. Jobs that do not end in time are findings. */
 export async function soak(options: SoakOptions): Promise<SoakResult> {
@@ -80,7 +106,9 @@
   readonly #faults: string[] = [];
   readonly #restarting = new Set<SiteDaemon>();
   readonly #evacuated: EvacuationPeriod[] = [];
+  readonly #disturbances: Disturbance[] = [];
   #endMs = 0;
+  #isOver = false;
 
   constructor(
     site: PlatformSite,
@@ -102,15 +130,22 @@
     for (const worker of this.#site.workers) {
       worker.workMs = this.#random(100, 900);
     }
-    const submitted = this.#clients.submitUntil(this.#endMs);
+    const { workers, advice } = this.#site;
+    const { seed } = this.#options;
+    advice.allows = seededPolicy(seed, ALLOWED_SHARE, workers);
+    const submitted = this.#submit();
     const counted = this.#clients.countUntil(this.#endMs);
     const faults = [
       this.#injectFaults(),
       this.#injectFaults(),
       this.#evacuateRepeatedly(),
       this.#refuseRepeatedly(),
+      this.#removeDaemons(),
     ];
-    await Promise.all([submitted, counted, ...faults]);
+    await Promise.all([counted, ...faults]);
+    if (this.#options.advice) await pause(CALM_MS);
+    this.#isOver = true;
+    await submitted;
     await this.#clients.waitForJobs();
     const { jobs, canceledMs, waitingAnswers } = this.#clients;
     const record = this.#site.recordedRuns;
@@ -119,6 +154,13 @@
       canceledMs,
       evacuated: this.#evacuated,
       waitingAnswers,
+      idle: {
+        workers: workers.map(({ id }) => id),
+        allows: (step, worker) =>
+          queueOfJob(step).advice === undefined || advice.allows(step, worker),
+        disturbances: [...this.#disturbances, ...this.#evacuations()],
+        untilMs: Date.now(),
+      },
     });
     return {
       findings,
@@ -126,10 +168,50 @@
       jobs: jobs.length,
       accepted: jobs.filter((job) => job.statuses.includes(200)).length,
       runs: record.length,
-      logs: this.#site.daemons.flatMap((daemon) => daemon.log),
+      logs: [...this.#site.daemons, ...this.#site.removedDaemons]
+        .flatMap((daemon) => daemon.log),
     };
   }
 
+  async #submit(): Promise<void> {
+    if (!this.#options.advice) {
+      const isOpen = () => Date.now() < this.#endMs;
+      return await this.#clients.submitWhile(isOpen, SUBMIT_INTERVAL_MS);
+    }
+    const isOpen = () => !this.#isOver;
+    await Promise.all([
+      this.#clients.submitWhile(isOpen, SHARED_INTERVAL_MS),
+      this.#clients.submitToOthersWhile(isOpen, OTHERS_INTERVAL_MS),
+    ]);
+  }
+
+  /** Evacuated workers do not count as room. */
+  #evacuations(): readonly Disturbance[] {
+    return this.#evacuated.flatMap(({ workers, fromMs, untilMs }) =>
+      [...workers].map((worker) => ({ worker, fromMs, untilMs }))
+    );
+  }
+
+  /** Removes daemons for good until the number of the options is left. */
+  async #removeDaemons(): Promise<void> {
+    const { left, lengthMs, seed } = this.#options;
+    if (left === undefined) return;
+    const random = createRandom(seed ^ REMOVALS);
+    const { daemons } = this.#site;
+    await pause(lengthMs / 2);
+    while (daemons.length > left) {
+      const daemon = daemons[random(0, daemons.length - 1)]!;
+      const signal = random(0, 1) === 0 ? "SIGKILL" : "SIGTERM";
+      while (this.#restarting.has(daemon)) await pause(RESTART_POLL_MS);
+      // It is not restarted any more.
+      this.#restarting.add(daemon);
+      const end = this.#beginFault(`remove ${daemon.name} ${signal}`);
+      await this.#site.remove(daemon, signal);
+      end();
+      await pause(random(100, 1_500));
+    }
+  }
+
   /** Injects one fault after another. Two such loops run concurrently, so that faults overlap. */
   async #injectFaults(): Promise<void> {
     while (Date.now() < this.#endMs) {
@@ -219,6 +301,7 @@
     // A concurrent restart would start two processes with the same ports.
     if (this.#restarting.has(daemon)) return;
     this.#restarting.add(daemon);
+    const end = this.#beginDisturbance();
     const { child } = daemon;
     const exited = new Promise((resolve) => child.once("exit", resolve));
     // A process stopped by SIGSTOP does not handle SIGTERM.
@@ -228,14 +311,24 @@
     await pause(durationMs / 4);
     this.#site.restart(daemon);
     this.#restarting.delete(daemon);
+    void this.#waitUntilReady(daemon).then(end);
+  }
+
+  /** Waits until a daemon is ready or removed, or the run is over. */
+  async #waitUntilReady(daemon: SiteDaemon): Promise<void> {
+    await waitFor(async () => {
+      const isNeeded = !this.#isOver && this.#site.daemons.includes(daemon);
+      return isNeeded && !await this.#site.isReady(daemon) ? undefined : true;
+    }, READY_TIMEOUT_MS);
   }
 
   async #pauseProcess(daemon: SiteDaemon, durationMs: number): Promise<void> {
-    this.#logFault(`freeze ${daemon.name} ${durationMs}`);
+    const end = this.#beginFault(`freeze ${daemon.name} ${durationMs}`);
     const { child } = daemon;
     child.kill("SIGSTOP");
     await pause(durationMs);
     child.kill("SIGCONT");
+    end();
   }
 
   async #killAll(durationMs: number): Promise<void> {
@@ -263,35 +356,42 @@
     fault: ProxyFault,
     durationMs: number,
   ): Promise<void> {
-    this.#logFault(`${fault} ${name} ${durationMs}`);
     const proxy = this.#proxies.get(name);
-    if (proxy === undefined) return;
-    proxy.fault = fault;
-    await pause(durationMs);
-    proxy.fault = "well";
+    // A worker that refuses connections has carried out no order unknown to the leader.
+    const worker = fault === "refuse" ? name.replace("worker:", "") : undefined;
+    const end = this.#beginFault(`${fault} ${name} ${durationMs}`, worker);
+    if (proxy !== undefined) {
+      proxy.fault = fault;
+      await pause(durationMs);
+      proxy.fault = "well";
+    }
+    end();
   }
 
   async #injectStoreFault(durationMs: number): Promise<void> {
     const faults = ["busy", "silent", "loses answers"] as const;
     const fault = faults[this.#random(0, faults.length - 1)]!;
-    this.#logFault(`store ${fault} ${durationMs}`);
+    const end = this.#beginFault(`store ${fault} ${durationMs}`);
     this.#site.store.mode = fault;
     await pause(durationMs);
     this.#site.store.mode = "well";
+    end();
   }
 
   async #crashWorker(): Promise<void> {
     const worker = this.#chooseWorker();
-    this.#logFault(`crash ${worker.id}`);
+    const end = this.#beginFault(`crash ${worker.id}`, worker.id);
     await this.#site.restartWorker(worker);
+    end();
   }
 
   async #loseAnswers(durationMs: number): Promise<void> {
     const worker = this.#chooseWorker();
-    this.#logFault(`lost answers ${worker.id} ${durationMs}`);
+    const end = this.#beginFault(`lost answers ${worker.id} ${durationMs}`);
     worker.dropsResponses = true;
     await pause(durationMs);
     worker.dropsResponses = false;
+    end();
   }
 
   #chooseDaemon(): SiteDaemon {
@@ -304,6 +404,23 @@
     return workers[this.#random(0, workers.length - 1)]!;
   }
 
+  /** Logs a fault; returns the function to call at its end. */
+  #beginFault(fault: string, worker?: string): () => void {
+    this.#logFault(fault);
+    return this.#beginDisturbance(worker);
+  }
+
+  /** Without a worker, the disturbance is one of the whole site. */
+  #beginDisturbance(worker?: string): () => void {
+    const disturbance = {
+      fromMs: Date.now(),
+      untilMs: Infinity,
+      ...(worker === undefined ? {} : { worker }),
+    };
+    this.#disturbances.push(disturbance);
+    return () => void (disturbance.untilMs = Date.now());
+  }
+
   #logFault(fault: string): void {
     const leftMs = this.#endMs - Date.now();
     this.#faults.push(`${this.#options.lengthMs - leftMs} ms ${fault}`);
