Stop the soak's idle clock while its processes wait for a core

On a machine with 40 runnable processes on 8 cores, runs with two daemons left had up to 16 findings of jobs that were idle, of the queue without advice too. The leader's log showed that its timers were 1 to 2.9 s late and that answers of the store were lost meanwhile.

The soak now samples how long each of its processes has waited for a core, as the kernel counts it. A daemon that is slow by its own doing does not wait for a core, so it is still found. Each run prints the sum, so that a verdict from a starved machine can be told.

A job whose run ended on a worker that refuses connections may wait for that worker's report: the clock stands for it, too.

--- a/soak/idle.ts
+++ b/soak/idle.ts
@@ -17,6 +17,8 @@
   readonly untilMs: number;
   /** Worker that does not count as room meanwhile; without one, no job counts as idle. */
   readonly worker?: string;
+  /** Whether the worker cannot report the ends of its runs, so that their jobs may wait for it. */
+  readonly isSilent?: boolean;
 }
 
 /** What the check knows about the site. */
@@ -59,15 +61,17 @@
   const fromMs = Math.min(...accepted.map((job) => job.acceptedMs!));
   const ticks = new Ticks(fromMs, options.untilMs);
   for (const run of record) countRun(ticks, run);
-  for (const disturbance of options.disturbances) {
-    const untilMs = disturbance.untilMs + CALM_BEFORE_MS;
-    ticks.add(away(disturbance.worker), { ...disturbance, untilMs });
+  for (const { worker, fromMs, untilMs, isSilent } of options.disturbances) {
+    const period = { fromMs, untilMs: untilMs + CALM_BEFORE_MS };
+    ticks.add(away(worker), period);
+    if (isSilent && worker !== undefined) ticks.add(silent(worker), period);
   }
   return accepted.flatMap((job) => findIdle(job, { ticks, record, options }));
 }
 
 /** What is counted for each tick. */
 const away = (worker: string | undefined) => `away ${worker ?? "all"}`;
+const silent = (worker: string) => `silent ${worker}`;
 const runsOf = (owner: string) => `runs ${owner}`;
 
 function countRun(ticks: Ticks, run: RecordedRun): void {
@@ -87,7 +91,8 @@
     readonly options: IdleOptions;
   },
 ): readonly IdleJob[] {
-  const ends = stepEnds(job, record);
+  const runs = record.filter(({ task }) => jobOf(task) === job.id);
+  const ends = stepEnds(job, runs);
   const allowed = job.steps.map((_, index) =>
     options.workers.filter((worker) =>
       options.allows(`${job.id}.0.${index}`, worker)
@@ -100,6 +105,9 @@
     const shape = job.steps[step]!;
     const isIdle = ticks.get(runsOf(job.id), tick) === 0 &&
       ticks.get(away(undefined), tick) === 0 &&
+      !runs.some(({ worker, startedMs }) =>
+        ticks.at(startedMs) < tick && ticks.get(silent(worker), tick) > 0
+      ) &&
       teamHasRoom(job, shape, { ticks, tick }) &&
       freeSlots(shape, allowed[step]!, { ticks, tick, options }) >=
         ROOM_FACTOR * need(shape);
@@ -118,11 +126,11 @@
 /** When each step of a job had ended, Unix milliseconds; `Infinity` if it has not. */
 function stepEnds(
   job: ClientJob,
-  record: readonly RecordedRun[],
+  runs: readonly RecordedRun[],
 ): readonly number[] {
   const doneMs = new Map<string, number>();
-  for (const { task, completionKind, endedMs = Infinity } of record) {
-    if (jobOf(task) !== job.id || completionKind !== "done") continue;
+  for (const { task, completionKind, endedMs = Infinity } of runs) {
+    if (completionKind !== "done") continue;
     doneMs.set(task, Math.min(endedMs, doneMs.get(task) ?? Infinity));
   }
   return job.steps.map(({ tasks }, step) =>
@@ -187,11 +195,14 @@
     return this.#fromMs + tick * TICK_MS;
   }
 
-  add(name: string, period: Omit<Disturbance, "worker">): void {
+  add(
+    name: string,
+    { fromMs, untilMs }: Pick<Disturbance, "fromMs" | "untilMs">,
+  ): void {
     const counts = this.#counts.get(name) ?? new Uint16Array(this.count);
     this.#counts.set(name, counts);
-    const last = Math.min(this.count - 1, this.at(period.untilMs));
-    for (let i = Math.max(0, this.at(period.fromMs)); i <= last; i++) {
+    const last = Math.min(this.count - 1, this.at(untilMs));
+    for (let i = Math.max(0, this.at(fromMs)); i <= last; i++) {
       counts[i] = counts[i]! + 1;
     }
   }
--- a/soak/idle_test.ts
+++ b/soak/idle_test.ts
@@ -132,3 +132,15 @@
   t.is(found(after(3_500, "w1")), 1);
   t.is(found([...after(3_500, "w1"), ...after(3_500, "w2")]), 0);
 });
+
+test("idle: a job may wait for the report of a worker that is silent, not of an evacuated one", (t) => {
+  const step = { tasks: 1, gang: false };
+  const job = jobOf(PLAIN, [step, step]);
+  const ended = runOf(`${PLAIN}.0.0.0`, [100, 1_000]);
+  const period = { fromMs: 900, untilMs: 5_000, worker: "w1" };
+  const found = (isSilent: boolean) =>
+    idleJobs([job], [ended], { disturbances: [{ ...period, isSilent }] });
+  t.deepEqual([found(true), found(false)], [0, 1]);
+  const elsewhere = { ...period, worker: "w2", isSilent: true };
+  t.is(idleJobs([job], [ended], { disturbances: [elsewhere] }), 1);
+});
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -42,10 +42,11 @@
     advice: given.advice,
     ...(given.left === undefined ? {} : { left: Number(given.left) }),
   });
-  const { jobs, accepted, runs, faults, findings } = result;
+  const { jobs, accepted, runs, faults, findings, starvedMs } = result;
   console.log(
     `seed=${seed} jobs=${jobs} accepted=${accepted} runs=${runs} ` +
-      `faults=${faults.length} findings=${findings.length}`,
+      `faults=${faults.length} starvedMs=${starvedMs} ` +
+      `findings=${findings.length}`,
   );
   if (findings.length === 0) continue;
   broken++;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -16,6 +16,7 @@
 import { check, type EvacuationPeriod, type Finding } from "./checks.ts";
 import { Clients, pause, type RandomInteger } from "./clients.ts";
 import type { Disturbance } from "./idle.ts";
+import { StarvationMonitor } from "./starvation.ts";
 import { Proxy, type ProxyFault } from "./proxy.ts";
 
 /** Options of a soak run. */
@@ -40,6 +41,8 @@
   /** Number of accepted jobs. */
   readonly accepted: number;
   readonly runs: number;
+  /** How long the machine gave the processes too little processor time, milliseconds. */
+  readonly starvedMs: number;
   /** Log lines of all daemons. */
   readonly logs: readonly string[];
 }
@@ -126,6 +129,17 @@
   }
 
   async execute(): Promise<SoakResult> {
+    const starvation = new StarvationMonitor(() =>
+      this.#site.daemons.map(({ child }) => child.pid)
+    );
+    try {
+      return await this.#execute(starvation);
+    } finally {
+      starvation.close();
+    }
+  }
+
+  async #execute(starvation: StarvationMonitor): Promise<SoakResult> {
     this.#endMs = Date.now() + this.#options.lengthMs;
     for (const worker of this.#site.workers) {
       worker.workMs = this.#random(100, 900);
@@ -158,7 +172,11 @@
         workers: workers.map(({ id }) => id),
         allows: (step, worker) =>
           queueOfJob(step).advice === undefined || advice.allows(step, worker),
-        disturbances: [...this.#disturbances, ...this.#evacuations()],
+        disturbances: [
+          ...this.#disturbances,
+          ...this.#evacuations(),
+          ...starvation.periods,
+        ],
         untilMs: Date.now(),
       },
     });
@@ -168,6 +186,7 @@
       jobs: jobs.length,
       accepted: jobs.filter((job) => job.statuses.includes(200)).length,
       runs: record.length,
+      starvedMs: starvation.totalMs,
       logs: [...this.#site.daemons, ...this.#site.removedDaemons]
         .flatMap((daemon) => daemon.log),
     };
@@ -415,7 +434,7 @@
     const disturbance = {
       fromMs: Date.now(),
       untilMs: Infinity,
-      ...(worker === undefined ? {} : { worker }),
+      ...(worker === undefined ? {} : { worker, isSilent: true }),
     };
     this.#disturbances.push(disturbance);
     return () => void (disturbance.untilMs = Date.now());
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -82,6 +82,13 @@
   // Workers were above capacity, since the stand-in did not end all tasks of a gang together.
   { seed: 1000, about: "a seed that overfilled workers" },
   { seed: 8, about: "advice and limits of teams", workers: 8, advice: true },
+  {
+    seed: 10,
+    about: "advice and two daemons that are left",
+    workers: 8,
+    advice: true,
+    left: 2,
+  },
   {
     seed: 9,
     about: "advice and one daemon that is left",
@@ -100,6 +107,7 @@
       workers: 3,
       ...options,
     });
+    t.log(`starvedMs=${result.starvedMs}`);
     t.deepEqual(result.findings, []);
     t.true(result.accepted > 0);
   });
