--- a/soak/idle_test.ts
+++ b/soak/idle_test.ts
@@ -3,6 +3,7 @@
 import type { RecordedRun } from "../platform/standins/worker_server.ts";
 import { check, type ClientJob, type StepShape } from "./checks.ts";
 import type { IdleOptions } from "./idle.ts";
+import { isStarved } from "./starvation.ts";
 
 /** Ids of jobs in the queue without advice or team and in one of a team with a limit. */
 const PLAIN = "0000000000000001";
@@ -144,3 +145,12 @@
   const elsewhere = { ...period, worker: "w2", isSilent: true };
   t.is(idleJobs([job], [ended], { disturbances: [elsewhere] }), 1);
 });
+
+test("starvation: a process that waits for a core for over 40% of a period", (t) => {
+  const period = { fromMs: 1_000, untilMs: 1_250 };
+  const found = (before: [number, number][], after: [number, number][]) =>
+    isStarved(period, new Map(before), new Map(after));
+  t.true(found([[1, 500], [2, 0]], [[1, 601], [2, 0]]));
+  t.false(found([[1, 500], [2, 0]], [[1, 600], [2, 100]]));
+  t.true(found([[1, 500]], [[1, 500], [2, 101]]));
+});
--- a/soak/starvation.ts
+++ b/soak/starvation.ts
@@ -47,23 +47,30 @@
   #sample(): void {
     const nowMs = Date.now();
     const before = this.#waitedMs;
-    this.#waitedMs = new Map();
-    let longestMs = 0;
-    for (const pid of [process.pid, ...this.#pids()]) {
-      const waitedMs = pid === undefined ? undefined : readWaitedMs(pid);
-      if (waitedMs === undefined) continue;
-      this.#waitedMs.set(pid!, waitedMs);
-      // A process that has just started has waited since then only.
-      longestMs = Math.max(longestMs, waitedMs - (before.get(pid!) ?? 0));
-    }
-    const fromMs = this.#sampledMs;
+    this.#waitedMs = new Map(
+      [process.pid, ...this.#pids()].flatMap((pid) => {
+        const waitedMs = pid === undefined ? undefined : readWaitedMs(pid);
+        return waitedMs === undefined ? [] : [[pid!, waitedMs] as const];
+      }),
+    );
+    const period = { fromMs: this.#sampledMs, untilMs: nowMs };
     this.#sampledMs = nowMs;
-    if (longestMs > MAX_WAITING_SHARE * (nowMs - fromMs)) {
-      this.periods.push({ fromMs, untilMs: nowMs });
-    }
+    if (isStarved(period, before, this.#waitedMs)) this.periods.push(period);
   }
 }
 
+/** Whether a process waited for a core for too much of a period. `before` and `after` are the sums at its start and end, milliseconds by process. */
+export function isStarved(
+  { fromMs, untilMs }: StarvedPeriod,
+  before: ReadonlyMap<number, number>,
+  after: ReadonlyMap<number, number>,
+): boolean {
+  return [...after].some(([pid, waitedMs]) =>
+    // A process that has just started has waited in this period only.
+    waitedMs - (before.get(pid) ?? 0) > MAX_WAITING_SHARE * (untilMs - fromMs)
+  );
+}
+
 /** How long the main thread of a process has waited for a core since its start, milliseconds. */
 function readWaitedMs(pid: number): number | undefined {
   try {
