Go on with the next seed of the soak if a site does not start

On a busy machine a daemon took over 15 s to start, which ended the whole series. Such a seed now counts as broken, and the next one follows.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -8,7 +8,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { Command } from "commander";
-import { soak } from "./soak.ts";
+import { soak, type SoakOptions, type SoakResult } from "./soak.ts";
 
 const program = new Command("soak")
   .option("--seeds <number>", "runs", "1")
@@ -34,7 +34,7 @@
 const first = Number(given.first);
 let broken = 0;
 for (let seed = first; seed < first + Number(given.seeds); seed++) {
-  const result = await soak({
+  const result = await soakOrFail({
     seed,
     lengthMs: 1000 * Number(given.seconds),
     daemons: Number(given.daemons),
@@ -42,6 +42,10 @@
     advice: given.advice,
     ...(given.left === undefined ? {} : { left: Number(given.left) }),
   });
+  if (result === undefined) {
+    broken++;
+    continue;
+  }
   const { jobs, accepted, runs, faults, findings, starvedMs } = result;
   console.log(
     `seed=${seed} jobs=${jobs} accepted=${accepted} runs=${runs} ` +
@@ -64,3 +68,15 @@
 }
 console.log(`seeds=${given.seeds} broken=${broken}`);
 process.exit(broken > 0 ? 1 : 0);
+
+/** Executes one run; prints the error and returns `undefined` if the site does not start. */
+async function soakOrFail(
+  options: SoakOptions,
+): Promise<SoakResult | undefined> {
+  try {
+    return await soak(options);
+  } catch (error) {
+    console.log(`seed=${options.seed} failed: ${String(error).slice(0, 500)}`);
+    return undefined;
+  }
+}
