Request advice ahead at a team's limit through idle channels

Since steps at their team's limit request no advice, each of them waited for it once the limit had room, about a second with slow advice, and the team used less than its limit meanwhile.

At the end of a pass, such steps now request advice through channels that no other step has waited for in the pass, and leave one free. A step that could start thus still goes first.

The new test fails before: 300 ms after the limit has room, the next job of the team is pending. The tests of teams at their limit with one and seven channels hold.

--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -13,6 +13,7 @@
   planAdviceRequests,
 } from "./decisions/advice_requests.ts";
 import { AdviceBacklog } from "./decisions/advice_backlog.ts";
+import { mayHaveUsableTicket } from "./decisions/placement.ts";
 import type { FleetWorker } from "./fleet.ts";
 import { addTicket, stepKey, type StepRun } from "./job.ts";
 import type { Advice, Queue } from "./types.ts";
@@ -116,11 +117,44 @@
 
   /** Sends advice requests for a step if that is possible and useful now. */
   request(step: StepRun, context: AdviceSearchContext): void {
-    const { queue, nowMs } = context;
+    const { queue } = context;
     if (!isAdvised(queue) || !this.#ready(step, queue, context)) return;
-    const freeChannels = this.#dispatcher.freeSlotsFor(queue);
+    this.#sendRequests(step, {
+      queue,
+      context,
+      freeChannels: this.#dispatcher.freeSlotsFor(queue),
+    });
+  }
+
+  /**
+   * Requests advice for a step at its team's limit, so that it can start as soon
+   * as the limit has room. Only uses channels that nothing else waits for, and
+   * leaves one free.
+   */
+  requestAhead(step: StepRun, context: AdviceSearchContext): void {
+    const { queue, nowMs } = context;
+    const { requestsInFlight, retryAtMs } = step.advice;
+    if (!isAdvised(queue) || mayHaveUsableTicket(step, context)) return;
+    if (requestsInFlight > 0 || retryAtMs > nowMs) return;
+    if (!this.#backlog.isEmpty) return;
+    const freeChannels = this.#dispatcher.freeSlotsFor(queue) - 1;
+    if (freeChannels > 0) {
+      this.#sendRequests(step, { queue, context, freeChannels });
+    }
+  }
+
+  #sendRequests(
+    step: StepRun,
+    { queue, context, freeChannels }: {
+      readonly queue: Queue & AdvisedQueue;
+      readonly context: AdviceSearchContext;
+      readonly freeChannels: number;
+    },
+  ): void {
     const workerLists = this.#plan(step, context, freeChannels);
-    if (workerLists.length === 0) return this.#scheduleSearch(step, nowMs);
+    if (workerLists.length === 0) {
+      return this.#scheduleSearch(step, context.nowMs);
+    }
     const { baseMs, perWorkerMs } = queue.advice;
     const planned = workerLists.map((workers): PlannedRequest => ({
       queue,
--- a/src/cell/decisions/advice_backlog.ts
+++ b/src/cell/decisions/advice_backlog.ts
@@ -51,6 +51,11 @@
     known.startable = Math.max(known.startable, similarStarts);
   }
 
+  /** Whether no request has been added in this scheduling pass. */
+  get isEmpty(): boolean {
+    return this.#collected.size === 0;
+  }
+
   /** Adds the request of a submission that was accepted after the last pass. */
   addSubmission(queue: Queue): void {
     const known = backlogOf(this.#lastPass, queue);
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -151,9 +151,10 @@
   return teamAllowance(team, unavailable, spec.amounts);
 }
 
-function mayHaveUsableTicket(
+/** Whether a step needs no ticket or may have a usable one. */
+export function mayHaveUsableTicket(
   { advice }: StepRun,
-  { queue, nowMs }: SearchContext,
+  { queue, nowMs }: TicketContext,
 ): boolean {
   return queue.advice === undefined ||
     isFresh(advice.newestTicketMs, queue, nowMs);
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -6,7 +6,10 @@
  */
 import type { Timer } from "../clock.ts";
 import type { AdviceDispatcher } from "./advice_dispatcher.ts";
-import { AdviceRequester } from "./advice_requester.ts";
+import {
+  AdviceRequester,
+  type AdviceSearchContext,
+} from "./advice_requester.ts";
 import {
   type CellContext,
   endTermOnFailure,
@@ -102,6 +105,8 @@
   #teamsWithUrgentWaits: ReadonlySet<string> = new Set();
   /** Positions of the steps in the backlog of the last pass. */
   #backlogPositions = new Map<StepRun, number>();
+  /** Steps that their team's limit has kept from starting in this pass. */
+  readonly #limited = new Map<StepRun, AdviceSearchContext>();
   #timer: Timer | undefined;
   #closed = false;
   #paused = false;
@@ -226,6 +231,7 @@
     this.#reservations.beginPass(index.totals());
     const reservations = new ReservedTotals();
     const available = { index, reserved: reservations };
+    this.#limited.clear();
     for (const [position, { step, rank }] of sorted.entries()) {
       this.#tryPlace(step, available);
       if (!step.spec.gang || !backlog.has(step)) continue;
@@ -233,6 +239,9 @@
       const reserved = this.#reserveForGang(step, position, available);
       if (reserved) reservations.add(this.#reservations.of(step));
     }
+    for (const [step, context] of this.#limited) {
+      this.#requester.requestAhead(step, context);
+    }
   }
 
   #sortedBacklog(): readonly BacklogEntry[] {
@@ -263,11 +272,14 @@
     if (this.#paused || !this.#context.backlog.has(step)) return;
     const nowMs = this.#context.clock.monotonic();
     const context = this.#searchContext(step, available);
-    // A step at its team's limit needs no channel to the advice service.
-    const limit = blockingLimit(step, context);
-    if (limit !== undefined) return step.waits.note(limit, nowMs);
     const mayReserve = this.#reservations.mayReserve(context.queue.service);
     const adviceContext = { ...context, mayReserve };
+    const limit = blockingLimit(step, context);
+    if (limit !== undefined) {
+      // Requests of steps that could start go first.
+      this.#limited.set(step, adviceContext);
+      return step.waits.note(limit, nowMs);
+    }
     if (this.#requester.mustWait(step, adviceContext)) {
       return step.waits.note("advice", nowMs);
     }
--- a/src/cell/waits_for_advice_test.ts
+++ b/src/cell/waits_for_advice_test.ts
@@ -198,3 +198,30 @@
   t.deepEqual(await outcome, { type: "accepted" });
   t.is(cell.state(JOB), "running");
 });
+
+test("a step at its team's limit starts without a wait for advice once there is room", async (t) => {
+  const harness = harnessWith(10);
+  const limit = { cpuMillis: 1_000, memoryMib: 0, accelerators: 0 };
+  harness.set = {
+    ...harness.set,
+    teams: [{ name: "limited", keys: [], weight: 0, limit }],
+  };
+  const advice = new SimulatedAdvice(harness.clock, {
+    allows: () => true,
+    channels: 7,
+  });
+  const cell = await harness.open({ adviceDispatcher: advice.dispatcher });
+  const spec = { payload: "text", steps: [testStep()] };
+  for (const id of LIMITED_JOBS.slice(0, 2)) {
+    void cell.submit({ id, queue: "receipts", team: "limited", spec });
+    await harness.clock.run(2_000);
+  }
+  const [first, second] = LIMITED_JOBS;
+  t.is(cell.state(second!), "pending");
+  for (const worker of harness.workerClient.workers.values()) {
+    for (const task of [...worker.running.keys()]) worker.end(task, "done");
+  }
+  await harness.clock.run(300);
+  t.is(cell.state(first!), "done");
+  t.is(cell.state(second!), "running");
+});
