Check fewer of the steps that wait for a channel in each pass

Callers saw urgent work late in bursts: with hundreds of steps that wait for a channel, a pass searched workers for up to 32 of each queue to find out which have a request to send, and computed the limit of the team for all of them. The leader was busy with that while channels were idle.

Two steps of a queue are now checked in a pass, and a step that was checked within half a second is refused without a search or a look at its team's limit. A step that has not been checked counts as one that has room. At most 16 steps at their team's limit request advice ahead. The timer of a start request ends with its response.

--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -42,9 +42,12 @@
  * A step that is refused a channel is checked this often for whether a request
  * could let it start, milliseconds.
  */
-const START_CHECK_INTERVAL_MS = 250;
-/** Such checks of a queue's steps in one scheduling pass: each is a search. */
-const MAX_START_CHECKS = 32;
+const START_CHECK_INTERVAL_MS = 500;
+/**
+ * Such checks of a queue's steps in one scheduling pass. Each is a search of
+ * workers, and hundreds of steps may wait.
+ */
+const MAX_START_CHECKS = 2;
 
 /** Input for the search of workers to ask about. */
 export type AdviceSearchContext = Omit<
@@ -108,11 +111,26 @@
     this.#backlog.addSubmission(queue);
   }
 
-  /** Whether a step needs a ticket, has none, and cannot request one now. */
-  mustWait(step: StepRun, context: AdviceSearchContext): boolean {
-    const { queue } = context;
-    if (!isAdvised(queue) || step.advice.tickets.size > 0) return false;
-    return !this.#ready(step, queue, context);
+  /**
+   * Whether a step needs a ticket, has none, and cannot request one now. Without
+   * `context` only if that is known without a search of workers, which is
+   * expensive for the hundreds of steps that may wait.
+   */
+  mustWait(
+    step: StepRun,
+    queue: Queue,
+    context?: AdviceSearchContext,
+  ): boolean {
+    const { tickets, requestsInFlight, retryAtMs } = step.advice;
+    if (!isAdvised(queue) || tickets.size > 0) return false;
+    const nowMs = this.#context.clock.monotonic();
+    if (requestsInFlight > 0 || retryAtMs > nowMs) return true;
+    if (this.#dispatcher.freeSlotsFor(queue) > 0) return false;
+    if (context === undefined && this.#mayCheckStarts(step, queue, nowMs)) {
+      return false;
+    }
+    this.#recordRefusal(step, queue, context);
+    return true;
   }
 
   /** Sends advice requests for a step if that is possible and useful now. */
@@ -182,32 +200,39 @@
     if (requestsInFlight > 0) return false;
     if (retryAtMs > this.#context.clock.monotonic()) return false;
     if (this.#dispatcher.freeSlotsFor(queue) > 0) return true;
-    const similarStarts = this.#similarStarts(step, context);
-    if (similarStarts > 0) {
-      this.#dispatcher.recordRefusal(queue);
-      this.#backlog.add(queue, similarStarts);
-    }
+    this.#recordRefusal(step, queue, context);
     return false;
   }
 
   /**
-   * How many steps like this one have room; 0 if this one would send no request
-   * through a free channel: without room or without further workers to ask
-   * about, it must not claim one.
+   * Records that a step finds no free channel, unless it would send no request
+   * through one: without room or without further workers to ask about, it must
+   * not claim a channel.
    */
-  #similarStarts(step: StepRun, context: AdviceSearchContext): number {
+  #recordRefusal(
+    step: StepRun,
+    queue: Queue & AdvisedQueue,
+    context: AdviceSearchContext | undefined,
+  ): void {
     const { advice } = step;
-    const { queue, nowMs } = context;
-    const checks = this.#startChecks.get(queue.name) ?? 0;
-    const isDue = nowMs - advice.startsCheckedMs >= START_CHECK_INTERVAL_MS;
-    if (!isDue || checks >= MAX_START_CHECKS) return advice.similarStarts;
-    this.#startChecks.set(queue.name, checks + 1);
-    advice.startsCheckedMs = nowMs;
-    const requests = this.#plan(step, context, 1);
-    advice.similarStarts = requests.length > 0
-      ? countSimilarStarts(step, context)
-      : 0;
-    return advice.similarStarts;
+    if (
+      context !== undefined && this.#mayCheckStarts(step, queue, context.nowMs)
+    ) {
+      const checks = this.#startChecks.get(queue.name) ?? 0;
+      this.#startChecks.set(queue.name, checks + 1);
+      advice.startsCheckedMs = context.nowMs;
+      advice.similarStarts = this.#plan(step, context, 1).length > 0
+        ? countSimilarStarts(step, context)
+        : 0;
+    }
+    if (advice.similarStarts === 0) return;
+    this.#dispatcher.recordRefusal(queue);
+    this.#backlog.add(queue, advice.similarStarts);
+  }
+
+  #mayCheckStarts({ advice }: StepRun, queue: Queue, nowMs: number): boolean {
+    return nowMs - advice.startsCheckedMs >= START_CHECK_INTERVAL_MS &&
+      (this.#startChecks.get(queue.name) ?? 0) < MAX_START_CHECKS;
   }
 
   #plan(
--- a/src/cell/decisions/channel_demand.ts
+++ b/src/cell/decisions/channel_demand.ts
@@ -110,16 +110,18 @@
    * one shortly before.
    */
   othersActive(queue: string, nowMs: number): boolean {
-    return [...this.#byQueue].some(([other, demand]) =>
-      other !== queue && isActive(demand, nowMs)
-    );
+    for (const [other, demand] of this.#byQueue) {
+      if (other !== queue && isActive(demand, nowMs)) return true;
+    }
+    return false;
   }
 
   /** The same for queues whose requests are not slow. */
   quickerActive(nowMs: number): boolean {
-    return [...this.#byQueue.values()].some((demand) =>
-      !demand.slow && isActive(demand, nowMs)
-    );
+    for (const demand of this.#byQueue.values()) {
+      if (!demand.slow && isActive(demand, nowMs)) return true;
+    }
+    return false;
   }
 
   /** Queues that claim a channel, the one that has waited longest first. */
--- a/src/cell/job.ts
+++ b/src/cell/job.ts
@@ -86,7 +86,7 @@
   retryAtMs: number;
   /**
    * How many steps like this one had room at the last check; 0 if this one had
-   * no request to send.
+   * no request to send, 1 if that has not been checked yet.
    */
   similarStarts: number;
   /** When that was checked, monotonic milliseconds. */
@@ -191,7 +191,7 @@
       newestTicketMs: -Infinity,
       requestsInFlight: 0,
       retryAtMs: 0,
-      similarStarts: Infinity,
+      similarStarts: 1,
       startsCheckedMs: -Infinity,
     },
     waits: new StepWaits(),
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -24,7 +24,6 @@
   timeBudgetFor,
 } from "./decisions/backlog_order.ts";
 import { blockingLimit, findPlacements } from "./decisions/placement.ts";
-import type { SearchContext } from "./decisions/suitable_workers.ts";
 import { adviceMayHelp } from "./decisions/advice_requests.ts";
 import {
   orderForReservation,
@@ -63,6 +62,11 @@
  * may have nothing running beside free workers; source: the platform's pages.
  */
 const MAX_PASS_REST_MS = 1_000;
+/**
+ * Steps at their team's limit that have tickets ahead of time. Each pass may
+ * search workers for all of them.
+ */
+const MAX_STEPS_AHEAD = 16;
 /**
  * Nothing is started while a store write has been unanswered for longer than
  * this, since every start is recorded first.
@@ -239,7 +243,9 @@
       const reserved = this.#reserveForGang(step, position, available);
       if (reserved) reservations.add(this.#reservations.of(step));
     }
-    for (const [step, context] of this.#limited) {
+    for (
+      const [step, context] of [...this.#limited].slice(0, MAX_STEPS_AHEAD)
+    ) {
       this.#requester.requestAhead(step, context);
     }
   }
@@ -271,16 +277,20 @@
   #tryPlace(step: StepRun, available: AvailableCapacity): void {
     if (this.#paused || !this.#context.backlog.has(step)) return;
     const nowMs = this.#context.clock.monotonic();
+    const queue = queueOf(this.#context, step.job);
+    const isLimited = step.waits.reason === "teamLimit" ||
+      step.waits.reason === "limitHeadroom";
+    if (!isLimited && this.#requester.mustWait(step, queue)) {
+      return step.waits.note("advice", nowMs);
+    }
     const context = this.#searchContext(step, available);
-    const mayReserve = this.#reservations.mayReserve(context.queue.service);
-    const adviceContext = { ...context, mayReserve };
     const limit = blockingLimit(step, context);
     if (limit !== undefined) {
       // Requests of steps that could start go first.
-      this.#limited.set(step, adviceContext);
+      this.#limited.set(step, context);
       return step.waits.note(limit, nowMs);
     }
-    if (this.#requester.mustWait(step, adviceContext)) {
+    if (this.#requester.mustWait(step, queue, context)) {
       return step.waits.note("advice", nowMs);
     }
     const search = findPlacements(step, context);
@@ -292,7 +302,7 @@
     }
     step.waits.note(search.reason ?? "noRoom", nowMs);
     if (adviceMayHelp(search.reason)) {
-      this.#requester.request(step, adviceContext);
+      this.#requester.request(step, context);
     }
   }
 
@@ -325,7 +335,7 @@
   #searchContext(
     step: StepRun,
     { index, reserved }: AvailableCapacity,
-  ): SearchContext {
+  ): AdviceSearchContext {
     const { clock, runTimes } = this.#context;
     const queue = queueOf(this.#context, step.job);
     const urgent = queue.priority === 0 || step.spec.longRunning;
@@ -337,6 +347,7 @@
       team: teamOf(this.#context, step.job),
       nowMs,
       reserved: urgent ? NOTHING_RESERVED : reserved,
+      mayReserve: this.#reservations.mayReserve(queue.service),
       limitHeadroom: urgent ? NO_AMOUNTS : this.#limitHeadroomFor(step, nowMs),
       runTimes,
       timeBudget: () =>
--- a/src/cell/start_retry.ts
+++ b/src/cell/start_retry.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { sleep } from "../clock.ts";
+import type { Timer } from "../clock.ts";
 import type { CellContext } from "./context.ts";
 import type { Run } from "./fleet.ts";
 import { isFinished } from "./job.ts";
@@ -34,16 +34,22 @@
   address: WorkerAddress,
   request: StartRequest,
 ): Promise<StartResponse> {
-  const overdue = sleep(clock, MAX_START_MS).then((): StartResponse => ({
-    type: "unknown",
-    message: "no response from the client",
-  }));
+  let timer: Timer | undefined;
+  const overdue = new Promise<StartResponse>((resolve) => {
+    timer = clock.after(
+      MAX_START_MS,
+      () =>
+        resolve({ type: "unknown", message: "no response from the client" }),
+    );
+  });
   try {
     return await Promise.race([workerClient.start(address, request), overdue]);
   } catch (error) {
     const reason = String((error as Error).stack ?? error);
     log.error("start.failed", { worker: address.id, fence, reason });
     return { type: "unknown", message: "the client has failed" };
+  } finally {
+    timer?.cancel();
   }
 }
 
