Send a long quick request where a typical one has a free slot

Callers saw a step with many tasks wait beside idle workers while quick advice requests of others went on.

Whether a queue has a free slot is answered for its typical request, which names 30 workers. A quick channel takes several requests up to a total duration, so a longer request for up to 100 workers could be refused by each channel that had such a slot: it was planned, came back as busy, and was tried again 200 ms later. As the queue had a slot, it recorded no refusal and claimed no channel, and with a request of others always in flight no channel was ever idle.

A request now takes a slot that is free for a typical request of its queue. It may make a channel's requests exceed the total by its additional duration; the next one then waits until the channel has room.

The new test, with one channel and two streams of others, fails before the change: the job is pending after 5 s.

--- a/src/cell/advice_dispatcher.ts
+++ b/src/cell/advice_dispatcher.ts
@@ -50,6 +50,8 @@
   readonly processStartsMs?: readonly (number | undefined)[];
   /** Expected duration at the service, milliseconds. */
   readonly expectedMs: number;
+  /** The same of a typical request of the queue. */
+  readonly typicalMs: number;
 }
 
 /** Sends a request to the advice service through an instance. */
@@ -194,10 +196,16 @@
    * is none.
    */
   async send(request: AdviceRequest): Promise<Advice> {
-    const { queue, expectedMs } = request;
+    const { queue, expectedMs, typicalMs } = request;
     this.#refreshChannels();
     const durationClass = durationClassOf(expectedMs);
-    const channel = this.#findChannel({ queue, durationClass, expectedMs });
+    const channel = this.#findChannel({
+      queue,
+      durationClass,
+      // A slot that is free for a typical request is free for a longer one: no
+      // channel may ever be idle.
+      expectedMs: Math.min(expectedMs, typicalMs),
+    });
     if (channel === undefined) return { type: "busy" };
     const startedMs = this.#clock.monotonic();
     const slow = durationClass === "slow";
--- a/src/cell/advice_dispatcher_test.ts
+++ b/src/cell/advice_dispatcher_test.ts
@@ -42,6 +42,7 @@
     step: "s",
     workers: ["w"],
     expectedMs: advice.baseMs,
+    typicalMs: advice.baseMs,
   };
 }
 
--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -12,6 +12,7 @@
   MAX_RESPONSE_DELAY_MS,
   planAdviceRequests,
 } from "./decisions/advice_requests.ts";
+import { typicalRequestMs } from "./decisions/channels.ts";
 import { AdviceBacklog } from "./decisions/advice_backlog.ts";
 import { mayHaveUsableTicket } from "./decisions/placement.ts";
 import type { FleetWorker } from "./fleet.ts";
@@ -57,7 +58,7 @@
 
 /** An advice request for a step that is about to be sent. */
 interface PlannedRequest {
-  readonly queue: Queue;
+  readonly queue: Queue & AdvisedQueue;
   readonly workers: readonly WorkerProcess[];
   readonly expectedMs: number;
 }
@@ -265,6 +266,7 @@
       workers: workers.map(({ id }) => id),
       processStartsMs: workers.map(({ processStartMs }) => processStartMs),
       expectedMs,
+      typicalMs: typicalRequestMs(planned.queue.advice),
     });
     timer.cancel();
     this.#logResponse(step, response, {
--- a/src/cell/waits_for_advice_test.ts
+++ b/src/cell/waits_for_advice_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { sleep } from "../clock.ts";
 import { Harness, testQueue, testStep } from "./_fixtures_test.ts";
 import { SimulatedAdvice } from "./_simulated_advice_test.ts";
 
@@ -225,3 +226,29 @@
   t.is(cell.state(first!), "done");
   t.is(cell.state(second!), "running");
 });
+
+test("a request that takes longer than most gets a channel beside a stream of others", async (t) => {
+  const harness = harnessWith(100);
+  const quick = { baseMs: 5, perWorkerMs: 0.15, ticketMs: 1_500 };
+  const queue = testQueue({ objectiveMs: 60_000, advice: quick });
+  harness.set = { ...harness.set, queues: [queue] };
+  const advice = new SimulatedAdvice(harness.clock, { allows: () => true });
+  const { dispatcher } = advice;
+  const sendOthers = async () => {
+    while (true) {
+      const { type } = await dispatcher.send({
+        queue: "other",
+        step: "other",
+        workers: [],
+        expectedMs: 9,
+        typicalMs: 9,
+      });
+      if (type === "busy") await sleep(harness.clock, 2);
+    }
+  };
+  const cell = await harness.open({ adviceDispatcher: dispatcher });
+  for (let stream = 0; stream < 2; stream++) void sendOthers();
+  await harness.submit(cell, [testStep({ tasks: 400 })]);
+  await harness.clock.run(5_000, 1);
+  t.is(cell.state(JOB), "running");
+});
