Let gangs reserve behind gangs that can never fit

Callers saw a gang in a busy fleet wait while smaller tasks behind it took each part that became free.

Once six gangs of a service have failed to reserve in a pass, the remaining ones are skipped. Gangs that need more than all the workers that they may run on fail in each pass, so six of them at the front of the backlog kept all later gangs from reserving, for up to three times their objective.

Such a gang is now left out before it counts. The check ends at the first workers that hold the gang, so it costs little for others.

The new test, with ten gangs of 13 cores in a fleet of 12, fails before the change: the gang behind them gets no start.

--- a/src/cell/decisions/reservations.ts
+++ b/src/cell/decisions/reservations.ts
@@ -227,6 +227,19 @@
   return racks[0] ?? eligible;
 }
 
+/**
+ * Whether the workers that may run a gang by the rules of the queue and the step
+ * could hold all of it, if nothing but long-running tasks ran there.
+ */
+export function couldHold(step: StepRun, context: SearchContext): boolean {
+  let missing = waitingTasks(step).length;
+  for (const worker of context.index.workers(context.queue.service)) {
+    if (missing <= 0) break;
+    if (isEligible(step, worker, context)) missing -= maxTasksOn(step, worker);
+  }
+  return missing <= 0;
+}
+
 /**
  * Orders workers for a gang's reservation by expected run time. Leaves out
  * those too slow for the gang if the others have enough capacity.
--- a/src/cell/gangs_test.ts
+++ b/src/cell/gangs_test.ts
@@ -57,32 +57,43 @@
   t.deepEqual(worker.stops, []);
 });
 
-test("a gang gets its capacity although smaller tasks wait behind it", async (t) => {
-  const harness = new Harness();
-  const queues = [
-    testQueue({ name: "small", priority: 2, objectiveMs: 60_000 }),
-    testQueue({ name: "gangs", priority: 1, objectiveMs: 60_000 }),
-  ];
-  harness.set = { ...harness.set, queues };
-  const workers = ["w1", "w2", "w3"].map((id) => harness.addWorker(id));
-  const cell = await harness.open();
-  const submit = (id: string, queue: string, step: StepSpec) =>
-    cell.submit({ id, queue, team: "", spec: { payload: "", steps: [step] } });
-  const small = "00000000000000b1";
-  void submit(small, "small", testStep({ tasks: 24 }));
-  await harness.clock.run(300);
-  void submit(JOB, "gangs", testStep({ gang: true, tasks: 3 }));
-  await harness.clock.run(300);
-  for (const worker of workers) {
-    const [first] = worker.running.keys();
-    worker.end(first!, "done");
+for (const oversized of [0, 10]) {
+  test(`a gang gets its capacity although smaller tasks wait behind it, gangs before it that never fit: ${oversized}`, async (t) => {
+    const harness = new Harness();
+    const queues = [
+      testQueue({ name: "small", priority: 2, objectiveMs: 60_000 }),
+      testQueue({ name: "gangs", priority: 1, objectiveMs: 60_000 }),
+    ];
+    harness.set = { ...harness.set, queues };
+    const workers = ["w1", "w2", "w3"].map((id) => harness.addWorker(id));
+    const cell = await harness.open();
+    const submit = (id: string, queue: string, step: StepSpec) =>
+      cell.submit({
+        id,
+        queue,
+        team: "",
+        spec: { payload: "", steps: [step] },
+      });
+    const small = "00000000000000b1";
+    void submit(small, "small", testStep({ tasks: 24 }));
     await harness.clock.run(300);
-  }
-  const starts = workers.flatMap((worker) => worker.starts);
-  const ofGang = starts.filter(({ task }) => task.startsWith(JOB));
-  t.is(ofGang.length, 3);
-  t.is(starts.length, 12 + 3, "no small task was started before the gang");
-});
+    for (let number = 0; number < oversized; number++) {
+      const id = `00000000000000c${number}`;
+      void submit(id, "gangs", testStep({ gang: true, tasks: 13 }));
+    }
+    void submit(JOB, "gangs", testStep({ gang: true, tasks: 3 }));
+    await harness.clock.run(300);
+    for (const worker of workers) {
+      const [first] = worker.running.keys();
+      worker.end(first!, "done");
+      await harness.clock.run(300);
+    }
+    const starts = workers.flatMap((worker) => worker.starts);
+    const ofGang = starts.filter(({ task }) => task.startsWith(JOB));
+    t.is(ofGang.length, 3);
+    t.is(starts.length, 12 + 3, "no small task was started before the gang");
+  });
+}
 
 test("no member's completion is acknowledged before the store has recorded the gang's", async (t) => {
   const harness = new Harness();
--- a/src/cell/scheduler.ts
+++ b/src/cell/scheduler.ts
@@ -26,6 +26,7 @@
 import { blockingLimit, findPlacements } from "./decisions/placement.ts";
 import { adviceMayHelp } from "./decisions/advice_requests.ts";
 import {
+  couldHold,
   orderForReservation,
   reservableFor,
   Reservations,
@@ -419,6 +420,8 @@
     const unavailable = plus(used, context.limitHeadroom ?? NO_AMOUNTS);
     const allowance = teamAllowance(context.team, unavailable, spec.amounts);
     if (allowance < step.remainingTasks) return false;
+    // Gangs that can't fit must not keep later ones from reserving.
+    if (!couldHold(step, context)) return false;
     const fullest = [...reservableFor(step, context)].sort((a, b) =>
       b.used.cpuMillis - a.used.cpuMillis
     );
