Sort a step's workers by verdict once for each plan

Planning advice requests read the verdicts and tickets of the same workers several times.

They are now read in one pass, and only a gang, which needs all its tickets at once, is planned again for tickets that expire.

--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -112,7 +112,7 @@
     });
     const longest = requests[0]?.length ?? 0;
     const longestMs = advice.baseMs + longest * advice.perWorkerMs;
-    if (longestMs <= durationMs) return requests;
+    if (longestMs <= durationMs || !step.spec.gang) return requests;
     if (!expiresWithin(step, context, [durationMs, longestMs])) return requests;
     durationMs = longestMs;
   }
@@ -173,25 +173,24 @@
 ): ChosenWorkers {
   const { verdicts } = step.advice;
   const { reserved } = context;
-  const candidates = unrankedWithCapacity(step, context)
-    .filter((worker) => verdicts.on(worker) !== false);
-  const withLastingTicket = candidates.filter((worker) =>
-    willTicketBeUsable(step, worker, context)
-  );
+  const withLastingTicket: FleetWorker[] = [];
+  const good: FleetWorker[] = [];
+  const unknown: FleetWorker[] = [];
+  for (const worker of unrankedWithCapacity(step, context)) {
+    const verdict = verdicts.on(worker);
+    if (verdict === false) continue;
+    if (willTicketBeUsable(step, worker, context)) {
+      withLastingTicket.push(worker);
+    } else if (verdict === true) good.push(worker);
+    else unknown.push(worker);
+  }
   const missingTasks = waitingTasks(step).length -
     taskCapacity(step, withLastingTicket, reserved);
-  const requestable = candidates.filter((worker) =>
-    !withLastingTicket.includes(worker)
-  );
-  const good = requestable.filter((worker) => verdicts.on(worker) === true);
   const goodSlots = taskCapacity(step, good, reserved);
   if (goodSlots >= missingTasks) {
     const best = orderByPreference(step, good, context);
     return takeEnough(step, best, { missingTasks, context });
   }
-  const unknown = requestable.filter((worker) =>
-    verdicts.on(worker) === undefined
-  );
   const unknownSlots = taskCapacity(step, unknown, reserved);
   // The estimated share must not rule out a request: only a response corrects it.
   const mayStart = !step.spec.gang || goodSlots + unknownSlots >= missingTasks;
--- a/src/cell/decisions/placement.ts
+++ b/src/cell/decisions/placement.ts
@@ -129,7 +129,9 @@
   step: StepRun,
   context: TicketContext,
 ): number {
-  return workersWithTicket(step, context).length;
+  return mayHaveUsableTicket(step, context)
+    ? workersWithTicket(step, context).length
+    : 0;
 }
 
 /** Whether a ticket issued at `atMs` can still be used. */
