--- a/src/cell/lost_responses_test.ts
+++ b/src/cell/lost_responses_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { sleep } from "../clock.ts";
+import type { StartResponse } from "./ports.ts";
 import { Harness, testStep } from "./_fixtures_test.ts";
 
 const JOB = "00000000000000aa";
@@ -132,6 +133,23 @@
   t.is(worker.running.size, 1);
 });
 
+/** A cell whose client gives this response to starts for a while. */
+async function runWithStarts(
+  response: () => Promise<StartResponse>,
+  forMs: number,
+) {
+  const harness = new Harness();
+  const worker = harness.addWorker("w1");
+  const cell = await harness.open();
+  const { workerClient } = harness;
+  const start = workerClient.start.bind(workerClient);
+  workerClient.start = response;
+  await harness.submit(cell, [testStep()]);
+  await harness.clock.run(forMs);
+  workerClient.start = start;
+  return { harness, worker, cell };
+}
+
 for (
   const [behavior, response] of [
     ["fails", () => Promise.reject(new Error("broken"))],
@@ -139,15 +157,7 @@
   ] as const
 ) {
   test(`a task runs after a start request whose client ${behavior}`, async (t) => {
-    const harness = new Harness();
-    const worker = harness.addWorker("w1");
-    const cell = await harness.open();
-    const { workerClient } = harness;
-    const start = workerClient.start.bind(workerClient);
-    workerClient.start = response;
-    await harness.submit(cell, [testStep()]);
-    await harness.clock.run(200);
-    workerClient.start = start;
+    const { harness, worker, cell } = await runWithStarts(response, 200);
     await harness.clock.run(2_500);
     t.is(worker.running.size, 1);
     // The worker gets further runs.
@@ -156,15 +166,7 @@
   });
 
   test(`a worker gets new runs after all requests of a start whose client ${behavior}`, async (t) => {
-    const harness = new Harness();
-    const worker = harness.addWorker("w1");
-    const cell = await harness.open();
-    const { workerClient } = harness;
-    const start = workerClient.start.bind(workerClient);
-    workerClient.start = response;
-    await harness.submit(cell, [testStep()]);
-    await harness.clock.run(1_700);
-    workerClient.start = start;
+    const { harness, worker } = await runWithStarts(response, 1_700);
     await harness.clock.run(2_000);
     t.is(worker.running.size, 1);
   });
--- a/src/cell/waits_for_advice_test.ts
+++ b/src/cell/waits_for_advice_test.ts
@@ -173,8 +173,9 @@
   t.is(cell.state(JOB), "running");
 });
 
-test("a team at its limit does not keep the steps of others from any of seven channels", async (t) => {
-  const harness = harnessWith(100);
+/** A cell with seven channels, and a team whose limit is one core. */
+async function openWithLimitedTeam({ workers }: { readonly workers: number }) {
+  const harness = harnessWith(workers);
   const limit = { cpuMillis: 1_000, memoryMib: 0, accelerators: 0 };
   harness.set = {
     ...harness.set,
@@ -189,6 +190,11 @@
     const spec = { payload: "text", steps: [testStep()] };
     return cell.submit({ id, queue: "receipts", team, spec });
   };
+  return { harness, cell, submit };
+}
+
+test("a team at its limit does not keep the steps of others from any of seven channels", async (t) => {
+  const { harness, cell, submit } = await openWithLimitedTeam({ workers: 100 });
   for (let number = 10; number <= 22; number++) {
     void submit(String(number).padStart(16, "0"), "limited");
     await harness.clock.run(100);
@@ -201,20 +207,9 @@
 });
 
 test("a step at its team's limit starts without a wait for advice once there is room", async (t) => {
-  const harness = harnessWith(10);
-  const limit = { cpuMillis: 1_000, memoryMib: 0, accelerators: 0 };
-  harness.set = {
-    ...harness.set,
-    teams: [{ name: "limited", keys: [], weight: 0, limit }],
-  };
-  const advice = new SimulatedAdvice(harness.clock, {
-    allows: () => true,
-    channels: 7,
-  });
-  const cell = await harness.open({ adviceDispatcher: advice.dispatcher });
-  const spec = { payload: "text", steps: [testStep()] };
+  const { harness, cell, submit } = await openWithLimitedTeam({ workers: 10 });
   for (const id of LIMITED_JOBS.slice(0, 2)) {
-    void cell.submit({ id, queue: "receipts", team: "limited", spec });
+    void submit(id, "limited");
     await harness.clock.run(2_000);
   }
   const [first, second] = LIMITED_JOBS;
