Check steps that wait for a channel at a bounded rate

Callers saw urgent work late in bursts on large fleets: each scheduling pass still searched all workers for two steps of each queue that waits for a channel, and for up to 16 steps at their team's limit, in passes that follow each other by tens of milliseconds.

One step of a queue is now checked each 100 ms at most, and a step at its limit that had nothing to request is searched again after half a second.

The 415 tests of src/cell hold, those of claims without use included.

--- a/src/cell/advice_requester.ts
+++ b/src/cell/advice_requester.ts
@@ -45,10 +45,10 @@
  */
 const START_CHECK_INTERVAL_MS = 500;
 /**
- * Such checks of a queue's steps in one scheduling pass. Each is a search of
- * workers, and hundreds of steps may wait.
+ * Time between two such checks of a queue's steps, milliseconds. Each is a search
+ * of workers, and hundreds of steps may wait.
  */
-const MAX_START_CHECKS = 2;
+const QUEUE_CHECK_INTERVAL_MS = 100;
 
 /** Input for the search of workers to ask about. */
 export type AdviceSearchContext = Omit<
@@ -78,8 +78,11 @@
    */
   readonly #goodShares = new Map<string, number>();
   readonly #backlog = new AdviceBacklog();
-  /** Such checks in this scheduling pass, by queue name. */
-  readonly #startChecks = new Map<string, number>();
+  /**
+   * When a step of a queue was last checked, monotonic milliseconds, by queue
+   * name.
+   */
+  readonly #queueCheckedMs = new Map<string, number>();
   #searchTimer: Timer | undefined;
 
   /** `onAdvice` is called after each response, also after failed ones. */
@@ -96,7 +99,6 @@
   /** Ends a scheduling pass: its refused requests are the backlog. */
   endPass(): void {
     this.#backlog.endPass();
-    this.#startChecks.clear();
   }
 
   /** How long a new request of a queue would wait for a channel, milliseconds. */
@@ -152,9 +154,10 @@
    */
   requestAhead(step: StepRun, context: AdviceSearchContext): void {
     const { queue, nowMs } = context;
-    const { requestsInFlight, retryAtMs } = step.advice;
+    const { requestsInFlight, retryAtMs, startsCheckedMs } = step.advice;
     if (!isAdvised(queue) || mayHaveUsableTicket(step, context)) return;
     if (requestsInFlight > 0 || retryAtMs > nowMs) return;
+    if (nowMs - startsCheckedMs < START_CHECK_INTERVAL_MS) return;
     if (!this.#backlog.isEmpty) return;
     const freeChannels = this.#dispatcher.freeSlotsFor(queue) - 1;
     if (freeChannels > 0) {
@@ -222,8 +225,7 @@
     if (
       context !== undefined && this.#mayCheckStarts(step, queue, context.nowMs)
     ) {
-      const checks = this.#startChecks.get(queue.name) ?? 0;
-      this.#startChecks.set(queue.name, checks + 1);
+      this.#queueCheckedMs.set(queue.name, context.nowMs);
       advice.startsCheckedMs = context.nowMs;
       advice.similarStarts = this.#plan(step, context, 1).length > 0
         ? countSimilarStarts(step, context)
@@ -236,7 +238,8 @@
 
   #mayCheckStarts({ advice }: StepRun, queue: Queue, nowMs: number): boolean {
     return nowMs - advice.startsCheckedMs >= START_CHECK_INTERVAL_MS &&
-      (this.#startChecks.get(queue.name) ?? 0) < MAX_START_CHECKS;
+      nowMs - (this.#queueCheckedMs.get(queue.name) ?? -Infinity) >=
+        QUEUE_CHECK_INTERVAL_MS;
   }
 
   #plan(
