Order workers without a verdict only to name them

A plan of advice requests sorted the workers without a verdict also where it names none of them, which costs most for a gang in a large fleet of uneven speeds: it is planned anew each 50 ms.

--- a/src/cell/decisions/advice_requests.ts
+++ b/src/cell/decisions/advice_requests.ts
@@ -194,15 +194,17 @@
   const unknownSlots = taskCapacity(step, unknown, reserved);
   // The estimated share must not rule out a request: only a response corrects it.
   const mayStart = !step.spec.gang || goodSlots + unknownSlots >= missingTasks;
-  const named = mayStart
-    ? takeUnknown(step, unknown, {
-      missingTasks: missingTasks - goodSlots,
-      context,
-    })
-    : [];
+  // Ordering many workers is expensive.
+  const named = () =>
+    mayStart
+      ? takeUnknown(step, unknown, {
+        missingTasks: missingTasks - goodSlots,
+        context,
+      })
+      : [];
   if (step.spec.gang && context.mayReserve) {
     const ahead = chooseAhead(step, context);
-    if (ahead !== undefined) return { workers: [...named, ...ahead] };
+    if (ahead !== undefined) return { workers: [...named(), ...ahead] };
   }
   const expectedSlots = goodSlots + unknownSlots * context.goodShare;
   if (
@@ -215,8 +217,8 @@
       return { workers: [...toReserve, ...others] };
     }
   }
-  if (!step.spec.gang) return { workers: [...good, ...named] };
-  return { workers: mayStart ? [...named, ...good] : [] };
+  if (!step.spec.gang) return { workers: [...good, ...named()] };
+  return { workers: mayStart ? [...named(), ...good] : [] };
 }
 
 /**
