Describe what was thrown in one place

The 36 tests of failing parts, starts, advice recovery and the operators' watch hold. No figure was measured; what is logged stays the same.

--- a/src/cell/advice_recovery.ts
+++ b/src/cell/advice_recovery.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { describeThrown } from "../errors.ts";
 import type { CellContext } from "./context.ts";
 import { queueOf } from "./context.ts";
 import { addTicket, stepKey, type StepRun } from "./job.ts";
@@ -41,7 +42,7 @@
     // Instances of another build may send what can't be decoded. Their advice is
     // requested again.
     .catch((error): readonly CachedAdvice[] => {
-      const reason = String((error as Error).stack ?? error);
+      const reason = describeThrown(error);
       log.error("advice.unrecalled", { fence, reason });
       return [];
     });
--- a/src/cell/context.ts
+++ b/src/cell/context.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { describeThrown } from "../errors.ts";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../logger.ts";
 import type { Metrics } from "../metrics.ts";
@@ -80,7 +81,7 @@
   try {
     return await work();
   } catch (error) {
-    const reason = String((error as Error)?.stack ?? error);
+    const reason = describeThrown(error);
     log.error("leader.failed", { fence, part, reason });
     stepDown(`a failure of the ${part}`);
     return undefined;
--- a/src/cell/operator_watch.ts
+++ b/src/cell/operator_watch.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { describeThrown } from "../errors.ts";
 import { type Clock, sleep } from "../clock.ts";
 import type { Log } from "../logger.ts";
 import type { PlatformDirectory } from "./ports.ts";
@@ -45,7 +46,7 @@
           ? await this.#readState()
           : await this.#waitForUpdate(knownRevision);
       } catch (error) {
-        const reason = String((error as Error)?.stack ?? error);
+        const reason = describeThrown(error);
         log.error("operators.failed", { reason });
         lastRevision = undefined;
       }
--- a/src/cell/start_retry.ts
+++ b/src/cell/start_retry.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { describeThrown } from "../errors.ts";
 import type { Timer } from "../clock.ts";
 import type { CellContext } from "./context.ts";
 import type { Run } from "./fleet.ts";
@@ -45,7 +46,7 @@
   try {
     return await Promise.race([workerClient.start(address, request), overdue]);
   } catch (error) {
-    const reason = String((error as Error).stack ?? error);
+    const reason = describeThrown(error);
     log.error("start.failed", { worker: address.id, fence, reason });
     return { type: "unknown", message: "the client has failed" };
   } finally {
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -70,3 +70,8 @@
 export function assertNever(value: never): never {
   throw new TypeError(`unexpected variant: ${JSON.stringify(value)}`);
 }
+
+/** Description of anything that was thrown, with the stack if it has one. */
+export function describeThrown(error: unknown): string {
+  return String((error as Error | undefined)?.stack ?? error);
+}
